--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,12 @@
+#!/usr/bin/env bash
+# Installs what is missing, lints, builds and tests; closes with "N passed, N failed".
+set -euo pipefail
+cd "$(dirname "$0")/.."
+[ -d node_modules ] || npm ci --silent
+npm run --silent lint
+npm run --silent build
+results=$(mktemp)
+trap 'rm -f "$results"' EXIT
+code=0
+CI=true npx mocha --reporter json --reporter-option output="$results" "$@" > /dev/null || code=$?
+exec node scripts/report.js "$results" "$code" KNOWN-RED.txt
--- /dev/null
+++ b/src/bin/wisteria-sidecar.ts
@@ -0,0 +1,35 @@
+#!/usr/bin/env node
+/** The process beside one target: it admits, orders, limits and remembers the target's work. */
+import { mergeArray, periodic } from 'most'
+import { SIDECAR_SETTINGS } from '../core/config/index.js'
+import { TicketSigner } from '../core/ticket/index.js'
+import { stopServer } from '../io/http/index.js'
+import { announceListening, createLogger, getOrExit, onPlannedStop, readSecrets, readSettings } from '../io/process/index.js'
+import { RECONCILE_MS, SidecarServer, SidecarService, TICK_MS } from '../io/sidecar/index.js'
+
+/** Milliseconds in which entries hear that the sidecar is leaving before it may exit. */
+const NOTICE_MS = 2_500
+
+const settingsFile = process.argv[2] ?? 'wisteria-sidecar.toml'
+const settings = getOrExit(readSettings(settingsFile, SIDECAR_SETTINGS))
+const ticketKeys = getOrExit(readSecrets(settingsFile, 'ticket_keys', settings.ticketKeys))
+const logger = createLogger('wisteria-sidecar', settings.id)
+const service = new SidecarService(settings, logger)
+const server = await new SidecarServer(service, new TicketSigner({ keys: ticketKeys })).start(settings)
+
+const ticks = periodic(TICK_MS).tap(() => { service.tick() })
+const reconciliations = periodic(RECONCILE_MS).tap(() => { void service.reconcile() })
+void mergeArray<unknown>([ticks, reconciliations]).drain()
+
+onPlannedStop(logger, {
+  announce: () => { service.drain() },
+  isIdle: () => service.isDrained(),
+  close: async () => {
+    await stopServer(server)
+    await service.close()
+  },
+  stopMs: settings.limits.stopMs,
+  noticeMs: NOTICE_MS
+})
+logger.info('listening', { url: server.url, incarnation: service.incarnation })
+announceListening('sidecar', settings.id, server.url)
--- /dev/null
+++ b/src/core/call/CallProcedure.ts
@@ -0,0 +1,503 @@
+import { Right, type Either } from 'purify-ts'
+import type { Clock } from '../clock/index.js'
+import { CommitResult } from '../commit/index.js'
+import { StepName, type Trace } from '../explain/index.js'
+import { digestOf, type Answer, type TurnRow } from '../history/index.js'
+import type { RetryBudget } from '../limits/index.js'
+import type { Rows, Transaction } from '../platform/index.js'
+import { Outcome, type Refusal, type RefusalReason, type RetryReason } from '../reason/index.js'
+import { AttemptState, type CallEffect, type CallEvent, type Reply } from './CallEffects.js'
+import { applyTransaction, type CallLedger, type ReplacedClaim } from './CallLedger.js'
+import type { CallSpec } from './CallSpec.js'
+import { CLAIM_GRACE_MS, type Claim } from './Claim.js'
+import { RunOutcome, type RunResult } from './RunResult.js'
+import { addSuspectTarget, getSuspectKey, isQuarantined, type SuspectRow } from './SuspectRow.js'
+import type { SelectedTarget, TargetSelector } from './TargetSelector.js'
+
+/** Attempts that one call may make, the first one included. */
+export const MAX_TRIES = 4
+
+/** Times that a procedure reads its ledger before it gives up. */
+export const MAX_ROUNDS = 24
+
+/** Milliseconds for which a claim waits for the store. */
+export const CLAIM_TIMEOUT_MS = 3_000
+
+/** Milliseconds for which the end of an answer is held until the store has taken it. */
+export const SETTLE_TIMEOUT_MS = 30_000
+
+/** Milliseconds for which an unsettled answer is still offered to the store after its caller has been told. */
+export const SETTLE_LINGER_MS = 600_000
+
+/** Milliseconds between two questions about an attempt. */
+export const LOCATE_PAUSE_MS = 250
+
+/** Milliseconds for which a repeatable attempt is searched before another one is made. */
+export const LOCATE_PATIENCE_MS = 2_000
+
+/** What a procedure knows about the session of its call before it has read the ledger. */
+export interface CallContext {
+  readonly warmTargets: readonly string[]
+  readonly attainedTokens: number
+  readonly historyChars: number
+  readonly isUnderWay: boolean
+  /** Time after which the budget of the session allows no work, in milliseconds since the Unix epoch. */
+  readonly deadline: number
+}
+
+/** Options of {@link CallProcedure}. */
+export interface CallProcedureOptions {
+  readonly ledger: CallLedger
+  readonly spec: CallSpec
+  readonly requestDigest: string
+  readonly session: string
+  readonly call: number
+  /** Id of the entry that runs the procedure. */
+  readonly entry: string
+  readonly selector: TargetSelector
+  readonly retryBudget: RetryBudget
+  readonly clock: Clock
+  readonly trace: Trace
+  /** Gets what the ledger rows say about the session. */
+  readonly getContext: (rows: Rows) => CallContext
+  /** True when the caller says that it has not sent this request before. */
+  readonly isFirstSending: boolean
+  /** Tells whether the caller has left. */
+  readonly isCallerGone: () => boolean
+  /** Notes a retry for the counters. */
+  readonly onRetry?: (reason: RetryReason) => void
+}
+
+/** Fate of an attempt that ended without a result. */
+type Fate = 'not-run' | 'charged'
+
+type Next =
+  | { readonly type: 'reply', readonly reply: Reply }
+  | { readonly type: 'again', readonly reason: RetryReason }
+
+type Steps<T> = Generator<CallEffect, T, CallEvent>
+
+/** Refusals by which a sidecar says that another attempt has taken over. */
+const TAKEN_OVER: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['epoch-stale', 'cancelled'])
+
+/** Average number of characters of a token, for estimates. */
+const CHARS_PER_TOKEN = 4
+
+/**
+ * Carries one call from its arrival to its reply.
+ *
+ * @remarks The procedure is pure: it yields effects and is resumed with their events, so it can be stopped after any
+ * effect. Whatever is stopped half way, by any process, is finished by the next procedure for the same call: it finds
+ * the claim in the ledger and asks the sidecar named there.
+ */
+export class CallProcedure {
+  private readonly _options: CallProcedureOptions
+  private readonly _fates = new Map<string, Fate>()
+  private readonly _excluded = new Set<string>()
+  private readonly _startedAt: number
+  private readonly _suspectKey: string
+  private readonly _crashedTargets = new Set<string>()
+  private _rows: Rows = new Map()
+  private _losses = 0
+
+  constructor (options: CallProcedureOptions) {
+    this._options = options
+    this._startedAt = options.clock.now()
+    this._suspectKey = getSuspectKey(digestOf(options.requestDigest))
+  }
+
+  /** Runs the call; the last effect is always a reply, except for acknowledgements. */
+  * run (): Steps<void> {
+    this._options.retryBudget.addAttempt()
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      const next = yield * this._round()
+      if (next.type === 'reply') {
+        yield * this._reply(next.reply)
+        return
+      }
+      this._options.trace.add(StepName.Retried, next.reason)
+      this._options.onRetry?.(next.reason)
+    }
+    yield * this._reply(refuse('deadline-passed'))
+  }
+
+  private * _round (): Steps<Next> {
+    const readEvent = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
+    if (readEvent.type === 'rows') this._rows = readEvent.rows
+    else if (this._options.ledger.isDurable()) return toReply(this._toUnreadable())
+    const decision = this._options.ledger.decide(this._rows, this._options.clock.now())
+    return yield * decision.caseOf<Steps<Next>>({
+      Left: refusal => this._refuse(refusal),
+      Right: allowed => {
+        if (allowed.type === 'replay') return this._replay(allowed.turn)
+        if (allowed.type === 'join') return this._join(allowed.claim)
+        return this._attempt(undefined)
+      }
+    })
+  }
+
+  private * _refuse (refusal: Refusal): Steps<Next> {
+    return toReply({ type: 'refusal', refusal })
+  }
+
+  private * _replay (turn: TurnRow): Steps<Next> {
+    this._options.trace.add(StepName.Replayed, 'the call had finished')
+    return toReply(toTurnReply(turn, true))
+  }
+
+  private * _join (claim: Claim): Steps<Next> {
+    const fate = this._fates.get(claim.attempt)
+    if (fate !== undefined) return yield * this._attempt({ claim, isCharged: fate === 'charged' })
+    return yield * this._locate(claim)
+  }
+
+  /** Without the ledger there is no proof about earlier sendings, or about attempts of this one. */
+  private _toUnreadable (): Reply {
+    const isFresh = this._options.isFirstSending && this._fates.size === 0
+    return refuse(isFresh ? 'store-unavailable' : 'ledger-unreadable', 1)
+  }
+
+  private * _attempt (replaced: ReplacedClaim | undefined): Steps<Next> {
+    if (this._options.isCallerGone() && replaced === undefined) return toReply(refuse('caller-gone'))
+    if (this._isQuarantined()) return yield * this._withdraw(replaced, { reason: 'quarantined' })
+    const tries = (replaced?.claim.tries ?? 0) + 1
+    if (tries > MAX_TRIES) return yield * this._withdraw(replaced, { reason: 'retries-exhausted' })
+    if (replaced !== undefined && !this._options.retryBudget.tryRemove()) {
+      return yield * this._withdraw(replaced, { reason: 'retry-budget', retryAfterSeconds: 1 })
+    }
+    const selected = this._decideAgain(replaced).chain(() => this._select(replaced))
+    return yield * selected.caseOf<Steps<Next>>({
+      Left: refusal => this._withdraw(replaced, refusal),
+      Right: target => this._claim(target, tries, replaced)
+    })
+  }
+
+  private _decideAgain (replaced: ReplacedClaim | undefined): Either<Refusal, true> {
+    if (replaced === undefined) return Right(true)
+    return this._options.ledger.decideAgain(this._rows, replaced, this._options.clock.now())
+  }
+
+  private _select (replaced: ReplacedClaim | undefined): Either<Refusal, SelectedTarget> {
+    const { spec, ledger, selector, clock } = this._options
+    const context = this._options.getContext(this._rows)
+    return selector.select({
+      service: spec.service,
+      workspace: spec.workspace,
+      affinityKey: this._options.session === '' ? ledger.key : this._options.session,
+      warmTargets: context.warmTargets,
+      promptTokens: this._estimatePromptTokens(context),
+      maxTokens: spec.maxTokens,
+      isUnderWay: context.isUnderWay || replaced !== undefined,
+      deadline: this._getDeadline(),
+      excluded: this._excluded
+    }, clock.now())
+  }
+
+  private * _claim (target: SelectedTarget, tries: number, replaced: ReplacedClaim | undefined): Steps<Next> {
+    const { ledger, spec, trace } = this._options
+    const claim = this._toClaim(target, tries, replaced)
+    trace.add(StepName.Placed, target.cause, target.id)
+    const history = spec.kind === 'model' && ledger.isDurable() ? yield { type: 'read-history' } : undefined
+    if (history?.type === 'history-damaged') return toReply(refuse('history-damaged'))
+    if (history?.type === 'unavailable') return toReply(refuse('store-unavailable'))
+    const transaction = ledger.toClaim(this._rows, claim, replaced)
+    if (ledger.isDurable()) {
+      const result = yield * this._commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
+      if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
+      // Nothing has been dispatched and only this procedure may dispatch the attempt, so it does not run.
+      if (result !== CommitResult.Committed) return toReply(refuse(claim.mayHaveRun ? 'attempts-failed' : 'store-unavailable', 1))
+      trace.add(StepName.Claimed, `attempt ${claim.attempt}`, target.id)
+    }
+    yield * this._acknowledgeReplaced(replaced)
+    const messages = history?.type === 'history' ? [...history.messages, ...spec.messages] : spec.messages
+    return yield * this._dispatch(claim, messages)
+  }
+
+  private * _dispatch (claim: Claim, messages: CallSpec['messages']): Steps<Next> {
+    const { spec } = this._options
+    const context = this._options.getContext(this._rows)
+    this._options.trace.add(StepName.Dispatched, `try ${claim.tries}`, claim.target)
+    const event = yield {
+      type: 'dispatch',
+      dispatch: {
+        claim,
+        ledgerKey: this._options.ledger.key,
+        workspace: spec.workspace,
+        service: spec.service,
+        operation: spec.operation,
+        contentType: spec.contentType,
+        body: spec.body,
+        kind: spec.kind,
+        attainedTokens: context.attainedTokens,
+        promptTokens: this._estimatePromptTokens(context),
+        messages,
+        holdKey: this._options.session
+      }
+    }
+    return yield * this._follow(claim, event)
+  }
+
+  /** Continues from the end, the refusal or the loss of a stream. */
+  private * _follow (claim: Claim, event: CallEvent): Steps<Next> {
+    if (event.type === 'ended') return yield * this._collect(claim)
+    // A replayed ticket says that the first copy of the dispatch was taken, so it proves nothing.
+    if (event.type === 'refused' && event.reason !== 'ticket-replayed') return this._noteRefused(claim, event.reason)
+    this._options.onRetry?.('dispatch-lost')
+    if (this._losses++ > 0) yield { type: 'wait', ms: LOCATE_PAUSE_MS }
+    return yield * this._locate(claim)
+  }
+
+  private _noteRefused (claim: Claim, reason: RefusalReason): Next {
+    this._options.trace.add(StepName.Refused, reason, claim.target)
+    if (TAKEN_OVER.has(reason)) return this._again(claim, 'not-run', 'dispatch-refused')
+    this._excluded.add(claim.target)
+    return this._again(claim, 'not-run', 'dispatch-refused')
+  }
+
+  private * _locate (claim: Claim): Steps<Next> {
+    const patience = this._getPatience(claim)
+    for (;;) {
+      const cancelIfAbsent = this._mayCancel(claim)
+      const event = yield { type: 'locate', claim, cancelIfAbsent }
+      const next = event.type === 'located' ? yield * this._onLocated(claim, event.state, cancelIfAbsent) : undefined
+      if (next !== undefined) return next
+      if (event.type !== 'located') this._options.onRetry?.('locate-failed')
+      if (this._options.clock.now() >= patience) return yield * this._onGone(claim, 'its sidecar cannot be reached')
+      yield { type: 'wait', ms: LOCATE_PAUSE_MS }
+    }
+  }
+
+  /** A call that may not be repeated is searched until its deadline, since giving up leaves its outcome unknown. */
+  private _getPatience (claim: Claim): number {
+    const patience = this._options.clock.now() + LOCATE_PATIENCE_MS
+    return claim.repeatable ? patience : Math.max(claim.deadline, patience)
+  }
+
+  private _mayCancel (claim: Claim): boolean {
+    return claim.claimer === this._options.entry || this._options.clock.now() >= claim.claimedAt + CLAIM_GRACE_MS
+  }
+
+  private * _onLocated (claim: Claim, state: AttemptState, cancelled: boolean): Steps<Next | undefined> {
+    this._options.trace.add(StepName.Located, state, claim.target)
+    switch (state) {
+      case AttemptState.Done:
+      case AttemptState.Running:
+      case AttemptState.Queued:
+        return yield * this._follow(claim, yield { type: 'attach', claim })
+      case AttemptState.NotRun:
+        return this._again(claim, 'not-run', 'dispatch-refused')
+      case AttemptState.Absent:
+        return cancelled ? this._again(claim, 'not-run', 'attempt-absent') : undefined
+      case AttemptState.Gone:
+        return yield * this._onGone(claim, 'its answer is no longer held')
+      case AttemptState.OtherIncarnation:
+        return yield * this._onGone(claim, 'its sidecar restarted')
+    }
+  }
+
+  private * _onGone (claim: Claim, cause: string): Steps<Next> {
+    if (claim.repeatable) {
+      this._excluded.add(claim.target)
+      return this._again(claim, 'charged', 'attempt-gone')
+    }
+    return yield * this._settleUnknown(claim, cause)
+  }
+
+  private * _collect (claim: Claim): Steps<Next> {
+    const event = yield { type: 'collect', claim }
+    if (event.type !== 'collected') return yield * this._locate(claim)
+    const result = event.result
+    this._traceRun(claim, result)
+    switch (result.outcome) {
+      case RunOutcome.Complete:
+      case RunOutcome.Cut:
+        return yield * this._settle(claim, this._toTurn(claim, Outcome.Answered, result.answer))
+      case RunOutcome.Unreached:
+        this._excluded.add(claim.target)
+        return this._again(claim, 'not-run', 'target-unreachable')
+      case RunOutcome.Dropped:
+        this._fates.set(claim.attempt, 'not-run')
+        return yield * this._withdraw({ claim, isCharged: false }, { reason: 'queue-timeout', retryAfterSeconds: 1 })
+      case RunOutcome.TimedOut:
+        return yield * this._settleUnknown(claim, 'the target did not answer by the deadline')
+      case RunOutcome.Crashed:
+        return yield * this._onCrashed(claim)
+    }
+  }
+
+  private * _onCrashed (claim: Claim): Steps<Next> {
+    this._crashedTargets.add(claim.target)
+    yield * this._commitSuspect(claim.target)
+    if (!claim.repeatable) return yield * this._settleUnknown(claim, 'the target broke off')
+    this._excluded.add(claim.target)
+    return this._again(claim, 'charged', 'target-crashed')
+  }
+
+  /** Records the crash before any other attempt, so that the next process knows of it. */
+  private * _commitSuspect (target: string): Steps<void> {
+    for (let tries = 0; tries < MAX_TRIES; tries++) {
+      const condition = { key: this._suspectKey, version: this._rows.get(this._suspectKey)?.version ?? 0 }
+      const put = { key: this._suspectKey, value: addSuspectTarget(this._getSuspect(), target) }
+      const result = yield * this._commit({ conditions: [condition], puts: [put] }, this._options.clock.now() + CLAIM_TIMEOUT_MS)
+      if (result !== CommitResult.Conflict) return
+      const event = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
+      if (event.type === 'rows') this._rows = event.rows
+    }
+  }
+
+  private * _settleUnknown (claim: Claim, cause: string): Steps<Next> {
+    this._options.trace.add(StepName.Finished, `outcome unknown: ${cause}`, claim.target)
+    const answer: Answer = { status: 502, contentType: 'text/plain', text: '', tokens: claim.reservedTokens, finish: 'unknown' }
+    return yield * this._settle(claim, this._toTurn(claim, Outcome.Unknown, answer))
+  }
+
+  /** Makes the answer durable; the caller does not see its end before. */
+  private * _settle (claim: Claim, turn: TurnRow): Steps<Next> {
+    if (!this._options.ledger.isDurable()) return yield * this._finish(claim, turn, false)
+    const heldUntil = this._options.clock.now() + SETTLE_TIMEOUT_MS
+    const giveUpAt = heldUntil + SETTLE_LINGER_MS
+    let isTold = false
+    while (this._options.clock.now() < giveUpAt) {
+      const stands = this._isClaimInForce(claim)
+      if (stands === false) return { type: 'again', reason: 'settle-conflict' }
+      const deadline = isTold ? giveUpAt : heldUntil
+      const result = yield * this._commit(this._options.ledger.toSettle(this._rows, claim, turn), deadline)
+      if (result === CommitResult.Committed) return yield * this._finish(claim, turn, isTold)
+      this._options.onRetry?.(result === CommitResult.Conflict ? 'settle-conflict' : 'settle-unavailable')
+      if (result !== CommitResult.Conflict && !isTold) {
+        isTold = true
+        yield { type: 'reply', reply: refuse('answer-not-durable', 5) }
+      }
+      yield * this._reread()
+    }
+    return toReply(refuse('answer-not-durable'))
+  }
+
+  private * _finish (claim: Claim, turn: TurnRow, isTold: boolean): Steps<Next> {
+    yield { type: 'acknowledge', claim }
+    return toReply(isTold ? refuse('answer-not-durable') : toTurnReply(turn, false))
+  }
+
+  private _isClaimInForce (claim: Claim): boolean {
+    return this._options.ledger.decide(this._rows, this._startedAt).caseOf({
+      Left: () => false,
+      Right: decision => decision.type === 'join' && decision.claim.attempt === claim.attempt
+    })
+  }
+
+  private * _reread (): Steps<void> {
+    const event = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
+    if (event.type === 'rows') this._rows = event.rows
+    else yield { type: 'wait', ms: LOCATE_PAUSE_MS }
+  }
+
+  /** Withdraws a claim that is proved not to run, so that the refusal leaves nothing behind. */
+  private * _withdraw (replaced: ReplacedClaim | undefined, cause: Refusal): Steps<Next> {
+    const refusal = hasPossiblyRun(replaced) ? toAttemptsFailed(cause) : cause
+    this._options.trace.add(StepName.Refused, refusal.reason)
+    if (replaced !== undefined && this._options.ledger.isDurable()) {
+      const transaction = this._options.ledger.toRelease(this._rows, replaced)
+      const result = yield * this._commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
+      if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
+      if (result !== CommitResult.Committed) return toReply({ type: 'refusal', refusal })
+    }
+    yield * this._acknowledgeReplaced(replaced)
+    return toReply({ type: 'refusal', refusal })
+  }
+
+  /** Lets the sidecar forget an attempt that another one has replaced in the ledger. */
+  private * _acknowledgeReplaced (replaced: ReplacedClaim | undefined): Steps<void> {
+    if (replaced !== undefined) yield { type: 'acknowledge', claim: replaced.claim }
+  }
+
+  private * _commit (transaction: Transaction, deadline: number): Steps<CommitResult> {
+    const event = yield { type: 'commit', transaction, deadline }
+    const result = event.type === 'commit-result' ? event.result : CommitResult.Unknown
+    if (result === CommitResult.Committed) this._rows = applyTransaction(this._rows, transaction)
+    return result
+  }
+
+  private * _reply (reply: Reply): Steps<void> {
+    yield { type: 'reply', reply }
+  }
+
+  private _again (claim: Claim, fate: Fate, reason: RetryReason): Next {
+    this._fates.set(claim.attempt, fate)
+    return { type: 'again', reason }
+  }
+
+  private _isQuarantined (): boolean {
+    return isQuarantined(this._getSuspect()) || isQuarantined({ targets: [...this._crashedTargets] })
+  }
+
+  private _toClaim (target: SelectedTarget, tries: number, replaced: ReplacedClaim | undefined): Claim {
+    const { ledger, spec, call, requestDigest, entry, clock } = this._options
+    const epoch = ledger.getNextEpoch(this._rows)
+    return {
+      attempt: `${ledger.key}#${epoch}`,
+      epoch,
+      call,
+      requestDigest,
+      repeatable: spec.repeatable,
+      target: target.id,
+      incarnation: target.incarnation,
+      claimer: entry,
+      claimedAt: clock.now(),
+      deadline: this._getDeadline(),
+      reservedTokens: spec.maxTokens,
+      mayHaveRun: hasPossiblyRun(replaced),
+      tries
+    }
+  }
+
+  private _toTurn (claim: Claim, outcome: Outcome, answer: Answer): TurnRow {
+    const { spec, trace, session, requestDigest } = this._options
+    trace.add(StepName.Settled, outcome)
+    return { session, call: claim.call, kind: spec.kind, requestDigest, messages: spec.messages, outcome, answer, steps: trace.getSteps() }
+  }
+
+  private _traceRun (claim: Claim, result: RunResult): void {
+    const { trace } = this._options
+    if (result.startedAt > 0) trace.add(StepName.Queued, `${result.startedAt - result.queuedAt} ms in the queue`, claim.target, result.startedAt)
+    if (result.firstByteAt > 0) {
+      trace.add(StepName.FirstToken, `${result.cachedTokens} of ${result.promptTokens} prompt tokens cached`, claim.target, result.firstByteAt)
+    }
+    trace.add(StepName.Finished, `${result.outcome}, ${result.answer.tokens} tokens`, claim.target, result.endedAt)
+  }
+
+  private _getSuspect (): SuspectRow | undefined {
+    return this._rows.get(this._suspectKey)?.value as SuspectRow | undefined
+  }
+
+  private _getDeadline (): number {
+    const { deadline } = this._options.getContext(this._rows)
+    return Math.min(this._startedAt + this._options.spec.timeoutMs, deadline)
+  }
+
+  private _estimatePromptTokens (context: CallContext): number {
+    if (this._options.spec.kind === 'service') return 0
+    const chars = this._options.spec.messages.reduce((sum, message) => sum + message.content.length, context.historyChars)
+    return Math.ceil(chars / CHARS_PER_TOKEN)
+  }
+}
+
+function hasPossiblyRun (replaced: ReplacedClaim | undefined): boolean {
+  return replaced !== undefined && (replaced.isCharged || replaced.claim.mayHaveRun)
+}
+
+function toAttemptsFailed (cause: Refusal): Refusal {
+  return { reason: 'attempts-failed', detail: cause.reason }
+}
+
+function toReply (reply: Reply): Next {
+  return { type: 'reply', reply }
+}
+
+function refuse (reason: RefusalReason, retryAfterSeconds?: number): Reply {
+  return { type: 'refusal', refusal: { reason, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) } }
+}
+
+function toTurnReply (turn: TurnRow, isReplay: boolean): Reply {
+  if (turn.outcome === Outcome.Answered) return { type: 'answer', turn, isReplay }
+  return refuse('outcome-unknown')
+}
--- /dev/null
+++ b/src/core/call/EphemeralLedger.ts
@@ -0,0 +1,54 @@
+import { Right, type Either } from 'purify-ts'
+import type { TurnRow } from '../history/index.js'
+import type { Rows, Transaction } from '../platform/index.js'
+import type { Refusal } from '../reason/index.js'
+import { CallLedger, type CallDecision, type ReplacedClaim } from './CallLedger.js'
+import type { Claim } from './Claim.js'
+
+const NOTHING: Transaction = { conditions: [], puts: [] }
+
+/** The ledger of a request that may be repeated and leaves nothing behind, so that it needs no store. */
+export class EphemeralLedger extends CallLedger {
+  readonly key: string
+  private _epoch = 0
+  private _pending: Claim | undefined
+
+  /** @param requestId - Id that the entry gave to the request. */
+  constructor (requestId: string) {
+    super()
+    this.key = `request/${requestId}`
+  }
+
+  isDurable (): boolean {
+    return false
+  }
+
+  getKeys (): string[] {
+    return []
+  }
+
+  decide (_rows: Rows, _now: number): Either<Refusal, CallDecision> {
+    return Right(this._pending === undefined ? { type: 'claim' } : { type: 'join', claim: this._pending })
+  }
+
+  decideAgain (_rows: Rows, _replaced: ReplacedClaim, _now: number): Either<Refusal, true> {
+    return Right(true)
+  }
+
+  getNextEpoch (_rows: Rows): number {
+    return ++this._epoch
+  }
+
+  toClaim (_rows: Rows, claim: Claim, _replaced?: ReplacedClaim): Transaction {
+    this._pending = claim
+    return NOTHING
+  }
+
+  toRelease (_rows: Rows, _replaced: ReplacedClaim): Transaction {
+    return NOTHING
+  }
+
+  toSettle (_rows: Rows, _claim: Claim, _turn: TurnRow): Transaction {
+    return NOTHING
+  }
+}
--- /dev/null
+++ b/src/core/clock/index.ts
@@ -0,0 +1,1 @@
+export * from './Clock.js'
--- /dev/null
+++ b/src/core/commit/GroupCommitter.ts
@@ -0,0 +1,235 @@
+import type { Condition, Put, Row, Rows, Transaction, TransactionResult } from '../platform/index.js'
+
+/** Largest number of rows written by one batch. */
+export const DEFAULT_BATCH_ROWS = 200
+
+/** First pause after a batch without an answer, in milliseconds; it doubles up to the cap. */
+export const COMMIT_BACKOFF_MS = 50
+
+/** Longest pause between two tries of a batch, in milliseconds. */
+export const COMMIT_BACKOFF_CAP_MS = 1_000
+
+/** What became of a commit. */
+export const CommitResult = {
+  Committed: 'committed',
+  /** A condition failed and nothing was written. */
+  Conflict: 'conflict',
+  /** The deadline passed before the commit was sent; nothing was and will be written. */
+  NotWritten: 'not-written',
+  /** The deadline passed after the commit was sent; it may take effect at any time. */
+  Unknown: 'unknown'
+} as const
+export type CommitResult = typeof CommitResult[keyof typeof CommitResult]
+
+/** One commit waiting for its batch. */
+export interface CommitRequest {
+  readonly id: number
+  readonly transaction: Transaction
+  /** Time until which the requester waits, in milliseconds since the Unix epoch. */
+  readonly deadline: number
+}
+
+/** A decided commit. */
+export interface Settlement {
+  readonly id: number
+  readonly result: CommitResult
+}
+
+/** What the committer wants from the table next. */
+export type CommitterStep =
+  | { readonly type: 'commit', readonly transaction: Transaction }
+  | { readonly type: 'read', readonly keys: readonly string[] }
+
+/** Options of {@link GroupCommitter}. */
+export interface GroupCommitterOptions {
+  /** Key of a row that only this committer writes; it must be unique to this incarnation of the process. */
+  readonly writerKey: string
+  readonly batchRows?: number
+  /** Returns a number in [0, 1) for jitter. */
+  readonly random?: () => number
+}
+
+interface Batch {
+  readonly id: number
+  readonly requests: readonly CommitRequest[]
+}
+
+/**
+ * Collects commits into batches and finds out what became of a batch whose answer was lost.
+ *
+ * @remarks One batch is outstanding at a time. Each batch requires and replaces the writer row, so at most one batch
+ * can take effect for each version of that row, however often it is sent and however late a copy arrives.
+ */
+export class GroupCommitter {
+  private readonly _writerKey: string
+  private readonly _batchRows: number
+  private readonly _random: () => number
+  private readonly _queue: CommitRequest[] = []
+  private readonly _abandoned = new Set<number>()
+  private _variants: Batch[] = []
+  private _writerVersion = 0
+  private _nextBatchId = 1
+  private _isOutstanding = false
+  private _needsRead = false
+  private _failures = 0
+  private _retryAt = 0
+
+  constructor (options: GroupCommitterOptions) {
+    this._writerKey = options.writerKey
+    this._batchRows = options.batchRows ?? DEFAULT_BATCH_ROWS
+    this._random = options.random ?? (() => 0)
+  }
+
+  /** Queues a commit. */
+  add (req: CommitRequest): void {
+    this._queue.push(req)
+  }
+
+  /** Gets the number of commits that are queued or outstanding. */
+  getPendingCount (): number {
+    return this._queue.length + (this._getCurrent()?.requests.length ?? 0)
+  }
+
+  /** Gets the time before which {@link next} returns nothing after a failure. */
+  getRetryTime (): number {
+    return this._retryAt
+  }
+
+  /** Tells whether the table has left the last batch unanswered. */
+  isFailing (): boolean {
+    return this._failures > 0
+  }
+
+  /** Gets the next step towards the table, or undefined when there is nothing to do now. */
+  next (now: number): CommitterStep | undefined {
+    if (this._isOutstanding || now < this._retryAt) return undefined
+    if (this._needsRead) {
+      this._isOutstanding = true
+      return { type: 'read', keys: [this._writerKey] }
+    }
+    const batch = this._getCurrent() ?? this._startBatch()
+    if (batch === undefined) return undefined
+    this._isOutstanding = true
+    return { type: 'commit', transaction: this._toTransaction(batch) }
+  }
+
+  /** Takes the table's answer to a commit step. */
+  onAnswer (result: TransactionResult): Settlement[] {
+    this._onReached()
+    const batch = this._getCurrent()!
+    if (result.type === 'committed') return this._land(batch)
+    if (result.keys.includes(this._writerKey)) {
+      this._needsRead = true
+      return []
+    }
+    return this._dropConflicting(batch, result.keys)
+  }
+
+  /** Takes the table's answer to a read step. */
+  onRead (rows: Rows): Settlement[] {
+    this._onReached()
+    this._needsRead = false
+    const row = rows.get(this._writerKey)
+    const landed = this._findVariant(row)
+    if (row === undefined || landed === undefined) return []
+    return this._land(landed)
+  }
+
+  /** Notes that a step got no answer; the same step follows after a pause. */
+  onNoAnswer (now: number): void {
+    this._isOutstanding = false
+    const pause = Math.min(COMMIT_BACKOFF_CAP_MS, COMMIT_BACKOFF_MS * 2 ** Math.min(this._failures, 10))
+    this._failures++
+    this._retryAt = now + pause / 2 + this._random() * pause / 2
+  }
+
+  /** Settles the commits whose deadline has passed. */
+  expire (now: number): Settlement[] {
+    const settled: Settlement[] = []
+    for (const req of this._queue.filter(req => req.deadline <= now)) {
+      this._queue.splice(this._queue.indexOf(req), 1)
+      settled.push({ id: req.id, result: CommitResult.NotWritten })
+    }
+    for (const req of this._getCurrent()?.requests ?? []) {
+      if (req.deadline > now || this._abandoned.has(req.id)) continue
+      this._abandoned.add(req.id)
+      settled.push({ id: req.id, result: CommitResult.Unknown })
+    }
+    return settled
+  }
+
+  private _getCurrent (): Batch | undefined {
+    return this._variants.at(-1)
+  }
+
+  private _onReached (): void {
+    this._isOutstanding = false
+    this._failures = 0
+    this._retryAt = 0
+  }
+
+  private _startBatch (): Batch | undefined {
+    const taken: CommitRequest[] = []
+    const keys = new Set<string>()
+    let rows = 0
+    for (const req of [...this._queue]) {
+      const touched = getTouchedKeys(req.transaction)
+      if (taken.length > 0 && rows + req.transaction.puts.length > this._batchRows) break
+      if (touched.some(key => keys.has(key))) continue
+      for (const key of touched) keys.add(key)
+      rows += req.transaction.puts.length
+      taken.push(req)
+      this._queue.splice(this._queue.indexOf(req), 1)
+    }
+    return taken.length === 0 ? undefined : this._addVariant(taken)
+  }
+
+  private _addVariant (requests: readonly CommitRequest[]): Batch {
+    const batch = { id: this._nextBatchId++, requests }
+    this._variants.push(batch)
+    return batch
+  }
+
+  private _toTransaction (batch: Batch): Transaction {
+    const conditions: Condition[] = [{ key: this._writerKey, version: this._writerVersion }]
+    const puts: Put[] = [{ key: this._writerKey, value: { batch: batch.id } }]
+    for (const req of batch.requests) {
+      conditions.push(...req.transaction.conditions)
+      puts.push(...req.transaction.puts)
+    }
+    return { conditions, puts }
+  }
+
+  private _findVariant (row: Row | undefined): Batch | undefined {
+    if (row === undefined || row.version <= this._writerVersion) return undefined
+    const id = (row.value as { batch: number }).batch
+    return this._variants.find(variant => variant.id === id)
+  }
+
+  private _land (landed: Batch): Settlement[] {
+    const current = this._getCurrent()!
+    const missing = current.requests.filter(req => !landed.requests.includes(req))
+    this._variants = []
+    this._writerVersion++
+    this._queue.unshift(...missing)
+    return this._settle(landed.requests, CommitResult.Committed)
+  }
+
+  private _dropConflicting (batch: Batch, keys: readonly string[]): Settlement[] {
+    const isHit = (req: CommitRequest): boolean => req.transaction.conditions.some(condition => keys.includes(condition.key))
+    const hit = batch.requests.filter(isHit)
+    const kept = batch.requests.filter(req => !isHit(req))
+    if (kept.length === 0) this._variants = []
+    else this._addVariant(kept)
+    return this._settle(hit, CommitResult.Conflict)
+  }
+
+  private _settle (requests: readonly CommitRequest[], result: CommitResult): Settlement[] {
+    const waiting = requests.filter(req => !this._abandoned.delete(req.id))
+    return waiting.map(req => ({ id: req.id, result }))
+  }
+}
+
+function getTouchedKeys (transaction: Transaction): string[] {
+  return [...transaction.conditions.map(condition => condition.key), ...transaction.puts.map(put => put.key)]
+}
--- /dev/null
+++ b/src/core/commit/index.ts
@@ -0,0 +1,1 @@
+export * from './GroupCommitter.js'
--- /dev/null
+++ b/src/core/config/TomlLocator.ts
@@ -0,0 +1,71 @@
+const TABLE = /^\s*\[([^[\]]+)\]\s*(?:#.*)?$/
+const TABLE_ARRAY = /^\s*\[\[([^[\]]+)\]\]\s*(?:#.*)?$/
+const KEY = /^\s*("[^"]*"|'[^']*'|[\w.-]+)\s*=/
+
+/** Finds the line of a key in a TOML text, since the parser keeps no places. */
+export class TomlLocator {
+  private readonly _lines = new Map<string, number>()
+  private readonly _counts = new Map<string, number>()
+
+  constructor (text: string) {
+    let prefix = ''
+    text.split('\n').forEach((content, index) => {
+      const array = TABLE_ARRAY.exec(content)
+      const table = array === null ? TABLE.exec(content) : null
+      if (array !== null) prefix = this._startElement(array[1]!.trim(), index + 1)
+      else if (table !== null) prefix = this._startTable(table[1]!.trim(), index + 1)
+      else this._addKey(prefix, content, index + 1)
+    })
+  }
+
+  /** Gets the line of a key, or of the nearest key around it; 0 when there is none. */
+  getLine (path: readonly PropertyKey[]): number {
+    for (let length = path.length; length > 0; length--) {
+      const line = this._lines.get(formatPath(path.slice(0, length)))
+      if (line !== undefined) return line
+    }
+    return 0
+  }
+
+  private _startElement (name: string, line: number): string {
+    const path = this._resolve(name.split('.').slice(0, -1), name.split('.').at(-1)!)
+    const index = this._counts.get(path) ?? 0
+    this._counts.set(path, index + 1)
+    const element = `${path}[${index}]`
+    this._lines.set(element, line)
+    return element
+  }
+
+  private _startTable (name: string, line: number): string {
+    const parts = name.split('.')
+    const path = this._resolve(parts.slice(0, -1), parts.at(-1)!)
+    this._lines.set(path, line)
+    return path
+  }
+
+  /** Places a name below the latest element of each array of tables on its way. */
+  private _resolve (parents: readonly string[], name: string): string {
+    let path = ''
+    for (const parent of parents) {
+      path = path === '' ? parent : `${path}.${parent}`
+      const count = this._counts.get(path)
+      if (count !== undefined) path = `${path}[${count - 1}]`
+    }
+    return path === '' ? name : `${path}.${name}`
+  }
+
+  private _addKey (prefix: string, content: string, line: number): void {
+    const match = KEY.exec(content)
+    if (match === null) return
+    const key = match[1]!.replace(/^["']|["']$/g, '')
+    this._lines.set(prefix === '' ? key : `${prefix}.${key}`, line)
+  }
+}
+
+/** Formats a path as a dotted key with indexes in brackets. */
+export function formatPath (path: readonly PropertyKey[]): string {
+  return path.reduce<string>((text, part) => {
+    if (typeof part === 'number') return `${text}[${part}]`
+    return text === '' ? String(part) : `${text}.${String(part)}`
+  }, '')
+}
--- /dev/null
+++ b/src/core/config/parseDocuments.ts
@@ -0,0 +1,124 @@
+import { Left, Right, type Either } from 'purify-ts'
+import { DOCUMENT_SCHEMA, type Documents } from './Documents.js'
+import type { Finding } from './Finding.js'
+import { parseToml } from './parseToml.js'
+import { formatPath, TomlLocator } from './TomlLocator.js'
+
+/** TOML texts by file name. */
+export type DocumentTexts = Readonly<Record<string, string>>
+
+/** An element of a document with its place. */
+interface Placed<T> {
+  readonly item: T
+  readonly file: string
+  readonly path: readonly PropertyKey[]
+}
+
+interface PlacedDocuments {
+  readonly regions: Array<Placed<Documents['regions'][number]>>
+  readonly services: Array<Placed<Documents['services'][number]>>
+  readonly programs: Array<Placed<Documents['programs'][number]>>
+  readonly workspaces: Array<Placed<Documents['workspaces'][number]>>
+}
+
+/** Parses documents and checks them on their own and against each other; all findings are reported together. */
+export function parseDocuments (texts: DocumentTexts): Either<Finding[], Documents> {
+  const findings: Finding[] = []
+  const placed: PlacedDocuments = { regions: [], services: [], programs: [], workspaces: [] }
+  for (const [file, text] of Object.entries(texts)) {
+    parseToml(file, text, DOCUMENT_SCHEMA).caseOf({
+      Left: found => { findings.push(...found) },
+      Right: documents => { addPlaced(placed, file, documents) }
+    })
+  }
+  // References can be judged only when every document has been read.
+  if (findings.length === 0) findings.push(...new ReferenceChecker(placed, texts).check())
+  if (findings.length > 0) return Left(findings)
+  return Right({
+    regions: placed.regions.map(entry => entry.item),
+    services: placed.services.map(entry => entry.item),
+    programs: placed.programs.map(entry => entry.item),
+    workspaces: placed.workspaces.map(entry => entry.item)
+  })
+}
+
+function addPlaced (placed: PlacedDocuments, file: string, documents: Documents): void {
+  placed.regions.push(...documents.regions.map((item, index) => ({ item, file, path: ['region', index] })))
+  placed.services.push(...documents.services.map((item, index) => ({ item, file, path: ['service', index] })))
+  placed.programs.push(...documents.programs.map((item, index) => ({ item, file, path: ['program', index] })))
+  placed.workspaces.push(...documents.workspaces.map((item, index) => ({ item, file, path: ['workspace', index] })))
+}
+
+/** Checks names and references across documents. */
+class ReferenceChecker {
+  private readonly _placed: PlacedDocuments
+  private readonly _locators: Map<string, TomlLocator>
+  private readonly _findings: Finding[] = []
+
+  constructor (placed: PlacedDocuments, texts: DocumentTexts) {
+    this._placed = placed
+    this._locators = new Map(Object.entries(texts).map(([file, text]) => [file, new TomlLocator(text)]))
+  }
+
+  check (): Finding[] {
+    const { regions, services, programs, workspaces } = this._placed
+    for (const group of [regions, services, programs, workspaces]) this._checkUnique(group)
+    for (const entry of services) this._checkService(entry)
+    for (const entry of programs) this._checkProgram(entry)
+    for (const entry of workspaces) this._checkWorkspace(entry)
+    return this._findings
+  }
+
+  private _checkUnique (group: ReadonlyArray<Placed<{ name: string }>>): void {
+    const seen = new Set<string>()
+    for (const entry of group) {
+      if (seen.has(entry.item.name)) this._add(entry, ['name'], `the name ${entry.item.name} is taken`, 'a name used once')
+      seen.add(entry.item.name)
+    }
+  }
+
+  private _checkService (entry: PlacedDocuments['services'][number]): void {
+    const domains = this._placed.regions.flatMap(placed => placed.item.failureDomains)
+    for (const domain of Object.keys(entry.item.placement)) {
+      if (!domains.includes(domain)) this._add(entry, ['placement', domain], 'unknown failure domain', oneOf(domains))
+    }
+    if (entry.item.shortSlots >= entry.item.slots) this._add(entry, ['short_slots'], 'no slot is left for long requests', `less than slots = ${entry.item.slots}`)
+    if (entry.item.kind === 'engine' && entry.item.model === undefined) this._add(entry, ['model'], 'missing', 'the model that the engines load')
+    if (entry.item.kind === 'plain' && entry.item.operations.length === 0) this._add(entry, ['operation'], 'missing', 'at least one [[service.operation]]')
+    const names = entry.item.operations.map(operation => operation.name)
+    names.forEach((name, index) => {
+      if (names.indexOf(name) !== index) this._add(entry, ['operation', index, 'name'], `the name ${name} is taken`, 'a name used once')
+    })
+  }
+
+  private _checkProgram (entry: PlacedDocuments['programs'][number]): void {
+    const engines = this._getServiceNames('engine')
+    const plain = this._getServiceNames('plain')
+    if (!engines.includes(entry.item.service)) this._add(entry, ['service'], 'unknown engine service', oneOf(engines))
+    for (const tool of entry.item.tools) if (!plain.includes(tool)) this._add(entry, ['tools'], `unknown plain service ${tool}`, oneOf(plain))
+    if (entry.item.maxTokensPerCall > entry.item.budget.tokens) {
+      this._add(entry, ['max_tokens_per_call'], 'more than the whole budget', `at most budget.tokens = ${entry.item.budget.tokens}`)
+    }
+  }
+
+  private _checkWorkspace (entry: PlacedDocuments['workspaces'][number]): void {
+    const programs = this._placed.programs.map(placed => placed.item.name)
+    const plain = this._getServiceNames('plain')
+    for (const program of entry.item.programs) if (!programs.includes(program)) this._add(entry, ['programs'], `unknown program ${program}`, oneOf(programs))
+    for (const service of entry.item.services) if (!plain.includes(service)) this._add(entry, ['services'], `unknown plain service ${service}`, oneOf(plain))
+  }
+
+  private _getServiceNames (kind: 'engine' | 'plain'): string[] {
+    return this._placed.services.filter(placed => placed.item.kind === kind).map(placed => placed.item.name)
+  }
+
+  private _add (entry: Placed<unknown>, path: readonly PropertyKey[], problem: string, expected: string): void {
+    const whole = [...entry.path, ...path]
+    const key = formatPath(whole)
+    this._findings.push({ file: entry.file, line: this._locators.get(entry.file)!.getLine(whole), key, problem, expected })
+  }
+}
+
+function oneOf (names: readonly string[]): string {
+  return names.length === 0 ? 'one that is defined' : `one of ${names.join(', ')}`
+}
--- /dev/null
+++ b/src/core/explain/index.ts
@@ -0,0 +1,3 @@
+export * from './Explanation.js'
+export * from './RequestLog.js'
+export * from './Trace.js'
--- /dev/null
+++ b/src/core/history/HistoryChain.ts
@@ -0,0 +1,33 @@
+import { createHash } from 'node:crypto'
+import type { Message } from './Message.js'
+import type { TurnRow } from './TurnRow.js'
+
+/** Computes the SHA-256 of strings joined by a separator that cannot occur in JSON, in hex. */
+export function digestOf (...parts: readonly string[]): string {
+  return createHash('sha256').update(parts.join('\u0000')).digest('hex')
+}
+
+/** Gets the head of the chain of a session without turns; it names the session, so chains cannot be mixed. */
+export function getFirstHead (session: string): string {
+  return digestOf('session', session)
+}
+
+/** Gets the head of the chain after a turn. */
+export function getNextHead (head: string, turn: TurnRow): string {
+  return digestOf(head, String(turn.call), turn.requestDigest, turn.outcome, JSON.stringify(turn.messages), turn.answer.text)
+}
+
+/** Gets the head of the chain after turns, in their order. */
+export function getHeadAfter (head: string, turns: readonly TurnRow[]): string {
+  return turns.reduce(getNextHead, head)
+}
+
+/** Gets the messages that the model sees for a history: requests and answers of the model turns and results of service turns. */
+export function toMessages (turns: readonly TurnRow[]): Message[] {
+  return turns.flatMap(turn => [...turn.messages, toAnswerMessage(turn)])
+}
+
+function toAnswerMessage (turn: TurnRow): Message {
+  if (turn.kind === 'model') return { role: 'assistant', content: turn.answer.text }
+  return { role: 'tool', content: turn.outcome === 'unknown' ? 'outcome unknown' : turn.answer.text }
+}
--- /dev/null
+++ b/src/core/history/TurnRow.ts
@@ -0,0 +1,33 @@
+import type { Outcome } from '../reason/index.js'
+import type { TraceStep } from '../explain/index.js'
+import type { Message } from './Message.js'
+
+/** Kind of a call. */
+export const CallKind = { Model: 'model', Service: 'service' } as const
+export type CallKind = typeof CallKind[keyof typeof CallKind]
+
+/** The whole answer to a call. */
+export interface Answer {
+  /** HTTP status that the target answered with. */
+  readonly status: number
+  readonly contentType: string
+  /** Text of a model answer, or the body of a service answer. */
+  readonly text: string
+  /** Tokens generated; 0 for services. */
+  readonly tokens: number
+  /** Why the answer ends: `stop`, `length` or `deadline`. */
+  readonly finish: string
+}
+
+/** One finished call of a session, stored under `turn/{session}/{call}`. */
+export interface TurnRow {
+  readonly session: string
+  readonly call: number
+  readonly kind: CallKind
+  readonly requestDigest: string
+  /** Messages that the call added to the history. */
+  readonly messages: readonly Message[]
+  readonly outcome: Outcome
+  readonly answer: Answer
+  readonly steps: readonly TraceStep[]
+}
--- /dev/null
+++ b/src/core/history/index.ts
@@ -0,0 +1,3 @@
+export * from './HistoryChain.js'
+export * from './Message.js'
+export * from './TurnRow.js'
--- /dev/null
+++ b/src/core/limits/RetryBudget.ts
@@ -0,0 +1,36 @@
+/** Share of first attempts that may be followed by a retry. */
+export const DEFAULT_RETRY_SHARE = 0.1
+
+/** Largest number of retries saved up during quiet times. */
+export const DEFAULT_RETRY_RESERVE = 10
+
+/** Options of {@link RetryBudget}. */
+export interface RetryBudgetOptions {
+  readonly share?: number
+  readonly reserve?: number
+}
+
+/** Bounds retries to a share of first attempts, so that failures never multiply the load. */
+export class RetryBudget {
+  private readonly _share: number
+  private readonly _reserve: number
+  private _credit: number
+
+  constructor (options: RetryBudgetOptions = {}) {
+    this._share = options.share ?? DEFAULT_RETRY_SHARE
+    this._reserve = options.reserve ?? DEFAULT_RETRY_RESERVE
+    this._credit = this._reserve
+  }
+
+  /** Notes a first attempt, which earns a share of a retry. */
+  addAttempt (): void {
+    this._credit = Math.min(this._reserve, this._credit + this._share)
+  }
+
+  /** Takes one retry from the budget, if there is one. */
+  tryRemove (): boolean {
+    if (this._credit < 1) return false
+    this._credit -= 1
+    return true
+  }
+}
--- /dev/null
+++ b/src/core/limits/index.ts
@@ -0,0 +1,3 @@
+export * from './CircuitBreaker.js'
+export * from './RetryBudget.js'
+export * from './WorkspaceShares.js'
--- /dev/null
+++ b/src/core/platform/ObjectStore.ts
@@ -0,0 +1,7 @@
+/** The platform's object store, for values too large for a table row. */
+export abstract class ObjectStore {
+  /** Stores bytes under a name; writing the same name again with the same bytes has no further effect. */
+  abstract put (name: string, bytes: Uint8Array): Promise<void>
+  /** Gets the bytes, or undefined when the name is unknown. */
+  abstract get (name: string): Promise<Uint8Array | undefined>
+}
--- /dev/null
+++ b/src/core/platform/index.ts
@@ -0,0 +1,3 @@
+export * from './InstanceList.js'
+export * from './ObjectStore.js'
+export * from './Table.js'
--- /dev/null
+++ b/src/core/reason/Reasons.ts
@@ -0,0 +1,130 @@
+/**
+ * The one table of reasons for refusals and retries.
+ *
+ * Each refusal names its HTTP status and what the caller may conclude about the request.
+ * The metrics take their label values from here and docs/OPERATIONS.md lists the same rows.
+ */
+
+/** What a caller may conclude from a response. */
+export const Outcome = {
+  /** The request ran and this is its answer. */
+  Answered: 'answered',
+  /** The request did not run and never will under this attempt. */
+  NotRun: 'not-run',
+  /** The request may have run; it is never run again. */
+  Unknown: 'unknown'
+} as const
+export type Outcome = typeof Outcome[keyof typeof Outcome]
+
+/** Describes one reason for a refusal. */
+export interface ReasonDescription {
+  /** HTTP status code of the response. */
+  readonly status: number
+  readonly outcome: Outcome
+  /** One line for the caller. */
+  readonly title: string
+  /** One line for the operator: what to do about it. */
+  readonly advice: string
+}
+
+type Describe = (status: number, title: string, advice: string) => ReasonDescription
+
+const describe = (outcome: Outcome): Describe => (status, title, advice) => ({ status, outcome, title, advice })
+const notRun = describe(Outcome.NotRun)
+const unknown = describe(Outcome.Unknown)
+const answered = describe(Outcome.Answered)
+
+/** Every reason for which a request is refused. */
+export const REFUSALS = {
+  'malformed-json': notRun(400, 'The body is not valid JSON.', 'The caller mends its request.'),
+  'invalid-request': notRun(400, 'A field of the request is missing or has the wrong type.', 'The caller mends the fields listed in `findings`.'),
+  'body-too-large': notRun(413, 'The body is larger than the limit.', 'Raise limits.body_bytes in the settings of the entry if the size is legitimate.'),
+  'body-timeout': notRun(408, 'The body did not arrive in time.', 'Check the path between the caller and the entry.'),
+  'key-missing': notRun(401, 'No key was presented.', 'The caller sends `authorization: Bearer <workspace>.<secret>`.'),
+  'key-wrong': notRun(401, 'The key is not valid.', 'Compare the key with the workspace in the documents; rotate it if it leaked.'),
+  'program-unknown': notRun(404, 'No such program for this workspace.', 'Check [[program]] and workspace.programs in the documents.'),
+  'service-unknown': notRun(404, 'No such service or operation.', 'Check [[service]] and its operations in the documents.'),
+  'route-unknown': notRun(404, 'No such path.', 'The caller mends its path.'),
+  'session-unknown': notRun(404, 'No such session.', 'The caller checks the id and its own workspace.'),
+  'session-closed': notRun(409, 'The session is closed.', 'The caller opens a new session.'),
+  'call-out-of-order': notRun(409, 'An earlier call of the session has not finished.', 'The caller sends calls in their order; `nextCall` says which is due.'),
+  'call-conflict': notRun(409, 'This call number or key was used with another body.', 'The caller uses the next number or a new key.'),
+  'idempotency-key-missing': notRun(400, 'This operation may not be repeated and needs an Idempotency-Key.', 'The caller sends the header.'),
+  'budget-tokens': notRun(402, 'The token budget of the session does not cover this call.', 'Raise program.budget.tokens or let the caller ask for fewer tokens.'),
+  'budget-calls': notRun(402, 'The session has used all its calls.', 'Raise program.budget.calls; look for a loop with `wisteriactl explain session`.'),
+  'budget-time': notRun(402, 'The session is past its time budget.', 'Raise program.budget.seconds or close the session.'),
+  'loop-detected': notRun(409, 'The same call was repeated more often than the program allows.', 'Look for a loop with `wisteriactl explain session`.'),
+  'children-limit': notRun(409, 'The session has as many open sub-agents as allowed.', 'The caller closes sub-agents first.'),
+  quarantined: notRun(422, 'This request crashed two targets and is not run again.', 'Read the request; remove the quarantine with a corrected request.'),
+  overloaded: notRun(503, 'No target can finish this request within its deadline.', 'Add targets, or wait for the crest to pass.'),
+  'share-exceeded': notRun(503, 'The workspace is over its share while targets are scarce.', 'Raise workspace.share or add targets.'),
+  'no-target': notRun(503, 'No live target offers this service.', 'Check the instance list, drains and ejections with `wisteriactl status`.'),
+  'queue-full': notRun(503, 'The queue of the target is full.', 'Add targets.'),
+  'retained-full': notRun(503, 'The sidecar holds as many unfetched answers as it may.', 'Check that the store is up: answers wait there to become durable.'),
+  leaving: notRun(503, 'The target is leaving.', 'None: the entry takes another target.'),
+  stopping: notRun(503, 'The entry is stopping.', 'None: the balancer takes another entry.'),
+  'not-ready': notRun(503, 'The entry does not know the configuration in force yet.', 'Check the store and the instance list.'),
+  'store-unavailable': notRun(503, 'The store did not take the claim in time.', 'Check the platform table service.'),
+  'history-damaged': notRun(500, 'The stored history fails its digest check.', 'Report a bug; the session is stopped to keep histories apart.'),
+  'ledger-unreadable': unknown(503, 'The ledger cannot be read, so an earlier sending of this request may have run; send it again.', 'Check the platform table service. Callers that mark a first sending with `wisteria-sending: first` are told *not run* instead.'),
+  'attempts-failed': unknown(502, 'Attempts of this request were broken off; it may have run in part.', 'Read the steps of the call with `wisteriactl explain`; look for crashing targets.'),
+  'call-pending': notRun(409, 'A call of the session is under way.', 'The caller fetches the call first, or closes after its deadline.'),
+  'caller-gone': notRun(499, 'The caller left before the request was claimed.', 'None.'),
+  'retries-exhausted': notRun(503, 'Every attempt was refused before it ran.', 'Read the retry counters for the cause of each attempt.'),
+  'retry-budget': notRun(503, 'The retry budget is used up.', 'Find the failing targets: retries are capped at a share of successes.'),
+  'stale-config': notRun(503, 'The entry uses a configuration that is no longer in force.', 'Check that the entry reaches the store or its sidecars.'),
+  'ticket-missing': notRun(401, 'No ticket was presented.', 'Only entries may call a sidecar.'),
+  'ticket-forged': notRun(401, 'The ticket signature is wrong.', 'Compare the ticket keys of entry and sidecar.'),
+  'ticket-expired': notRun(401, 'The ticket has expired.', 'Check the clocks, or look for paused entries.'),
+  'ticket-early': notRun(401, 'The ticket was issued in the future.', 'Check the clocks.'),
+  'ticket-replayed': notRun(409, 'The ticket was used before.', 'None: the first dispatch stands.'),
+  'incarnation-changed': notRun(409, 'The sidecar restarted since the claim.', 'None: the entry resolves the claim.'),
+  'epoch-stale': notRun(409, 'A later attempt has taken over.', 'None: the entry resolves the claim.'),
+  cancelled: notRun(409, 'The attempt was cancelled before it was dispatched.', 'None: the entry resolves the claim.'),
+  'queue-timeout': notRun(503, 'The request waited at the target until its deadline.', 'Add targets.'),
+  'target-unreachable': notRun(503, 'The target accepted no connection.', 'Check the target beside the sidecar.'),
+  'operator-key-wrong': notRun(401, 'The operator key is missing or wrong.', 'Check the operator key file.'),
+  'outcome-unknown': unknown(502, 'The request may have run; it will not be run again.', 'Look at the ledger of the service, then decide by hand.'),
+  'answer-not-durable': answered(504, 'The answer exists but could not be stored in time; fetch the call again.', 'Check the platform table service.'),
+  'answer-interrupted': answered(502, 'The stream broke; fetch the call again for the whole answer.', 'Look for a crashed target or sidecar.'),
+  'deadline-passed': unknown(504, 'The call did not finish by its deadline.', 'Look for a hung target; fetch the call again.')
+} as const satisfies Record<string, ReasonDescription>
+
+/** Names a reason for a refusal. */
+export type RefusalReason = keyof typeof REFUSALS
+
+/** Every reason for which an attempt or store operation is tried again. */
+export const RETRIES = {
+  'claim-conflict': 'Another process changed the row; it is read again.',
+  'dispatch-refused': 'The sidecar refused the attempt before it ran.',
+  'dispatch-lost': 'The connection to the sidecar broke; the attempt is located.',
+  'relay-silent': 'The relay connection went silent; the stream is attached again.',
+  'locate-failed': 'The sidecar could not be asked about an attempt.',
+  'target-crashed': 'The target broke off; the call is repeatable and goes to another target.',
+  'target-unreachable': 'The target accepted no connection.',
+  'attempt-absent': 'The attempt never reached the sidecar and is now cancelled.',
+  'attempt-gone': 'The sidecar of the attempt restarted or vanished.',
+  'settle-conflict': 'Another process settled or changed the row.',
+  'settle-unavailable': 'The store did not take the result; it is kept and sent again.',
+  'store-timeout': 'The store did not answer in time.',
+  'store-error': 'The store answered with an error.'
+} as const
+
+/** Names a reason for a retry. */
+export type RetryReason = keyof typeof RETRIES
+
+/** Tells whether a string names a refusal. */
+export function isRefusalReason (name: string): name is RefusalReason {
+  return Object.hasOwn(REFUSALS, name)
+}
+
+/** A refusal as a value: the reason and what the caller needs to act on it. */
+export interface Refusal {
+  readonly reason: RefusalReason
+  /** One line of detail, free of secrets. */
+  readonly detail?: string
+  /** Seconds after which a new try makes sense. */
+  readonly retryAfterSeconds?: number
+  /** Extra members of the problem document. */
+  readonly members?: Readonly<Record<string, unknown>>
+}
--- /dev/null
+++ b/src/core/reason/index.ts
@@ -0,0 +1,2 @@
+export * from './Problem.js'
+export * from './Reasons.js'
--- /dev/null
+++ b/src/core/routing/CostSelector.ts
@@ -0,0 +1,153 @@
+import { Left, Right, type Either } from 'purify-ts'
+import { TargetSelector, type SelectedTarget, type SelectionRequest } from '../call/index.js'
+import type { WorkspaceShares } from '../limits/index.js'
+import type { Refusal } from '../reason/index.js'
+import { rankByRendezvous } from './RendezvousHash.js'
+import type { TargetDirectory, TargetView } from './TargetDirectory.js'
+
+/** Milliseconds to prefill one token that is not cached. */
+export const PREFILL_MS_PER_TOKEN = 0.25
+
+/** Milliseconds that one generated token is assumed to take at a target that has not run anything yet. */
+export const ASSUMED_MS_PER_TOKEN = 20
+
+/** Milliseconds that a plain request is assumed to take at a target that has not run anything yet. */
+export const ASSUMED_RUN_MS = 50
+
+/** Bytes that one prompt token takes on a link. */
+const BYTES_PER_TOKEN = 5
+
+/** Share of the time to the deadline that new sessions may be made to wait; sessions under way may wait for all of it. */
+export const NEW_SESSION_WAIT_SHARE = 0.5
+
+/** Slowness against the median of its peers from which a target counts as slowed. */
+export const SLOWED_RATIO = 1.5
+
+/** Share of a prefix that is assumed to be cached at a target that served the session before its latest one. */
+const STALE_WARM_SHARE = 0.5
+
+/** Options of {@link CostSelector}. */
+export interface CostSelectorOptions {
+  readonly directory: TargetDirectory
+  readonly region: string
+  readonly failureDomain: string
+  readonly shares?: WorkspaceShares
+  /** One-way delay of the link between regions in milliseconds. */
+  readonly linkDelayMs?: number
+  /** Bits per second of the link between regions. */
+  readonly linkBitsPerSecond?: number
+}
+
+interface Estimate {
+  readonly view: TargetView
+  readonly waitMs: number
+  readonly prefillMs: number
+  readonly linkMs: number
+  readonly runMs: number
+}
+
+/** Selects the target with the lowest cost: predicted wait, prefill of the uncached prefix and transfer over the link. */
+export class CostSelector extends TargetSelector {
+  private readonly _options: CostSelectorOptions
+
+  constructor (options: CostSelectorOptions) {
+    super()
+    this._options = options
+  }
+
+  select (req: SelectionRequest, now: number): Either<Refusal, SelectedTarget> {
+    const usable = this._options.directory.getUsable(req.service, now).filter(view => !req.excluded.has(view.instance.id))
+    if (usable.length === 0) return Left({ reason: 'no-target', retryAfterSeconds: 1 })
+    const home = rankByRendezvous(req.affinityKey, usable.map(view => view.instance.id))[0]!
+    const medianSlowness = getMedian(usable.map(view => view.slowness).filter(slowness => slowness > 0))
+    const estimates = usable.map(view => this._estimate(view, req, medianSlowness))
+    const best = estimates.reduce((a, b) => isCheaper(b, a, home) ? b : a)
+    return this._admit(best, req, now).map(() => toSelected(best, req, home))
+  }
+
+  private _estimate (view: TargetView, req: SelectionRequest, medianSlowness: number): Estimate {
+    const slowdown = getSlowdown(view, medianSlowness)
+    const uncached = req.promptTokens * (1 - getWarmShare(view, req))
+    const msPerToken = view.load!.msPerToken === 0 ? ASSUMED_MS_PER_TOKEN : view.load!.msPerToken
+    return {
+      view,
+      waitMs: getWaitMs(view, msPerToken) * slowdown,
+      prefillMs: uncached * PREFILL_MS_PER_TOKEN * slowdown,
+      linkMs: this._getLinkMs(view, req),
+      runMs: (req.maxTokens === 0 ? getRunMs(view) : req.maxTokens * msPerToken) * slowdown
+    }
+  }
+
+  private _getLinkMs (view: TargetView, req: SelectionRequest): number {
+    if (view.instance.region === this._options.region) return view.instance.failureDomain === this._options.failureDomain ? 0 : 1
+    const bits = req.promptTokens * BYTES_PER_TOKEN * 8
+    return 2 * (this._options.linkDelayMs ?? 12) + 1000 * bits / (this._options.linkBitsPerSecond ?? 20_000_000)
+  }
+
+  private _admit (best: Estimate, req: SelectionRequest, now: number): Either<Refusal, true> {
+    const remaining = req.deadline - now
+    const isScarce = best.waitMs > 0
+    if (isScarce && !req.isUnderWay && this._options.shares?.isExceeded(req.workspace) === true) {
+      return Left({ reason: 'share-exceeded', retryAfterSeconds: toRetrySeconds(best.waitMs) })
+    }
+    const patience = req.isUnderWay ? remaining : remaining * NEW_SESSION_WAIT_SHARE
+    if (best.waitMs > patience || best.waitMs + best.prefillMs + best.linkMs > remaining) {
+      return Left({ reason: 'overloaded', retryAfterSeconds: toRetrySeconds(best.waitMs), members: { predictedWaitMs: Math.round(best.waitMs) } })
+    }
+    return Right(true)
+  }
+}
+
+function getWaitMs (view: TargetView, msPerToken: number): number {
+  const load = view.load!
+  const ahead = load.queued + view.sentSinceSample - Math.max(0, load.slots - load.running)
+  if (ahead <= 0) return 0
+  const perRequest = load.queued === 0 ? getRunMs(view) : Math.max(getRunMs(view), load.queuedTokens / load.queued * msPerToken)
+  return ahead * perRequest / load.slots
+}
+
+function getRunMs (view: TargetView): number {
+  return view.load!.runMs === 0 ? ASSUMED_RUN_MS : view.load!.runMs
+}
+
+function getSlowdown (view: TargetView, median: number): number {
+  if (median === 0 || view.slowness === 0) return 1
+  const ratio = view.slowness / median
+  return ratio < SLOWED_RATIO ? 1 : ratio * ratio
+}
+
+function getWarmShare (view: TargetView, req: SelectionRequest): number {
+  const at = req.warmTargets.indexOf(view.instance.id)
+  if (at < 0) return 0
+  return at === req.warmTargets.length - 1 ? 1 : STALE_WARM_SHARE
+}
+
+function getTotalMs (estimate: Estimate): number {
+  return estimate.waitMs + estimate.prefillMs + estimate.linkMs + estimate.runMs
+}
+
+function isCheaper (a: Estimate, b: Estimate, home: string): boolean {
+  const difference = getTotalMs(a) - getTotalMs(b)
+  if (Math.abs(difference) > 0.5) return difference < 0
+  const isHomeA = a.view.instance.id === home
+  const isHomeB = b.view.instance.id === home
+  if (isHomeA !== isHomeB) return isHomeA
+  return a.view.inFlight < b.view.inFlight
+}
+
+function getMedian (values: readonly number[]): number {
+  if (values.length === 0) return 0
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.floor((sorted.length - 1) / 2)]!
+}
+
+function toRetrySeconds (waitMs: number): number {
+  return Math.max(1, Math.ceil(waitMs / 1000))
+}
+
+function toSelected (best: Estimate, req: SelectionRequest, home: string): SelectedTarget {
+  const id = best.view.instance.id
+  const why = req.warmTargets.includes(id) ? 'holds the prefix' : id === home ? 'home of the session' : 'least cost'
+  const cause = `${why}: wait ${Math.round(best.waitMs)} ms, prefill ${Math.round(best.prefillMs)} ms, link ${Math.round(best.linkMs)} ms`
+  return { id, incarnation: best.view.load!.incarnation, cause }
+}
--- /dev/null
+++ b/src/core/routing/TargetDirectory.ts
@@ -0,0 +1,138 @@
+import { InstanceRole, InstanceState, type Instance } from '../platform/index.js'
+import type { LoadSample } from '../sidecar/index.js'
+
+/** Milliseconds after the last sign of life for which a target still gets work. */
+export const SILENCE_LIMIT_MS = 5_000
+
+/** Failures in a row after which a target is ejected. */
+export const EJECT_AFTER_FAILURES = 3
+
+/** Milliseconds of the first ejection; it doubles with each further one. */
+export const EJECTION_MS = 5_000
+
+/** Longest ejection in milliseconds. */
+export const EJECTION_CAP_MS = 60_000
+
+/** Largest share of a service's targets that may be ejected at once. */
+export const MAX_EJECTED_SHARE = 0.34
+
+/** Weight of the newest run in a target's moving average. */
+const AVERAGE_WEIGHT = 0.3
+
+/** What an entry knows about one target. */
+export interface TargetView {
+  readonly instance: Instance
+  load?: LoadSample
+  /** Time of the last sign of life from the sidecar. */
+  heardAt: number
+  /** Requests that this entry has sent since the last load sample. */
+  sentSinceSample: number
+  /** Requests of this entry under way at the target. */
+  inFlight: number
+  failuresInRow: number
+  ejections: number
+  ejectedUntil: number
+  /** Moving average of the time of a run, divided by its expected time; 0 while unknown. */
+  slowness: number
+}
+
+/** Keeps what an entry knows about targets, from the platform's list and from their sidecars. */
+export class TargetDirectory {
+  private readonly _views = new Map<string, TargetView>()
+
+  /** Takes the platform's list; it says which targets exist, their sidecars say how they are. */
+  setInstances (instances: readonly Instance[]): void {
+    const targets = instances.filter(instance => instance.role === InstanceRole.Target)
+    const listed = new Set(targets.map(target => target.id))
+    for (const id of this._views.keys()) if (!listed.has(id)) this._views.delete(id)
+    for (const instance of targets) this._setInstance(instance)
+  }
+
+  /** Takes a load sample from a sidecar. */
+  noteLoad (id: string, load: LoadSample, now: number): void {
+    const view = this._views.get(id)
+    if (view === undefined) return
+    view.load = load
+    view.heardAt = now
+    view.sentSinceSample = 0
+  }
+
+  /** Notes that the sidecar said it is leaving; this stands whatever the platform's list says. */
+  noteLeaving (id: string): void {
+    const view = this._views.get(id)
+    if (view?.load !== undefined) view.load = { ...view.load, isLeaving: true }
+  }
+
+  /** Notes that a request was sent to a target. */
+  noteSent (id: string): void {
+    const view = this._views.get(id)
+    if (view === undefined) return
+    view.inFlight++
+    view.sentSinceSample++
+  }
+
+  /** Notes that a request to a target has ended. */
+  noteEnded (id: string): void {
+    const view = this._views.get(id)
+    if (view !== undefined) view.inFlight = Math.max(0, view.inFlight - 1)
+  }
+
+  /** Notes the time that a successful run took against the time expected. */
+  noteRun (id: string, runMs: number, expectedMs: number): void {
+    const view = this._views.get(id)
+    if (view === undefined) return
+    view.failuresInRow = 0
+    const ratio = runMs / Math.max(1, expectedMs)
+    view.slowness = view.slowness === 0 ? ratio : view.slowness + AVERAGE_WEIGHT * (ratio - view.slowness)
+  }
+
+  /** Notes that a target failed a request, and ejects it when it fails too often; returns true when it was ejected. */
+  noteFailure (id: string, now: number): boolean {
+    const view = this._views.get(id)
+    if (view === undefined) return false
+    view.failuresInRow++
+    if (view.failuresInRow < EJECT_AFTER_FAILURES || !this._mayEject(view, now)) return false
+    view.failuresInRow = 0
+    view.ejectedUntil = now + Math.min(EJECTION_CAP_MS, EJECTION_MS * 2 ** view.ejections)
+    view.ejections++
+    return true
+  }
+
+  /** Gets a target. */
+  get (id: string): TargetView | undefined {
+    return this._views.get(id)
+  }
+
+  /** Gets all targets. */
+  getAll (): TargetView[] {
+    return [...this._views.values()]
+  }
+
+  /** Gets the targets of a service that may be given work. */
+  getUsable (service: string, now: number): TargetView[] {
+    return this.getAll().filter(view => view.instance.service === service && isUsable(view, now))
+  }
+
+  private _setInstance (instance: Instance): void {
+    const known = this._views.get(instance.id)
+    if (known !== undefined && known.instance.url === instance.url) {
+      this._views.set(instance.id, { ...known, instance })
+      return
+    }
+    this._views.set(instance.id, {
+      instance, heardAt: -Infinity, sentSinceSample: 0, inFlight: 0, failuresInRow: 0, ejections: 0, ejectedUntil: -Infinity, slowness: 0
+    })
+  }
+
+  private _mayEject (view: TargetView, now: number): boolean {
+    const peers = this.getAll().filter(other => other.instance.service === view.instance.service)
+    const ejected = peers.filter(other => other.ejectedUntil > now).length
+    return (ejected + 1) / peers.length <= MAX_EJECTED_SHARE
+  }
+}
+
+function isUsable (view: TargetView, now: number): boolean {
+  if (view.load === undefined || view.load.isLeaving) return false
+  if (view.instance.state === InstanceState.Leaving) return false
+  return view.ejectedUntil <= now && now - view.heardAt <= SILENCE_LIMIT_MS
+}
--- /dev/null
+++ b/src/core/session/SessionProcedures.ts
@@ -0,0 +1,98 @@
+import type { CallEffect, CallEvent, Reply } from '../call/index.js'
+import type { Clock } from '../clock/index.js'
+import { CommitResult } from '../commit/index.js'
+import type { Rows, Transaction } from '../platform/index.js'
+import type { Refusal, RefusalReason } from '../reason/index.js'
+import { toClose } from './SessionClosing.js'
+import type { SessionOpening } from './SessionOpening.js'
+import { getSessionKey, SessionState, type SessionRow } from './SessionRow.js'
+
+/** Milliseconds for which the opening or closing of a session waits for the store. */
+export const SESSION_COMMIT_TIMEOUT_MS = 3_000
+
+/** Times that opening or closing is tried against concurrent changes. */
+const MAX_ROUNDS = 16
+
+type Steps<T> = Generator<CallEffect, T, CallEvent>
+
+/** Opens a session; opening it again gives the same session. */
+export function * openSession (opening: SessionOpening, clock: Clock): Steps<void> {
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const event = yield { type: 'read', keys: opening.getKeys() }
+    if (event.type !== 'rows') return yield * refuse('ledger-unreadable')
+    const decision = opening.decide(event.rows, clock.now())
+    if (decision.isLeft()) return yield * reply({ type: 'refusal', refusal: decision.extract() as Refusal })
+    const allowed = decision.unsafeCoerce()
+    if (allowed.type === 'exists') return yield * reply({ type: 'session', session: allowed.session })
+    const result = yield * commit(allowed.transaction, clock)
+    if (result === CommitResult.Committed) return yield * reply({ type: 'session', session: allowed.session })
+    if (result === CommitResult.NotWritten) return yield * refuse('store-unavailable')
+    // An unknown result may still take effect; opening is idempotent, so the caller sends it again.
+    if (result === CommitResult.Unknown) return yield * refuse('ledger-unreadable')
+  }
+  yield * refuse('ledger-unreadable')
+}
+
+/** Closes a session and its open sub-agents, returns unspent budget and gives up engine memory. */
+export function * closeSession (id: string, workspace: string, clock: Clock): Steps<void> {
+  yield * reply(yield * close(id, workspace, clock))
+}
+
+function * close (id: string, workspace: string, clock: Clock): Steps<Reply> {
+  for (let round = 0; round < MAX_ROUNDS; round++) {
+    const rows = yield * readWithParent(id)
+    if (rows === undefined) return toRefusal('ledger-unreadable')
+    const session = rows.get(getSessionKey(id))?.value as SessionRow | undefined
+    if (session === undefined || session.workspace !== workspace) return toRefusal('session-unknown')
+    if (session.state === SessionState.Closed) return yield * release(session)
+    const pending = session.pending
+    if (pending !== undefined && clock.now() < pending.deadline) return toRefusal('call-pending')
+    const childReply = yield * closeChildren(session, clock)
+    if (childReply !== undefined) return childReply
+    if (session.children.length > 0) continue
+    const transaction = toClose(rows, session)
+    const result = yield * commit(transaction, clock)
+    if (result === CommitResult.Committed) return yield * release(transaction.puts[0]!.value as SessionRow)
+    if (result !== CommitResult.Conflict) return toRefusal('ledger-unreadable')
+  }
+  return toRefusal('ledger-unreadable')
+}
+
+function * closeChildren (session: SessionRow, clock: Clock): Steps<Reply | undefined> {
+  for (const child of session.children) {
+    const childReply = yield * close(child, session.workspace, clock)
+    if (childReply.type === 'refusal') return childReply
+  }
+  return undefined
+}
+
+function * readWithParent (id: string): Steps<Rows | undefined> {
+  const first = yield { type: 'read', keys: [getSessionKey(id)] }
+  if (first.type !== 'rows') return undefined
+  const parent = (first.rows.get(getSessionKey(id))?.value as SessionRow | undefined)?.parent
+  if (parent === undefined) return first.rows
+  const both = yield { type: 'read', keys: [getSessionKey(id), getSessionKey(parent)] }
+  return both.type === 'rows' ? both.rows : undefined
+}
+
+function * release (session: SessionRow): Steps<Reply> {
+  yield { type: 'release', session: session.id, targets: session.targets }
+  return { type: 'session', session }
+}
+
+function * commit (transaction: Transaction, clock: Clock): Steps<CommitResult> {
+  const event = yield { type: 'commit', transaction, deadline: clock.now() + SESSION_COMMIT_TIMEOUT_MS }
+  return event.type === 'commit-result' ? event.result : CommitResult.Unknown
+}
+
+function * reply (content: Reply): Steps<void> {
+  yield { type: 'reply', reply: content }
+}
+
+function * refuse (reason: RefusalReason): Steps<void> {
+  yield * reply(toRefusal(reason))
+}
+
+function toRefusal (reason: RefusalReason): Reply {
+  return { type: 'refusal', refusal: { reason } }
+}
--- /dev/null
+++ b/src/core/session/index.ts
@@ -0,0 +1,5 @@
+export * from './SessionClosing.js'
+export * from './SessionLedger.js'
+export * from './SessionOpening.js'
+export * from './SessionProcedures.js'
+export * from './SessionRow.js'
--- /dev/null
+++ b/src/core/sidecar/SidecarCore.ts
@@ -0,0 +1,360 @@
+import { Left, Right, type Either } from 'purify-ts'
+import { AttemptState, RunOutcome, type Dispatch, type RunResult } from '../call/index.js'
+import type { Clock } from '../clock/index.js'
+import type { Answer } from '../history/index.js'
+import type { RefusalReason } from '../reason/index.js'
+import type { TicketClaims } from '../ticket/index.js'
+import { AdmissionQueue, LeastAttainedQueue } from './AdmissionQueue.js'
+import { AttemptTable, type AttemptRecord } from './AttemptTable.js'
+import { ConfigFence } from './ConfigFence.js'
+import { HoldTable, type EngineHolds } from './HoldTable.js'
+import type { LoadSample } from './LoadSample.js'
+
+/** Weight of the newest run in the moving averages. */
+const AVERAGE_WEIGHT = 0.2
+
+/** What the sidecar's surroundings shall do. */
+export type SidecarEffect =
+  /** Send the request to the target. */
+  | { readonly type: 'start', readonly attempt: string }
+  /** Stop the request at the target and end the answer where it is. */
+  | { readonly type: 'abort', readonly attempt: string, readonly cause: AbortCause }
+  /** The attempt has ended: wake whoever reads its answer. */
+  | { readonly type: 'ended', readonly attempt: string }
+  /** Drop the buffered answer of an attempt. */
+  | { readonly type: 'drop-answer', readonly attempt: string }
+  /** Tell the engine to give up the memory of a session. */
+  | { readonly type: 'release-hold', readonly key: string }
+
+/** Why a run is stopped. */
+export const AbortCause = { Budget: 'budget', Deadline: 'deadline', Memory: 'memory' } as const
+export type AbortCause = typeof AbortCause[keyof typeof AbortCause]
+
+/** How a run ended, as seen on the connection to the target. */
+export interface RunEnd {
+  readonly type: 'complete' | 'crashed' | 'unreached' | 'aborted'
+  readonly answer: Answer
+  readonly cachedTokens: number
+  readonly promptTokens: number
+}
+
+/** Options of {@link SidecarCore}. */
+export interface SidecarCoreOptions {
+  /** Id of this run of the process; a restarted sidecar has another one. */
+  readonly incarnation: string
+  readonly clock: Clock
+  readonly slots: number
+  readonly shortSlots?: number
+  readonly maxQueued?: number
+  /** Finished answers that may wait for their acknowledgement. */
+  readonly maxRetained?: number
+  readonly maxRemembered?: number
+  readonly queue?: AdmissionQueue
+}
+
+/** Finished answers that a sidecar keeps by default. */
+export const DEFAULT_MAX_RETAINED = 2_000
+
+/** Requests that wait at a target by default. */
+export const DEFAULT_MAX_QUEUED = 256
+
+/** Decides everything about the attempts at one target. */
+export class SidecarCore {
+  private readonly _options: SidecarCoreOptions
+  private readonly _clock: Clock
+  private readonly _attempts: AttemptTable
+  private readonly _queue: AdmissionQueue
+  private readonly _holds = new HoldTable()
+  private readonly _fence = new ConfigFence()
+  private readonly _aborted = new Map<string, AbortCause>()
+  private _retained = 0
+  private _isLeaving = false
+  private _msPerToken = 0
+  private _runMs = 0
+
+  constructor (options: SidecarCoreOptions) {
+    this._options = options
+    this._clock = options.clock
+    this._attempts = new AttemptTable(options.maxRemembered)
+    this._queue = options.queue ?? new LeastAttainedQueue({
+      slots: options.slots,
+      shortSlots: options.shortSlots ?? 0,
+      maxQueued: options.maxQueued ?? DEFAULT_MAX_QUEUED
+    })
+  }
+
+  /** Takes a dispatch, or refuses it with proof that it has not run and will not. */
+  dispatch (claims: TicketClaims, dispatch: Dispatch): Either<RefusalReason, SidecarEffect[]> {
+    const reason = this._findRefusal(claims, dispatch)
+    if (reason !== undefined) {
+      this._addNotRun(claims.attempt, claims.ledgerKey, claims.epoch, reason)
+      return Left(reason)
+    }
+    const now = this._clock.now()
+    const { claim } = dispatch
+    const isQueued = this._queue.add({
+      attempt: claim.attempt,
+      workspace: dispatch.workspace,
+      attainedTokens: dispatch.attainedTokens,
+      maxTokens: claim.reservedTokens,
+      queuedAt: now
+    })
+    if (!isQueued) {
+      this._addNotRun(claim.attempt, dispatch.ledgerKey, claim.epoch, 'queue-full')
+      return Left('queue-full')
+    }
+    this._attempts.add(toRecord(dispatch, now))
+    return Right(this._startNext())
+  }
+
+  /** Tells what became of an attempt, and bars an absent one from running if asked to. */
+  locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): AttemptState {
+    if (incarnation !== this._options.incarnation) return AttemptState.OtherIncarnation
+    const record = this._attempts.get(attempt)
+    if (record !== undefined) return record.state
+    if (this._attempts.isForgettable(claimedAt)) return AttemptState.Gone
+    if (cancelIfAbsent) {
+      const { ledgerKey, epoch } = splitAttempt(attempt)
+      this._addNotRun(attempt, ledgerKey, epoch, 'cancelled')
+    }
+    return AttemptState.Absent
+  }
+
+  /** Gets the result of a finished attempt. */
+  getResult (attempt: string): RunResult | undefined {
+    return this._attempts.get(attempt)?.result
+  }
+
+  /** Notes that the answer of an attempt is durable, so that it need not be kept. */
+  acknowledge (attempt: string): SidecarEffect[] {
+    const record = this._attempts.get(attempt)
+    if (record === undefined || record.state !== AttemptState.Done) return []
+    this._attempts.dropAnswer(record)
+    this._retained--
+    return [{ type: 'drop-answer', attempt }]
+  }
+
+  /** Notes tokens generated by a run, and stops it when its reservation is used up. */
+  addTokens (attempt: string, count: number): SidecarEffect[] {
+    const record = this._attempts.getOrThrow(attempt)
+    if (record.firstByteAt === 0) record.firstByteAt = this._clock.now()
+    record.tokens += count
+    if (record.maxTokens > 0 && record.tokens >= record.maxTokens) return this._abort(record, AbortCause.Budget)
+    return []
+  }
+
+  /** Gets the tokens that an attempt may still generate. */
+  getTokensLeft (attempt: string): number {
+    const record = this._attempts.getOrThrow(attempt)
+    return record.maxTokens - record.tokens
+  }
+
+  /** Stops a run whose answer has grown too large. */
+  abortForMemory (attempt: string): SidecarEffect[] {
+    return this._abort(this._attempts.getOrThrow(attempt), AbortCause.Memory)
+  }
+
+  /** Notes the end of a run. */
+  onRunEnded (attempt: string, end: RunEnd): SidecarEffect[] {
+    const record = this._attempts.getOrThrow(attempt)
+    const now = this._clock.now()
+    const outcome = this._toOutcome(record, end)
+    this._finish(record, outcome, end, now)
+    this._noteSpeed(record, outcome, now)
+    this._queue.release(attempt)
+    return [{ type: 'ended', attempt }, ...this._endHold(record.holdKey, now), ...this._startNext()]
+  }
+
+  /** Gives up the engine memory of a session that has ended. */
+  release (holdKey: string): SidecarEffect[] {
+    return this._holds.remove(holdKey) ? [{ type: 'release-hold', key: holdKey }] : []
+  }
+
+  /** Compares the engine's own list of holds with the leases. */
+  reconcile (engine: EngineHolds): SidecarEffect[] {
+    return this._holds.reconcile(engine, this._clock.now()).map(key => ({ type: 'release-hold', key }))
+  }
+
+  /** Enforces deadlines and leases; to be called several times a second. */
+  tick (): SidecarEffect[] {
+    const now = this._clock.now()
+    const overdue = this._attempts.getActive().filter(record => record.deadline <= now)
+    const ended = overdue.flatMap(record => this._onOverdue(record, now))
+    const expired = this._attempts.dropExpiredAnswers(now)
+    this._retained -= expired.length
+    this._attempts.forget(now)
+    return [
+      ...ended,
+      ...expired.map(attempt => ({ type: 'drop-answer' as const, attempt })),
+      ...this._holds.takeExpired(now).map(key => ({ type: 'release-hold' as const, key })),
+      ...this._startNext()
+    ]
+  }
+
+  /** Refuses all new work from now on. */
+  setLeaving (): void {
+    this._isLeaving = true
+  }
+
+  /** Tells whether nothing is queued, running or waiting for its acknowledgement. */
+  isDrained (): boolean {
+    return this._queue.getQueuedCount() + this._queue.getRunningCount() + this._retained === 0
+  }
+
+  /** Notes a configuration version; returns true when it is new. */
+  hearConfig (version: number): boolean {
+    return this._fence.hear(version, this._clock.now())
+  }
+
+  /** Gets the load and state that entries place work by. */
+  getLoad (): LoadSample {
+    return {
+      incarnation: this._options.incarnation,
+      isLeaving: this._isLeaving,
+      configVersion: this._fence.getVersion(),
+      slots: this._options.slots,
+      running: this._queue.getRunningCount(),
+      queued: this._queue.getQueuedCount(),
+      queuedTokens: this._queue.getQueuedTokens(),
+      msPerToken: this._msPerToken,
+      runMs: this._runMs
+    }
+  }
+
+  private _findRefusal (claims: TicketClaims, dispatch: Dispatch): RefusalReason | undefined {
+    const now = this._clock.now()
+    const { claim } = dispatch
+    if (claims.attempt !== claim.attempt || claims.ledgerKey !== dispatch.ledgerKey || claims.epoch !== claim.epoch) return 'ticket-forged'
+    if (claims.incarnation !== this._options.incarnation) return 'incarnation-changed'
+    const known = this._attempts.get(claim.attempt)
+    if (known !== undefined) return known.state === AttemptState.NotRun ? known.reason ?? 'cancelled' : 'ticket-replayed'
+    if (this._attempts.isStale(dispatch.ledgerKey, claim.epoch)) return 'epoch-stale'
+    if (this._attempts.isForgettable(claim.claimedAt)) return 'ticket-expired'
+    this._fence.hear(claims.configVersion, now)
+    if (this._fence.isStale(claims.configVersion, now)) return 'stale-config'
+    if (this._isLeaving) return 'leaving'
+    if (this._retained >= (this._options.maxRetained ?? DEFAULT_MAX_RETAINED)) return 'retained-full'
+    return undefined
+  }
+
+  private _addNotRun (attempt: string, ledgerKey: string, epoch: number, reason: RefusalReason): void {
+    if (this._attempts.get(attempt) !== undefined) return
+    const now = this._clock.now()
+    this._attempts.add({
+      attempt,
+      ledgerKey,
+      epoch,
+      seenAt: now,
+      state: AttemptState.NotRun,
+      reason,
+      maxTokens: 0,
+      deadline: now,
+      holdKey: '',
+      queuedAt: now,
+      startedAt: 0,
+      firstByteAt: 0,
+      tokens: 0
+    })
+  }
+
+  private _startNext (): SidecarEffect[] {
+    const effects: SidecarEffect[] = []
+    const now = this._clock.now()
+    for (let next = this._queue.take(now); next !== undefined; next = this._queue.take(now)) {
+      const record = this._attempts.getOrThrow(next.attempt)
+      this._attempts.setState(record, AttemptState.Running)
+      record.startedAt = now
+      this._holds.addUse(record.holdKey)
+      effects.push({ type: 'start', attempt: next.attempt })
+    }
+    return effects
+  }
+
+  private _abort (record: AttemptRecord, cause: AbortCause): SidecarEffect[] {
+    if (record.state !== AttemptState.Running || this._aborted.has(record.attempt)) return []
+    this._aborted.set(record.attempt, cause)
+    return [{ type: 'abort', attempt: record.attempt, cause }]
+  }
+
+  private _onOverdue (record: AttemptRecord, now: number): SidecarEffect[] {
+    if (record.state === AttemptState.Queued) return this._dropQueued(record, now)
+    return this._abort(record, AbortCause.Deadline)
+  }
+
+  private _dropQueued (record: AttemptRecord, now: number): SidecarEffect[] {
+    this._queue.remove(record.attempt)
+    this._finish(record, RunOutcome.Dropped, EMPTY_END, now)
+    return [{ type: 'ended', attempt: record.attempt }]
+  }
+
+  private _finish (record: AttemptRecord, outcome: RunOutcome, end: RunEnd, now: number): void {
+    this._attempts.setState(record, AttemptState.Done)
+    record.result = {
+      outcome,
+      answer: { ...end.answer, tokens: record.tokens },
+      cachedTokens: end.cachedTokens,
+      promptTokens: end.promptTokens,
+      queuedAt: record.queuedAt,
+      startedAt: record.startedAt,
+      firstByteAt: record.firstByteAt,
+      endedAt: now
+    }
+    this._retained++
+  }
+
+  private _toOutcome (record: AttemptRecord, end: RunEnd): RunOutcome {
+    const cause = this._aborted.get(record.attempt)
+    this._aborted.delete(record.attempt)
+    if (cause === AbortCause.Deadline && record.tokens === 0) return RunOutcome.TimedOut
+    if (cause !== undefined) return RunOutcome.Cut
+    if (end.type === 'unreached') return RunOutcome.Unreached
+    return end.type === 'complete' ? RunOutcome.Complete : RunOutcome.Crashed
+  }
+
+  private _noteSpeed (record: AttemptRecord, outcome: RunOutcome, now: number): void {
+    if (outcome !== RunOutcome.Complete && outcome !== RunOutcome.Cut) return
+    const runMs = now - record.startedAt
+    this._runMs = average(this._runMs, runMs)
+    if (record.tokens > 0) this._msPerToken = average(this._msPerToken, runMs / record.tokens)
+  }
+
+  private _endHold (holdKey: string, now: number): SidecarEffect[] {
+    this._holds.removeUse(holdKey, now)
+    if (!this._holds.isEnding(holdKey)) return []
+    return this.release(holdKey)
+  }
+}
+
+const EMPTY_END: RunEnd = {
+  type: 'aborted',
+  answer: { status: 503, contentType: 'text/plain', text: '', tokens: 0, finish: 'dropped' },
+  cachedTokens: 0,
+  promptTokens: 0
+}
+
+function average (current: number, sample: number): number {
+  return current === 0 ? sample : current + AVERAGE_WEIGHT * (sample - current)
+}
+
+function toRecord (dispatch: Dispatch, now: number): AttemptRecord {
+  const { claim } = dispatch
+  return {
+    attempt: claim.attempt,
+    ledgerKey: dispatch.ledgerKey,
+    epoch: claim.epoch,
+    seenAt: now,
+    state: AttemptState.Queued,
+    maxTokens: claim.reservedTokens,
+    deadline: claim.deadline,
+    holdKey: dispatch.holdKey,
+    queuedAt: now,
+    startedAt: 0,
+    firstByteAt: 0,
+    tokens: 0
+  }
+}
+
+function splitAttempt (attempt: string): { ledgerKey: string, epoch: number } {
+  const at = attempt.lastIndexOf('#')
+  return { ledgerKey: attempt.slice(0, at), epoch: Number(attempt.slice(at + 1)) }
+}
--- /dev/null
+++ b/src/core/sidecar/index.ts
@@ -0,0 +1,7 @@
+export * from './AdmissionQueue.js'
+export * from './AttemptTable.js'
+export * from './ConfigFence.js'
+export * from './HoldTable.js'
+export * from './LoadSample.js'
+export * from './OrderGate.js'
+export * from './SidecarCore.js'
--- /dev/null
+++ b/src/core/ticket/index.ts
@@ -0,0 +1,1 @@
+export * from './Ticket.js'
--- /dev/null
+++ b/src/io/ctl/applyChange.ts
@@ -0,0 +1,31 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Either } from 'purify-ts'
+import { CONFIG_KEY, type ChangeConflict, type ChangeDecision, type ConfigChange } from '../../core/config/index.js'
+import type { Table } from '../../core/platform/index.js'
+
+/** Milliseconds between two tries while the store does not answer. */
+const RETRY_MS = 500
+
+/** Milliseconds for which a change is tried. */
+export const APPLY_TIMEOUT_MS = 20_000
+
+/**
+ * Carries a change to the table until it is known what became of it.
+ *
+ * @returns The decision that stands, or undefined when the store did not answer in time and the outcome is unknown.
+ */
+export async function applyChange (table: Table, change: ConfigChange): Promise<Either<ChangeConflict, ChangeDecision> | undefined> {
+  const giveUpAt = Date.now() + APPLY_TIMEOUT_MS
+  while (Date.now() < giveUpAt) {
+    try {
+      const decision = change.decide(await table.read([CONFIG_KEY]), Date.now())
+      const allowed = decision.toMaybe().extract()
+      if (allowed === undefined || allowed.type === 'applied') return decision
+      // A conflict, like a lost answer, is resolved by reading again.
+      if ((await table.commit(allowed.transaction)).type === 'committed') return decision
+    } catch {
+      await sleep(RETRY_MS)
+    }
+  }
+  return undefined
+}
--- /dev/null
+++ b/src/io/ctl/index.ts
@@ -0,0 +1,3 @@
+export * from './applyChange.js'
+export * from './commands.js'
+export * from './documentsOnDisk.js'
--- /dev/null
+++ b/src/io/entry/AnswerRelay.ts
@@ -0,0 +1,103 @@
+import type { Dispatcher } from 'undici'
+import type { CallEvent, Claim } from '../../core/call/index.js'
+import { isRefusalReason, type RetryReason } from '../../core/reason/index.js'
+import { LOAD_HEADER } from '../sidecar/index.js'
+import type { LoadSample } from '../../core/sidecar/index.js'
+import type { CallerStream } from './CallerStream.js'
+import type { SidecarClient } from './SidecarClient.js'
+
+/** Milliseconds without a byte after which the sidecar is asked whether the connection has gone silent. */
+export const RELAY_SILENCE_MS = 1_500
+
+/** Questions without an answer after which a quiet connection is given up. */
+const MAX_SILENT_CHECKS = 2
+
+/** Options of {@link AnswerRelay}. */
+export interface AnswerRelayOptions {
+  readonly client: SidecarClient
+  readonly claim: Claim
+  /** Where the bytes go; undefined when they are only waited for. */
+  readonly stream: CallerStream | undefined
+  readonly onRetry: (reason: RetryReason) => void
+  readonly onLoad: (load: LoadSample) => void
+}
+
+/** Relays the answer of one attempt from its sidecar to the caller, without parsing it. */
+export class AnswerRelay {
+  private readonly _options: AnswerRelayOptions
+  private _received = 0
+  private _lastByteAt = 0
+
+  constructor (options: AnswerRelayOptions) {
+    this._options = options
+  }
+
+  /** Relays a response until it ends, breaks or goes silent. */
+  async run (open: () => Promise<Dispatcher.ResponseData>, offset: number): Promise<CallEvent> {
+    try {
+      const res = await open()
+      if (res.statusCode !== 200) return await this._toRefused(res)
+      this._noteLoad(res)
+      return await this._relay(res, offset)
+    } catch {
+      return { type: 'lost' }
+    }
+  }
+
+  private async _toRefused (res: Dispatcher.ResponseData): Promise<CallEvent> {
+    const body = await res.body.json().catch(() => ({})) as { reason?: string }
+    const reason = body.reason ?? ''
+    return isRefusalReason(reason) ? { type: 'refused', reason } : { type: 'lost' }
+  }
+
+  private _noteLoad (res: Dispatcher.ResponseData): void {
+    const header = res.headers[LOAD_HEADER]
+    if (typeof header === 'string') this._options.onLoad(JSON.parse(header) as LoadSample)
+  }
+
+  private async _relay (res: Dispatcher.ResponseData, offset: number): Promise<CallEvent> {
+    this._received = offset
+    this._lastByteAt = Date.now()
+    const watch = this._watchSilence(res)
+    try {
+      for await (const chunk of res.body as AsyncIterable<Buffer>) {
+        this._received += chunk.length
+        this._lastByteAt = Infinity
+        await this._options.stream?.write(this._options.claim.attempt, chunk)
+        this._lastByteAt = Date.now()
+      }
+      return { type: 'ended' }
+    } finally {
+      clearInterval(watch)
+    }
+  }
+
+  /** Asks the sidecar, over another connection, whether it has sent more than arrived here. */
+  private _watchSilence (res: Dispatcher.ResponseData): NodeJS.Timeout {
+    const { client, claim } = this._options
+    const { attempt, incarnation, claimedAt } = claim
+    let unanswered = 0
+    let isAsking = false
+    return setInterval(() => {
+      if (isAsking || Date.now() - this._lastByteAt < RELAY_SILENCE_MS) return
+      isAsking = true
+      const before = this._received
+      client.control.locate.mutate({ attempt, incarnation, claimedAt, cancelIfAbsent: false })
+        .then(located => {
+          unanswered = 0
+          const isActive = located.state === 'running' || located.state === 'queued'
+          const isSilent = before === this._received && (!isActive || located.bytes > before)
+          if (isSilent) this._giveUp(res)
+        }, () => {
+          unanswered++
+          if (unanswered >= MAX_SILENT_CHECKS) this._giveUp(res)
+        })
+        .finally(() => { isAsking = false })
+    }, RELAY_SILENCE_MS / 3)
+  }
+
+  private _giveUp (res: Dispatcher.ResponseData): void {
+    this._options.onRetry('relay-silent')
+    res.body.destroy(new Error('The connection to the sidecar went silent.'))
+  }
+}
--- /dev/null
+++ b/src/io/entry/EntryLoops.ts
@@ -0,0 +1,114 @@
+import { mergeArray, periodic, type Stream } from 'most'
+import { CONFIG_KEY, Configuration, formatFinding, type ConfigRow } from '../../core/config/index.js'
+import type { StateLogger } from '../process/index.js'
+import type { EntryState } from './EntryState.js'
+
+/** Milliseconds between two reads of the instance list. */
+export const LIST_MS = 1_000
+
+/** Milliseconds between two heartbeats to a sidecar. */
+export const HEARTBEAT_MS = 1_000
+
+/** Milliseconds between two reads of the configuration. */
+export const CONFIG_MS = 2_000
+
+/** Share of the watched sidecars that must answer before their configuration is believed in an outage of the store. */
+const PEER_QUORUM = 0.5
+
+/** Keeps an entry's view of targets and configuration up to date. */
+export class EntryLoops {
+  private readonly _state: EntryState
+  private readonly _logger: StateLogger
+  private readonly _beating = new Set<string>()
+
+  constructor (state: EntryState, logger: StateLogger) {
+    this._state = state
+    this._logger = logger
+  }
+
+  /** Starts the loops; they end with the process. */
+  start (): void {
+    const loops: Array<Stream<unknown>> = [
+      periodic(LIST_MS).tap(() => { void this._readList() }),
+      periodic(HEARTBEAT_MS).tap(() => { this._sendHeartbeats() }),
+      periodic(CONFIG_MS).tap(() => { void this._readConfig() })
+    ]
+    void mergeArray(loops).drain()
+  }
+
+  /** Tells whether the entry knows a configuration and at least one target. */
+  isReady (): boolean {
+    return this._state.config.get() !== undefined && this._state.directory.getAll().some(view => view.load !== undefined)
+  }
+
+  private async _readList (): Promise<void> {
+    try {
+      this._state.pool.setInstances(await this._state.instances.list())
+    } catch {
+      // The last list stays in use; heartbeats tell which targets live.
+      this._state.metrics.addRetry('store-error')
+    }
+  }
+
+  private _sendHeartbeats (): void {
+    for (const id of this._state.pool.getWatchedIds()) {
+      if (!this._beating.has(id)) void this._sendHeartbeat(id)
+    }
+  }
+
+  private async _sendHeartbeat (id: string): Promise<void> {
+    const { pool, directory, config, clock } = this._state
+    this._beating.add(id)
+    try {
+      const client = pool.get(id)!
+      const load = await client.control.heartbeat.mutate({ configVersion: config.getVersion() })
+      directory.noteLoad(id, load, clock.now())
+      if (load.configVersion > config.getVersion()) this._take(await client.control.getConfig.mutate() ?? undefined)
+      const current = config.get()
+      if (current !== undefined && load.configVersion < current.version) await client.control.setConfig.mutate(current.row)
+    } catch {
+      // Silence counts from the last sign of life; the directory leaves the target out when it lasts.
+    } finally {
+      this._beating.delete(id)
+    }
+  }
+
+  private async _readConfig (): Promise<void> {
+    const { config, clock, metrics, reader } = this._state
+    try {
+      const row = (await reader.read([CONFIG_KEY])).get(CONFIG_KEY)
+      this._take(row?.value as ConfigRow | undefined)
+      config.confirm(clock.now())
+    } catch {
+      metrics.addRetry('store-error')
+      if (config.get() === undefined) await this._learnFromPeers()
+    }
+    metrics.configAge.set(Math.min(1e9, config.getAge(clock.now()) / 1000))
+  }
+
+  /** Learns the configuration from the sidecars while the store is down. */
+  private async _learnFromPeers (): Promise<void> {
+    const { pool } = this._state
+    const ids = pool.getWatchedIds()
+    const replies = await Promise.allSettled(ids.map(async id => await pool.get(id)!.control.getConfig.mutate()))
+    const rows = replies.flatMap(reply => reply.status === 'fulfilled' ? [reply.value] : [])
+    if (rows.length === 0 || rows.length < ids.length * PEER_QUORUM) return
+    for (const row of rows) this._take(row ?? undefined)
+  }
+
+  private _take (row: ConfigRow | undefined): void {
+    const { config, metrics } = this._state
+    if (row === undefined || row.version <= config.getVersion()) return
+    Configuration.parse(row).caseOf({
+      Left: findings => {
+        metrics.configFindings.inc()
+        this._logger.error('configuration refused', { version: row.version, findings: findings.map(formatFinding) })
+      },
+      Right: configuration => {
+        config.set(configuration)
+        metrics.configVersion.set(configuration.version)
+        this._logger.info('configuration in force', { version: configuration.version })
+      }
+    })
+  }
+}
--- /dev/null
+++ b/src/io/entry/EntryServer.ts
@@ -0,0 +1,333 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { Left, Right, type Either } from 'purify-ts'
+import { ulid } from 'ulid'
+import type { Reply } from '../../core/call/index.js'
+import { isKeyValid, isSame, type Configuration } from '../../core/config/index.js'
+import type { TurnRow } from '../../core/history/index.js'
+import type { Refusal } from '../../core/reason/index.js'
+import { closeSession, getSessionKey, getTurnKey, openSession, SessionOpening, type SessionRow } from '../../core/session/index.js'
+import { parseJson, readBody, sendJson, sendRefusal, startServer, type RequestHandler, type RunningServer } from '../http/index.js'
+import { describeError, type StateLogger } from '../process/index.js'
+import { CallerStream } from './CallerStream.js'
+import { CallService, type CallerInfo, type PreparedCall } from './CallService.js'
+import { RequestKind } from './EntryMetrics.js'
+import type { EntryState } from './EntryState.js'
+import { createOperatorRouter } from './OperatorRouter.js'
+import { ProcedureRunner } from './ProcedureRunner.js'
+import { getReplyHeaders, sendCompletion, sendServiceAnswer, toSessionView } from './replies.js'
+import { CALL_BODY, COMPLETION_BODY, matchPath, OPEN_BODY, parseBody, type OpenBody } from './requests.js'
+
+const BEARER = 'Bearer '
+
+/** A request whose caller has been identified. */
+interface Identified {
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly configuration: Configuration
+  readonly caller: CallerInfo
+}
+
+/** Serves callers and operators. */
+export class EntryServer {
+  private readonly _state: EntryState
+  private readonly _calls: CallService
+  private readonly _operators: RequestHandler
+  private readonly _operatorKeys: readonly string[]
+  private readonly _isReady: () => boolean
+  private readonly _logger: StateLogger
+  private _isStopping = false
+
+  constructor (state: EntryState, operatorKeys: readonly string[], logger: StateLogger, isReady: () => boolean) {
+    this._state = state
+    this._logger = logger
+    this._calls = new CallService(state)
+    this._operatorKeys = operatorKeys
+    this._isReady = isReady
+    this._operators = createHTTPHandler({
+      router: createOperatorRouter(state),
+      basePath: '/trpc/',
+      createContext: ({ req }) => ({ isOperator: this._isOperator(req) })
+    })
+  }
+
+  /** Starts to listen. */
+  async start (): Promise<RunningServer> {
+    const { listen, limits } = this._state.settings
+    return await startServer({ ...listen, limits, handler: (req, res) => { this._handle(req, res) } })
+  }
+
+  /** Fails the readiness check from now on; requests that still arrive are served. */
+  setStopping (): void {
+    this._isStopping = true
+  }
+
+  private _handle (req: IncomingMessage, res: ServerResponse): void {
+    const path = new URL(req.url ?? '/', 'http://entry').pathname
+    if (path.startsWith('/trpc/')) this._operators(req, res)
+    else if (path === '/healthz') sendJson(res, 200, { status: 'ok' })
+    else if (path === '/readyz') this._sendReadiness(res)
+    else if (path === '/metrics') void this._sendMetrics(res)
+    else void this._serve(req, res, path)
+  }
+
+  private async _serve (req: IncomingMessage, res: ServerResponse, path: string): Promise<void> {
+    this._state.changeInProgress(1)
+    if (this._isStopping) res.setHeader('connection', 'close')
+    try {
+      const identified = this._identify(req, res)
+      await identified.caseOf({
+        Left: async refusal => { await this._refuseUnread(req, res, refusal) },
+        Right: async request => { await this._route(request, path) }
+      })
+    } catch (err) {
+      // A defect of ours proves nothing about the request.
+      this._logger.error('request failed', { path, error: describeError(err) })
+      this._refuse(res, { reason: 'outcome-unknown' })
+    } finally {
+      this._state.changeInProgress(-1)
+    }
+  }
+
+  private async _route (request: Identified, path: string): Promise<void> {
+    const { req } = request
+    const call = matchPath('/v1/sessions/:id/calls/:call', path)
+    const close = matchPath('/v1/sessions/:id/close', path)
+    const session = matchPath('/v1/sessions/:id', path)
+    const service = matchPath('/v1/services/:service/:operation', path)
+    if (req.method === 'POST' && path === '/v1/chat/completions') return await this._complete(request)
+    if (req.method === 'POST' && path === '/v1/sessions') return await this._open(request)
+    if (req.method === 'POST' && call !== undefined) return await this._call(request, call.id!, call.call!)
+    if (req.method === 'GET' && call !== undefined) return await this._fetchCall(request, call.id!, call.call!)
+    if (req.method === 'POST' && close !== undefined) return await this._close(request, close.id!)
+    if (req.method === 'GET' && session !== undefined) return await this._showSession(request, session.id!)
+    if (req.method === 'POST' && service !== undefined) return await this._callService(request, service.service!, service.operation!)
+    await this._refuseUnread(req, request.res, { reason: 'route-unknown' })
+  }
+
+  private async _complete (request: Identified): Promise<void> {
+    const { configuration, caller, res } = request
+    const body = (await this._readJson(request)).chain(raw => parseBody(COMPLETION_BODY, raw))
+    const prepared = body.chain(parsed => this._calls.prepareCompletion(configuration, caller, parsed))
+    if (prepared.isLeft()) return this._refuse(res, prepared.extract() as Refusal)
+    const { stream: isStreamed, model } = body.unsafeCoerce()
+    await this._runModel(request, prepared.unsafeCoerce(), isStreamed, model, RequestKind.Completion)
+  }
+
+  private async _open (request: Identified): Promise<void> {
+    const { res, caller } = request
+    const body = (await this._readJson(request)).chain(raw => parseBody(OPEN_BODY, raw))
+    const opening = body.chain(parsed => toOpening(request, parsed))
+    if (opening.isLeft()) return this._refuse(res, opening.extract() as Refusal)
+    await this._runSession(openSession(opening.unsafeCoerce(), this._state.clock), reply => {
+      this._sendSession(res, caller, 201, reply)
+    })
+  }
+
+  private async _close (request: Identified, id: string): Promise<void> {
+    const { res, caller } = request
+    request.req.resume()
+    await this._runSession(closeSession(id, caller.workspace, this._state.clock), reply => {
+      if (reply.type === 'session') this._state.metrics.noteSession(this._state.clock.now() - reply.session.openedAt)
+      this._sendSession(res, caller, 200, reply)
+    })
+  }
+
+  private async _call (request: Identified, id: string, callText: string): Promise<void> {
+    const { res, caller, configuration } = request
+    const raw = await this._readJson(request)
+    const body = raw.chain(parsed => parseBody(CALL_BODY, parsed))
+    const call = parseCallNumber(callText)
+    const session = await this._readSession(id, caller)
+    const prepared = body.chain(parsed => call.chain(number =>
+      session.chain(row => this._calls.prepareCall(configuration, caller, { session: row, call: number, body: parsed }))))
+    if (prepared.isLeft()) return this._refuse(res, prepared.extract() as Refusal)
+    const parsed = body.unsafeCoerce()
+    const { program } = session.unsafeCoerce()
+    if (parsed.type === 'model') return await this._runModel(request, prepared.unsafeCoerce(), parsed.stream, program, RequestKind.Call)
+    await this._runService(request, prepared.unsafeCoerce(), RequestKind.Call)
+  }
+
+  private async _callService (request: Identified, service: string, operation: string): Promise<void> {
+    const { res, req, caller, configuration } = request
+    const body = await this._readBytes(request)
+    const prepared = body.chain(bytes => this._calls.prepareService(configuration, caller, {
+      service,
+      operation,
+      idempotencyKey: getHeader(req, 'idempotency-key'),
+      contentType: getHeader(req, 'content-type') ?? 'application/json',
+      body: bytes.toString('utf8')
+    }))
+    if (prepared.isLeft()) return this._refuse(res, prepared.extract() as Refusal)
+    await this._runService(request, prepared.unsafeCoerce(), RequestKind.Service)
+  }
+
+  private async _runModel (
+    request: Identified, prepared: PreparedCall, isStreamed: boolean, model: string, kind: RequestKind
+  ): Promise<void> {
+    const { res, caller } = request
+    const place = { requestId: caller.requestId, session: prepared.session, call: prepared.call }
+    const stream = isStreamed ? this._createStream(res, place) : undefined
+    await this._calls.run(prepared, caller, stream, reply => {
+      this._count(kind, reply)
+      sendCompletion(res, stream, model, place, reply)
+    })
+  }
+
+  private async _runService (request: Identified, prepared: PreparedCall, kind: RequestKind): Promise<void> {
+    const { res, caller } = request
+    const place = { requestId: caller.requestId, session: prepared.session, call: prepared.call }
+    await this._calls.run(prepared, caller, undefined, reply => {
+      this._count(kind, reply)
+      sendServiceAnswer(res, place, reply)
+    })
+  }
+
+  private _createStream (res: ServerResponse, place: Parameters<typeof getReplyHeaders>[0]): CallerStream {
+    const arrivedAt = this._state.clock.now()
+    return new CallerStream({
+      res,
+      stallMs: this._state.settings.limits.stallMs,
+      headers: getReplyHeaders(place),
+      onFirstByte: () => { this._state.metrics.noteFirstToken(this._state.clock.now() - arrivedAt) }
+    })
+  }
+
+  private async _runSession (procedure: ReturnType<typeof openSession>, onReply: (reply: Reply) => void): Promise<void> {
+    await new ProcedureRunner({ state: this._state, session: '', onReply }).run(procedure)
+  }
+
+  private _sendSession (res: ServerResponse, caller: CallerInfo, status: number, reply: Reply): void {
+    this._count(RequestKind.Session, reply)
+    const headers = getReplyHeaders({ requestId: caller.requestId, session: '', call: 0 })
+    if (reply.type === 'session') sendJson(res, status, toSessionView(reply.session), headers)
+    else if (reply.type === 'refusal') sendRefusal(res, reply.refusal)
+  }
+
+  private async _showSession (request: Identified, id: string): Promise<void> {
+    (await this._readSession(id, request.caller)).caseOf({
+      Left: refusal => { this._refuse(request.res, refusal) },
+      Right: row => { sendJson(request.res, 200, toSessionView(row)) }
+    })
+  }
+
+  private async _fetchCall (request: Identified, id: string, callText: string): Promise<void> {
+    const { res, caller } = request
+    const session = await this._readSession(id, caller)
+    const call = session.chain(() => parseCallNumber(callText))
+    if (call.isLeft()) return this._refuse(res, call.extract() as Refusal)
+    const number = call.unsafeCoerce()
+    const key = getTurnKey(id, number)
+    const rows = await this._state.reader.read([key]).catch(() => undefined)
+    const turn = rows?.get(key)?.value as TurnRow | undefined
+    if (turn === undefined) return this._refuse(res, toMissingTurn(session.unsafeCoerce(), number, rows !== undefined))
+    const place = { requestId: caller.requestId, session: id, call: number }
+    const reply: Reply = turn.outcome === 'answered'
+      ? { type: 'answer', turn, isReplay: true }
+      : { type: 'refusal', refusal: { reason: 'outcome-unknown' } }
+    this._count(RequestKind.Call, reply)
+    if (turn.kind === 'model') sendCompletion(res, undefined, session.unsafeCoerce().program, place, reply)
+    else sendServiceAnswer(res, place, reply)
+  }
+
+  private async _readSession (id: string, caller: CallerInfo): Promise<Either<Refusal, SessionRow>> {
+    const rows = await this._state.reader.read([getSessionKey(id)]).catch(() => undefined)
+    if (rows === undefined) return Left({ reason: caller.isFirstSending ? 'store-unavailable' : 'ledger-unreadable', retryAfterSeconds: 1 })
+    const row = rows.get(getSessionKey(id))?.value as SessionRow | undefined
+    return row === undefined || row.workspace !== caller.workspace ? Left({ reason: 'session-unknown' }) : Right(row)
+  }
+
+  private async _readJson (request: Identified): Promise<Either<Refusal, unknown>> {
+    return (await this._readBytes(request)).chain(parseJson)
+  }
+
+  private async _readBytes (request: Identified): Promise<Either<Refusal, Buffer>> {
+    return await readBody(request.req, this._state.settings.limits.bodyBytes)
+  }
+
+  private _identify (req: IncomingMessage, res: ServerResponse): Either<Refusal, Identified> {
+    const configuration = this._state.config.get()
+    if (configuration === undefined || !this._isReady()) return Left({ reason: 'not-ready', retryAfterSeconds: 1 })
+    const header = getHeader(req, 'authorization')
+    if (header === undefined || !header.startsWith(BEARER)) return Left({ reason: 'key-missing' })
+    const key = header.slice(BEARER.length)
+    const name = key.slice(0, Math.max(0, key.indexOf('.')))
+    const workspace = configuration.getWorkspace(name)
+    if (workspace === undefined || !isKeyValid(key, workspace.keyHashes)) return Left({ reason: 'key-wrong' })
+    const caller: CallerInfo = {
+      requestId: ulid(),
+      workspace: name,
+      isFirstSending: getHeader(req, 'wisteria-sending') === 'first',
+      isCallerGone: () => res.destroyed
+    }
+    return Right({ req, res, configuration, caller })
+  }
+
+  private _isOperator (req: IncomingMessage): boolean {
+    const header = getHeader(req, 'authorization') ?? ''
+    const isOperator = this._operatorKeys.some(key => isSame(header, BEARER + key))
+    if (!isOperator) this._state.metrics.addRefusal('operator-key-wrong')
+    return isOperator
+  }
+
+  /** Refuses a request whose body is not read; what arrives of it is dropped. */
+  private async _refuseUnread (req: IncomingMessage, res: ServerResponse, refusal: Refusal): Promise<void> {
+    req.resume()
+    this._refuse(res, refusal)
+  }
+
+  private _refuse (res: ServerResponse, refusal: Refusal): void {
+    this._state.metrics.addRefusal(refusal.reason)
+    sendRefusal(res, refusal)
+  }
+
+  private _count (kind: RequestKind, reply: Reply): void {
+    if (reply.type === 'refusal') this._state.metrics.addRefusal(reply.refusal.reason)
+    else this._state.metrics.addAnswer(kind)
+  }
+
+  private _sendReadiness (res: ServerResponse): void {
+    const isReady = this._isReady() && !this._isStopping
+    sendJson(res, isReady ? 200 : 503, { status: this._isStopping ? 'stopping' : isReady ? 'ready' : 'not-ready' })
+  }
+
+  private async _sendMetrics (res: ServerResponse): Promise<void> {
+    const { registry } = this._state.metrics
+    res.setHeader('content-type', registry.contentType)
+    res.end(await registry.metrics())
+  }
+}
+
+function toOpening (request: Identified, body: OpenBody): Either<Refusal, SessionOpening> {
+  const { configuration, caller } = request
+  const isAllowed = configuration.getWorkspace(caller.workspace)?.programs.includes(body.program) === true
+  const program = isAllowed ? configuration.getProgram(body.program) : undefined
+  if (program === undefined) return Left({ reason: 'program-unknown' })
+  const { budget } = program
+  return Right(new SessionOpening({
+    id: body.id ?? ulid(),
+    workspace: caller.workspace,
+    program: program.name,
+    ...(body.parent === undefined ? {} : { parent: body.parent }),
+    tokens: Math.min(budget.tokens, body.budget.tokens ?? budget.tokens),
+    calls: Math.min(budget.calls, body.budget.calls ?? budget.calls),
+    seconds: Math.min(budget.seconds, body.budget.seconds ?? budget.seconds),
+    maxChildren: program.maxChildren
+  }))
+}
+
+function toMissingTurn (session: SessionRow, call: number, isRead: boolean): Refusal {
+  if (!isRead) return { reason: 'ledger-unreadable', retryAfterSeconds: 1 }
+  if (session.pending?.call === call) return { reason: 'call-pending', detail: 'send the call again to wait for its answer', retryAfterSeconds: 1 }
+  return { reason: 'call-out-of-order', members: { nextCall: session.nextCall } }
+}
+
+function parseCallNumber (text: string): Either<Refusal, number> {
+  const isNumber = /^[1-9][0-9]{0,5}$/.test(text)
+  return isNumber ? Right(Number(text)) : Left({ reason: 'invalid-request', detail: 'the call number is a whole number from 1' })
+}
+
+function getHeader (req: IncomingMessage, name: string): string | undefined {
+  const value = req.headers[name]
+  return Array.isArray(value) ? value[0] : value
+}
--- /dev/null
+++ b/src/io/entry/SidecarClient.ts
@@ -0,0 +1,111 @@
+import { createTRPCClient, httpLink, type TRPCClient } from '@trpc/client'
+import { Agent, fetch, request, type Dispatcher } from 'undici'
+import type { Claim, Dispatch } from '../../core/call/index.js'
+import { TicketPurpose, type TicketClaims, type TicketSigner } from '../../core/ticket/index.js'
+import { digestBody, TICKET_SCHEME, type SidecarRouter } from '../sidecar/index.js'
+
+/** Milliseconds that a control call may take before its connection is given up. */
+export const CONTROL_TIMEOUT_MS = 1_000
+
+/** Milliseconds in which a sidecar must take or refuse a dispatch. */
+export const DISPATCH_TIMEOUT_MS = 3_000
+
+/** Milliseconds for which a control ticket is used before it is signed anew. */
+const CONTROL_TICKET_MS = 2_000
+
+/** Options of {@link SidecarClient}. */
+export interface SidecarClientOptions {
+  /** Base URL of the sidecar. */
+  readonly url: string
+  readonly entry: string
+  readonly signer: TicketSigner
+  readonly getConfigVersion: () => number
+}
+
+/** Talks to one sidecar. */
+export class SidecarClient {
+  readonly control: TRPCClient<SidecarRouter>
+  private readonly _options: SidecarClientOptions
+  private readonly _streams = new Agent({
+    connect: { timeout: CONTROL_TIMEOUT_MS }, headersTimeout: DISPATCH_TIMEOUT_MS, bodyTimeout: 0, connections: null
+  })
+
+  private readonly _controls = new Agent({
+    connect: { timeout: CONTROL_TIMEOUT_MS }, headersTimeout: CONTROL_TIMEOUT_MS, bodyTimeout: CONTROL_TIMEOUT_MS
+  })
+
+  private _controlTicket = { value: '', signedAt: -Infinity }
+
+  constructor (options: SidecarClientOptions) {
+    this._options = options
+    this.control = createTRPCClient<SidecarRouter>({
+      links: [httpLink({
+        url: `${options.url}/trpc`,
+        headers: () => ({ authorization: this._getControlTicket() }),
+        fetch: async (input, init) => await this._fetch(input as string, init as Parameters<typeof fetch>[1])
+      })]
+    })
+  }
+
+  /** Dispatches an attempt. */
+  async dispatch (dispatch: Dispatch): Promise<Dispatcher.ResponseData> {
+    const body = Buffer.from(JSON.stringify(dispatch))
+    const authorization = TICKET_SCHEME + this._options.signer.sign(this._toClaims(dispatch, digestBody(body)))
+    return await request(`${this._options.url}/dispatch`, {
+      method: 'POST', dispatcher: this._streams, headers: { authorization, 'content-type': 'application/json' }, body
+    })
+  }
+
+  /** Opens the answer of an attempt again. */
+  async attach (claim: Claim, offset: number): Promise<Dispatcher.ResponseData> {
+    const path = `/answers?attempt=${encodeURIComponent(claim.attempt)}&from=${offset}`
+    return await request(`${this._options.url}${path}`, {
+      method: 'GET', dispatcher: this._streams, headers: { authorization: this._getControlTicket() }
+    })
+  }
+
+  /** Closes the connections. */
+  async close (): Promise<void> {
+    await Promise.all([this._streams.destroy(), this._controls.destroy()])
+  }
+
+  private async _fetch (url: string, init: Parameters<typeof fetch>[1]): Promise<Response> {
+    // The types of undici and of the built-in fetch differ in name only.
+    return await fetch(url, { ...init, dispatcher: this._controls }) as unknown as Response
+  }
+
+  private _toClaims (dispatch: Dispatch, bodyDigest: string): TicketClaims {
+    const { claim, ledgerKey } = dispatch
+    return {
+      purpose: TicketPurpose.Dispatch,
+      entry: this._options.entry,
+      attempt: claim.attempt,
+      ledgerKey,
+      epoch: claim.epoch,
+      incarnation: claim.incarnation,
+      configVersion: this._options.getConfigVersion(),
+      // The time of the claim, not of the dispatch: an entry that was paused in between holds an expired ticket.
+      issuedAt: claim.claimedAt,
+      bodyDigest
+    }
+  }
+
+  private _getControlTicket (): string {
+    const now = Date.now()
+    if (now - this._controlTicket.signedAt >= CONTROL_TICKET_MS) {
+      const claims: TicketClaims = {
+        purpose: TicketPurpose.Control,
+        entry: this._options.entry,
+        attempt: '',
+        ledgerKey: '',
+        epoch: 0,
+        incarnation: '',
+        configVersion: this._options.getConfigVersion(),
+        issuedAt: now,
+        bodyDigest: ''
+      }
+      this._controlTicket = { value: TICKET_SCHEME + this._options.signer.sign(claims), signedAt: now }
+    }
+    return this._controlTicket.value
+  }
+}
--- /dev/null
+++ b/src/io/entry/TargetPool.ts
@@ -0,0 +1,62 @@
+import type { Instance } from '../../core/platform/index.js'
+import { selectWatched, type TargetDirectory, type WatchOptions } from '../../core/routing/index.js'
+import type { TicketSigner } from '../../core/ticket/index.js'
+import { SidecarClient } from './SidecarClient.js'
+
+/** Options of {@link TargetPool}. */
+export interface TargetPoolOptions {
+  readonly directory: TargetDirectory
+  readonly signer: TicketSigner
+  readonly watch: WatchOptions
+  readonly getConfigVersion: () => number
+}
+
+/** Keeps a client for the sidecar of each target that the entry watches or has work at. */
+export class TargetPool {
+  private readonly _options: TargetPoolOptions
+  private readonly _clients = new Map<string, { readonly url: string, readonly client: SidecarClient }>()
+  private _instances = new Map<string, Instance>()
+
+  constructor (options: TargetPoolOptions) {
+    this._options = options
+  }
+
+  /** Takes the platform's list. */
+  setInstances (instances: readonly Instance[]): void {
+    const targets = instances.filter(instance => instance.role === 'target')
+    this._instances = new Map(targets.map(target => [target.id, target]))
+    this._options.directory.setInstances(selectWatched(targets, this._options.watch))
+    for (const [id, { client }] of this._clients) {
+      if (this._instances.has(id)) continue
+      this._clients.delete(id)
+      void client.close()
+    }
+  }
+
+  /** Gets the client for the sidecar of a target, or undefined when the platform does not list the target. */
+  get (target: string): SidecarClient | undefined {
+    const instance = this._instances.get(target)
+    if (instance === undefined) return undefined
+    const known = this._clients.get(target)
+    if (known !== undefined && known.url === instance.url) return known.client
+    if (known !== undefined) void known.client.close()
+    const client = new SidecarClient({
+      url: instance.url,
+      entry: this._options.watch.entry,
+      signer: this._options.signer,
+      getConfigVersion: this._options.getConfigVersion
+    })
+    this._clients.set(target, { url: instance.url, client })
+    return client
+  }
+
+  /** Gets the ids of the watched targets. */
+  getWatchedIds (): string[] {
+    return this._options.directory.getAll().map(view => view.instance.id)
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await Promise.all([...this._clients.values()].map(async ({ client }) => { await client.close() }))
+  }
+}
--- /dev/null
+++ b/src/io/entry/replies.ts
@@ -0,0 +1,98 @@
+import type { ServerResponse } from 'node:http'
+import type { Reply } from '../../core/call/index.js'
+import type { TurnRow } from '../../core/history/index.js'
+import type { SessionRow } from '../../core/session/index.js'
+import { sendJson, sendRefusal } from '../http/index.js'
+import type { CallerStream } from './CallerStream.js'
+
+/** Names the session and the call of a reply, for its headers. */
+export interface ReplyPlace {
+  readonly requestId: string
+  readonly session: string
+  readonly call: number
+}
+
+/** Gets the headers that go with every reply. */
+export function getReplyHeaders (place: ReplyPlace): Record<string, string> {
+  const headers: Record<string, string> = { 'wisteria-request-id': place.requestId }
+  if (place.session !== '') headers['wisteria-session'] = place.session
+  if (place.call > 0) headers['wisteria-call'] = String(place.call)
+  return headers
+}
+
+/** Sends the reply of a model call in the chat completions format. */
+export function sendCompletion (
+  res: ServerResponse, stream: CallerStream | undefined, model: string, place: ReplyPlace, reply: Reply
+): void {
+  if (reply.type === 'refusal') return sendFailure(res, stream, reply)
+  if (reply.type === 'session') return
+  if (stream === undefined) return sendJson(res, getStatus(reply.turn), toCompletion(reply.turn, model, place), getReplyHeaders(place))
+  if (!stream.hasStarted()) {
+    // The whole answer is stored already: it goes out as one event.
+    void stream.write('replay', Buffer.from(`data: ${JSON.stringify(toChunk(reply.turn, model, place))}\n\n`)).then(() => { stream.end() })
+    return
+  }
+  stream.end()
+}
+
+/** Sends the reply of a service call: the target's own answer, as it is. */
+export function sendServiceAnswer (res: ServerResponse, place: ReplyPlace, reply: Reply): void {
+  if (reply.type === 'refusal') return sendRefusal(res, reply.refusal)
+  if (reply.type === 'session' || res.headersSent || res.destroyed) return
+  const { answer } = reply.turn
+  const body = Buffer.from(answer.text)
+  res.writeHead(answer.status, { 'content-type': answer.contentType, 'content-length': body.length, ...getReplyHeaders(place) })
+  res.end(body)
+}
+
+/** Builds the view of a session that its caller sees. */
+export function toSessionView (session: SessionRow): Record<string, unknown> {
+  const { budget } = session
+  return {
+    id: session.id,
+    program: session.program,
+    ...(session.parent === undefined ? {} : { parent: session.parent }),
+    state: session.state,
+    nextCall: session.nextCall,
+    isCallPending: session.pending !== undefined,
+    budget: {
+      tokens: budget.tokens,
+      calls: budget.calls,
+      deadline: new Date(budget.deadline).toISOString(),
+      spentTokens: budget.spentTokens,
+      spentCalls: budget.spentCalls,
+      reservedTokens: budget.reservedTokens,
+      lentTokens: budget.lentTokens
+    },
+    children: session.children
+  }
+}
+
+function sendFailure (res: ServerResponse, stream: CallerStream | undefined, reply: Extract<Reply, { type: 'refusal' }>): void {
+  if (stream?.hasStarted() === true) stream.fail(reply.refusal)
+  else sendRefusal(res, reply.refusal)
+}
+
+function getStatus (turn: TurnRow): number {
+  return turn.answer.finish === 'error' ? turn.answer.status : 200
+}
+
+function toCompletion (turn: TurnRow, model: string, place: ReplyPlace): unknown {
+  if (turn.answer.finish === 'error') return { error: { message: turn.answer.text, code: 'target-error' } }
+  return {
+    id: place.requestId,
+    object: 'chat.completion',
+    model,
+    choices: [{ index: 0, message: { role: 'assistant', content: turn.answer.text }, finish_reason: turn.answer.finish }],
+    usage: { completion_tokens: turn.answer.tokens }
+  }
+}
+
+function toChunk (turn: TurnRow, model: string, place: ReplyPlace): unknown {
+  return {
+    id: place.requestId,
+    object: 'chat.completion.chunk',
+    model,
+    choices: [{ index: 0, delta: { role: 'assistant', content: turn.answer.text }, finish_reason: turn.answer.finish }]
+  }
+}
--- /dev/null
+++ b/src/io/http/index.ts
@@ -0,0 +1,1 @@
+export * from './httpServer.js'
--- /dev/null
+++ b/src/io/platform/BatchReader.ts
@@ -0,0 +1,57 @@
+import type { Rows, Table } from '../../core/platform/index.js'
+
+/** Largest number of keys in one read. */
+const MAX_KEYS = 1_000
+
+/** Reads under way at once. */
+const MAX_READS = 4
+
+interface Waiting {
+  readonly keys: readonly string[]
+  readonly resolve: (rows: Rows) => void
+  readonly reject: (err: unknown) => void
+}
+
+/** Joins the reads of concurrent calls into one read of the table. */
+export class BatchReader {
+  private readonly _table: Table
+  private readonly _waiting: Waiting[] = []
+  private _running = 0
+
+  constructor (table: Table) {
+    this._table = table
+  }
+
+  /** Reads rows; rejects when the table does not answer. */
+  async read (keys: readonly string[]): Promise<Rows> {
+    return await new Promise((resolve, reject) => {
+      this._waiting.push({ keys, resolve, reject })
+      setImmediate(() => { void this._run() })
+    })
+  }
+
+  private async _run (): Promise<void> {
+    if (this._running >= MAX_READS || this._waiting.length === 0) return
+    this._running++
+    const batch = this._take()
+    try {
+      const rows = await this._table.read([...new Set(batch.flatMap(entry => entry.keys))])
+      for (const entry of batch) entry.resolve(rows)
+    } catch (err) {
+      for (const entry of batch) entry.reject(err)
+    }
+    this._running--
+    void this._run()
+  }
+
+  private _take (): Waiting[] {
+    const batch: Waiting[] = []
+    let keys = 0
+    while (this._waiting.length > 0 && (batch.length === 0 || keys + this._waiting[0]!.keys.length <= MAX_KEYS)) {
+      const next = this._waiting.shift()!
+      keys += next.keys.length
+      batch.push(next)
+    }
+    return batch
+  }
+}
--- /dev/null
+++ b/src/io/platform/CommitLoop.ts
@@ -0,0 +1,88 @@
+import type { CommitResult, GroupCommitter } from '../../core/commit/index.js'
+import type { Table, Transaction } from '../../core/platform/index.js'
+import type { RetryReason } from '../../core/reason/index.js'
+
+/** Milliseconds between two looks at deadlines and due retries. */
+const TICK_MS = 25
+
+/** Options of {@link CommitLoop}. */
+export interface CommitLoopOptions {
+  readonly committer: GroupCommitter
+  readonly table: Table
+  readonly onRetry?: (reason: RetryReason) => void
+  /** Notes the number of commits that one batch settled. */
+  readonly onBatch?: (size: number) => void
+}
+
+/** Carries the steps of a group committer to the table. */
+export class CommitLoop {
+  private readonly _options: CommitLoopOptions
+  private readonly _waiting = new Map<number, (result: CommitResult) => void>()
+  private _timer: NodeJS.Timeout | undefined
+  private _nextId = 1
+  private _isRunning = false
+
+  constructor (options: CommitLoopOptions) {
+    this._options = options
+  }
+
+  /** Commits a transaction within a batch; the result comes by the deadline at the latest. */
+  async commit (transaction: Transaction, deadline: number): Promise<CommitResult> {
+    const id = this._nextId++
+    this._options.committer.add({ id, transaction, deadline })
+    return await new Promise(resolve => {
+      this._waiting.set(id, resolve)
+      this._startTimer()
+      // Commits of the same turn of the event loop share a batch.
+      setImmediate(() => { void this._run() })
+    })
+  }
+
+  /** Stops the timer. */
+  close (): void {
+    clearInterval(this._timer)
+  }
+
+  private _startTimer (): void {
+    if (this._timer !== undefined) return
+    this._timer = setInterval(() => {
+      this._settle(this._options.committer.expire(Date.now()))
+      if (this._options.committer.getPendingCount() > 0) {
+        void this._run()
+        return
+      }
+      clearInterval(this._timer)
+      this._timer = undefined
+    }, TICK_MS)
+  }
+
+  private async _run (): Promise<void> {
+    if (this._isRunning) return
+    this._isRunning = true
+    const { committer, table } = this._options
+    for (let step = committer.next(Date.now()); step !== undefined; step = committer.next(Date.now())) {
+      try {
+        const settled = step.type === 'read'
+          ? committer.onRead(await table.read(step.keys))
+          : committer.onAnswer(await table.commit(step.transaction))
+        this._options.onBatch?.(settled.length)
+        this._settle(settled)
+      } catch (err) {
+        this._options.onRetry?.(isTimeout(err) ? 'store-timeout' : 'store-error')
+        committer.onNoAnswer(Date.now())
+      }
+    }
+    this._isRunning = false
+  }
+
+  private _settle (settlements: ReadonlyArray<{ id: number, result: CommitResult }>): void {
+    for (const { id, result } of settlements) {
+      this._waiting.get(id)?.(result)
+      this._waiting.delete(id)
+    }
+  }
+}
+
+function isTimeout (err: unknown): boolean {
+  return err instanceof Error && (err.name === 'TimeoutError' || err.name.endsWith('TimeoutError'))
+}
--- /dev/null
+++ b/src/io/platform/index.ts
@@ -0,0 +1,6 @@
+export * from './BatchReader.js'
+export * from './CommitLoop.js'
+export * from './HttpInstanceList.js'
+export * from './HttpObjectStore.js'
+export * from './HttpTable.js'
+export * from './PlatformHttp.js'
--- /dev/null
+++ b/src/io/process/SystemClock.ts
@@ -0,0 +1,8 @@
+import { Clock } from '../../core/clock/index.js'
+
+/** The clock of the operating system. */
+export class SystemClock extends Clock {
+  now (): number {
+    return Date.now()
+  }
+}
--- /dev/null
+++ b/src/io/sidecar/AnswerBuffer.ts
@@ -0,0 +1,72 @@
+import { Readable } from 'node:stream'
+
+/** Buffers the bytes of one answer, so that it can be read from any place, more than once and while it grows. */
+export class AnswerBuffer {
+  private readonly _chunks: Buffer[] = []
+  private readonly _readers = new Set<() => void>()
+  private _size = 0
+  private _isEnded = false
+
+  /** Gets the number of bytes so far. */
+  getSize (): number {
+    return this._size
+  }
+
+  /** Appends bytes. */
+  add (bytes: Buffer): void {
+    this._chunks.push(bytes)
+    this._size += bytes.length
+    this._wake()
+  }
+
+  /** Marks the answer as complete; readers end after its last byte. */
+  end (): void {
+    this._isEnded = true
+    this._wake()
+  }
+
+  /** Opens a stream of the bytes from an offset on; a slow reader costs no memory beyond the buffer itself. */
+  createReader (offset: number): Readable {
+    let { index, skip } = this._seek(offset)
+    let isWanted = false
+    const push = (): void => {
+      while (isWanted && index < this._chunks.length) {
+        const chunk = this._chunks[index]!.subarray(skip)
+        index++
+        skip = 0
+        if (chunk.length > 0) isWanted = stream.push(chunk)
+      }
+      if (isWanted && this._isEnded && index === this._chunks.length) {
+        isWanted = false
+        stream.push(null)
+      }
+    }
+    const readers = this._readers
+    const stream = new Readable({
+      read (): void {
+        isWanted = true
+        push()
+      },
+      destroy (err, callback): void {
+        readers.delete(push)
+        callback(err)
+      }
+    })
+    readers.add(push)
+    return stream
+  }
+
+  private _wake (): void {
+    for (const reader of [...this._readers]) reader()
+  }
+
+  private _seek (offset: number): { index: number, skip: number } {
+    let index = 0
+    let rest = offset
+    while (index < this._chunks.length && rest >= this._chunks[index]!.length) {
+      rest -= this._chunks[index]!.length
+      index++
+    }
+    return { index, skip: index < this._chunks.length ? rest : 0 }
+  }
+}
--- /dev/null
+++ b/src/io/sidecar/EngineClient.ts
@@ -0,0 +1,120 @@
+import type { Dispatch } from '../../core/call/index.js'
+import type { EngineHolds, RunEnd } from '../../core/sidecar/index.js'
+import { SseParser, type ServerSentEvent } from './SseParser.js'
+import { isUnreached, TargetClient, type RunObserver } from './TargetClient.js'
+
+/** Milliseconds for which a control request to the engine may take. */
+const CONTROL_TIMEOUT_MS = 2_000
+
+/** Statuses by which an engine says that it did not start a request. */
+const NOT_STARTED: ReadonlySet<number> = new Set([429, 503])
+
+/** The part of a chat completion chunk that the sidecar reads. */
+interface CompletionChunk {
+  readonly choices?: ReadonlyArray<{ readonly delta?: { readonly content?: string }, readonly finish_reason?: string | null }>
+  readonly usage?: { readonly prompt_tokens?: number, readonly prompt_tokens_details?: { readonly cached_tokens?: number } } | null
+}
+
+/** What has been read of one answer. */
+class AnswerProgress {
+  text = ''
+  finish = 'stop'
+  cachedTokens = 0
+  promptTokens = 0
+
+  toEnd (type: RunEnd['type']): RunEnd {
+    return {
+      type,
+      answer: { status: 200, contentType: 'text/plain; charset=utf-8', text: this.text, tokens: 0, finish: this.finish },
+      cachedTokens: this.cachedTokens,
+      promptTokens: this.promptTokens
+    }
+  }
+}
+
+/** Runs model calls at an engine with the chat completions interface, always as a stream. */
+export class EngineClient extends TargetClient {
+  private readonly _running = new WeakMap<AbortSignal, AnswerProgress>()
+  private _model = ''
+
+  /** Sets the model that requests name. */
+  setModel (model: string): void {
+    this._model = model
+  }
+
+  /** Gets the engine's own list of held sessions. */
+  async getHolds (): Promise<EngineHolds> {
+    const res = await this.request('GET', '/holds', { signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS) })
+    return await res.body.json() as EngineHolds
+  }
+
+  /** Gives up the memory of a session. */
+  async releaseHold (key: string): Promise<void> {
+    const res = await this.request('DELETE', `/holds/${encodeURIComponent(key)}`, { signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS) })
+    await res.body.dump()
+  }
+
+  /** Orders the engine to load a model; returns whether it accepted the order. */
+  async order (model: string, fence: number): Promise<boolean> {
+    const res = await this.request('POST', '/orders', {
+      signal: AbortSignal.timeout(CONTROL_TIMEOUT_MS),
+      headers: { 'content-type': 'application/json' },
+      body: JSON.stringify({ order: 'load', model, fence })
+    })
+    await res.body.dump()
+    return res.statusCode === 200
+  }
+
+  protected async send (dispatch: Dispatch, signal: AbortSignal, observer: RunObserver): Promise<RunEnd> {
+    const progress = new AnswerProgress()
+    this._running.set(signal, progress)
+    const res = await this.request('POST', '/v1/chat/completions', {
+      signal,
+      headers: { 'content-type': 'application/json', ...(dispatch.holdKey === '' ? {} : { 'x-session-id': dispatch.holdKey }) },
+      body: JSON.stringify({
+        model: this._model,
+        messages: dispatch.messages,
+        max_tokens: dispatch.claim.reservedTokens,
+        priority: dispatch.attainedTokens,
+        stream: true,
+        stream_options: { include_usage: true }
+      })
+    })
+    if (res.statusCode !== 200) return await toErrorEnd(res.statusCode, await res.body.text(), String(res.headers['content-type'] ?? 'text/plain'))
+    const parser = new SseParser()
+    for await (const chunk of res.body) {
+      for (const event of parser.add(chunk as Buffer)) {
+        if (event.data === '[DONE]') return progress.toEnd('complete')
+        takeEvent(event, progress, observer)
+        if (signal.aborted) return progress.toEnd('aborted')
+      }
+    }
+    // The stream ended without its closing event, so the answer is not whole.
+    return progress.toEnd('crashed')
+  }
+
+  protected toFailedEnd (err: unknown, signal: AbortSignal): RunEnd {
+    const progress = this._running.get(signal) ?? new AnswerProgress()
+    if (isUnreached(err)) return progress.toEnd('unreached')
+    return progress.toEnd(signal.aborted ? 'aborted' : 'crashed')
+  }
+}
+
+function takeEvent (event: ServerSentEvent, progress: AnswerProgress, observer: RunObserver): void {
+  const chunk = JSON.parse(event.data) as CompletionChunk
+  const choice = chunk.choices?.[0]
+  const content = choice?.delta?.content ?? ''
+  if (chunk.usage !== undefined && chunk.usage !== null) {
+    progress.promptTokens = chunk.usage.prompt_tokens ?? 0
+    progress.cachedTokens = chunk.usage.prompt_tokens_details?.cached_tokens ?? 0
+  }
+  if (choice?.finish_reason !== undefined && choice.finish_reason !== null) progress.finish = choice.finish_reason
+  if (content !== '' && observer.getTokensLeft() <= 0) return
+  progress.text += content
+  observer.onBytes(event.raw, content === '' ? 0 : 1)
+}
+
+async function toErrorEnd (status: number, text: string, contentType: string): Promise<RunEnd> {
+  const type = NOT_STARTED.has(status) ? 'unreached' : 'complete'
+  return { type, answer: { status, contentType, text, tokens: 0, finish: 'error' }, cachedTokens: 0, promptTokens: 0 }
+}
--- /dev/null
+++ b/src/io/sidecar/PlainClient.ts
@@ -0,0 +1,22 @@
+import type { Dispatch } from '../../core/call/index.js'
+import type { RunEnd } from '../../core/sidecar/index.js'
+import { isUnreached, TargetClient, type RunObserver } from './TargetClient.js'
+
+/** Runs requests at a plain service: `POST /{operation}`. */
+export class PlainClient extends TargetClient {
+  protected async send (dispatch: Dispatch, signal: AbortSignal, _observer: RunObserver): Promise<RunEnd> {
+    const res = await this.request('POST', `/${dispatch.operation}`, {
+      signal,
+      headers: { 'content-type': dispatch.contentType, 'idempotency-key': dispatch.ledgerKey },
+      body: dispatch.body
+    })
+    const text = await res.body.text()
+    const contentType = String(res.headers['content-type'] ?? 'application/octet-stream')
+    return { type: 'complete', answer: { status: res.statusCode, contentType, text, tokens: 0, finish: 'stop' }, cachedTokens: 0, promptTokens: 0 }
+  }
+
+  protected toFailedEnd (err: unknown, signal: AbortSignal): RunEnd {
+    const type = isUnreached(err) ? 'unreached' : signal.aborted ? 'aborted' : 'crashed'
+    return { type, answer: { status: 502, contentType: 'text/plain', text: '', tokens: 0, finish: type }, cachedTokens: 0, promptTokens: 0 }
+  }
+}
--- /dev/null
+++ b/src/io/sidecar/SidecarRouter.ts
@@ -0,0 +1,78 @@
+import { initTRPC, TRPCError } from '@trpc/server'
+import { z } from 'zod'
+import type { RunResult } from '../../core/call/index.js'
+import type { AttemptState } from '../../core/call/index.js'
+import type { ConfigRow } from '../../core/config/index.js'
+import type { RefusalReason } from '../../core/reason/index.js'
+import type { LoadSample } from '../../core/sidecar/index.js'
+
+/** Who calls, as far as the ticket shows. */
+export interface SidecarContext {
+  /** Why the ticket was refused, or undefined when it is valid. */
+  readonly refusal: RefusalReason | undefined
+}
+
+/** State of an attempt and the size of its answer so far. */
+export interface LocateReply {
+  readonly state: AttemptState
+  readonly bytes: number
+}
+
+/** What the control interface of a sidecar does. */
+export abstract class SidecarControl {
+  /** Takes a sign of life from an entry and gives one back. */
+  abstract heartbeat (configVersion: number): LoadSample
+  abstract locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): LocateReply
+  abstract collect (attempt: string): RunResult | undefined
+  abstract acknowledge (attempts: readonly string[]): void
+  abstract release (session: string): void
+  abstract drain (): void
+  abstract setConfig (row: ConfigRow): void
+  abstract getConfig (): ConfigRow | undefined
+}
+
+const t = initTRPC.context<SidecarContext>().create()
+
+const withTicket = t.procedure.use(async ({ ctx, next }) => {
+  if (ctx.refusal !== undefined) throw new TRPCError({ code: 'UNAUTHORIZED', message: ctx.refusal })
+  return await next()
+})
+
+const configRow = z.object({
+  version: z.int(),
+  texts: z.record(z.string(), z.string()),
+  operator: z.string(),
+  appliedAt: z.number(),
+  applyId: z.string()
+})
+
+/** Creates the typed router of a sidecar's control interface. */
+export function createSidecarRouter (control: SidecarControl) {
+  return t.router({
+    heartbeat: withTicket
+      .input(z.object({ configVersion: z.int() }))
+      .mutation(({ input }) => control.heartbeat(input.configVersion)),
+    locate: withTicket
+      .input(z.object({ attempt: z.string(), incarnation: z.string(), claimedAt: z.number(), cancelIfAbsent: z.boolean() }))
+      .mutation(({ input }) => control.locate(input.attempt, input.incarnation, input.claimedAt, input.cancelIfAbsent)),
+    collect: withTicket
+      .input(z.object({ attempt: z.string() }))
+      .mutation(({ input }) => control.collect(input.attempt) ?? null),
+    acknowledge: withTicket
+      .input(z.object({ attempts: z.array(z.string()) }))
+      .mutation(({ input }) => { control.acknowledge(input.attempts) }),
+    release: withTicket
+      .input(z.object({ session: z.string() }))
+      .mutation(({ input }) => { control.release(input.session) }),
+    drain: withTicket
+      .mutation(() => { control.drain() }),
+    setConfig: withTicket
+      .input(configRow)
+      .mutation(({ input }) => { control.setConfig(input) }),
+    getConfig: withTicket
+      .mutation(() => control.getConfig() ?? null)
+  })
+}
+
+/** Type of the router, for clients. */
+export type SidecarRouter = ReturnType<typeof createSidecarRouter>
--- /dev/null
+++ b/src/io/sidecar/SidecarService.ts
@@ -0,0 +1,223 @@
+import { randomUUID } from 'node:crypto'
+import type { Readable } from 'node:stream'
+import { Right, type Either } from 'purify-ts'
+import type { Dispatch, RunResult } from '../../core/call/index.js'
+import { Configuration, type ConfigRow, type SidecarSettings } from '../../core/config/index.js'
+import type { RefusalReason } from '../../core/reason/index.js'
+import { OrderGate, SidecarCore, type AbortCause, type LoadSample, type SidecarEffect } from '../../core/sidecar/index.js'
+import type { TicketClaims } from '../../core/ticket/index.js'
+import { SystemClock, type StateLogger } from '../process/index.js'
+import { AnswerBuffer } from './AnswerBuffer.js'
+import { EngineClient } from './EngineClient.js'
+import { PlainClient } from './PlainClient.js'
+import { SidecarMetrics } from './SidecarMetrics.js'
+import { SidecarControl, type LocateReply } from './SidecarRouter.js'
+import type { TargetClient } from './TargetClient.js'
+
+/** Milliseconds between two looks at deadlines and leases. */
+export const TICK_MS = 100
+
+/** Milliseconds between two comparisons with the engine's own list of holds. */
+export const RECONCILE_MS = 3_000
+
+/** Carries the decisions of the sidecar core to the target and keeps the answers. */
+export class SidecarService extends SidecarControl {
+  readonly metrics = new SidecarMetrics()
+  readonly incarnation = randomUUID()
+  private readonly _settings: SidecarSettings
+  private readonly _logger: StateLogger
+  private readonly _clock = new SystemClock()
+  private readonly _core: SidecarCore
+  private readonly _orders: OrderGate
+  private readonly _client: TargetClient
+  private readonly _dispatches = new Map<string, Dispatch>()
+  private readonly _answers = new Map<string, AnswerBuffer>()
+  private readonly _aborts = new Map<string, AbortController>()
+  private _config: ConfigRow | undefined
+  private _isOrdering = false
+
+  constructor (settings: SidecarSettings, logger: StateLogger) {
+    super()
+    this._settings = settings
+    this._logger = logger
+    this._core = new SidecarCore({
+      incarnation: this.incarnation,
+      clock: this._clock,
+      slots: settings.slots,
+      shortSlots: settings.shortSlots,
+      maxQueued: settings.maxQueued
+    })
+    this._orders = new OrderGate({ checksOrders: settings.checksOrders, startedAt: this._clock.now() })
+    const options = { url: settings.target, connectTimeoutMs: settings.connectTimeoutMs }
+    this._client = settings.kind === 'engine' ? new EngineClient(options) : new PlainClient(options)
+  }
+
+  /** Takes a dispatch and returns the stream of its answer, or the proof that it did not run. */
+  dispatch (claims: TicketClaims, dispatch: Dispatch): Either<RefusalReason, Readable> {
+    const attempt = dispatch.claim.attempt
+    return this._core.dispatch(claims, dispatch).chain(effects => {
+      this._dispatches.set(attempt, dispatch)
+      this._answers.set(attempt, new AnswerBuffer())
+      this._perform(effects)
+      return Right(this._answers.get(attempt)!.createReader(0))
+    }).ifLeft(reason => { this.metrics.addRefusal(reason) })
+  }
+
+  /** Opens the stream of an answer again. */
+  attach (attempt: string, offset: number): Readable | undefined {
+    return this._answers.get(attempt)?.createReader(offset)
+  }
+
+  heartbeat (configVersion: number): LoadSample {
+    if (this._core.hearConfig(configVersion)) this._logger.info('configuration heard of', { version: configVersion })
+    return this._core.getLoad()
+  }
+
+  locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): LocateReply {
+    const state = this._core.locate(attempt, incarnation, claimedAt, cancelIfAbsent)
+    return { state, bytes: this._answers.get(attempt)?.getSize() ?? 0 }
+  }
+
+  collect (attempt: string): RunResult | undefined {
+    return this._core.getResult(attempt)
+  }
+
+  acknowledge (attempts: readonly string[]): void {
+    for (const attempt of attempts) this._perform(this._core.acknowledge(attempt))
+  }
+
+  release (session: string): void {
+    this._perform(this._core.release(session))
+  }
+
+  drain (): void {
+    this._logger.info('leaving', {})
+    this._core.setLeaving()
+  }
+
+  setConfig (row: ConfigRow): void {
+    if (row.version <= (this._config?.version ?? 0)) return
+    this._config = row
+    this._core.hearConfig(row.version)
+    this._logger.info('configuration in force', { version: row.version })
+  }
+
+  getConfig (): ConfigRow | undefined {
+    return this._config
+  }
+
+  /** Gets the load that heartbeats and replies carry. */
+  getLoad (): LoadSample {
+    return this._core.getLoad()
+  }
+
+  /** Tells whether no work is left. */
+  isDrained (): boolean {
+    return this._core.isDrained()
+  }
+
+  /** Enforces deadlines and leases and gives due orders. */
+  tick (): void {
+    this._orders.tick(this._clock.now())
+    this._perform(this._core.tick())
+    const load = this._core.getLoad()
+    this.metrics.running.set(load.running)
+    this.metrics.queued.set(load.queued)
+    void this._giveOrder()
+  }
+
+  /** Finds holds at the engine that nobody accounts for. */
+  async reconcile (): Promise<void> {
+    if (!(this._client instanceof EngineClient)) return
+    try {
+      this._perform(this._core.reconcile(await this._client.getHolds()))
+    } catch {
+      // The engine is down or busy; the next comparison finds what is left.
+    }
+  }
+
+  /** Closes the connections to the target. */
+  async close (): Promise<void> {
+    await this._client.close()
+  }
+
+  private _perform (effects: readonly SidecarEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'start':
+          void this._run(effect.attempt)
+          break
+        case 'abort':
+          this._abort(effect.attempt, effect.cause)
+          break
+        case 'ended':
+          this._end(effect.attempt)
+          break
+        case 'drop-answer':
+          this._answers.delete(effect.attempt)
+          break
+        case 'release-hold':
+          void this._releaseHold(effect.key)
+      }
+    }
+  }
+
+  private async _run (attempt: string): Promise<void> {
+    const abort = new AbortController()
+    this._aborts.set(attempt, abort)
+    const end = await this._client.run(this._dispatches.get(attempt)!, abort.signal, {
+      getTokensLeft: () => this._core.getTokensLeft(attempt),
+      onBytes: (bytes, tokens) => { this._takeBytes(attempt, bytes, tokens) }
+    })
+    this._aborts.delete(attempt)
+    this._perform(this._core.onRunEnded(attempt, end))
+  }
+
+  private _takeBytes (attempt: string, bytes: Buffer, tokens: number): void {
+    const answer = this._answers.get(attempt)
+    if (answer === undefined) return
+    answer.add(bytes)
+    if (tokens > 0) {
+      this.metrics.tokens.inc(tokens)
+      this._perform(this._core.addTokens(attempt, tokens))
+    }
+    if (answer.getSize() > this._settings.answerBytes) this._perform(this._core.abortForMemory(attempt))
+  }
+
+  private _abort (attempt: string, cause: AbortCause): void {
+    this.metrics.addAbort(cause)
+    this._aborts.get(attempt)?.abort()
+  }
+
+  private _end (attempt: string): void {
+    this._dispatches.delete(attempt)
+    this._answers.get(attempt)?.end()
+    const result = this._core.getResult(attempt)
+    if (result === undefined) return
+    this.metrics.addRun({ ...result, tokens: result.answer.tokens })
+    this.metrics.cachedTokens.inc(result.cachedTokens)
+    this.metrics.promptTokens.inc(result.promptTokens)
+  }
+
+  private async _releaseHold (key: string): Promise<void> {
+    if (!(this._client instanceof EngineClient)) return
+    this.metrics.addRelease()
+    // A release that is lost is found again by the comparison with the engine's list.
+    await this._client.releaseHold(key).catch(() => {})
+  }
+
+  private async _giveOrder (): Promise<void> {
+    if (this._isOrdering || this._config === undefined || !(this._client instanceof EngineClient)) return
+    const { version } = this._config
+    if (!this._orders.mayIssue(version, this._clock.now())) return
+    const model = Configuration.parse(this._config).toMaybe().extract()?.getService(this._settings.service)?.model
+    if (model === undefined) return
+    this._isOrdering = true
+    const isAccepted = await this._client.order(model, version).catch(() => undefined)
+    this._isOrdering = false
+    if (isAccepted === undefined) return
+    this._orders.noteIssued(version)
+    this._client.setModel(model)
+    this._logger.info('order given', { model, fence: version, isAccepted })
+  }
+}
--- /dev/null
+++ b/src/standin/PlatformStandin.ts
@@ -0,0 +1,83 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { ServerResponse, IncomingMessage } from 'node:http'
+import { MemoryTable, type Instance, type Transaction } from '../core/platform/index.js'
+import { reply } from './standinServer.js'
+
+/** Faults of the platform that a test can switch on. */
+export interface PlatformFaults {
+  /** The table and the object store do not answer. */
+  readonly isDown?: boolean
+  /** Commits take effect, but their answers are lost; counts down. */
+  readonly loseAnswers?: number
+  /** Milliseconds before the table answers. */
+  readonly delayMs?: number
+  /** Milliseconds by which the instance list lags. */
+  readonly listLagMs?: number
+}
+
+/** Stands in for the platform: table, object store and lagging instance list over HTTP. */
+export class PlatformStandin {
+  private readonly _table = new MemoryTable()
+  private readonly _objects = new Map<string, Buffer>()
+  private readonly _lists: Array<{ at: number, instances: readonly Instance[] }> = []
+  private readonly _counts = { reads: 0, commits: 0, rows: 0 }
+  private _faults: PlatformFaults = {}
+  private _lost = 0
+
+  /** Handles one request. */
+  async handle (req: IncomingMessage, res: ServerResponse, body: Buffer): Promise<void> {
+    const path = req.url ?? '/'
+    if (path.startsWith('/admin/')) return this._administer(path, res, body)
+    if (path === '/instances') return reply(res, 200, { instances: this._getListed() })
+    if (this._faults.isDown === true) return // The connection stays silent, as in an outage.
+    if (this._faults.delayMs !== undefined) await sleep(this._faults.delayMs)
+    if (path === '/read') this._read(res, body)
+    else if (path === '/commit') this._commit(res, body)
+    else if (path.startsWith('/objects/')) this._serveObject(req, res, path, body)
+    else reply(res, 404, {})
+  }
+
+  private _read (res: ServerResponse, body: Buffer): void {
+    this._counts.reads++
+    const { keys } = JSON.parse(body.toString()) as { keys: string[] }
+    reply(res, 200, { rows: Object.fromEntries(this._table.read(keys)) })
+  }
+
+  private _commit (res: ServerResponse, body: Buffer): void {
+    this._counts.commits++
+    const raw = JSON.parse(body.toString()) as Transaction
+    const puts = raw.puts.map(put => ({ key: put.key, value: put.value ?? undefined }))
+    this._counts.rows += puts.length
+    const result = this._table.commit({ conditions: raw.conditions, puts })
+    if (this._lost < (this._faults.loseAnswers ?? 0)) {
+      this._lost++
+      return
+    }
+    reply(res, result.type === 'committed' ? 200 : 409, result)
+  }
+
+  private _serveObject (req: IncomingMessage, res: ServerResponse, path: string, body: Buffer): void {
+    if (req.method === 'PUT') {
+      this._objects.set(path, body)
+      return reply(res, 200, {})
+    }
+    const bytes = this._objects.get(path)
+    if (bytes === undefined) return reply(res, 404, {})
+    res.end(bytes)
+  }
+
+  private _getListed (): readonly Instance[] {
+    const until = Date.now() - (this._faults.listLagMs ?? 0)
+    return this._lists.filter(entry => entry.at <= until).at(-1)?.instances ?? []
+  }
+
+  private _administer (path: string, res: ServerResponse, body: Buffer): void {
+    if (path === '/admin/instances') this._lists.push({ at: Date.now(), instances: JSON.parse(body.toString()) as Instance[] })
+    if (path === '/admin/faults') {
+      this._faults = JSON.parse(body.toString()) as PlatformFaults
+      this._lost = 0
+    }
+    if (path === '/admin/rows') return reply(res, 200, Object.fromEntries(this._table.read(this._table.getKeys())))
+    reply(res, 200, this._counts)
+  }
+}
--- /dev/null
+++ b/tools/demo/demo.ts
@@ -0,0 +1,65 @@
+/** Runs one Consultation through real processes and explains it. */
+import { Caller } from '../fleet/Caller.js'
+import type { Fleet } from '../fleet/Fleet.js'
+import { startWorkshop, WORKSHOP_KEY } from '../fleet/workshop.js'
+
+const TOOL_PAUSE_MS = 700
+
+function say (text: string): void {
+  process.stdout.write(`${text}\n`)
+}
+
+async function ask (caller: Caller, session: string, call: number, question: string): Promise<void> {
+  process.stdout.write(`  call ${call}, asked "${question}"\n    answer: `)
+  const answer = await caller.stream(`/v1/sessions/${session}/calls/${call}`, {
+    type: 'model', messages: [{ role: 'user', content: question }], max_tokens: 64
+  }, text => { process.stdout.write(text) })
+  say(answer.isWhole ? '' : ` (not whole: ${JSON.stringify(answer.error)})`)
+  if (!answer.isWhole) throw new Error('The demo expects whole answers.')
+}
+
+async function order (caller: Caller, session: string, call: number, operation: string, body: unknown): Promise<void> {
+  const res = await caller.send('POST', `/v1/sessions/${session}/calls/${call}`, { type: 'service', service: 'kanzlei', operation, body })
+  say(`  call ${call}, ${operation}: ${res.status} ${res.text}`)
+  if (res.status !== 200) throw new Error('The demo expects every request to be answered.')
+}
+
+async function open (caller: Caller, body: Record<string, unknown>): Promise<string> {
+  const res = await caller.send('POST', '/v1/sessions', body)
+  if (res.status !== 201) throw new Error(res.text)
+  return String(res.json!.id)
+}
+
+async function consult (fleet: Fleet): Promise<string> {
+  const [first, second] = [new Caller(fleet.get('entry-1').url, WORKSHOP_KEY), new Caller(fleet.get('entry-2').url, WORKSHOP_KEY)]
+  const session = await open(first, { program: 'consultation' })
+  say(`session ${session} is open`)
+  await ask(first, session, 1, 'The cuckoo calls only once. Where do I look first?')
+  say(`  (tool pause of ${TOOL_PAUSE_MS} ms; the next calls go through the other entry)`)
+  await new Promise(resolve => { setTimeout(resolve, TOOL_PAUSE_MS) })
+  await order(second, session, 2, 'parts-lookup', { part: 'bellows, left, 62 mm' })
+  const child = await open(second, { program: 'consultation', parent: session, budget: { tokens: 500, calls: 5 } })
+  say(`  sub-agent ${child} is open; its budget comes out of the session's`)
+  await ask(second, child, 1, 'Compare goat skin and paper for a 62 mm bellows.')
+  await second.send('POST', `/v1/sessions/${child}/close`)
+  await order(first, session, 3, 'booking', { bench: 4, day: '2026-12-11' })
+  await order(second, session, 3, 'booking', { bench: 4, day: '2026-12-11' })
+  say('  (the same booking was sent twice; the number shows that it ran once)')
+  await ask(second, session, 4, 'Thank you. What do I bring along?')
+  await first.send('POST', `/v1/sessions/${session}/close`)
+  return session
+}
+
+say('starting a platform stand-in, 6 engines, 3 desks, 9 sidecars and 2 entries …')
+const fleet = await startWorkshop()
+try {
+  say('the workshop\'s documents are applied; every process uses version 1')
+  const session = await consult(fleet)
+  say('\n$ wisteriactl explain session …')
+  say(fleet.runCtl(['explain', 'session', session]).output)
+  say('$ wisteriactl status')
+  say(fleet.runCtl(['status']).output)
+} finally {
+  await fleet.stop()
+}
+say('every process has ended')
--- /dev/null
+++ b/tools/fleet/Caller.ts
@@ -0,0 +1,87 @@
+/** Reply to a caller. */
+export interface CallerReply {
+  readonly status: number
+  readonly headers: Headers
+  readonly text: string
+  /** Parsed body, where it is JSON. */
+  readonly json: Record<string, any> | undefined
+}
+
+/** A caller with a workspace's key. */
+export class Caller {
+  private readonly _key: string
+  entryUrl: string
+
+  constructor (entryUrl: string, key: string) {
+    this.entryUrl = entryUrl
+    this._key = key
+  }
+
+  /** Sends a request and reads the whole reply. */
+  async send (method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<CallerReply> {
+    const res = await this.open(method, path, body, headers)
+    const text = await res.text()
+    return { status: res.status, headers: res.headers, text, json: parse(text) }
+  }
+
+  /** Sends a request and returns when its headers have arrived. */
+  async open (method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<Response> {
+    return await fetch(this.entryUrl + path, {
+      method,
+      headers: { authorization: `Bearer ${this._key}`, 'content-type': 'application/json', ...headers },
+      ...(body === undefined ? {} : { body: typeof body === 'string' ? body : JSON.stringify(body) })
+    })
+  }
+
+  /** Makes a streamed model call; returns the text, and whether the answer is whole. */
+  async stream (path: string, body: Record<string, unknown>, onText: (text: string) => void = () => {}): Promise<StreamedAnswer> {
+    const res = await this.open('POST', path, { ...body, stream: true })
+    if (res.status !== 200) return { status: res.status, text: '', isWhole: false, error: await res.json() as Record<string, any> }
+    return await readStream(res, onText)
+  }
+}
+
+/** A streamed answer. */
+export interface StreamedAnswer {
+  readonly status: number
+  readonly text: string
+  /** True when the stream ended with its closing event. */
+  readonly isWhole: boolean
+  readonly error?: Record<string, any>
+}
+
+async function readStream (res: Response, onText: (text: string) => void): Promise<StreamedAnswer> {
+  let text = ''
+  let rest = ''
+  let isWhole = false
+  let error: Record<string, any> | undefined
+  const decoder = new TextDecoder()
+  try {
+    for await (const chunk of res.body as unknown as AsyncIterable<Uint8Array>) {
+      const events = (rest + decoder.decode(chunk, { stream: true })).split('\n\n')
+      rest = events.pop()!
+      for (const event of events) {
+        const data = event.replace(/^data: /, '')
+        if (data === '[DONE]') isWhole = true
+        else {
+          const parsed = JSON.parse(data) as Record<string, any>
+          if (parsed.error !== undefined) error = parsed.error
+          const content = parsed.choices?.[0]?.delta?.content ?? ''
+          text += content
+          if (content !== '') onText(content)
+        }
+      }
+    }
+  } catch {
+    // The entry broke off; what has been read so far is not whole.
+  }
+  return { status: 200, text, isWhole, ...(error === undefined ? {} : { error }) }
+}
+
+function parse (text: string): Record<string, any> | undefined {
+  try {
+    return JSON.parse(text) as Record<string, any>
+  } catch {
+    return undefined
+  }
+}
