--- a/src/core/call/CallProcedure.ts
+++ b/src/core/call/CallProcedure.ts
@@ -35,6 +35,12 @@
 /** Milliseconds for which a repeatable attempt is searched before another one is made. */
 export const LOCATE_PATIENCE_MS = 2_000
 
+/** Milliseconds after which a ledger that has been read proves no more that a request did not run. */
+export const LEDGER_FRESH_MS = 1_000
+
+/** Milliseconds in which a caller that marks its first sending does not send again. */
+export const FIRST_SENDING_MS = 5_000
+
 /** What a procedure knows about the session of its call before it has read the ledger. */
 export interface CallContext {
   readonly warmTargets: readonly string[]
@@ -98,6 +104,7 @@
   private readonly _suspectKey: string
   private readonly _crashedTargets = new Set<string>()
   private _rows: Rows = new Map()
+  private _readAt = 0
   private _losses = 0
 
   constructor (options: CallProcedureOptions) {
@@ -122,9 +129,8 @@
   }
 
   private * _round (): Steps<Next> {
-    const readEvent = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
-    if (readEvent.type === 'rows') this._rows = readEvent.rows
-    else if (this._options.ledger.isDurable()) return toReply(this._toUnreadable())
+    const isRead = yield * this._read()
+    if (!isRead && this._options.ledger.isDurable()) return toReply(this._toUnreadable())
     const decision = this._options.ledger.decide(this._rows, this._options.clock.now())
     return yield * decision.caseOf<Steps<Next>>({
       Left: refusal => this._refuse(refusal),
@@ -153,8 +159,9 @@
 
   /** Without the ledger there is no proof about earlier sendings, or about attempts of this one. */
   private _toUnreadable (): Reply {
-    const isFresh = this._options.isFirstSending && this._fates.size === 0
-    return refuse(isFresh ? 'store-unavailable' : 'ledger-unreadable', 1)
+    const isEarly = this._options.clock.now() - this._startedAt <= FIRST_SENDING_MS
+    const isUnsent = this._options.isFirstSending && this._fates.size === 0 && isEarly
+    return refuse(isUnsent ? 'store-unavailable' : 'ledger-unreadable', 1)
   }
 
   private * _attempt (replaced: ReplacedClaim | undefined): Steps<Next> {
@@ -205,7 +212,7 @@
       const result = yield * this._commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
       if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
       // Nothing has been dispatched and only this procedure may dispatch the attempt, so it does not run.
-      if (result !== CommitResult.Committed) return toReply(refuse(claim.mayHaveRun ? 'attempts-failed' : 'store-unavailable', 1))
+      if (result !== CommitResult.Committed) return this._toRefused({ reason: claim.mayHaveRun ? 'attempts-failed' : 'store-unavailable' })
       trace.add(StepName.Claimed, `attempt ${claim.attempt}`, target.id)
     }
     yield * this._acknowledgeReplaced(replaced)
@@ -340,8 +347,7 @@
       const put = { key: this._suspectKey, value: addSuspectTarget(this._getSuspect(), target) }
       const result = yield * this._commit({ conditions: [condition], puts: [put] }, this._options.clock.now() + CLAIM_TIMEOUT_MS)
       if (result !== CommitResult.Conflict) return
-      const event = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
-      if (event.type === 'rows') this._rows = event.rows
+      yield * this._read()
     }
   }
 
@@ -385,15 +391,25 @@
     })
   }
 
-  private * _reread (): Steps<void> {
+  private * _read (): Steps<boolean> {
+    // The rows are as old as the question: the answer may have waited for a paused process.
+    const askedAt = this._options.clock.now()
     const event = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
-    if (event.type === 'rows') this._rows = event.rows
-    else yield { type: 'wait', ms: LOCATE_PAUSE_MS }
+    if (event.type !== 'rows') return false
+    this._rows = event.rows
+    this._readAt = askedAt
+    return true
+  }
+
+  private * _reread (): Steps<void> {
+    const isRead = yield * this._read()
+    if (!isRead) yield { type: 'wait', ms: LOCATE_PAUSE_MS }
   }
 
   /** Withdraws a claim that is proved not to run, so that the refusal leaves nothing behind. */
   private * _withdraw (replaced: ReplacedClaim | undefined, cause: Refusal): Steps<Next> {
     const refusal = hasPossiblyRun(replaced) ? toAttemptsFailed(cause) : cause
+    if (this._isStale()) return { type: 'again', reason: 'ledger-stale' }
     this._options.trace.add(StepName.Refused, refusal.reason)
     if (replaced !== undefined && this._options.ledger.isDurable()) {
       const transaction = this._options.ledger.toRelease(this._rows, replaced)
@@ -405,6 +421,15 @@
     return toReply({ type: 'refusal', refusal })
   }
 
+  /** Refuses a call, unless the process was paused since it read the ledger: another one may have run the call since. */
+  private _toRefused (refusal: Refusal): Next {
+    return this._isStale() ? { type: 'again', reason: 'ledger-stale' } : toReply({ type: 'refusal', refusal })
+  }
+
+  private _isStale (): boolean {
+    return this._options.ledger.isDurable() && this._options.clock.now() - this._readAt > LEDGER_FRESH_MS
+  }
+
   /** Lets the sidecar forget an attempt that another one has replaced in the ledger. */
   private * _acknowledgeReplaced (replaced: ReplacedClaim | undefined): Steps<void> {
     if (replaced !== undefined) yield { type: 'acknowledge', claim: replaced.claim }
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -96,6 +96,7 @@
 /** Every reason for which an attempt or store operation is tried again. */
 export const RETRIES = {
   'claim-conflict': 'Another process changed the row; it is read again.',
+  'ledger-stale': 'The process was paused or slow; the ledger is read again before the request is refused.',
   'dispatch-refused': 'The sidecar refused the attempt before it ran.',
   'dispatch-lost': 'The connection to the sidecar broke; the attempt is located.',
   'relay-silent': 'The relay connection went silent; the stream is attached again.',
--- /dev/null
+++ b/src/core/session/SessionContext.ts
@@ -0,0 +1,19 @@
+import type { CallContext } from '../call/CallProcedure.js'
+import type { Rows } from '../platform/index.js'
+import { getSessionKey, type SessionRow } from './SessionRow.js'
+
+/** Context of a call that belongs to no session. */
+export const NO_SESSION: CallContext = { warmTargets: [], attainedTokens: 0, historyChars: 0, isUnderWay: false, deadline: Infinity }
+
+/** Gets what the rows of a session say about its next call. */
+export function getSessionContext (rows: Rows, id: string): CallContext {
+  const session = rows.get(getSessionKey(id))?.value as SessionRow | undefined
+  if (session === undefined) return NO_SESSION
+  return {
+    warmTargets: session.targets,
+    attainedTokens: session.budget.spentTokens,
+    historyChars: session.historyChars,
+    isUnderWay: session.nextCall > 1,
+    deadline: session.budget.deadline
+  }
+}
--- a/src/core/session/index.ts
+++ b/src/core/session/index.ts
@@ -1,4 +1,5 @@
 export * from './SessionClosing.js'
+export * from './SessionContext.js'
 export * from './SessionLedger.js'
 export * from './SessionOpening.js'
 export * from './SessionProcedures.js'
--- a/src/io/entry/CallService.ts
+++ b/src/io/entry/CallService.ts
@@ -1,12 +1,11 @@
 import { Left, Right, type Either } from 'purify-ts'
 import {
-  CallProcedure, EphemeralLedger, getRequestDigest, KeyLedger, type CallContext, type CallLedger, type CallSpec, type Reply
+  CallProcedure, EphemeralLedger, getRequestDigest, KeyLedger, type CallLedger, type CallSpec, type Reply
 } from '../../core/call/index.js'
 import type { Configuration, ProgramStructure } from '../../core/config/index.js'
 import { Trace } from '../../core/explain/index.js'
-import type { Rows } from '../../core/platform/index.js'
 import type { Refusal } from '../../core/reason/index.js'
-import { getSessionKey, SessionLedger, type SessionRow } from '../../core/session/index.js'
+import { getSessionContext, SessionLedger, type SessionRow } from '../../core/session/index.js'
 import type { CallerStream } from './CallerStream.js'
 import type { EntryState } from './EntryState.js'
 import { ProcedureRunner } from './ProcedureRunner.js'
@@ -36,9 +35,6 @@
   readonly body: CallBody
 }
 
-/** Context of a call that belongs to no session. */
-const NO_SESSION: CallContext = { warmTargets: [], attainedTokens: 0, historyChars: 0, isUnderWay: false, deadline: Infinity }
-
 /** Turns requests into calls and runs them. */
 export class CallService {
   private readonly _state: EntryState
@@ -102,7 +98,7 @@
       retryBudget: state.retryBudget,
       clock: state.clock,
       trace,
-      getContext: rows => prepared.session === '' ? NO_SESSION : getSessionContext(rows, prepared.session),
+      getContext: rows => getSessionContext(rows, prepared.session),
       onRetry: reason => { state.metrics.addRetry(reason) }
     })
     let isReplied = false
@@ -212,15 +208,3 @@
     body: JSON.stringify(body.body ?? null)
   })
 }
-
-function getSessionContext (rows: Rows, id: string): CallContext {
-  const session = rows.get(getSessionKey(id))?.value as SessionRow | undefined
-  if (session === undefined) return NO_SESSION
-  return {
-    warmTargets: session.targets,
-    attainedTokens: session.budget.spentTokens,
-    historyChars: session.historyChars,
-    isUnderWay: session.nextCall > 1,
-    deadline: session.budget.deadline
-  }
-}
--- /dev/null
+++ b/tests/prove/cuts.ts
@@ -0,0 +1,49 @@
+import { findBrokenPromises } from '../world/promises.js'
+import { createWorld } from '../world/scripts.js'
+import { Fault, type PlannedFault } from '../world/World.js'
+
+/** Processes that a failure is tried on. */
+const PLACES = 5
+
+/** A run in which a promise was broken. */
+export interface Failure {
+  readonly seed: number | undefined
+  readonly faults: readonly PlannedFault[]
+  readonly broken: readonly string[]
+}
+
+/** Plays both scripts under failures and returns the promises that were broken. */
+export function play (faults: readonly PlannedFault[], seed?: number): string[] {
+  const world = createWorld(seed)
+  const hasEnded = world.run(faults)
+  return findBrokenPromises(world, hasEnded)
+}
+
+/** Gets the number of actions that both scripts take without failures. */
+export function countActions (): number {
+  const world = createWorld()
+  let count = 0
+  for (const caller of world.callers) caller.start()
+  world.scheduler.runUntil(() => world.callers.every(caller => caller.isDone()), 60_000)
+  count = world.scheduler.count
+  return count
+}
+
+/** Lists every single failure at every action, at one place or at all. */
+export function listCuts (places: readonly number[]): PlannedFault[] {
+  const actions = countActions()
+  const cuts: PlannedFault[] = []
+  for (const fault of Object.values(Fault)) {
+    for (const where of needsPlace(fault) ? places : [0]) {
+      for (let at = 1; at <= actions; at++) cuts.push({ fault, at, where })
+    }
+  }
+  return cuts
+}
+
+/** All places that a failure can strike. */
+export const ALL_PLACES = [...Array(PLACES).keys()]
+
+function needsPlace (fault: Fault): boolean {
+  return fault !== Fault.Outage && fault !== Fault.LoseAnswer && fault !== Fault.LateArrival
+}
--- /dev/null
+++ b/tests/prove/prove.ts
@@ -0,0 +1,41 @@
+/** Tries the promises at every cut point and in many random interleavings; see docs/PROOFS.md. */
+import { Cli, Command, Option } from 'clipanion'
+import { ALL_PLACES, listCuts, play } from './cuts.js'
+import { checkInterleavings } from './interleavings.js'
+
+class ProveCommand extends Command {
+  static override paths = [Command.Default]
+  seed = Option.String('--seed', '1')
+  runs = Option.String('--runs', '2000')
+  skipCuts = Option.Boolean('--skip-cuts', false)
+
+  async execute (): Promise<number> {
+    const broken = this.skipCuts ? 0 : this._tryCuts()
+    const startedAt = Date.now()
+    checkInterleavings(Number(this.seed), Number(this.runs))
+    this._say(`${this.runs} interleavings of seed ${this.seed}: no promise broken, ${Date.now() - startedAt} ms`)
+    return broken === 0 ? 0 : 1
+  }
+
+  private _tryCuts (): number {
+    const startedAt = Date.now()
+    const cuts = listCuts(ALL_PLACES)
+    let broken = 0
+    for (const cut of cuts) {
+      const promises = play([cut])
+      if (promises.length === 0) continue
+      broken++
+      this._say(`${JSON.stringify(cut)}: ${promises.join('; ')}`)
+    }
+    this._say(`${cuts.length} cuts: ${broken} broke a promise, ${Date.now() - startedAt} ms`)
+    return broken
+  }
+
+  private _say (text: string): void {
+    this.context.stdout.write(`${text}\n`)
+  }
+}
+
+const cli = new Cli({ binaryName: 'prove' })
+cli.register(ProveCommand)
+await cli.runExit(process.argv.slice(2))
--- /dev/null
+++ b/tests/world/FakeEntry.ts
@@ -0,0 +1,257 @@
+import { CallProcedure, type CallEffect, type CallEvent, type CallProcedureOptions, type Claim, type Reply } from '../../src/core/call/index.js'
+import { GroupCommitter, type Settlement } from '../../src/core/commit/index.js'
+import { Trace } from '../../src/core/explain/index.js'
+import { getHeadAfter, getFirstHead, toMessages, type TurnRow } from '../../src/core/history/index.js'
+import { RetryBudget } from '../../src/core/limits/index.js'
+import type { Instance, Rows, Transaction } from '../../src/core/platform/index.js'
+import { CostSelector, TargetDirectory } from '../../src/core/routing/index.js'
+import { getSessionContext, getSessionKey, getTurnKey, type SessionRow } from '../../src/core/session/index.js'
+import type { FakeSidecar } from './FakeSidecar.js'
+import type { FakeTable } from './FakeTable.js'
+import type { Scheduler } from './Scheduler.js'
+
+const HEARTBEAT_MS = 1_000
+const CONTROL_TIMEOUT_MS = 1_000
+const COMMIT_TICK_MS = 25
+
+/** What a test gives for a call; the entry adds what belongs to the process. */
+export type CallOptions = Pick<CallProcedureOptions, 'ledger' | 'spec' | 'requestDigest' | 'session' | 'call'>
+
+type Resume = (event: CallEvent) => void
+type SidecarCall = Extract<CallEffect, { type: 'dispatch' | 'attach' | 'locate' | 'collect' }>
+
+/** Surroundings of an entry. */
+export interface EntryWorld {
+  readonly scheduler: Scheduler
+  readonly table: FakeTable
+  readonly sidecars: ReadonlyMap<string, FakeSidecar>
+  readonly log: (actor: string, line: string) => void
+  /** Tells whether messages between two processes get through. */
+  readonly isConnected: (a: string, b: string) => boolean
+  readonly retryBudget: RetryBudget
+}
+
+/** The real procedures and the real committer of an entry, with effects that can be cut off anywhere. */
+export class FakeEntry {
+  readonly directory = new TargetDirectory()
+  configVersion = 1
+  private readonly _committer: GroupCommitter
+  private readonly _commits = new Map<number, (result: Settlement['result']) => void>()
+  private readonly _selector: CostSelector
+  private _nextCommit = 1
+  private _isCommitting = false
+
+  constructor (readonly id: string, private readonly _world: EntryWorld, instances: readonly Instance[]) {
+    this._committer = new GroupCommitter({ writerKey: `writer/${id}` })
+    this._selector = new CostSelector({ directory: this.directory, region: 'zentral', failureDomain: 'luzern' })
+    this.directory.setInstances(instances)
+    this._beat()
+  }
+
+  /** Runs a call. */
+  call (options: CallOptions, onReply: (reply: Reply) => void): void {
+    const { scheduler, retryBudget } = this._world
+    const procedure = new CallProcedure({
+      ...options,
+      entry: this.id,
+      selector: this._selector,
+      retryBudget,
+      clock: scheduler.clock,
+      trace: new Trace(scheduler.clock),
+      isFirstSending: false,
+      isCallerGone: () => false,
+      getContext: rows => getSessionContext(rows, options.session)
+    })
+    this.run(procedure.run(), options.session, onReply)
+  }
+
+  /** Runs any procedure. */
+  run (procedure: Generator<CallEffect, void, CallEvent>, session: string, onReply: (reply: Reply) => void): void {
+    let rows: Rows = new Map()
+    const resume = (event: CallEvent): void => {
+      if (event.type === 'rows') rows = event.rows
+      const next = procedure.next(event)
+      if (next.done === true) return
+      // Each effect is an action of its own, so that the process can be stopped between any two.
+      this._world.scheduler.add(this.id, () => {
+        this._world.log(this.id, describe(next.value))
+        this._perform(next.value, session, rows, resume, onReply)
+      })
+    }
+    this._world.scheduler.add(this.id, () => { resume({ type: 'done' }) })
+  }
+
+  private _perform (effect: CallEffect, session: string, rows: Rows, resume: Resume, onReply: (reply: Reply) => void): void {
+    switch (effect.type) {
+      case 'read':
+        return this._world.table.read(this.id, effect.keys, found => { resume({ type: 'rows', rows: found }) }, () => { resume({ type: 'unavailable' }) })
+      case 'read-history':
+        return this._readHistory(rows.get(getSessionKey(session))!.value as SessionRow, resume)
+      case 'commit':
+        return this._commit(effect.transaction, effect.deadline, result => { resume({ type: 'commit-result', result }) })
+      case 'wait':
+        return this._world.scheduler.addTimer(this.id, effect.ms, () => { resume({ type: 'done' }) })
+      case 'reply':
+        onReply(effect.reply)
+        return resume({ type: 'done' })
+      case 'release':
+        for (const target of effect.targets) this._post(target, sidecar => { sidecar.release(effect.session) })
+        return resume({ type: 'done' })
+      case 'acknowledge':
+        this._post(effect.claim.target, sidecar => { sidecar.acknowledge(effect.claim.attempt) })
+        return resume({ type: 'done' })
+      default:
+        return this._performAtSidecar(effect, resume)
+    }
+  }
+
+  private _performAtSidecar (effect: SidecarCall, resume: Resume): void {
+    const claim = effect.type === 'dispatch' ? effect.dispatch.claim : effect.claim
+    const limit = effect.type === 'dispatch' || effect.type === 'attach' ? undefined : CONTROL_TIMEOUT_MS
+    const answer = this._ask(claim, limit, effect.type === 'locate' || effect.type === 'collect' ? { type: 'unavailable' } : { type: 'lost' }, resume)
+    this._post(claim.target, sidecar => {
+      switch (effect.type) {
+        case 'dispatch':
+          this.directory.noteSent(claim.target)
+          return sidecar.dispatch(
+            effect.dispatch, this.id, this.configVersion, reason => { answer({ type: 'refused', reason }) }, () => { answer({ type: 'ended' }) }
+          )
+        case 'attach':
+          return sidecar.attach(claim, () => { answer({ type: 'ended' }) })
+        case 'locate':
+          return answer({ type: 'located', state: sidecar.locate(claim, effect.cancelIfAbsent) })
+        case 'collect': {
+          const result = sidecar.collect(claim.attempt)
+          return answer(result === undefined ? { type: 'unavailable' } : { type: 'collected', result })
+        }
+      }
+    })
+  }
+
+  /** Makes a function that carries the sidecar's answer back; a sidecar that dies or is cut off is noticed. */
+  private _ask (claim: Claim, limitMs: number | undefined, failure: CallEvent, resume: Resume): Resume {
+    const { scheduler, sidecars, isConnected } = this._world
+    const { actor } = sidecars.get(claim.target)!
+    let isAnswered = false
+    const finish = (event: CallEvent): void => {
+      if (isAnswered) return
+      isAnswered = true
+      resume(event)
+    }
+    const watch = (): void => {
+      if (isAnswered) return
+      if (limitMs !== undefined || scheduler.isDead(actor) || !isConnected(this.id, claim.target)) return finish(failure)
+      scheduler.addTimer(this.id, CONTROL_TIMEOUT_MS, watch)
+    }
+    scheduler.addTimer(this.id, limitMs ?? CONTROL_TIMEOUT_MS, watch)
+    return event => {
+      if (!isConnected(this.id, claim.target)) return
+      scheduler.add(this.id, () => { finish(event) })
+    }
+  }
+
+  private _post (target: string, deliver: (sidecar: FakeSidecar) => void): void {
+    const sidecar = this._world.sidecars.get(target)!
+    if (!this._world.isConnected(this.id, target)) return
+    this._world.scheduler.add(sidecar.actor, () => { deliver(sidecar) })
+  }
+
+  private _readHistory (session: SessionRow, resume: (event: CallEvent) => void): void {
+    const keys: string[] = []
+    for (let call = 1; call < session.nextCall; call++) keys.push(getTurnKey(session.id, call))
+    this._world.table.read(this.id, keys, rows => {
+      const turns = keys.map(key => rows.get(key)!.value as TurnRow)
+      const isIntact = getHeadAfter(getFirstHead(session.id), turns) === session.head
+      resume(isIntact ? { type: 'history', messages: toMessages(turns) } : { type: 'history-damaged' })
+    }, () => { resume({ type: 'unavailable' }) })
+  }
+
+  private _commit (transaction: Transaction, deadline: number, onResult: (result: Settlement['result']) => void): void {
+    const id = this._nextCommit++
+    this._commits.set(id, onResult)
+    this._committer.add({ id, transaction, deadline })
+    this._runCommitter()
+  }
+
+  private _runCommitter (): void {
+    const { scheduler, table } = this._world
+    const now = scheduler.clock.now()
+    this._settle(this._committer.expire(now))
+    const step = this._committer.next(now)
+    if (step === undefined) return this._tickCommitter()
+    const onNoAnswer = (): void => {
+      this._committer.onNoAnswer(scheduler.clock.now())
+      this._tickCommitter()
+    }
+    const take = (settlements: readonly Settlement[]): void => {
+      this._settle(settlements)
+      this._runCommitter()
+    }
+    if (step.type === 'read') table.read(this.id, step.keys, rows => { take(this._committer.onRead(rows)) }, onNoAnswer)
+    else table.commit(this.id, step.transaction, result => { take(this._committer.onAnswer(result)) }, onNoAnswer)
+  }
+
+  private _tickCommitter (): void {
+    if (this._isCommitting || this._committer.getPendingCount() === 0) return
+    this._isCommitting = true
+    this._world.scheduler.addTimer(this.id, COMMIT_TICK_MS, () => {
+      this._isCommitting = false
+      this._runCommitter()
+    })
+  }
+
+  private _settle (settlements: readonly Settlement[]): void {
+    for (const { id, result } of settlements) {
+      this._commits.get(id)?.(result)
+      this._commits.delete(id)
+    }
+  }
+
+  private _beat (): void {
+    const { scheduler, sidecars, isConnected } = this._world
+    for (const [id, sidecar] of sidecars) {
+      if (!scheduler.isActive(sidecar.actor) || !isConnected(this.id, id)) continue
+      sidecar.core.hearConfig(this.configVersion)
+      this.directory.noteLoad(id, sidecar.core.getLoad(), scheduler.clock.now())
+    }
+    scheduler.addTimer(this.id, HEARTBEAT_MS, () => { this._beat() })
+  }
+}
+
+function describe (effect: CallEffect): string {
+  switch (effect.type) {
+    case 'read':
+      return `read ${effect.keys.filter(key => !key.startsWith('suspect/')).join(' ')}`
+    case 'commit':
+      return `commit ${effect.transaction.puts.map(describePut).join(', ')}`
+    case 'dispatch':
+      return `dispatch ${effect.dispatch.claim.attempt} to ${effect.dispatch.claim.target}, ${effect.dispatch.messages.length} messages`
+    case 'locate':
+      return `locate ${effect.claim.attempt} at ${effect.claim.target}${effect.cancelIfAbsent ? ', cancel if absent' : ''}`
+    case 'attach':
+    case 'collect':
+    case 'acknowledge':
+      return `${effect.type} ${effect.claim.attempt} at ${effect.claim.target}`
+    case 'release':
+      return `release ${effect.session} at ${effect.targets.join(' ')}`
+    case 'reply':
+      return `reply ${describeReply(effect.reply)}`
+    case 'wait':
+      return `wait ${effect.ms} ms`
+    case 'read-history':
+      return effect.type
+  }
+}
+
+function describePut (put: Transaction['puts'][number]): string {
+  const value = put.value as Partial<SessionRow> | undefined
+  if (value?.budget === undefined) return put.key.startsWith('suspect/') ? 'suspect' : put.key
+  const pending = value.pending === undefined ? '' : `, pending ${value.pending.epoch}`
+  return `${put.key} (${value.state}, next ${value.nextCall}, spent ${value.budget.spentTokens}, reserved ${value.budget.reservedTokens}${pending})`
+}
+
+function describeReply (reply: Reply): string {
+  if (reply.type === 'refusal') return `refused: ${reply.refusal.reason}`
+  if (reply.type === 'session') return `session ${reply.session.id} ${reply.session.state}`
+  return `${reply.isReplay ? 'replayed' : 'answered'} call ${reply.turn.call}: ${reply.turn.answer.text.trim()}`
+}
--- /dev/null
+++ b/tests/world/FakeSidecar.ts
@@ -0,0 +1,154 @@
+import type { AttemptState, Claim, Dispatch, RunResult } from '../../src/core/call/index.js'
+import type { RefusalReason } from '../../src/core/reason/index.js'
+import { SidecarCore, type SidecarEffect } from '../../src/core/sidecar/index.js'
+import type { TicketClaims } from '../../src/core/ticket/index.js'
+import { TicketPurpose, TicketSigner } from '../../src/core/ticket/index.js'
+import type { FakeTarget, RecordedRun } from './FakeTarget.js'
+import type { Scheduler } from './Scheduler.js'
+
+const TICK_MS = 200
+const RECONCILE_MS = 3_000
+/** Milliseconds that the target takes for a step of a run. */
+const STEP_MS = 20
+/** Milliseconds after which a crashed target is up again. */
+const RESTART_MS = 1_000
+
+/** The real sidecar core beside a fake target. */
+export class FakeSidecar {
+  core!: SidecarCore
+  /** Name of the running process; a restarted sidecar has another one. */
+  actor = ''
+  incarnation = ''
+  slots = 4
+  private readonly _signer = new TicketSigner({ keys: ['key'] })
+  private _restarts = 0
+  private readonly _waiting = new Map<string, Array<() => void>>()
+  private readonly _dispatches = new Map<string, Dispatch>()
+  private readonly _stopped = new Set<string>()
+
+  constructor (readonly id: string, readonly target: FakeTarget, private readonly _scheduler: Scheduler) {
+    this.restart()
+  }
+
+  /** Ends the process, if it runs, and starts it anew. */
+  restart (): void {
+    if (this.actor !== '') this._scheduler.kill(this.actor)
+    this.incarnation = `${this.id}/${++this._restarts}`
+    this.actor = this.incarnation
+    this._waiting.clear()
+    this.core = new SidecarCore({ incarnation: this.incarnation, clock: this._scheduler.clock, slots: this.slots })
+    this._repeat(TICK_MS, () => { this._perform(this.core.tick()) })
+    this._repeat(RECONCILE_MS, () => { if (this.target.isUp) this._perform(this.core.reconcile(this.target.getHolds())) })
+  }
+
+  /** Takes a dispatch over the network, ticket and all. */
+  dispatch (
+    dispatch: Dispatch, entry: string, configVersion: number, onRefused: (reason: RefusalReason) => void, onEnded: () => void
+  ): void {
+    const claims = this._toClaims(dispatch, entry, configVersion)
+    this._signer.verify(this._signer.sign(claims), this._scheduler.clock.now()).chain(valid => this.core.dispatch(valid, dispatch)).caseOf({
+      Left: onRefused,
+      Right: effects => {
+        this._dispatches.set(dispatch.claim.attempt, dispatch)
+        this.attach(dispatch.claim, onEnded)
+        this._perform(effects)
+      }
+    })
+  }
+
+  attach (claim: Claim, onEnded: () => void): void {
+    const state = this.core.locate(claim.attempt, this.incarnation, claim.claimedAt, false)
+    if (state !== 'queued' && state !== 'running') onEnded()
+    else this._waiting.set(claim.attempt, [...this._waiting.get(claim.attempt) ?? [], onEnded])
+  }
+
+  locate (claim: Claim, cancelIfAbsent: boolean): AttemptState {
+    return this.core.locate(claim.attempt, claim.incarnation, claim.claimedAt, cancelIfAbsent)
+  }
+
+  collect (attempt: string): RunResult | undefined {
+    return this.core.getResult(attempt)
+  }
+
+  acknowledge (attempt: string): void {
+    this._perform(this.core.acknowledge(attempt))
+  }
+
+  release (session: string): void {
+    this._perform(this.core.release(session))
+  }
+
+  private _perform (effects: readonly SidecarEffect[]): void {
+    for (const effect of effects) {
+      if (effect.type === 'start') this._start(effect.attempt)
+      else if (effect.type === 'abort') this._stopped.add(effect.attempt)
+      else if (effect.type === 'release-hold') this.target.release(effect.key)
+      else if (effect.type === 'ended') this._wake(effect.attempt)
+    }
+  }
+
+  private _start (attempt: string): void {
+    const dispatch = this._dispatches.get(attempt)!
+    const { actor } = this
+    if (!this.target.isUp) {
+      const end = this.target.toEnd('unreached', this.target.toRun(dispatch, 0), dispatch)
+      return this._scheduler.addTimer(actor, STEP_MS, () => { this._perform(this.core.onRunEnded(attempt, end)) })
+    }
+    const run = this.target.start(dispatch, this._scheduler.clock.now())
+    const last = dispatch.messages.at(-1)?.content ?? dispatch.body
+    if (last.includes('[crash]')) return this._crash(run, dispatch)
+    this._step(run, dispatch)
+  }
+
+  private _step (run: RecordedRun, dispatch: Dispatch): void {
+    const { actor } = this
+    this._scheduler.addTimer(actor, STEP_MS, () => {
+      const last = dispatch.messages.at(-1)?.content ?? dispatch.body
+      if (last.includes('[hang]') && !this._stopped.has(run.attempt)) return this._step(run, dispatch)
+      const count = dispatch.kind === 'model' ? this.target.generate(run, dispatch) : 0
+      if (count <= 0 || this._stopped.has(run.attempt)) return this._end(run, dispatch)
+      for (let token = 0; token < count && !this._stopped.has(run.attempt); token++) this._takeToken(run)
+      this._step(run, dispatch)
+    })
+  }
+
+  private _takeToken (run: RecordedRun): void {
+    run.tokens++
+    run.text += `${run.ledgerKey.slice(-2)}.${run.call}.${run.tokens} `
+    this._perform(this.core.addTokens(run.attempt, 1))
+  }
+
+  private _end (run: RecordedRun, dispatch: Dispatch): void {
+    if (dispatch.holdKey !== '' && dispatch.kind === 'model') this.target.holds.set(dispatch.holdKey, run.tokens)
+    const type = this._stopped.has(run.attempt) ? 'aborted' : 'complete'
+    this._perform(this.core.onRunEnded(run.attempt, this.target.toEnd(type, run, dispatch)))
+  }
+
+  private _crash (run: RecordedRun, dispatch: Dispatch): void {
+    this.target.isUp = false
+    this.target.holds.clear()
+    this._scheduler.addTimer('platform', RESTART_MS, () => { this.target.isUp = true })
+    const end = this.target.toEnd('crashed', run, dispatch)
+    this._scheduler.addTimer(this.actor, STEP_MS, () => { this._perform(this.core.onRunEnded(run.attempt, end)) })
+  }
+
+  private _wake (attempt: string): void {
+    for (const onEnded of this._waiting.get(attempt) ?? []) onEnded()
+    this._waiting.delete(attempt)
+  }
+
+  private _repeat (ms: number, run: () => void): void {
+    const { actor } = this
+    const again = (): void => {
+      run()
+      this._scheduler.addTimer(actor, ms, again)
+    }
+    this._scheduler.addTimer(actor, ms, again)
+  }
+
+  private _toClaims (dispatch: Dispatch, entry: string, configVersion: number): TicketClaims {
+    const { claim, ledgerKey } = dispatch
+    const { attempt, epoch, incarnation, claimedAt } = claim
+    return { purpose: TicketPurpose.Dispatch, entry, attempt, ledgerKey, epoch, incarnation, configVersion, issuedAt: claimedAt, bodyDigest: '' }
+  }
+}
--- /dev/null
+++ b/tests/world/FakeTarget.ts
@@ -0,0 +1,62 @@
+import type { Dispatch } from '../../src/core/call/index.js'
+import type { EngineHolds, RunEnd } from '../../src/core/sidecar/index.js'
+
+/** Marker in a message that sets the number of tokens that the engine wants to generate. */
+const TOKENS = /\[tokens=(\d+)\]/
+
+/** One run in a target's own record. */
+export interface RecordedRun {
+  readonly target: string
+  readonly attempt: string
+  readonly ledgerKey: string
+  readonly call: number
+  readonly operation: string
+  readonly startedAt: number
+  tokens: number
+  text: string
+}
+
+/** A target with its own record of what ran; it never looks at tickets, epochs or limits. */
+export class FakeTarget {
+  readonly runs: RecordedRun[] = []
+  readonly holds = new Map<string, number>()
+  isUp = true
+  /** Engine releases that get lost, at first. */
+  releasesToLose = 0
+
+  constructor (readonly id: string) {}
+
+  /** Takes a request: from now on it has run, however it ends. */
+  start (dispatch: Dispatch, now: number): RecordedRun {
+    const run = this.toRun(dispatch, now)
+    this.runs.push(run)
+    return run
+  }
+
+  toRun (dispatch: Dispatch, now: number): RecordedRun {
+    const { claim, ledgerKey, operation } = dispatch
+    return { target: this.id, attempt: claim.attempt, ledgerKey, call: claim.call, operation, startedAt: now, tokens: 0, text: '' }
+  }
+
+  /** Generates the next tokens of a run; returns how many, 0 at its end. */
+  generate (run: RecordedRun, dispatch: Dispatch): number {
+    const last = dispatch.messages.at(-1)?.content ?? ''
+    const wanted = Number(TOKENS.exec(last)?.[1] ?? 6)
+    const limit = last.includes('[ignore-max]') ? wanted : Math.min(wanted, dispatch.claim.reservedTokens)
+    return Math.min(4, limit - run.tokens)
+  }
+
+  toEnd (type: RunEnd['type'], run: RecordedRun, dispatch: Dispatch): RunEnd {
+    const text = dispatch.kind === 'model' ? run.text : `${dispatch.operation} ran`
+    return { type, answer: { status: 200, contentType: 'text/plain', text, tokens: 0, finish: 'stop' }, cachedTokens: 0, promptTokens: dispatch.promptTokens }
+  }
+
+  release (key: string): void {
+    if (this.releasesToLose > 0) this.releasesToLose--
+    else this.holds.delete(key)
+  }
+
+  getHolds (): EngineHolds {
+    return { holds: [...this.holds].map(([key, tokens]) => ({ key, tokens })), capacityTokens: 1_000_000 }
+  }
+}
--- /dev/null
+++ b/tests/world/Scheduler.ts
@@ -0,0 +1,100 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { uniformInt } from 'pure-rand/distribution/uniformInt'
+import { ManualClock } from '../../src/core/clock/index.js'
+
+/** Something that one process does next. */
+interface Action {
+  /** Process that acts; nothing happens while it is frozen, and never once it is dead. */
+  readonly actor: string
+  readonly run: () => void
+}
+
+interface Timer extends Action {
+  readonly at: number
+  readonly id: number
+}
+
+/** Runs the actions of all processes one at a time: in order, or in an order drawn from a seed. */
+export class Scheduler {
+  readonly clock = new ManualClock(1_000_000)
+  private readonly _ready: Action[] = []
+  private _timers: Timer[] = []
+  private readonly _frozen = new Set<string>()
+  private readonly _dead = new Set<string>()
+  private readonly _draw: (size: number) => number
+  private _nextId = 1
+  /** Number of actions run so far. */
+  count = 0
+  /** Called before each action, to inject failures. */
+  onAction: (count: number) => void = () => {}
+
+  /** @param seed - Seed of the order; undefined runs actions in the order in which they became ready. */
+  constructor (seed?: number) {
+    const random = xoroshiro128plus(seed ?? 0)
+    this._draw = seed === undefined ? () => 0 : size => uniformInt(random, 0, size - 1)
+  }
+
+  add (actor: string, run: () => void): void {
+    this._ready.push({ actor, run })
+  }
+
+  addTimer (actor: string, ms: number, run: () => void): void {
+    this._timers.push({ actor, run, at: this.clock.now() + ms, id: this._nextId++ })
+  }
+
+  kill (actor: string): void {
+    this._dead.add(actor)
+  }
+
+  freeze (actor: string): void {
+    this._frozen.add(actor)
+  }
+
+  thaw (actor: string): void {
+    this._frozen.delete(actor)
+  }
+
+  isActive (actor: string): boolean {
+    return !this._dead.has(actor) && !this._frozen.has(actor)
+  }
+
+  isDead (actor: string): boolean {
+    return this._dead.has(actor)
+  }
+
+  /** Runs until a condition holds or a time has passed; returns whether the condition holds. */
+  runUntil (isDone: () => boolean, limitMs: number): boolean {
+    const end = this.clock.now() + limitMs
+    while (!isDone()) {
+      if (this._runReady()) continue
+      if (!this._advance(end)) return isDone()
+    }
+    return true
+  }
+
+  private _runReady (): boolean {
+    const eligible = this._ready.filter(action => this.isActive(action.actor))
+    if (eligible.length === 0) return false
+    const action = eligible[this._draw(eligible.length)]!
+    this._ready.splice(this._ready.indexOf(action), 1)
+    this.count++
+    this.onAction(this.count)
+    if (this.isActive(action.actor)) action.run()
+    else if (!this._dead.has(action.actor)) this._ready.unshift(action)
+    return true
+  }
+
+  /** Moves the clock to the next timer; a timer of a frozen process is due when it wakes. */
+  private _advance (end: number): boolean {
+    this._timers = this._timers.filter(timer => !this._dead.has(timer.actor))
+    const due = this._timers.filter(timer => !this._frozen.has(timer.actor)).sort((a, b) => a.at - b.at || a.id - b.id)[0]
+    if (due === undefined || due.at > end) {
+      this.clock.advanceTo(end)
+      return false
+    }
+    this.clock.advanceTo(due.at)
+    this._timers.splice(this._timers.indexOf(due), 1)
+    this._ready.push(due)
+    return true
+  }
+}
--- /dev/null
+++ b/tests/world/ScriptedCaller.ts
@@ -0,0 +1,122 @@
+import { getRequestDigest, KeyLedger, type CallSpec, type Reply } from '../../src/core/call/index.js'
+import { closeSession, openSession, SessionLedger, SessionOpening } from '../../src/core/session/index.js'
+import type { FakeEntry } from './FakeEntry.js'
+import type { World } from './World.js'
+
+/** One step of a caller's script. */
+export type Step =
+  | { readonly type: 'open', readonly session: string, readonly parent?: string, readonly tokens: number, readonly calls?: number }
+  | { readonly type: 'model', readonly session: string, readonly call: number, readonly text: string, readonly maxTokens: number }
+  | { readonly type: 'service', readonly session: string, readonly call: number, readonly operation: string, readonly repeatable: boolean }
+  | { readonly type: 'request', readonly key: string, readonly operation: string, readonly body?: string }
+  | { readonly type: 'close', readonly session: string }
+  | { readonly type: 'pause', readonly ms: number }
+
+/** What a caller was told about a step. */
+export interface Told {
+  readonly step: Step
+  readonly reply: Reply
+}
+
+/** Milliseconds after which a caller takes its connection for broken and sends again, to another entry. */
+const RESEND_MS = 8_000
+const AGAIN_MS = 500
+const MAX_SENDINGS = 60
+
+/** Reasons after which a caller does not send again. */
+const FINAL: ReadonlySet<string> = new Set([
+  'outcome-unknown', 'budget-tokens', 'budget-calls', 'budget-time', 'loop-detected', 'quarantined', 'session-closed', 'session-unknown',
+  'call-conflict', 'children-limit', 'history-damaged'
+])
+
+/** A caller that takes its script step by step and sends again whatever was not answered. */
+export class ScriptedCaller {
+  readonly told: Told[] = []
+  /** Steps that the caller gave up, without a final reply. */
+  readonly givenUp: Step[] = []
+  private _position = 0
+  private _sendings = 0
+  private _sent = 0
+  private _sending = 0
+
+  constructor (readonly workspace: string, private readonly _script: readonly Step[], private readonly _world: World) {}
+
+  isDone (): boolean {
+    return this._position >= this._script.length
+  }
+
+  start (): void {
+    this._world.scheduler.add(this._actor, () => { this._send() })
+  }
+
+  private get _actor (): string {
+    return `caller/${this.workspace}`
+  }
+
+  private _send (): void {
+    const step = this._script[this._position]
+    if (step === undefined) return
+    const { scheduler } = this._world
+    if (step.type === 'pause') return scheduler.addTimer(this._actor, step.ms, () => { this._next() })
+    if (++this._sendings > MAX_SENDINGS) {
+      this.givenUp.push(step)
+      return this._next()
+    }
+    const sending = ++this._sending
+    const take = (reply: Reply): void => {
+      scheduler.add(this._actor, () => {
+        this.told.push({ step, reply })
+        if (sending === this._sending) this._take(reply)
+      })
+    }
+    // A new connection goes to any entry that runs; the balancer does not know about sessions.
+    const entry = this._world.pickEntry(this._sent++)
+    if (entry !== undefined) this._deliver(entry, step, take)
+    scheduler.addTimer(this._actor, RESEND_MS, () => { if (sending === this._sending) this._send() })
+  }
+
+  private _take (reply: Reply): void {
+    this._sending++
+    if (reply.type !== 'refusal' || FINAL.has(reply.refusal.reason)) return this._next()
+    this._world.scheduler.addTimer(this._actor, AGAIN_MS, () => { this._send() })
+  }
+
+  private _next (): void {
+    this._position++
+    this._sendings = 0
+    this._send()
+  }
+
+  private _deliver (entry: FakeEntry, step: Exclude<Step, { type: 'pause' }>, take: (reply: Reply) => void): void {
+    const { clock } = this._world.scheduler
+    const { workspace } = this
+    if (step.type === 'open') {
+      const { session: id, parent, tokens } = step
+      const opening = new SessionOpening({
+        id, workspace, program: 'consultation', ...(parent === undefined ? {} : { parent }), tokens, calls: step.calls ?? 10, seconds: 3_600, maxChildren: 4
+      })
+      return entry.run(openSession(opening, clock), '', take)
+    }
+    if (step.type === 'close') return entry.run(closeSession(step.session, workspace, clock), '', take)
+    const spec = toSpec(step, workspace)
+    const requestDigest = getRequestDigest(spec)
+    if (step.type === 'request') {
+      const ledger = new KeyLedger({ workspace, service: 'kanzlei', idempotencyKey: step.key, requestDigest })
+      return entry.call({ ledger, spec, requestDigest, session: '', call: 0 }, take)
+    }
+    const { session, call } = step
+    const ledger = new SessionLedger({ session, workspace, call, requestDigest, maxTokens: spec.maxTokens, maxRepeats: 3 })
+    entry.call({ ledger, spec, requestDigest, session, call }, take)
+  }
+}
+
+function toSpec (step: Extract<Step, { type: 'model' | 'service' | 'request' }>, workspace: string): CallSpec {
+  const common = { workspace, program: 'consultation', contentType: 'application/json', timeoutMs: 20_000 }
+  if (step.type === 'model') {
+    const messages = [{ role: 'user', content: step.text }]
+    return { ...common, kind: 'model', service: 'ratgeber', operation: '', repeatable: true, messages, maxTokens: step.maxTokens, body: '' }
+  }
+  const body = step.type === 'request' ? step.body ?? '' : `call ${step.call}`
+  const repeatable = step.type === 'service' && step.repeatable
+  return { ...common, kind: 'service', service: 'kanzlei', operation: step.operation, repeatable, messages: [], maxTokens: 0, body }
+}
--- /dev/null
+++ b/tests/world/World.ts
@@ -0,0 +1,182 @@
+import { RetryBudget } from '../../src/core/limits/index.js'
+import type { Instance } from '../../src/core/platform/index.js'
+import { FakeEntry } from './FakeEntry.js'
+import { FakeSidecar } from './FakeSidecar.js'
+import { FakeTable } from './FakeTable.js'
+import { FakeTarget } from './FakeTarget.js'
+import { Scheduler } from './Scheduler.js'
+import { ScriptedCaller, type Step } from './ScriptedCaller.js'
+
+/** A failure that can strike at any action. */
+export const Fault = {
+  KillEntry: 'kill-entry',
+  KillSidecar: 'kill-sidecar',
+  FreezeEntry: 'freeze-entry',
+  CutLink: 'cut-link',
+  Outage: 'outage',
+  LoseAnswer: 'lose-answer',
+  LateArrival: 'late-arrival',
+  CrashTarget: 'crash-target'
+} as const
+export type Fault = typeof Fault[keyof typeof Fault]
+
+/** A failure and when and where it strikes. */
+export interface PlannedFault {
+  readonly fault: Fault
+  /** Number of the action before which it strikes. */
+  readonly at: number
+  /** Chooses the process that it strikes. */
+  readonly where: number
+}
+
+/** A failure that strikes right after an effect, at the entry that performed it. */
+export interface FaultAfterEffect {
+  readonly fault: Fault
+  /** Part of the line of the effect in the transcript. */
+  readonly effect: string
+  /** Index of the sidecar that is struck, for failures of sidecars and targets. */
+  readonly sidecar?: number
+}
+
+/** Milliseconds for which a frozen entry sleeps: longer than tickets and deadlines. */
+const FREEZE_MS = 30_000
+const OUTAGE_MS = 15_000
+const CUT_MS = 6_000
+const RESTART_MS = 500
+
+/** Longest time in which every script must end, in milliseconds. */
+export const SCRIPT_LIMIT_MS = 900_000
+
+/** Time in which engine memory must be free after the last session has ended, in milliseconds. */
+export const HOLD_LIMIT_MS = 90_000
+
+/** A few fake processes round the real core. */
+export class World {
+  readonly scheduler: Scheduler
+  readonly table: FakeTable
+  readonly sidecars = new Map<string, FakeSidecar>()
+  readonly transcript: string[] = []
+  readonly callers: ScriptedCaller[] = []
+  readonly retryBudget = new RetryBudget({ share: 1, reserve: 100 })
+  private readonly _entries: FakeEntry[] = []
+  private readonly _instances: Instance[] = []
+  private readonly _cuts = new Set<string>()
+  private _entryCount = 0
+  private _afterEffects: FaultAfterEffect[] = []
+  private _due: Array<() => void> = []
+
+  constructor (seed?: number) {
+    this.scheduler = new Scheduler(seed)
+    this.table = new FakeTable(this.scheduler)
+    for (const id of ['ratgeber-1', 'ratgeber-2', 'ratgeber-3', 'kanzlei-1', 'kanzlei-2']) this._addTarget(id)
+    this.startEntry()
+    this.startEntry()
+  }
+
+  get targets (): FakeTarget[] {
+    return [...this.sidecars.values()].map(sidecar => sidecar.target)
+  }
+
+  get entries (): readonly FakeEntry[] {
+    return this._entries
+  }
+
+  addCaller (workspace: string, script: readonly Step[]): ScriptedCaller {
+    const caller = new ScriptedCaller(workspace, script, this)
+    this.callers.push(caller)
+    return caller
+  }
+
+  startEntry (): FakeEntry {
+    const entry = new FakeEntry(`entry-${++this._entryCount}`, {
+      scheduler: this.scheduler,
+      table: this.table,
+      sidecars: this.sidecars,
+      retryBudget: this.retryBudget,
+      log: (actor, line) => { this._log(actor, line) },
+      isConnected: (a, b) => !this._cuts.has(`${a}|${b}`)
+    }, this._instances)
+    this._entries.push(entry)
+    return entry
+  }
+
+  pickEntry (number: number): FakeEntry | undefined {
+    const active = this._entries.filter(entry => this.scheduler.isActive(entry.id))
+    return active[number % active.length]
+  }
+
+  /** Runs every script to its end under failures, then lets leases run out. */
+  run (faults: readonly PlannedFault[] = []): boolean {
+    this.scheduler.onAction = count => {
+      for (const strike of this._due.splice(0)) strike()
+      for (const fault of faults) if (fault.at === count) this.strike(fault)
+    }
+    for (const caller of this.callers) caller.start()
+    const hasEnded = this.scheduler.runUntil(() => this.callers.every(caller => caller.isDone()), SCRIPT_LIMIT_MS)
+    this.scheduler.runUntil(() => false, HOLD_LIMIT_MS)
+    return hasEnded
+  }
+
+  /** Plans a failure for the moment after an effect. */
+  strikeAfter (planned: FaultAfterEffect): void {
+    this._afterEffects.push(planned)
+  }
+
+  strike ({ fault, where }: PlannedFault): void {
+    this.transcript.push(`       *** ${fault}`)
+    const active = this._entries.filter(entry => this.scheduler.isActive(entry.id))
+    const entry = active[where % Math.max(1, active.length)]
+    const sidecar = [...this.sidecars.values()][where % this.sidecars.size]!
+    if (fault === Fault.KillEntry && entry !== undefined) this.killEntry(entry)
+    else if (fault === Fault.FreezeEntry && entry !== undefined) this.freezeEntry(entry)
+    else if (fault === Fault.CutLink && entry !== undefined) this._cut(entry.id, sidecar.id)
+    else if (fault === Fault.KillSidecar) sidecar.restart()
+    else if (fault === Fault.CrashTarget) this._crash(sidecar)
+    else if (fault === Fault.Outage) this._startOutage()
+    else if (fault === Fault.LoseAnswer) this.table.lostAnswers.add(this.table.commits + 1)
+    else if (fault === Fault.LateArrival) this.table.lateArrivals.add(this.table.commits + 1)
+  }
+
+  killEntry (entry: FakeEntry): void {
+    this.scheduler.kill(entry.id)
+    this.scheduler.addTimer('platform', RESTART_MS, () => { this.startEntry() })
+  }
+
+  freezeEntry (entry: FakeEntry, ms = FREEZE_MS): void {
+    this.scheduler.freeze(entry.id)
+    this.scheduler.addTimer('platform', ms, () => { this.scheduler.thaw(entry.id) })
+    this.scheduler.addTimer('platform', RESTART_MS, () => { this.startEntry() })
+  }
+
+  private _log (actor: string, line: string): void {
+    this.transcript.push(`${String(this.scheduler.clock.now() - 1_000_000).padStart(6)} ${actor} ${line}`)
+    const planned = this._afterEffects.find(candidate => line.includes(candidate.effect))
+    if (planned === undefined) return
+    this._afterEffects = this._afterEffects.filter(candidate => candidate !== planned)
+    const active = this._entries.filter(entry => this.scheduler.isActive(entry.id))
+    const where = planned.sidecar ?? active.findIndex(entry => entry.id === actor)
+    this._due.push(() => { this.strike({ fault: planned.fault, at: 0, where }) })
+  }
+
+  private _addTarget (id: string): void {
+    const service = id.slice(0, id.indexOf('-'))
+    this.sidecars.set(id, new FakeSidecar(id, new FakeTarget(id), this.scheduler))
+    this._instances.push({ id, role: 'target', service, region: 'zentral', failureDomain: 'luzern', url: id, state: 'live' })
+  }
+
+  private _cut (entry: string, target: string): void {
+    this._cuts.add(`${entry}|${target}`)
+    this.scheduler.addTimer('platform', CUT_MS, () => { this._cuts.delete(`${entry}|${target}`) })
+  }
+
+  private _crash (sidecar: FakeSidecar): void {
+    sidecar.target.isUp = false
+    sidecar.target.holds.clear()
+    this.scheduler.addTimer('platform', RESTART_MS, () => { sidecar.target.isUp = true })
+  }
+
+  private _startOutage (): void {
+    this.table.isDown = true
+    this.scheduler.addTimer('platform', OUTAGE_MS, () => { this.table.isDown = false })
+  }
+}
--- /dev/null
+++ b/tests/world/promises.ts
@@ -0,0 +1,116 @@
+import { getFirstHead, getNextHead, type TurnRow } from '../../src/core/history/index.js'
+import { Outcome, REFUSALS } from '../../src/core/reason/index.js'
+import { getTurnKey, type SessionRow } from '../../src/core/session/index.js'
+import type { RecordedRun } from './FakeTarget.js'
+import type { Step, Told } from './ScriptedCaller.js'
+import type { World } from './World.js'
+
+/** Checks what must always hold on the outcome of a world; returns what does not. */
+export function findBrokenPromises (world: World, hasEnded: boolean): string[] {
+  const sessions = getSessions(world)
+  return [
+    ...(hasEnded ? [] : ['liveness: a script did not end']),
+    ...world.callers.flatMap(caller => caller.givenUp.map(step => `liveness: gave up ${describeStep(step)}`)),
+    ...sessions.flatMap(session => checkOrder(world, session)),
+    ...sessions.flatMap(session => checkHistory(world, session)),
+    ...sessions.flatMap(session => checkBudget(world, session)),
+    ...checkHolds(world),
+    ...checkRuns(world),
+    ...checkAnswers(world, sessions)
+  ]
+}
+
+function getSessions (world: World): SessionRow[] {
+  const keys = world.table.rows.getKeys().filter(key => key.startsWith('session/'))
+  return [...world.table.rows.read(keys).values()].map(row => row.value as SessionRow)
+}
+
+function getTurns (world: World, session: SessionRow): TurnRow[] {
+  const keys: string[] = []
+  for (let call = 1; call < session.nextCall; call++) keys.push(getTurnKey(session.id, call))
+  const rows = world.table.rows.read(keys)
+  return keys.flatMap(key => rows.has(key) ? [rows.get(key)!.value as TurnRow] : [])
+}
+
+function getRuns (world: World): RecordedRun[] {
+  return world.targets.flatMap(target => target.runs).sort((a, b) => a.startedAt - b.startedAt)
+}
+
+function checkOrder (world: World, session: SessionRow): string[] {
+  const calls = getRuns(world).filter(run => run.ledgerKey === `session/${session.id}`).map(run => run.call)
+  const isOrdered = calls.every((call, index) => index === 0 || call >= calls[index - 1]!)
+  return isOrdered ? [] : [`order: calls of ${session.id} ran as ${calls.join(', ')}`]
+}
+
+function checkHistory (world: World, session: SessionRow): string[] {
+  const turns = getTurns(world, session)
+  const broken: string[] = []
+  if (turns.length !== session.nextCall - 1) broken.push(`history: ${session.id} has ${turns.length} of ${session.nextCall - 1} turns`)
+  if (turns.reduce(getNextHead, getFirstHead(session.id)) !== session.head) broken.push(`history: the chain of ${session.id} is broken`)
+  for (const turn of turns) {
+    const step = findStep(world, session.id, turn.call)
+    const text = step?.type === 'model' ? step.text : undefined
+    if (turn.kind === 'model' && turn.messages.length > 0 && turn.messages[0]?.content !== text) broken.push(`history: ${session.id} call ${turn.call} holds another request`)
+  }
+  return broken
+}
+
+function checkBudget (world: World, session: SessionRow): string[] {
+  const { budget } = session
+  const generated = getRuns(world).filter(run => run.ledgerKey === `session/${session.id}`).reduce((sum, run) => sum + run.tokens, 0)
+  const broken: string[] = []
+  if (budget.spentTokens + budget.reservedTokens + budget.lentTokens > budget.tokens) broken.push(`budget: ${session.id} accounts for more than it has`)
+  if (generated > budget.tokens) broken.push(`budget: engines generated ${generated} of ${budget.tokens} tokens for ${session.id}`)
+  if (budget.reservedTokens < 0 || budget.lentTokens < 0) broken.push(`budget: ${session.id} has a negative account`)
+  return broken
+}
+
+function checkHolds (world: World): string[] {
+  return world.targets.filter(target => target.holds.size > 0).map(target => `memory: ${target.id} still holds ${[...target.holds.keys()].join(', ')}`)
+}
+
+function checkRuns (world: World): string[] {
+  const runs = getRuns(world)
+  return world.callers.flatMap(caller => getOnceSteps(caller.told).flatMap(step => {
+    const count = runs.filter(run => isRunOf(run, step)).length
+    const last = caller.told.filter(told => told.step === step).at(-1)!.reply
+    const isToldNotRun = last.type === 'refusal' && REFUSALS[last.refusal.reason].outcome === Outcome.NotRun
+    const broken: string[] = []
+    if (count > 1) broken.push(`at most once: ${describeStep(step)} ran ${count} times`)
+    if (isToldNotRun && count > 0) broken.push(`not run: ${describeStep(step)} ran, but its caller was told ${last.refusal.reason}`)
+    if (last.type === 'answer' && count !== 1) broken.push(`answered: ${describeStep(step)} ran ${count} times`)
+    return broken
+  }))
+}
+
+function checkAnswers (world: World, sessions: readonly SessionRow[]): string[] {
+  return world.callers.flatMap(caller => caller.told.flatMap(({ step, reply }) => {
+    if (reply.type !== 'answer' || (step.type !== 'model' && step.type !== 'service')) return []
+    const session = sessions.find(candidate => candidate.id === step.session)!
+    const stored = getTurns(world, session)[step.call - 1]
+    const isOwn = reply.turn.session === step.session && reply.turn.call === step.call
+    const isWhole = stored?.answer.text === reply.turn.answer.text
+    const isGenerated = step.type !== 'model' || getRuns(world).some(run => isRunOf(run, step) && run.text === reply.turn.answer.text)
+    return isOwn && isWhole && isGenerated ? [] : [`whole answer: ${describeStep(step)} was answered with "${reply.turn.answer.text}"`]
+  }))
+}
+
+function findStep (world: World, session: string, call: number): Step | undefined {
+  return world.callers.flatMap(caller => caller.told.map(told => told.step)).find(step =>
+    (step.type === 'model' || step.type === 'service') && step.session === session && step.call === call)
+}
+
+/** Gets the steps that must run at most once and got a reply. */
+function getOnceSteps (told: readonly Told[]): Step[] {
+  const steps = told.map(entry => entry.step).filter(step => step.type === 'request' || (step.type === 'service' && !step.repeatable))
+  return [...new Set(steps)]
+}
+
+function isRunOf (run: RecordedRun, step: Step): boolean {
+  if (step.type === 'request') return run.ledgerKey.startsWith('key/') && run.operation === step.operation
+  return (step.type === 'service' || step.type === 'model') && run.ledgerKey === `session/${step.session}` && run.call === step.call
+}
+
+function describeStep (step: Step): string {
+  return JSON.stringify(step)
+}
