--- a/src/core/limits/RetryBudget.ts
+++ b/src/core/limits/RetryBudget.ts
@@ -8,6 +8,8 @@
 export interface RetryBudgetOptions {
   readonly share?: number
   readonly reserve?: number
+  /** Retries allowed before any first attempt. */
+  readonly initial?: number
 }
 
 /** Bounds retries to a share of first attempts, so that failures never multiply the load. */
@@ -19,7 +21,7 @@
   constructor (options: RetryBudgetOptions = {}) {
     this._share = options.share ?? DEFAULT_RETRY_SHARE
     this._reserve = options.reserve ?? DEFAULT_RETRY_RESERVE
-    this._credit = this._reserve
+    this._credit = options.initial ?? 0
   }
 
   /** Notes a first attempt, which earns a share of a retry. */
--- /dev/null
+++ b/tests/core/sidecar/SidecarCoreTests.ts
@@ -0,0 +1,194 @@
+import { expect } from 'earl'
+import type { Claim, Dispatch } from '../../../src/core/call/index.js'
+import { ManualClock } from '../../../src/core/clock/index.js'
+import { ANSWER_RETENTION_MS, CONFIG_GRACE_MS, SidecarCore, type SidecarCoreOptions, type SidecarEffect } from '../../../src/core/sidecar/index.js'
+import type { TicketClaims } from '../../../src/core/ticket/index.js'
+
+const START = 1_000_000
+
+function createClaim (part: Partial<Claim> = {}): Claim {
+  const epoch = part.epoch ?? 1
+  return {
+    attempt: `session/s#${epoch}`,
+    epoch,
+    call: 1,
+    requestDigest: 'd',
+    repeatable: false,
+    target: 't',
+    incarnation: 'i',
+    claimer: 'entry-1',
+    claimedAt: START,
+    deadline: START + 60_000,
+    reservedTokens: 10,
+    mayHaveRun: false,
+    tries: 1,
+    ...part
+  }
+}
+
+function createDispatch (claim: Claim): Dispatch {
+  return {
+    claim,
+    ledgerKey: 'session/s',
+    workspace: 'w',
+    service: 'kanzlei',
+    operation: 'booking',
+    contentType: '',
+    body: '',
+    kind: 'service',
+    attainedTokens: 0,
+    promptTokens: 0,
+    messages: [],
+    holdKey: ''
+  }
+}
+
+function createTicket (claim: Claim, part: Partial<TicketClaims> = {}): TicketClaims {
+  const { attempt, epoch, incarnation, claimedAt } = claim
+  return {
+    purpose: 'dispatch', entry: 'entry-1', attempt, ledgerKey: 'session/s', epoch, incarnation, configVersion: 1, issuedAt: claimedAt, bodyDigest: '', ...part
+  }
+}
+
+class Bench {
+  readonly clock = new ManualClock(START)
+  readonly core: SidecarCore
+
+  constructor (options: Partial<SidecarCoreOptions> = {}) {
+    this.core = new SidecarCore({ incarnation: 'i', clock: this.clock, slots: 1, ...options })
+  }
+
+  /** Dispatches an attempt; returns the reason of a refusal, or the effects as words. */
+  dispatch (claim: Claim = createClaim(), ticket: Partial<TicketClaims> = {}): string {
+    return this.core.dispatch(createTicket(claim, ticket), createDispatch(claim)).caseOf({ Left: reason => reason, Right: toWords })
+  }
+
+  locate (claim: Claim = createClaim(), cancelIfAbsent = true): string {
+    return this.core.locate(claim.attempt, claim.incarnation, claim.claimedAt, cancelIfAbsent)
+  }
+
+  end (claim: Claim = createClaim()): string {
+    return toWords(this.core.onRunEnded(claim.attempt, {
+      type: 'complete', answer: { status: 200, contentType: '', text: 'x', tokens: 0, finish: 'stop' }, cachedTokens: 0, promptTokens: 0
+    }))
+  }
+}
+
+function toWords (effects: readonly SidecarEffect[]): string {
+  return effects.map(effect => 'attempt' in effect ? `${effect.type} ${effect.attempt}` : effect.type).join(', ')
+}
+
+describe('SidecarCore', () => {
+  describe('what is told not run', () => {
+    /** A refusal, then the dispatch that was delayed past it: it must not start. */
+    function doTest (refuse: (bench: Bench) => string, expected: string, late: (bench: Bench) => string = bench => bench.dispatch()): void {
+      const bench = new Bench()
+      expect(refuse(bench)).toEqual(expected)
+      expect(late(bench)).not.toEqual(expect.includes('start'))
+      expect(bench.locate()).not.toEqual('running')
+    }
+
+    it('should stay so when the dispatch arrives after it was cancelled', () => {
+      doTest(bench => bench.locate(), 'absent')
+    })
+
+    it('should stay so when the sidecar was leaving', () => {
+      doTest(bench => { bench.core.setLeaving(); return bench.dispatch() }, 'leaving')
+    })
+
+    it('should stay so when the ticket names a former incarnation', () => {
+      doTest(bench => bench.dispatch(createClaim({ incarnation: 'former' })), 'incarnation-changed', bench => bench.dispatch())
+    })
+
+    it('should stay so when a later attempt has taken over', () => {
+      doTest(bench => { bench.locate(createClaim({ epoch: 2, attempt: 'session/s#2' })); return bench.dispatch() }, 'epoch-stale')
+    })
+
+    it('should stay so when the queue was full', () => {
+      const bench = new Bench({ maxQueued: 1 })
+      bench.dispatch(createClaim({ epoch: 1 }))
+      bench.dispatch(createClaim({ epoch: 2, attempt: 'session/s#2' }))
+      const third = createClaim({ epoch: 3, attempt: 'session/s#3' })
+      expect(bench.dispatch(third)).toEqual('queue-full')
+      bench.end()
+      expect(bench.dispatch(third)).toEqual('queue-full')
+    })
+
+    it('should stay so when the answers retained were too many', () => {
+      const bench = new Bench({ maxRetained: 1 })
+      bench.dispatch()
+      bench.end()
+      const next = createClaim({ epoch: 2, attempt: 'session/s#2' })
+      expect(bench.dispatch(next)).toEqual('retained-full')
+      bench.core.acknowledge(createClaim().attempt)
+      expect(bench.dispatch(next)).toEqual('retained-full')
+    })
+
+    it('should stay so when it was dropped from the queue at its deadline', () => {
+      const bench = new Bench()
+      bench.dispatch()
+      const second = createClaim({ epoch: 2, attempt: 'session/s#2', deadline: START + 1_000 })
+      bench.dispatch(second)
+      bench.clock.advanceTo(START + 1_000)
+      expect(toWords(bench.core.tick())).toEqual('ended session/s#2')
+      expect(bench.core.getResult(second.attempt)?.outcome).toEqual('dropped')
+      expect(bench.end()).toEqual('ended session/s#1')
+    })
+
+    it('should stay so when the configuration is no longer in force', () => {
+      const bench = new Bench()
+      bench.core.hearConfig(5)
+      bench.core.hearConfig(6)
+      expect(bench.dispatch(createClaim(), { configVersion: 4 })).toEqual('stale-config')
+    })
+  })
+
+  it('should run an attempt once, however often its dispatch arrives', () => {
+    const bench = new Bench()
+    expect(bench.dispatch()).toEqual('start session/s#1')
+    expect(bench.dispatch()).toEqual('ticket-replayed')
+    bench.end()
+    bench.core.acknowledge(createClaim().attempt)
+    expect(bench.dispatch()).toEqual('ticket-replayed')
+  })
+
+  it('should accept a superseded configuration within its grace only', () => {
+    const bench = new Bench()
+    bench.core.hearConfig(1)
+    bench.core.hearConfig(2)
+    expect(bench.dispatch(createClaim())).toEqual('start session/s#1')
+    bench.clock.advanceTo(START + CONFIG_GRACE_MS)
+    expect(bench.dispatch(createClaim({ epoch: 2, attempt: 'session/s#2' }))).toEqual('stale-config')
+  })
+
+  it('should stop a run at its reservation', () => {
+    const bench = new Bench()
+    bench.dispatch()
+    expect(toWords(bench.core.addTokens('session/s#1', 9))).toEqual('')
+    expect(toWords(bench.core.addTokens('session/s#1', 1))).toEqual('abort session/s#1')
+    expect(toWords(bench.core.addTokens('session/s#1', 1))).toEqual('')
+  })
+
+  it('should keep an answer until it is acknowledged or the retention period ends', () => {
+    const bench = new Bench()
+    bench.dispatch()
+    bench.end()
+    bench.clock.advanceTo(START + ANSWER_RETENTION_MS - 1)
+    bench.core.tick()
+    expect(bench.locate()).toEqual('done')
+    bench.clock.advanceTo(START + ANSWER_RETENTION_MS)
+    bench.core.tick()
+    expect(bench.locate()).toEqual('gone')
+  })
+
+  it('should never call an attempt absent that it may have forgotten', () => {
+    const bench = new Bench({ maxRemembered: 1 })
+    bench.dispatch()
+    bench.end()
+    bench.core.acknowledge('session/s#1')
+    bench.locate(createClaim({ epoch: 2, attempt: 'session/s#2' }))
+    bench.core.tick()
+    expect(bench.locate()).toEqual('gone')
+    expect(bench.dispatch()).not.toEqual(expect.includes('start'))
+  })
+})
--- /dev/null
+++ b/tests/processes/OutageTests.ts
@@ -0,0 +1,74 @@
+import { expect } from 'earl'
+import { waitFor, type Fleet } from '../../tools/fleet/Fleet.js'
+import { startWorkshop, WORKSHOP_DOCUMENTS } from '../../tools/fleet/workshop.js'
+import { createCaller, getLedger, openSession, sendUntilFinal, toBooking, toQuestion } from './helpers.js'
+
+/** Milliseconds in which an accepted configuration is in force everywhere. */
+const CONFIG_LIMIT_MS = 8_000
+
+describe('the store', () => {
+  let fleet: Fleet
+
+  beforeEach(async () => { fleet = await startWorkshop({ engines: 1, desks: 1, engineArgs: ['--ms-per-token', '15'] }) })
+  afterEach(async () => { await fleet.stop() })
+
+  it('should hold the end of an answer while it is down, and lose nothing', async () => {
+    const caller = createCaller(fleet, 'entry-1')
+    const session = await openSession(caller)
+    let text = ''
+    const answer = caller.stream(`/v1/sessions/${session}/calls/1`, toQuestion(40), part => { text += part })
+    await waitFor('some text', () => text.length > 20)
+    await fleet.setFaults({ isDown: true })
+    await waitFor('the whole text', () => text.split(' ').length === 40)
+    const refused = await caller.send('POST', `/v1/sessions/${session}/calls/2`, toBooking())
+    expect(refused.json).toEqual(expect.subset({ reason: 'ledger-unreadable', outcome: 'unknown' }))
+    const first = await caller.send('POST', '/v1/services/kanzlei/booking', {}, { 'idempotency-key': 'k', 'wisteria-sending': 'first' })
+    expect(first.json).toEqual(expect.subset({ reason: 'store-unavailable', outcome: 'not-run' }))
+    expect((await caller.send('POST', '/v1/services/kanzlei/parts-lookup', {})).status).toEqual(200)
+    await fleet.setFaults({})
+    expect((await answer).isWhole).toEqual(true)
+    expect((await sendUntilFinal(caller, `/v1/sessions/${session}/calls/2`, toBooking())).status).toEqual(200)
+    expect((await getLedger(fleet, 'kanzlei-1')).filter(run => run.operation === 'booking').length).toEqual(1)
+  })
+
+  it('should not make a booking run twice when it loses answers', async () => {
+    const caller = createCaller(fleet, 'entry-1')
+    const session = await openSession(caller)
+    await fleet.setFaults({ loseAnswers: 2 })
+    const res = await sendUntilFinal(caller, `/v1/sessions/${session}/calls/1`, toBooking())
+    expect(res.json?.number).toEqual(1)
+    expect((await getLedger(fleet, 'kanzlei-1')).length).toEqual(1)
+  })
+
+  it('should not keep an entry that starts in its outage from learning the configuration', async () => {
+    await fleet.setFaults({ isDown: true })
+    await fleet.startEntry('entry-3', { region: 'west', failureDomain: 'neuenburg' })
+    await fleet.waitForReady('entry-3', 2)
+    const caller = createCaller(fleet, 'entry-3')
+    expect((await caller.send('POST', '/v1/services/kanzlei/parts-lookup', {})).status).toEqual(200)
+  })
+})
+
+describe('two operators who apply at once', () => {
+  let fleet: Fleet
+
+  before(async () => { fleet = await startWorkshop({ engines: 2, desks: 1 }) })
+  after(async () => { await fleet.stop() })
+
+  it('should end with one change in force everywhere within its limit, and one conflict', async () => {
+    const args = ['apply', '--base-version', '1', WORKSHOP_DOCUMENTS]
+    const results = await Promise.all([fleet.startCtl(args), fleet.startCtl(args)])
+    expect(results.map(result => result.exitCode).sort()).toEqual([0, 3])
+    await waitFor('version 2 everywhere', () => {
+      const { output } = fleet.runCtl(['status', '--json'])
+      const versions = [...output.matchAll(/"configVersion": (\d+)/g)].map(match => match[1])
+      return versions.length === 8 && versions.every(version => version === '2')
+    }, CONFIG_LIMIT_MS)
+  })
+
+  it('should be told what is wrong with a document, with its place, and change nothing', () => {
+    const result = fleet.runCtl(['validate', 'tests/processes/broken.toml'])
+    expect(result.exitCode).toEqual(2)
+    expect(result.output).toEqual('broken.toml:5: service[0].slots: wrong type; expected number\n')
+  })
+})
--- /dev/null
+++ b/tests/processes/StopTests.ts
@@ -0,0 +1,58 @@
+import { expect } from 'earl'
+import { waitFor, type Fleet } from '../../tools/fleet/Fleet.js'
+import { startWorkshop } from '../../tools/fleet/workshop.js'
+import { createCaller, openSession, toBooking, toQuestion } from './helpers.js'
+
+/** Tokens of a straggler, many times those of the rest. */
+const STRAGGLER_TOKENS = 400
+const SHORT_TOKENS = 8
+
+describe('a planned stop under load', () => {
+  let fleet: Fleet
+
+  beforeEach(async () => { fleet = await startWorkshop({ engines: 2, desks: 1, engineArgs: ['--ms-per-token', '10'] }) })
+  afterEach(async () => { await fleet.stop() })
+
+  /** Starts a straggler and short work, stops a process in between, and expects every answer to be whole. */
+  async function doTest (processId: string, entry: string): Promise<void> {
+    const caller = createCaller(fleet, entry)
+    const sessions = await Promise.all([...Array(5).keys()].map(async () => await openSession(caller)))
+    let straggling = ''
+    const work = sessions.map(async (session, index) => await caller.stream(
+      `/v1/sessions/${session}/calls/1`, toQuestion(index === 0 ? STRAGGLER_TOKENS : SHORT_TOKENS * index),
+      text => { if (index === 0) straggling += text }
+    ))
+    await waitFor('the straggler to run', () => straggling.length > 20)
+    fleet.get(processId).signal('SIGTERM')
+    const answers = await Promise.all(work)
+    expect(answers.map(answer => answer.isWhole)).toEqual(sessions.map(() => true))
+    expect(await fleet.get(processId).waitForExit()).toEqual(0)
+  }
+
+  it('should cut nothing at an entry', async () => { await doTest('entry-1', 'entry-1') })
+  it('should cut nothing at a sidecar', async () => { await doTest('ratgeber-1', 'entry-1') })
+
+  it('should give a drained target no new work, and answer through the others', async () => {
+    const caller = createCaller(fleet, 'entry-1')
+    expect(fleet.runCtl(['drain', 'ratgeber-1']).exitCode).toEqual(0)
+    await waitFor('both entries to hear of it', () => {
+      const { output } = fleet.runCtl(['status', '--json'])
+      return (output.match(/"state": "leaving"/g) ?? []).length === 2
+    }, 3_000)
+    for (let index = 0; index < 6; index++) {
+      const session = await openSession(caller)
+      expect((await caller.stream(`/v1/sessions/${session}/calls/1`, toQuestion(5))).isWhole).toEqual(true)
+    }
+    const status = await (await fetch(`${fleet.get('ratgeber-1').url}/metrics`)).text()
+    expect(status).toMatchRegex(/wisteria_sidecar_tokens_total 0/)
+  })
+
+  it('should fail the readiness check of a stopping entry first', async () => {
+    const caller = createCaller(fleet, 'entry-1')
+    const session = await openSession(caller)
+    const booking = caller.send('POST', `/v1/sessions/${session}/calls/1`, toBooking({ delayMs: 1_000 }))
+    fleet.get('entry-1').signal('SIGTERM')
+    await waitFor('the readiness check to fail', async () => (await fetch(`${fleet.get('entry-1').url}/readyz`)).status === 503)
+    expect((await booking).status).toEqual(200)
+  })
+})
--- /dev/null
+++ b/tests/processes/helpers.ts
@@ -0,0 +1,51 @@
+import { Caller, type CallerReply } from '../../tools/fleet/Caller.js'
+import type { Fleet } from '../../tools/fleet/Fleet.js'
+import { WORKSHOP_KEY } from '../../tools/fleet/workshop.js'
+
+/** Creates a caller of an entry. */
+export function createCaller (fleet: Fleet, entry: string): Caller {
+  return new Caller(fleet.get(entry).url, WORKSHOP_KEY)
+}
+
+/** Opens a session and returns its id. */
+export async function openSession (caller: Caller, body: Record<string, unknown> = {}): Promise<string> {
+  const res = await caller.send('POST', '/v1/sessions', { program: 'guidance', ...body })
+  if (res.status !== 201) throw new Error(res.text)
+  return String(res.json!.id)
+}
+
+/** Creates the body of a model call that generates a number of tokens. */
+export function toQuestion (tokens: number): Record<string, unknown> {
+  return { type: 'model', messages: [{ role: 'user', content: `Tell me [tokens=${tokens}]` }], max_tokens: tokens }
+}
+
+/** Creates the body of a booking. */
+export function toBooking (body: unknown = { bench: 4 }, operation = 'booking'): Record<string, unknown> {
+  return { type: 'service', service: 'kanzlei', operation, body }
+}
+
+/** Gets what a plain service ran, by its own ledger. */
+export async function getLedger (fleet: Fleet, target: string): Promise<Array<{ operation: string, key: string }>> {
+  const res = await fetch(`${fleet.get(`${target}/target`).url}/admin/ledger`)
+  return (await res.json() as { ledger: Array<{ operation: string, key: string }> }).ledger
+}
+
+/** Gets the number of runs that an engine has started. */
+export async function getEngineRuns (fleet: Fleet, target: string): Promise<number> {
+  const res = await fetch(`${fleet.get(`${target}/target`).url}/admin/runs`)
+  return (await res.json() as { runs: string[] }).runs.length
+}
+
+/** Sends a request again until it is answered or refused for good. */
+export async function sendUntilFinal (caller: Caller, path: string, body: unknown): Promise<CallerReply> {
+  for (;;) {
+    const res = await caller.send('POST', path, body)
+    if (!AGAIN.has(String(res.json?.reason))) return res
+    await new Promise(resolve => { setTimeout(resolve, 200) })
+  }
+}
+
+/** Reasons after which a caller sends the same request again. */
+const AGAIN: ReadonlySet<string> = new Set([
+  'ledger-unreadable', 'store-unavailable', 'no-target', 'answer-not-durable', 'answer-interrupted', 'attempts-failed', 'retry-budget', 'not-ready'
+])
--- /dev/null
+++ b/tests/promises/BudgetTests.ts
@@ -0,0 +1,54 @@
+import { expect } from 'earl'
+import { ask, countRuns, getWords, open, order } from '../world/helpers.js'
+import { findBrokenPromises } from '../world/promises.js'
+import type { Step } from '../world/ScriptedCaller.js'
+import { World } from '../world/World.js'
+
+describe('the budget of a session', () => {
+  function doTest (scripts: ReadonlyArray<readonly Step[]>, seed?: number): string[][] {
+    const world = new World(seed)
+    const callers = scripts.map(script => world.addCaller('werkstatt', script))
+    const hasEnded = world.run()
+    expect(findBrokenPromises(world, hasEnded)).toEqual([])
+    return callers.map(getWords)
+  }
+
+  it('should cover sub-agents that are opened at once', () => {
+    for (let seed = 1; seed <= 30; seed++) {
+      const child = (name: string): Step[] => [{ type: 'pause', ms: 50 }, open(name, 40, 'p'), ask(name, 1, 'x [tokens=99] [ignore-max]', 40)]
+      const words = doTest([[open('p', 100)], child('p-1'), child('p-2'), child('p-3')], seed)
+      expect(words.slice(1).flat().filter(word => word === 'budget-tokens').length).toEqual(1)
+    }
+  })
+
+  it('should hold against an engine that ignores the limit', () => {
+    const script = [open('s', 25), ask('s', 1, 'a [tokens=500] [ignore-max]'), ask('s', 2, 'b [tokens=500] [ignore-max]'), ask('s', 3)]
+    expect(doTest([script])).toEqual([['open', 'answered', 'answered', 'budget-tokens']])
+  })
+
+  it('should end a program that repeats one call', () => {
+    const script = [open('s'), ...[1, 2, 3, 4].map(call => ask('s', call, 'again'))]
+    expect(doTest([script])).toEqual([['open', 'answered', 'answered', 'answered', 'loop-detected']])
+  })
+
+  it('should end a program that loops with changing calls', () => {
+    const script = [open('s', 1_000), ...[...Array(11).keys()].map(index => ask('s', index + 1))]
+    expect(doTest([script])[0]!.at(-1)).toEqual('budget-calls')
+  })
+
+  it('should let a session go on after a tool that hangs', () => {
+    const hanging: Step = { type: 'service', session: 's', call: 1, operation: 'booking [hang]', repeatable: false }
+    const world = new World()
+    for (const sidecar of world.sidecars.values()) sidecar.target.hangs = 'booking [hang]'
+    const caller = world.addCaller('werkstatt', [open('s'), hanging, ask('s', 2)])
+    world.run()
+    // The caller sent the call again while it was pending, and was told the same each time.
+    expect([...new Set(getWords(caller))]).toEqual(['open', 'outcome-unknown', 'answered'])
+    expect(countRuns(world, 'booking [hang]')).toEqual(1)
+  })
+
+  it('should return what a sub-agent did not spend', () => {
+    const script = [open('p', 50), open('p-1', 40, 'p'), ask('p-1', 1), { type: 'close', session: 'p-1' } as const, ask('p', 1, 'x', 44), order('p', 2)]
+    expect(doTest([script])).toEqual([['open', 'open', 'answered', 'closed', 'answered', 'answered']])
+  })
+})
--- /dev/null
+++ b/tests/promises/LeavingTests.ts
@@ -0,0 +1,31 @@
+import { expect } from 'earl'
+import { ask, getWords, open, order } from '../world/helpers.js'
+import { findBrokenPromises } from '../world/promises.js'
+import { World } from '../world/World.js'
+
+/** Milliseconds after which a leaving target receives no new work. */
+const LEAVING_LIMIT_MS = 3_000
+
+describe('a target that is leaving', () => {
+  it(`should start nothing new after ${LEAVING_LIMIT_MS} ms, though the instance list knows nothing of it`, () => {
+    const world = new World()
+    const leaving = world.sidecars.get('kanzlei-2')!
+    const calls = [...Array(9).keys()].map(index => order('s', index + 1, `booking-${index}`))
+    const caller = world.addCaller('werkstatt', [open('s'), ...calls.flatMap(call => [call, { type: 'pause', ms: 1_000 } as const])])
+    const leftAt = world.scheduler.clock.now() + 2_500
+    world.scheduler.addTimer('platform', 2_500, () => { leaving.core.setLeaving() })
+    const hasEnded = world.run()
+    expect(findBrokenPromises(world, hasEnded)).toEqual([])
+    expect(getWords(caller).filter(word => word === 'answered').length).toEqual(9)
+    expect(leaving.target.runs.filter(run => run.startedAt > leftAt + LEAVING_LIMIT_MS)).toEqual([])
+  })
+
+  it('should finish what it runs', () => {
+    const world = new World()
+    const caller = world.addCaller('werkstatt', [open('s', 400), ask('s', 1, 'long [tokens=300]', 300)])
+    world.scheduler.addTimer('platform', 200, () => { for (const sidecar of world.sidecars.values()) sidecar.core.setLeaving() })
+    world.run()
+    expect(getWords(caller)).toEqual(['open', 'answered'])
+    expect([...world.sidecars.values()].every(sidecar => sidecar.core.isDrained())).toEqual(true)
+  })
+})
--- /dev/null
+++ b/tests/promises/MemoryTests.ts
@@ -0,0 +1,47 @@
+import { expect } from 'earl'
+import { ask, open } from '../world/helpers.js'
+import type { Step } from '../world/ScriptedCaller.js'
+import { HOLD_LIMIT_MS, World } from '../world/World.js'
+
+describe('engine memory', () => {
+  /** Runs a session and returns the holds that are left in the stated time after its end. */
+  function doTest (script: readonly Step[], prepare: (world: World) => void = () => {}): string[] {
+    const world = new World()
+    prepare(world)
+    world.addCaller('werkstatt', script)
+    world.run()
+    return world.targets.flatMap(target => [...target.holds.keys()])
+  }
+
+  const whole: Step[] = [open('s'), ask('s', 1), { type: 'close', session: 's' }]
+
+  it('should be free after a session is closed', () => {
+    expect(doTest(whole)).toEqual([])
+  })
+
+  it('should be held during a tool pause', () => {
+    const world = new World()
+    world.addCaller('werkstatt', [open('s'), ask('s', 1), { type: 'pause', ms: 30_000 }, ask('s', 2)])
+    for (const caller of world.callers) caller.start()
+    world.scheduler.runUntil(() => false, 20_000)
+    expect(world.targets.flatMap(target => [...target.holds.keys()])).toEqual(['s'])
+  })
+
+  it(`should be free ${HOLD_LIMIT_MS} ms after a session was abandoned`, () => {
+    expect(doTest([open('s'), ask('s', 1)])).toEqual([])
+  })
+
+  it('should be free when the release is lost', () => {
+    expect(doTest(whole, world => { for (const target of world.targets) target.releasesToLose = 1 })).toEqual([])
+  })
+
+  it('should be free when the sidecar was restarted and knows of no lease', () => {
+    expect(doTest([open('s'), ask('s', 1)], world => {
+      world.scheduler.addTimer('platform', 5_000, () => { for (const sidecar of world.sidecars.values()) sidecar.restart() })
+    })).toEqual([])
+  })
+
+  it('should be free when the owner was killed', () => {
+    expect(doTest(whole, world => { world.strikeAfter({ fault: 'kill-entry', effect: 'release s' }) })).toEqual([])
+  })
+})
--- /dev/null
+++ b/tests/promises/OrderTests.ts
@@ -0,0 +1,47 @@
+import { expect } from 'earl'
+import { ask, getWords, open } from '../world/helpers.js'
+import { findBrokenPromises } from '../world/promises.js'
+import { World } from '../world/World.js'
+
+describe('the calls of a session', () => {
+  function doTest (seed: number): { first: string[], second: string[], broken: string[] } {
+    const world = new World(seed)
+    const first = world.addCaller('werkstatt', [open('s'), ask('s', 1), ask('s', 2)])
+    // A second connection of the same caller is one call ahead.
+    const second = world.addCaller('werkstatt', [{ type: 'pause', ms: 100 }, ask('s', 2), ask('s', 3)])
+    const hasEnded = world.run()
+    return { first: getWords(first), second: getWords(second), broken: findBrokenPromises(world, hasEnded) }
+  }
+
+  it('should run in their order when n and n + 1 arrive together', () => {
+    for (let seed = 1; seed <= 50; seed++) {
+      const result = doTest(seed)
+      expect(result.broken).toEqual([])
+      expect(result.first.at(-1)).toEqual('answered')
+      expect(result.second.at(-1)).toEqual('answered')
+    }
+  })
+
+  it('should be refused while an earlier one has not finished', () => {
+    const world = new World()
+    const caller = world.addCaller('werkstatt', [open('s'), ask('s', 2)])
+    world.run()
+    expect(new Set(getWords(caller))).toEqual(new Set(['open', 'call-out-of-order']))
+  })
+
+  it('should not take another body under the same number', () => {
+    const world = new World()
+    const caller = world.addCaller('werkstatt', [open('s'), ask('s', 1, 'one'), ask('s', 1, 'another')])
+    world.run()
+    expect(getWords(caller)).toEqual(['open', 'answered', 'call-conflict'])
+  })
+
+  it('should not be seen by another workspace', () => {
+    const world = new World()
+    const owner = world.addCaller('werkstatt', [open('s'), ask('s', 1)])
+    const stranger = world.addCaller('knjizna', [{ type: 'pause', ms: 5_000 }, ask('s', 1), { type: 'close', session: 's' }])
+    world.run()
+    expect(getWords(owner)).toEqual(['open', 'answered'])
+    expect(getWords(stranger)).toEqual(['session-unknown', 'session-unknown'])
+  })
+})
--- /dev/null
+++ b/tests/promises/RetryTests.ts
@@ -0,0 +1,26 @@
+import { expect } from 'earl'
+import { RetryBudget } from '../../src/core/limits/index.js'
+import { ask, open } from '../world/helpers.js'
+import { World } from '../world/World.js'
+
+/** Attempts by which requests may be multiplied while a third of the targets fails. */
+const MAX_ATTEMPTS_PER_REQUEST = 1.1
+
+describe('retries', () => {
+  it('should not multiply the load while a third of the targets fails', () => {
+    const world = new World()
+    world.retryBudget = new RetryBudget()
+    const sendings = { count: 0 }
+    for (let index = 0; index < 40; index++) {
+      const session = `s-${index}`
+      world.addCaller('werkstatt', [open(session), ...[1, 2, 3, 4, 5].map(call => ask(session, call))])
+    }
+    world.onCall = () => { sendings.count++ }
+    const failing = world.sidecars.get('ratgeber-1')!
+    world.scheduler.addTimer('platform', 1, () => { failing.target.isUp = false })
+    world.run()
+    const dispatches = world.transcript.filter(line => line.includes(' dispatch ')).length
+    expect(dispatches <= MAX_ATTEMPTS_PER_REQUEST * sendings.count).toEqual(true)
+    expect(world.callers.every(caller => caller.givenUp.length === 0)).toEqual(true)
+  })
+})
--- a/tests/world/FakeEntry.ts
+++ b/tests/world/FakeEntry.ts
@@ -28,7 +28,7 @@
   readonly log: (actor: string, line: string) => void
   /** Tells whether messages between two processes get through. */
   readonly isConnected: (a: string, b: string) => boolean
-  readonly retryBudget: RetryBudget
+  readonly getRetryBudget: () => RetryBudget
 }
 
 /** The real procedures and the real committer of an entry, with effects that can be cut off anywhere. */
@@ -50,12 +50,12 @@
 
   /** Runs a call. */
   call (options: CallOptions, onReply: (reply: Reply) => void): void {
-    const { scheduler, retryBudget } = this._world
+    const { scheduler, getRetryBudget } = this._world
     const procedure = new CallProcedure({
       ...options,
       entry: this.id,
       selector: this._selector,
-      retryBudget,
+      retryBudget: getRetryBudget(),
       clock: scheduler.clock,
       trace: new Trace(scheduler.clock),
       isFirstSending: false,
--- a/tests/world/FakeTarget.ts
+++ b/tests/world/FakeTarget.ts
@@ -21,6 +21,8 @@
   readonly runs: RecordedRun[] = []
   readonly holds = new Map<string, number>()
   isUp = true
+  /** Operation that never answers. */
+  hangs = ''
   /** Engine releases that get lost, at first. */
   releasesToLose = 0
 
--- a/tests/world/ScriptedCaller.ts
+++ b/tests/world/ScriptedCaller.ts
@@ -98,6 +98,7 @@
       return entry.run(openSession(opening, clock), '', take)
     }
     if (step.type === 'close') return entry.run(closeSession(step.session, workspace, clock), '', take)
+    this._world.onCall()
     const spec = toSpec(step, workspace)
     const requestDigest = getRequestDigest(spec)
     if (step.type === 'request') {
--- a/tests/world/World.ts
+++ b/tests/world/World.ts
@@ -57,7 +57,9 @@
   readonly sidecars = new Map<string, FakeSidecar>()
   readonly transcript: string[] = []
   readonly callers: ScriptedCaller[] = []
-  readonly retryBudget = new RetryBudget({ share: 1, reserve: 100 })
+  /** Called for each call that a caller sends. */
+  onCall: () => void = () => {}
+  retryBudget = new RetryBudget({ share: 1, reserve: 100, initial: 100 })
   private readonly _entries: FakeEntry[] = []
   private readonly _instances: Instance[] = []
   private readonly _cuts = new Set<string>()
@@ -92,7 +94,7 @@
       scheduler: this.scheduler,
       table: this.table,
       sidecars: this.sidecars,
-      retryBudget: this.retryBudget,
+      getRetryBudget: () => this.retryBudget,
       log: (actor, line) => { this._log(actor, line) },
       isConnected: (a, b) => !this._cuts.has(`${a}|${b}`)
     }, this._instances)
--- /dev/null
+++ b/tests/world/helpers.ts
@@ -0,0 +1,34 @@
+import type { Reply } from '../../src/core/call/index.js'
+import type { ScriptedCaller, Step } from './ScriptedCaller.js'
+import type { World } from './World.js'
+
+/** Gets a reply as one word: `answered`, the state of a session, or the reason of a refusal. */
+export function toWord (reply: Reply): string {
+  if (reply.type === 'refusal') return reply.refusal.reason
+  return reply.type === 'session' ? reply.session.state : 'answered'
+}
+
+/** Gets the words of all replies to a caller. */
+export function getWords (caller: ScriptedCaller): string[] {
+  return caller.told.map(told => toWord(told.reply))
+}
+
+/** Creates a step that opens a session; a sub-agent may make three calls. */
+export function open (session: string, tokens = 100, parent?: string): Step {
+  return { type: 'open', session, tokens, ...(parent === undefined ? {} : { parent, calls: 3 }) }
+}
+
+/** Creates a model call. */
+export function ask (session: string, call: number, text = `Question ${call}`, maxTokens = 10): Step {
+  return { type: 'model', session, call, text, maxTokens }
+}
+
+/** Creates a service call. */
+export function order (session: string, call: number, operation = 'booking', repeatable = false): Step {
+  return { type: 'service', session, call, operation, repeatable }
+}
+
+/** Counts the runs of an operation at all targets. */
+export function countRuns (world: World, operation: string): number {
+  return world.targets.flatMap(target => target.runs).filter(run => run.operation === operation).length
+}
--- a/tools/fleet/Fleet.ts
+++ b/tools/fleet/Fleet.ts
@@ -1,4 +1,4 @@
-import { spawnSync } from 'node:child_process'
+import { spawn, spawnSync } from 'node:child_process'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -12,6 +12,9 @@
 /** Milliseconds between two looks at a condition. */
 const POLL_MS = 20
 
+/** Commands that reach nothing and take no settings. */
+const SETTINGS_FREE: ReadonlySet<string> = new Set(['validate', 'hash-key'])
+
 /** Place of an instance. */
 export interface Place {
   readonly region: string
@@ -116,6 +119,19 @@
 
   /** Runs wisteriactl against the entries that run. */
   runCtl (args: readonly string[]): CtlResult {
+    const result = spawnSync(process.execPath, this._toCtlArgs(args), { encoding: 'utf8' })
+    return { exitCode: result.status, output: result.stdout + result.stderr }
+  }
+
+  /** Starts wisteriactl and waits for its end, so that several can run at once. */
+  async startCtl (args: readonly string[]): Promise<CtlResult> {
+    const child = spawn(process.execPath, this._toCtlArgs(args))
+    let output = ''
+    child.stdout.on('data', data => { output += String(data) })
+    return await new Promise(resolve => { child.once('close', exitCode => { resolve({ exitCode, output }) }) })
+  }
+
+  private _toCtlArgs (args: readonly string[]): string[] {
     const running = [...this._processes].filter(([id, entry]) => id.startsWith('entry') && entry.isRunning())
     const entries = running.map(([, entry]) => `"${entry.url}"`)
     const file = this._write('wisteriactl.toml', [
@@ -124,9 +140,8 @@
     const [command] = args
     // The settings come behind the words of the command, of which `explain` has two.
     const words = command === 'explain' ? 2 : 1
-    const all = [...args.slice(0, words), '--settings', file, ...args.slice(words)]
-    const result = spawnSync(process.execPath, [CTL, ...all], { encoding: 'utf8' })
-    return { exitCode: result.status, output: result.stdout + result.stderr }
+    const options = SETTINGS_FREE.has(command!) ? [] : ['--settings', file]
+    return [CTL, ...args.slice(0, words), ...options, ...args.slice(words)]
   }
 
   /** Waits until an entry serves and sees a number of usable targets. */
--- a/tools/fleet/workshop.ts
+++ b/tools/fleet/workshop.ts
@@ -15,6 +15,8 @@
   readonly engineArgs?: readonly string[]
   readonly slots?: number
   readonly maxQueued?: number
+  /** Called before the instances are published, to change what is published. */
+  readonly beforePublish?: (fleet: Fleet) => Promise<void>
 }
 
 const ENGINE_DOMAINS = ['luzern', 'zug', 'luzern', 'zug', 'luzern', 'neuenburg'] as const
@@ -31,6 +33,7 @@
     for (let index = 0; index < desks; index++) starts.push(fleet.startTarget(toTarget('kanzlei', 'plain', index, options)))
     for (let index = 1; index <= entries; index++) starts.push(fleet.startEntry(`entry-${index}`, { region: 'zentral', failureDomain: DESK_DOMAINS[index - 1]! }))
     await Promise.all(starts)
+    await options.beforePublish?.(fleet)
     await fleet.publish()
     const applied = fleet.runCtl(['apply', '--base-version', '0', WORKSHOP_DOCUMENTS])
     if (applied.exitCode !== 0) throw new Error(applied.output)
