Policy measured on a virtual clock, and mended where it lost

The speed of a target was run time by tokens, prefill included, so short requests made their target look slow. 2. Load came from samples alone; requests that had ended since still counted. 3. The penalty for slowed targets was squared and never lapsed. 4. The worst case of a call's tokens was taken for its expected run.

--- a/src/core/routing/CostSelector.ts
+++ b/src/core/routing/CostSelector.ts
@@ -3,7 +3,7 @@
 import type { WorkspaceShares } from '../limits/index.js'
 import type { Refusal } from '../reason/index.js'
 import { rankByRendezvous } from './RendezvousHash.js'
-import type { TargetDirectory, TargetView } from './TargetDirectory.js'
+import { getOutstanding, getRecentSlowness, type TargetDirectory, type TargetView } from './TargetDirectory.js'
 
 /** Milliseconds to prefill one token that is not cached. */
 export const PREFILL_MS_PER_TOKEN = 0.25
@@ -11,14 +11,17 @@
 /** Milliseconds that one generated token is assumed to take at a target that has not run anything yet. */
 export const ASSUMED_MS_PER_TOKEN = 20
 
-/** Milliseconds that a plain request is assumed to take at a target that has not run anything yet. */
+/** Milliseconds that a run is assumed to take at a target that has not run anything yet. */
 export const ASSUMED_RUN_MS = 50
 
+/** Share of its time by which a run is slowed in a full batch. */
+export const CROWDING_SHARE = 0.3
+
 /** Bytes that one prompt token takes on a link. */
 const BYTES_PER_TOKEN = 5
 
 /** Share of the time to the deadline that new sessions may be made to wait; sessions under way may wait for all of it. */
-export const NEW_SESSION_WAIT_SHARE = 0.5
+export const NEW_SESSION_WAIT_SHARE = 0.1
 
 /** Slowness against the median of its peers from which a target counts as slowed. */
 export const SLOWED_RATIO = 1.5
@@ -59,22 +62,24 @@
     const usable = this._options.directory.getUsable(req.service, now).filter(view => !req.excluded.has(view.instance.id))
     if (usable.length === 0) return Left({ reason: 'no-target', retryAfterSeconds: 1 })
     const home = rankByRendezvous(req.affinityKey, usable.map(view => view.instance.id))[0]!
-    const medianSlowness = getMedian(usable.map(view => view.slowness).filter(slowness => slowness > 0))
-    const estimates = usable.map(view => this._estimate(view, req, medianSlowness))
+    const peers = getPeers(usable, now)
+    const estimates = usable.map(view => this._estimate(view, req, peers, now))
     const best = estimates.reduce((a, b) => isCheaper(b, a, home) ? b : a)
     return this._admit(best, req, now).map(() => toSelected(best, req, home))
   }
 
-  private _estimate (view: TargetView, req: SelectionRequest, medianSlowness: number): Estimate {
-    const slowdown = getSlowdown(view, medianSlowness)
+  private _estimate (view: TargetView, req: SelectionRequest, peers: Peers, now: number): Estimate {
+    const slowdown = getSlowdown(view, peers, now)
     const uncached = req.promptTokens * (1 - getWarmShare(view, req))
-    const msPerToken = view.load!.msPerToken === 0 ? ASSUMED_MS_PER_TOKEN : view.load!.msPerToken
+    const outstanding = getOutstanding(view)
+    const { slots } = view.load!
+    const runMs = getExpectedRunMs(req, peers) * slowdown
     return {
       view,
-      waitMs: getWaitMs(view, msPerToken) * slowdown,
+      waitMs: Math.max(0, outstanding + 1 - slots) * peers.runMs * slowdown / slots,
       prefillMs: uncached * PREFILL_MS_PER_TOKEN * slowdown,
       linkMs: this._getLinkMs(view, req),
-      runMs: (req.maxTokens === 0 ? getRunMs(view) : req.maxTokens * msPerToken) * slowdown
+      runMs: runMs * (1 + CROWDING_SHARE * Math.min(1, outstanding / slots))
     }
   }
 
@@ -91,29 +96,43 @@
       return Left({ reason: 'share-exceeded', retryAfterSeconds: toRetrySeconds(best.waitMs) })
     }
     const patience = req.isUnderWay ? remaining : remaining * NEW_SESSION_WAIT_SHARE
-    if (best.waitMs > patience || best.waitMs + best.prefillMs + best.linkMs > remaining) {
+    if (best.waitMs > patience || getTotalMs(best) > remaining) {
       return Left({ reason: 'overloaded', retryAfterSeconds: toRetrySeconds(best.waitMs), members: { predictedWaitMs: Math.round(best.waitMs) } })
     }
     return Right(true)
   }
 }
 
-function getWaitMs (view: TargetView, msPerToken: number): number {
-  const load = view.load!
-  const ahead = load.queued + view.sentSinceSample - Math.max(0, load.slots - load.running)
-  if (ahead <= 0) return 0
-  const perRequest = load.queued === 0 ? getRunMs(view) : Math.max(getRunMs(view), load.queuedTokens / load.queued * msPerToken)
-  return ahead * perRequest / load.slots
+/** What the usable targets of a service have in common. */
+interface Peers {
+  readonly msPerToken: number
+  readonly runMs: number
+  readonly slowness: number
+}
+
+function getPeers (views: readonly TargetView[], now: number): Peers {
+  const getKnown = (get: (view: TargetView) => number): number => getMedian(views.map(get).filter(value => value > 0))
+  return {
+    msPerToken: getKnown(view => view.load!.msPerToken) || ASSUMED_MS_PER_TOKEN,
+    runMs: getKnown(view => view.load!.runMs) || ASSUMED_RUN_MS,
+    slowness: getKnown(view => getRecentSlowness(view, now))
+  }
+}
+
+function getExpectedRunMs (req: SelectionRequest, peers: Peers): number {
+  return req.maxTokens === 0 ? peers.runMs : Math.min(peers.runMs, req.maxTokens * peers.msPerToken)
 }
 
-function getRunMs (view: TargetView): number {
-  return view.load!.runMs === 0 ? ASSUMED_RUN_MS : view.load!.runMs
+/** Compares a target with its peers: by its tokens just now, or else by its latest runs. */
+function getSlowdown (view: TargetView, peers: Peers, now: number): number {
+  const { msPerToken } = view.load!
+  if (msPerToken > 0) return toSlowdown(msPerToken / peers.msPerToken)
+  const slowness = getRecentSlowness(view, now)
+  return peers.slowness > 0 && slowness > 0 ? toSlowdown(slowness / peers.slowness) : 1
 }
 
-function getSlowdown (view: TargetView, median: number): number {
-  if (median === 0 || view.slowness === 0) return 1
-  const ratio = view.slowness / median
-  return ratio < SLOWED_RATIO ? 1 : ratio * ratio
+function toSlowdown (ratio: number): number {
+  return ratio < SLOWED_RATIO ? 1 : ratio
 }
 
 function getWarmShare (view: TargetView, req: SelectionRequest): number {
--- a/src/core/routing/TargetDirectory.ts
+++ b/src/core/routing/TargetDirectory.ts
@@ -16,6 +16,9 @@
 /** Largest share of a service's targets that may be ejected at once. */
 export const MAX_EJECTED_SHARE = 0.34
 
+/** Milliseconds after which the latest run of a target says nothing about it any more, so that it is tried again. */
+export const SLOWNESS_TTL_MS = 5_000
+
 /** Weight of the newest run in a target's moving average. */
 const AVERAGE_WEIGHT = 0.3
 
@@ -25,8 +28,8 @@
   load?: LoadSample
   /** Time of the last sign of life from the sidecar. */
   heardAt: number
-  /** Requests that this entry has sent since the last load sample. */
-  sentSinceSample: number
+  /** Requests of this entry that were sent, less those that ended, since the last load sample. */
+  changeSinceSample: number
   /** Requests of this entry under way at the target. */
   inFlight: number
   failuresInRow: number
@@ -34,6 +37,8 @@
   ejectedUntil: number
   /** Moving average of the time of a run, divided by its expected time; 0 while unknown. */
   slowness: number
+  /** Time of the latest run that the average knows. */
+  slownessAt: number
 }
 
 /** Keeps what an entry knows about targets, from the platform's list and from their sidecars. */
@@ -54,7 +59,7 @@
     if (view === undefined) return
     view.load = load
     view.heardAt = now
-    view.sentSinceSample = 0
+    view.changeSinceSample = 0
   }
 
   /** Notes that the sidecar said it is leaving; this stands whatever the platform's list says. */
@@ -68,22 +73,26 @@
     const view = this._views.get(id)
     if (view === undefined) return
     view.inFlight++
-    view.sentSinceSample++
+    view.changeSinceSample++
   }
 
   /** Notes that a request to a target has ended. */
   noteEnded (id: string): void {
     const view = this._views.get(id)
-    if (view !== undefined) view.inFlight = Math.max(0, view.inFlight - 1)
+    if (view === undefined) return
+    view.inFlight = Math.max(0, view.inFlight - 1)
+    view.changeSinceSample--
   }
 
   /** Notes the time that a successful run took against the time expected. */
-  noteRun (id: string, runMs: number, expectedMs: number): void {
+  noteRun (id: string, runMs: number, expectedMs: number, now: number): void {
     const view = this._views.get(id)
     if (view === undefined) return
     view.failuresInRow = 0
     const ratio = runMs / Math.max(1, expectedMs)
-    view.slowness = view.slowness === 0 ? ratio : view.slowness + AVERAGE_WEIGHT * (ratio - view.slowness)
+    const isFresh = view.slowness > 0 && now - view.slownessAt <= SLOWNESS_TTL_MS
+    view.slowness = isFresh ? view.slowness + AVERAGE_WEIGHT * (ratio - view.slowness) : ratio
+    view.slownessAt = now
   }
 
   /** Notes that a target failed a request, and ejects it when it fails too often; returns true when it was ejected. */
@@ -119,9 +128,7 @@
       this._views.set(instance.id, { ...known, instance })
       return
     }
-    this._views.set(instance.id, {
-      instance, heardAt: -Infinity, sentSinceSample: 0, inFlight: 0, failuresInRow: 0, ejections: 0, ejectedUntil: -Infinity, slowness: 0
-    })
+    this._views.set(instance.id, createView(instance))
   }
 
   private _mayEject (view: TargetView, now: number): boolean {
@@ -131,6 +138,31 @@
   }
 }
 
+/** Gets the slowness of a target by its latest runs, or 0 when nothing recent is known. */
+export function getRecentSlowness (view: TargetView, now: number): number {
+  return now - view.slownessAt <= SLOWNESS_TTL_MS ? view.slowness : 0
+}
+
+/** Gets the requests at a target: as its sidecar counted them, with this entry's own changes since. */
+export function getOutstanding (view: TargetView): number {
+  const counted = (view.load?.running ?? 0) + (view.load?.queued ?? 0) + view.changeSinceSample
+  return Math.max(counted, view.inFlight)
+}
+
+function createView (instance: Instance): TargetView {
+  return {
+    instance,
+    heardAt: -Infinity,
+    changeSinceSample: 0,
+    inFlight: 0,
+    failuresInRow: 0,
+    ejections: 0,
+    ejectedUntil: -Infinity,
+    slowness: 0,
+    slownessAt: -Infinity
+  }
+}
+
 function isUsable (view: TargetView, now: number): boolean {
   if (view.load === undefined || view.load.isLeaving) return false
   if (view.instance.state === InstanceState.Leaving) return false
--- a/src/core/sidecar/AttemptTable.ts
+++ b/src/core/sidecar/AttemptTable.ts
@@ -24,6 +24,7 @@
   readonly queuedAt: number
   startedAt: number
   firstByteAt: number
+  lastTokenAt: number
   tokens: number
   result?: RunResult
 }
--- a/src/core/sidecar/LoadSample.ts
+++ b/src/core/sidecar/LoadSample.ts
@@ -10,7 +10,7 @@
   readonly queued: number
   /** Tokens that the waiting requests may generate. */
   readonly queuedTokens: number
-  /** Moving average of a run's time by its tokens, in milliseconds; 0 while unknown. */
+  /** Moving average of the time between two tokens of a run, in milliseconds; 0 while nothing recent is known. */
   readonly msPerToken: number
   /** Moving average of the time of a run in milliseconds; 0 while unknown. */
   readonly runMs: number
--- a/src/io/entry/ProcedureRunner.ts
+++ b/src/io/entry/ProcedureRunner.ts
@@ -127,10 +127,11 @@
   private async _collect (claim: Claim): Promise<CallEvent> {
     const { state } = this._options
     try {
-      const result = await state.pool.get(claim.target)?.control.collect.mutate({ attempt: claim.attempt })
-      if (result === undefined || result === null) return { type: 'unavailable' }
-      this._noteResult(claim, result)
-      return { type: 'collected', result }
+      const collected = await state.pool.get(claim.target)?.control.collect.mutate({ attempt: claim.attempt })
+      if (collected?.result === undefined) return { type: 'unavailable' }
+      state.directory.noteLoad(claim.target, collected.load, state.clock.now())
+      this._noteResult(claim, collected.result)
+      return { type: 'collected', result: collected.result }
     } catch {
       return { type: 'unavailable' }
     }
@@ -163,7 +164,7 @@
     if (result.outcome === 'complete' || result.outcome === 'cut') {
       const uncached = result.promptTokens - result.cachedTokens
       const expected = Math.max(1, result.answer.tokens) * ASSUMED_MS_PER_TOKEN + uncached * PREFILL_MS_PER_TOKEN
-      directory.noteRun(claim.target, result.endedAt - result.startedAt, expected)
+      directory.noteRun(claim.target, result.endedAt - result.startedAt, expected, clock.now())
     } else if (directory.noteFailure(claim.target, clock.now())) {
       metrics.ejections.inc()
     }
--- a/src/io/sidecar/SidecarRouter.ts
+++ b/src/io/sidecar/SidecarRouter.ts
@@ -18,12 +18,18 @@
   readonly bytes: number
 }
 
+/** Result of an attempt, if it has ended, and the load of the target. */
+export interface CollectReply {
+  readonly result: RunResult | undefined
+  readonly load: LoadSample
+}
+
 /** What the control interface of a sidecar does. */
 export abstract class SidecarControl {
   /** Takes a sign of life from an entry and gives one back. */
   abstract heartbeat (configVersion: number): LoadSample
   abstract locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): LocateReply
-  abstract collect (attempt: string): RunResult | undefined
+  abstract collect (attempt: string): CollectReply
   abstract acknowledge (attempts: readonly string[]): void
   abstract release (session: string): void
   abstract drain (): void
@@ -57,7 +63,7 @@
       .mutation(({ input }) => control.locate(input.attempt, input.incarnation, input.claimedAt, input.cancelIfAbsent)),
     collect: withTicket
       .input(z.object({ attempt: z.string() }))
-      .mutation(({ input }) => control.collect(input.attempt) ?? null),
+      .mutation(({ input }) => control.collect(input.attempt)),
     acknowledge: withTicket
       .input(z.object({ attempts: z.array(z.string()) }))
       .mutation(({ input }) => { control.acknowledge(input.attempts) }),
--- a/src/io/sidecar/SidecarService.ts
+++ b/src/io/sidecar/SidecarService.ts
@@ -1,7 +1,7 @@
 import { randomUUID } from 'node:crypto'
 import type { Readable } from 'node:stream'
 import { Right, type Either } from 'purify-ts'
-import type { Dispatch, RunResult } from '../../core/call/index.js'
+import type { Dispatch } from '../../core/call/index.js'
 import { Configuration, type ConfigRow, type SidecarSettings } from '../../core/config/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
 import { OrderGate, SidecarCore, type AbortCause, type LoadSample, type SidecarEffect } from '../../core/sidecar/index.js'
@@ -11,7 +11,7 @@
 import { EngineClient } from './EngineClient.js'
 import { PlainClient } from './PlainClient.js'
 import { SidecarMetrics } from './SidecarMetrics.js'
-import { SidecarControl, type LocateReply } from './SidecarRouter.js'
+import { SidecarControl, type CollectReply, type LocateReply } from './SidecarRouter.js'
 import type { TargetClient } from './TargetClient.js'
 
 /** Milliseconds between two looks at deadlines and leases. */
@@ -78,8 +78,8 @@
     return { state, bytes: this._answers.get(attempt)?.getSize() ?? 0 }
   }
 
-  collect (attempt: string): RunResult | undefined {
-    return this._core.getResult(attempt)
+  collect (attempt: string): CollectReply {
+    return { result: this._core.getResult(attempt), load: this._core.getLoad() }
   }
 
   acknowledge (attempts: readonly string[]): void {
--- /dev/null
+++ b/tests/core/sidecar/AdmissionQueueTests.ts
@@ -0,0 +1,37 @@
+import { expect } from 'earl'
+import { LeastAttainedQueue, SHORT_CALL_TOKENS, type QueuedCall } from '../../../src/core/sidecar/index.js'
+
+describe('LeastAttainedQueue', () => {
+  function createCall (attempt: string, part: Partial<QueuedCall> = {}): QueuedCall {
+    return { attempt, workspace: 'w', attainedTokens: 0, maxTokens: 1_000, queuedAt: 0, ...part }
+  }
+
+  /** Adds calls, then takes as many as get a slot. */
+  function doTest (
+    calls: readonly QueuedCall[], options: { slots?: number, shortSlots?: number, now?: number }, expected: readonly string[]
+  ): void {
+    const queue = new LeastAttainedQueue({ slots: options.slots ?? 9, shortSlots: options.shortSlots ?? 0, maxQueued: 99 })
+    for (const call of calls) queue.add(call)
+    const taken: string[] = []
+    for (let next = queue.take(options.now ?? 0); next !== undefined; next = queue.take(options.now ?? 0)) taken.push(next.attempt)
+    expect(taken).toEqual([...expected])
+  }
+
+  it('should let the session go first that has attained least', () => {
+    doTest([createCall('old', { attainedTokens: 5_000 }), createCall('new'), createCall('middle', { attainedTokens: 900 })], {}, ['new', 'middle', 'old'])
+  })
+
+  it('should not starve a straggler', () => {
+    doTest([createCall('straggler', { attainedTokens: 5_000 }), createCall('new', { queuedAt: 20_000 })], { now: 20_000 }, ['straggler', 'new'])
+  })
+
+  it('should keep a slot free for short requests', () => {
+    const long = [createCall('a'), createCall('b'), createCall('c')]
+    doTest([...long, createCall('short', { maxTokens: SHORT_CALL_TOKENS, attainedTokens: 9_999 })], { slots: 3, shortSlots: 1 }, ['a', 'b', 'short'])
+  })
+
+  it('should share fairly by workspace', () => {
+    const busy = [createCall('a'), createCall('b'), createCall('c')]
+    doTest([...busy, createCall('other', { workspace: 'v', attainedTokens: 100 })], { slots: 2 }, ['a', 'other'])
+  })
+})
--- a/tests/promises/BudgetTests.ts
+++ b/tests/promises/BudgetTests.ts
@@ -26,6 +26,15 @@
     expect(doTest([script])).toEqual([['open', 'answered', 'answered', 'budget-tokens']])
   })
 
+  it('should hold when an attempt is lost from sight and made again', () => {
+    const world = new World()
+    const caller = world.addCaller('werkstatt', [open('s', 15), ask('s', 1, 'x [tokens=10]')])
+    world.strikeAfter({ fault: 'cut-link', effect: 'dispatch session/s#1' })
+    const hasEnded = world.run()
+    expect(findBrokenPromises(world, hasEnded)).toEqual([])
+    expect(getWords(caller)).toEqual(['open', 'attempts-failed', 'budget-tokens'])
+  })
+
   it('should end a program that repeats one call', () => {
     const script = [open('s'), ...[1, 2, 3, 4].map(call => ask('s', call, 'again'))]
     expect(doTest([script])).toEqual([['open', 'answered', 'answered', 'answered', 'loop-detected']])
--- a/tests/promises/GoldenSessionTests.ts
+++ b/tests/promises/GoldenSessionTests.ts
@@ -26,7 +26,7 @@
   })
 
   it('should say that the outcome is unknown when the sidecar of a booking dies with it', function () {
-    doTest(this, { fault: 'kill-sidecar', effect: 'dispatch session/c-1#3', sidecar: 4 })
+    doTest(this, { fault: 'kill-sidecar', effect: 'dispatch session/c-1#3' })
   })
 
   it('should fence an entry that wakes after its booking was taken over', function () {
@@ -46,10 +46,10 @@
   })
 
   it('should take another target when one crashes in mid-stream', function () {
-    doTest(this, { fault: 'crash-target', effect: 'dispatch session/c-1#4', sidecar: 1 })
+    doTest(this, { fault: 'crash-target', effect: 'dispatch session/c-1#4' })
   })
 
   it('should attach again when the link to a sidecar is cut in mid-stream', function () {
-    doTest(this, { fault: 'cut-link', effect: 'dispatch session/c-1#4', sidecar: 1 })
+    doTest(this, { fault: 'cut-link', effect: 'dispatch session/c-1#4' })
   })
 })
--- a/tests/promises/PoisonTests.ts
+++ b/tests/promises/PoisonTests.ts
@@ -29,7 +29,7 @@
   it('should not quarantine a request whose target crashed once', () => {
     const world = new World()
     const caller = world.addCaller('werkstatt', [open('s'), ask('s', 1)])
-    world.strikeAfter({ fault: 'crash-target', effect: 'dispatch session/s#1', sidecar: 0 })
+    world.strikeAfter({ fault: 'crash-target', effect: 'dispatch session/s#1' })
     world.run()
     expect(getWords(caller)).toEqual(['open', 'answered'])
   })
--- a/tests/world/World.ts
+++ b/tests/world/World.ts
@@ -29,16 +29,15 @@
   readonly where: number
 }
 
-/** A failure that strikes right after an effect, at the entry that performed it. */
+/** A failure that strikes right after an effect: the entry that performed it, or the target that the effect names. */
 export interface FaultAfterEffect {
   readonly fault: Fault
   /** Part of the line of the effect in the transcript. */
   readonly effect: string
-  /** Index of the sidecar that is struck, for failures of sidecars and targets. */
-  readonly sidecar?: number
 }
 
 /** Milliseconds for which a frozen entry sleeps: longer than tickets and deadlines. */
+const NAMED_TARGET = /(?: to | at )([a-z]+-\d+)/
 const FREEZE_MS = 30_000
 const OUTAGE_MS = 15_000
 const CUT_MS = 6_000
@@ -124,16 +123,21 @@
     this._afterEffects.push(planned)
   }
 
+  /** Lets a failure strike processes that are chosen by number. */
   strike ({ fault, where }: PlannedFault): void {
-    this.transcript.push(`       *** ${fault}`)
     const active = this._entries.filter(entry => this.scheduler.isActive(entry.id))
-    const entry = active[where % Math.max(1, active.length)]
-    const sidecar = [...this.sidecars.values()][where % this.sidecars.size]!
+    this._strikeNamed(fault, active[where % Math.max(1, active.length)]?.id, [...this.sidecars.keys()][where % this.sidecars.size])
+  }
+
+  private _strikeNamed (fault: Fault, entryId: string | undefined, sidecarId: string | undefined): void {
+    this.transcript.push(`       *** ${fault}`)
+    const entry = this._entries.find(candidate => candidate.id === entryId)
+    const sidecar = this.sidecars.get(sidecarId ?? '')
     if (fault === Fault.KillEntry && entry !== undefined) this.killEntry(entry)
     else if (fault === Fault.FreezeEntry && entry !== undefined) this.freezeEntry(entry)
-    else if (fault === Fault.CutLink && entry !== undefined) this._cut(entry.id, sidecar.id)
-    else if (fault === Fault.KillSidecar) sidecar.restart()
-    else if (fault === Fault.CrashTarget) this._crash(sidecar)
+    else if (fault === Fault.CutLink && entry !== undefined && sidecar !== undefined) this._cut(entry.id, sidecar.id)
+    else if (fault === Fault.KillSidecar) sidecar?.restart()
+    else if (fault === Fault.CrashTarget && sidecar !== undefined) this._crash(sidecar)
     else if (fault === Fault.Outage) this._startOutage()
     else if (fault === Fault.LoseAnswer) this.table.lostAnswers.add(this.table.commits + 1)
     else if (fault === Fault.LateArrival) this.table.lateArrivals.add(this.table.commits + 1)
@@ -155,9 +159,7 @@
     const planned = this._afterEffects.find(candidate => line.includes(candidate.effect))
     if (planned === undefined) return
     this._afterEffects = this._afterEffects.filter(candidate => candidate !== planned)
-    const active = this._entries.filter(entry => this.scheduler.isActive(entry.id))
-    const where = planned.sidecar ?? active.findIndex(entry => entry.id === actor)
-    this._due.push(() => { this.strike({ fault: planned.fault, at: 0, where }) })
+    this._due.push(() => { this._strikeNamed(planned.fault, actor, NAMED_TARGET.exec(line)?.[1]) })
   }
 
   private _addTarget (id: string): void {
--- /dev/null
+++ b/tools/latency/latency.ts
@@ -0,0 +1,71 @@
+/** Measures the latency that entry and sidecar add to a streamed answer, paired with direct calls in one run. */
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Agent, request } from 'undici'
+import { startWorkshop, WORKSHOP_KEY } from '../fleet/workshop.js'
+
+const PAIRS = 400
+const WARM_UP = 30
+const TOKENS = 24
+const MS_PER_TOKEN = 8
+const MICROSECONDS = 1_000
+
+/** Times of one way of calling, in microseconds. */
+class Times {
+  readonly first: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  readonly between: Histogram = build({ numberOfSignificantValueDigits: 3 })
+
+  constructor (readonly name: string) {}
+
+  toRow (): string {
+    const cells = [this.first, this.between].flatMap(histogram => [50, 95, 99].map(percentile =>
+      (histogram.getValueAtPercentile(percentile) / MICROSECONDS).toFixed(2).padStart(8)))
+    return this.name.padEnd(30) + cells.join('')
+  }
+}
+
+const agent = new Agent({ connections: 4 })
+
+/** Makes one streamed call and records the time of its first token and between its tokens. */
+async function measure (times: Times | undefined, url: string, body: unknown): Promise<void> {
+  const startedAt = performance.now()
+  const res = await request(url, {
+    method: 'POST',
+    dispatcher: agent,
+    headers: { authorization: `Bearer ${WORKSHOP_KEY}`, 'content-type': 'application/json' },
+    body: JSON.stringify(body)
+  })
+  let last = 0
+  for await (const chunk of res.body as AsyncIterable<Buffer>) {
+    if (!chunk.includes('"content"')) continue
+    const now = performance.now()
+    if (last === 0) times?.first.recordValue((now - startedAt) * MICROSECONDS)
+    else times?.between.recordValue((now - last) * MICROSECONDS)
+    last = now
+  }
+}
+
+const messages = [{ role: 'user', content: `Tell me [tokens=${TOKENS}]` }]
+const completion = { model: 'consultation', messages, max_tokens: TOKENS + 1, stream: true }
+const fleet = await startWorkshop({ engines: 1, desks: 1, entries: 1, engineArgs: ['--ms-per-token', String(MS_PER_TOKEN)] })
+try {
+  const entry = fleet.get('entry-1').url
+  const direct = new Times('direct')
+  const stateless = new Times('through, chat completion')
+  const durable = new Times('through, call of a session')
+  for (let pair = 0; pair < WARM_UP + PAIRS; pair++) {
+    const isCounted = pair >= WARM_UP
+    await measure(isCounted ? direct : undefined, `${fleet.get('ratgeber-1/target').url}/v1/chat/completions`, completion)
+    await measure(isCounted ? stateless : undefined, `${entry}/v1/chat/completions`, completion)
+    const opened = await request(`${entry}/v1/sessions`, {
+      method: 'POST', dispatcher: agent, headers: { authorization: `Bearer ${WORKSHOP_KEY}` }, body: JSON.stringify({ program: 'guidance' })
+    })
+    const { id } = await opened.body.json() as { id: string }
+    await measure(isCounted ? durable : undefined, `${entry}/v1/sessions/${id}/calls/1`, { type: 'model', messages, max_tokens: TOKENS + 1, stream: true })
+  }
+  process.stdout.write(`${PAIRS} triples, ${TOKENS} tokens each, ${MS_PER_TOKEN} ms a token; milliseconds\n`)
+  process.stdout.write(`${''.padEnd(30)}first:50      95      99 betw:50      95      99\n`)
+  for (const times of [direct, stateless, durable]) process.stdout.write(`${times.toRow()}\n`)
+} finally {
+  await agent.destroy()
+  await fleet.stop()
+}
--- /dev/null
+++ b/tools/measure/Workload.ts
@@ -0,0 +1,291 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+import { Deployment, ENGINE_SLOTS, type CallEnd, type CallRequest, type DeploymentShape, type Policy } from './Deployment.js'
+import { Random } from './Random.js'
+import { Timeline } from './Timeline.js'
+import { BATCH_COST, DECODE_MS, PREFILL_MS } from './VirtualTarget.js'
+
+/** What a workload switches on. */
+export interface WorkloadOptions {
+  /** Mean load as a share of the decode capacity of all engines. */
+  readonly load: number
+  /** Demand swings threefold within seconds. */
+  readonly hasSwings: boolean
+  /** A few sessions run many times longer than the rest. */
+  readonly hasStragglers: boolean
+  /** A quarter of the targets is slowed fivefold for moments. */
+  readonly hasSlowdowns: boolean
+  /** Demand is twice the capacity for the middle third. */
+  readonly hasCrest: boolean
+}
+
+/** Milliseconds of one run. */
+export const RUN_MS = 180_000
+
+/** Milliseconds from arrival to the deadline of one call. */
+const DEADLINE_MS = 20_000
+
+/** Milliseconds in which sessions still finish after the last arrival. */
+const SETTLE_MS = 240_000
+
+const SHARED_TOKENS = 700
+const TURN_TOKENS = 120
+const MEAN_TURNS = 6
+const MEAN_OUTPUT = 90
+const STRAGGLER_SHARE = 0.03
+const STRAGGLER_TURNS = 60
+const STRAGGLER_OUTPUT = 400
+const MEAN_PAUSE_MS = 1_500
+const CHILD_SHARE = 0.1
+const SHORT_OUTPUT = 12
+const SHORT_PROMPT = 30
+const SHORTS_PER_SESSION = 2
+/** Tokens that a call of a session allows. */
+const MAX_TOKENS = 1_024
+const SLOWDOWN = 5
+const SLOW_MS = 8_000
+const SLOW_EVERY_MS = 20_000
+
+/** What a run showed. */
+export class Outcome {
+  /** Time of whole sessions without their tool pauses, in milliseconds. */
+  readonly sessions: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  /** Time of short requests to engines, in milliseconds. */
+  readonly shorts: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  /** Time of plain requests, in milliseconds. */
+  readonly plains: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  /** Time of model calls of sessions, in milliseconds. */
+  readonly calls: Histogram = build({ numberOfSignificantValueDigits: 3 })
+  reusableTokens = 0
+  recomputedTokens = 0
+  /** Tokens of answers within their deadline, during the crest. */
+  crestTokens = 0
+  refusals = 0
+  slowestRefusalMs = 0
+  unfinishedSessions = 0
+}
+
+interface Session {
+  readonly id: string
+  readonly turns: number
+  readonly meanOutput: number
+  readonly isStraggler: boolean
+  /** Draws the shape of this session, whatever the policy does. */
+  readonly random: Random
+  turn: number
+  historyTokens: number
+  attainedTokens: number
+  targets: string[]
+  spentMs: number
+}
+
+/** Drives one deployment with sessions of unknown shape, short requests and plain requests. */
+export class Workload {
+  private readonly _timeline = new Timeline()
+  private readonly _random: Random
+  private readonly _deployment: Deployment
+  private readonly _outcome = new Outcome()
+  private readonly _engines: number
+  private readonly _seed: number
+  private _sessions = 0
+  private _requests = 0
+  private _open = 0
+
+  constructor (shape: DeploymentShape, policy: Policy, private readonly _options: WorkloadOptions, seed: number) {
+    this._seed = seed
+    this._random = new Random(seed)
+    this._deployment = new Deployment(this._timeline, shape, policy)
+    this._engines = shape.engines.reduce((sum, place) => sum + place.count, 0)
+  }
+
+  /** Runs the workload to its end. */
+  run (): Outcome {
+    // Each kind of arrival has its own numbers, so that every policy meets the same demand.
+    const [sessions, shorts, plains] = [1, 2, 3].map(kind => new Random(this._seed * 31 + kind))
+    this._arrive(sessions!, this._getSessionRate(), () => { this._startSession() })
+    this._arrive(shorts!, this._getSessionRate() * SHORTS_PER_SESSION, () => { this._sendShort() })
+    this._arrive(plains!, this._getSessionRate() * 2, () => { this._sendPlain() })
+    if (this._options.hasSlowdowns) this._slow()
+    this._timeline.runUntil(RUN_MS + SETTLE_MS)
+    this._outcome.refusals = this._deployment.refusals
+    this._outcome.unfinishedSessions = this._open
+    return this._outcome
+  }
+
+  /** Gets the tokens that all engines can generate during the crest, were every reusable prefix cached. */
+  getCrestCapacity (): number {
+    const { engineMs, tokens } = this._getMeanSession()
+    return this._engines * (RUN_MS / 3) * tokens / engineMs
+  }
+
+  /** Gets the sessions per millisecond that give the mean load. */
+  private _getSessionRate (): number {
+    return this._options.load * this._engines / this._getMeanSession().engineMs
+  }
+
+  /** Gets the time of a whole engine and the tokens that a mean session takes, with the short requests that go with it. */
+  private _getMeanSession (): { engineMs: number, tokens: number } {
+    const straggler = this._options.hasStragglers ? STRAGGLER_SHARE : 0
+    const turns = MEAN_TURNS * (1 + CHILD_SHARE)
+    const sessionTokens = (1 - straggler) * turns * MEAN_OUTPUT + straggler * STRAGGLER_TURNS * STRAGGLER_OUTPUT
+    const tokens = sessionTokens + SHORTS_PER_SESSION * SHORT_OUTPUT
+    const prompts = ((1 - straggler) * turns + straggler * STRAGGLER_TURNS) * TURN_TOKENS + SHORTS_PER_SESSION * SHORT_PROMPT
+    const decodeMs = DECODE_MS * (1 + BATCH_COST * (ENGINE_SLOTS - 1)) / ENGINE_SLOTS
+    return { engineMs: tokens * decodeMs + prompts * PREFILL_MS, tokens }
+  }
+
+  private _getDemand (now: number): number {
+    if (this._options.hasCrest && now >= RUN_MS / 3 && now < 2 * RUN_MS / 3) return 2 / this._options.load
+    if (!this._options.hasSwings) return 1
+    // Crests of a threefold demand of four seconds; the mean stays.
+    return now % 16_000 < 4_000 ? 2 : 2 / 3
+  }
+
+  private _arrive (random: Random, rate: number, start: () => void): void {
+    const now = this._timeline.clock.now()
+    if (now >= RUN_MS) return
+    this._timeline.after(random.exponential(1 / (rate * this._getDemand(now))), () => {
+      if (this._timeline.clock.now() < RUN_MS) start()
+      this._arrive(random, rate, start)
+    })
+  }
+
+  private _startSession (): void {
+    const number = this._sessions++
+    const random = new Random(this._seed * 1_000_003 + number)
+    const isStraggler = this._options.hasStragglers && random.next() < STRAGGLER_SHARE
+    const turns = isStraggler ? STRAGGLER_TURNS : 1 + Math.floor(random.exponential(MEAN_TURNS - 1))
+    this._open++
+    this._takeTurn({
+      id: `s${number}`,
+      random,
+      turns,
+      meanOutput: isStraggler ? STRAGGLER_OUTPUT : MEAN_OUTPUT,
+      isStraggler,
+      turn: 0,
+      historyTokens: SHARED_TOKENS,
+      attainedTokens: 0,
+      targets: [],
+      spentMs: 0
+    })
+  }
+
+  private _takeTurn (session: Session): void {
+    if (session.turn >= session.turns) return this._closeSession(session)
+    const startedAt = this._timeline.clock.now()
+    this._call(session, end => {
+      if (!end.isAnswered) return this._retryTurn(session, startedAt)
+      session.turn++
+      session.spentMs += end.endedAt - startedAt
+      this._outcome.calls.recordValue(end.endedAt - startedAt)
+      if (session.random.next() < CHILD_SHARE) return this._runChild(session)
+      this._pause(session)
+    })
+  }
+
+  private _retryTurn (session: Session, startedAt: number): void {
+    // A session that was refused at its first turn has not begun; one under way comes again.
+    if (session.turn === 0) {
+      this._open--
+      return
+    }
+    session.spentMs += this._timeline.clock.now() - startedAt
+    this._timeline.after(1_000, () => {
+      session.spentMs += 1_000
+      this._takeTurn(session)
+    })
+  }
+
+  private _runChild (session: Session): void {
+    const startedAt = this._timeline.clock.now()
+    const child: Session = { ...session, id: `${session.id}-c${session.turn}`, historyTokens: SHARED_TOKENS, targets: [], turn: 1 }
+    this._call(child, end => {
+      session.spentMs += end.endedAt - startedAt
+      this._deployment.release(child.id)
+      this._pause(session)
+    })
+  }
+
+  private _pause (session: Session): void {
+    this._timeline.after(session.random.exponential(MEAN_PAUSE_MS), () => { this._takeTurn(session) })
+  }
+
+  private _closeSession (session: Session): void {
+    this._open--
+    this._deployment.release(session.id)
+    if (!session.isStraggler) this._outcome.sessions.recordValue(session.spentMs)
+  }
+
+  private _call (session: Session, onEnd: (end: CallEnd) => void): void {
+    const outputTokens = Math.min(MAX_TOKENS, Math.max(8, Math.round(session.random.exponential(session.meanOutput))))
+    const now = this._timeline.clock.now()
+    const promptTokens = session.historyTokens + TURN_TOKENS
+    const reusableTokens = session.turn === 0 ? 0 : session.historyTokens
+    const work = { session: session.id, sharedTokens: SHARED_TOKENS, promptTokens, reusableTokens, outputTokens, maxTokens: MAX_TOKENS + 1 }
+    this._send({
+      service: 'engine',
+      workspace: 'w',
+      work,
+      attainedTokens: session.attainedTokens,
+      warmTargets: session.targets,
+      isUnderWay: session.turn > 0,
+      deadline: session.isStraggler ? Infinity : now + this._getDeadlineMs()
+    }, end => {
+      if (end.isAnswered) {
+        session.historyTokens = promptTokens + outputTokens
+        session.attainedTokens += outputTokens
+        session.targets = [...session.targets.filter(target => target !== end.target), end.target]
+        this._outcome.reusableTokens += reusableTokens
+        this._outcome.recomputedTokens += Math.max(0, reusableTokens - end.cachedTokens)
+      }
+      onEnd(end)
+    })
+  }
+
+  private _sendShort (): void {
+    const now = this._timeline.clock.now()
+    const work = {
+      session: `short${this._requests++}`,
+      sharedTokens: SHARED_TOKENS,
+      promptTokens: SHARED_TOKENS + SHORT_PROMPT,
+      reusableTokens: 0,
+      outputTokens: SHORT_OUTPUT,
+      maxTokens: SHORT_OUTPUT + 1
+    }
+    this._send({
+      service: 'engine', workspace: 'w', work, attainedTokens: 0, warmTargets: [], isUnderWay: false, deadline: now + this._getDeadlineMs()
+    }, end => {
+      this._deployment.release(work.session)
+      if (end.isAnswered) this._outcome.shorts.recordValue(end.endedAt - now)
+    })
+  }
+
+  private _sendPlain (): void {
+    const now = this._timeline.clock.now()
+    const work = { session: `plain${this._requests++}`, sharedTokens: 0, promptTokens: 0, reusableTokens: 0, outputTokens: 0, maxTokens: 0 }
+    this._send({
+      service: 'desk', workspace: 'w', work, attainedTokens: 0, warmTargets: [], isUnderWay: false, deadline: now + this._getDeadlineMs()
+    }, end => { if (end.isAnswered) this._outcome.plains.recordValue(end.endedAt - now) })
+  }
+
+  private _send (call: CallRequest, onEnd: (end: CallEnd) => void): void {
+    const sentAt = this._timeline.clock.now()
+    this._deployment.call(call, end => {
+      const inCrest = end.endedAt >= RUN_MS / 3 && end.endedAt < 2 * RUN_MS / 3
+      if (end.isAnswered && inCrest && end.endedAt <= call.deadline) this._outcome.crestTokens += call.work.outputTokens
+      if (!end.isAnswered) this._outcome.slowestRefusalMs = Math.max(this._outcome.slowestRefusalMs, end.endedAt - sentAt)
+      onEnd(end)
+    })
+  }
+
+  private _getDeadlineMs (): number {
+    return this._options.hasCrest ? DEADLINE_MS : 10 * DEADLINE_MS
+  }
+
+  private _slow (): void {
+    const targets = [...this._deployment.targets.values()]
+    const struck = targets.filter((_, index) => index % 4 === this._random.int(0, 3) % 4).slice(0, Math.ceil(targets.length / 4))
+    for (const target of struck) target.slowdown = SLOWDOWN
+    this._timeline.after(SLOW_MS, () => { for (const target of struck) target.slowdown = 1 })
+    if (this._timeline.clock.now() < RUN_MS) this._timeline.after(SLOW_EVERY_MS, () => { this._slow() })
+  }
+}
--- /dev/null
+++ b/tools/slopes/Slope.ts
@@ -0,0 +1,41 @@
+/** One measured point: a size and a figure. */
+export interface Point {
+  readonly size: number
+  readonly value: number
+}
+
+/** A figure measured at several sizes. */
+export interface Slope {
+  readonly name: string
+  /** Unit of the size, such as `streams`. */
+  readonly of: string
+  /** Unit of the figure, such as `ms CPU`. */
+  readonly unit: string
+  readonly points: readonly Point[]
+}
+
+/** Gets the slope and the intercept of the line through points by least squares. */
+export function fitLine (points: readonly Point[]): { perSize: number, base: number } {
+  const count = points.length
+  const meanSize = points.reduce((sum, point) => sum + point.size, 0) / count
+  const meanValue = points.reduce((sum, point) => sum + point.value, 0) / count
+  let covariance = 0
+  let variance = 0
+  for (const { size, value } of points) {
+    covariance += (size - meanSize) * (value - meanValue)
+    variance += (size - meanSize) ** 2
+  }
+  const perSize = variance === 0 ? 0 : covariance / variance
+  return { perSize, base: meanValue - perSize * meanSize }
+}
+
+/** Formats a slope as one line. */
+export function formatSlope (slope: Slope): string {
+  const { perSize, base } = fitLine(slope.points)
+  const points = slope.points.map(point => `${point.size}: ${format(point.value)}`).join(', ')
+  return `${slope.name}: ${format(perSize)} ${slope.unit} per ${slope.of}, base ${format(base)} (${points})`
+}
+
+function format (value: number): string {
+  return Math.abs(value) >= 100 ? value.toFixed(0) : value.toPrecision(3)
+}
--- /dev/null
+++ b/tools/slopes/fleetSlopes.ts
@@ -0,0 +1,194 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { post, type Fleet } from '../fleet/Fleet.js'
+import { readUsage } from '../fleet/ProcessUsage.js'
+import { startWorkshop, WORKSHOP_KEY } from '../fleet/workshop.js'
+import { CountingRelay } from './CountingRelay.js'
+import type { Point, Slope } from './Slope.js'
+
+/** Milliseconds for which an idle fleet is watched. */
+const IDLE_MS = 10_000
+
+const agent = new Agent({ connections: 512, headersTimeout: 0, bodyTimeout: 0 })
+
+/** What a load cost. */
+interface Cost {
+  readonly seconds: number
+  readonly entryCpuMs: number
+  readonly sidecarCpuMs: number
+  readonly reads: number
+  readonly commits: number
+}
+
+async function send (url: string, body: unknown, headers: Record<string, string> = {}): Promise<number> {
+  const res = await request(url, { method: 'POST', dispatcher: agent, headers: { authorization: `Bearer ${WORKSHOP_KEY}`, ...headers }, body: JSON.stringify(body) })
+  let events = 0
+  for await (const chunk of res.body as AsyncIterable<Buffer>) events += chunk.toString('latin1').split('data: ').length - 1
+  if (res.statusCode >= 300) throw new Error(`The load met status ${res.statusCode}.`)
+  return events
+}
+
+/** Runs a load and reads what it cost at the entry, at one sidecar and at the store. */
+async function measureCost (fleet: Fleet, sidecar: string, load: () => Promise<unknown>): Promise<Cost> {
+  const platform = `${fleet.get('platform').url}/admin/counts`
+  const counts = await post(platform, {}) as { reads: number, commits: number }
+  const before = [fleet.get('entry-1').pid, fleet.get(sidecar).pid].map(readUsage)
+  const startedAt = performance.now()
+  await load()
+  const seconds = (performance.now() - startedAt) / 1_000
+  const after = [fleet.get('entry-1').pid, fleet.get(sidecar).pid].map(readUsage)
+  const now = await post(platform, {}) as { reads: number, commits: number }
+  return {
+    seconds,
+    entryCpuMs: after[0]!.cpuMs - before[0]!.cpuMs,
+    sidecarCpuMs: after[1]!.cpuMs - before[1]!.cpuMs,
+    reads: now.reads - counts.reads,
+    commits: now.commits - counts.commits
+  }
+}
+
+/** Runs tasks, a number of them at once. */
+async function runAll (count: number, concurrency: number, task: (index: number) => Promise<unknown>): Promise<void> {
+  let next = 0
+  await Promise.all([...Array(concurrency).keys()].map(async () => {
+    while (next < count) await task(next++)
+  }))
+}
+
+/** Measures the relay of token events at an entry. */
+async function measureRelay (): Promise<Slope[]> {
+  const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '0', '--slots', '200'], slots: 200, maxQueued: 1_000 })
+  try {
+    const url = `${fleet.get('entry-1').url}/v1/chat/completions`
+    const toBody = (tokens: number): unknown => ({
+      model: 'guidance', stream: true, max_tokens: tokens, messages: [{ role: 'user', content: `x [tokens=${tokens}]` }]
+    })
+    await runAll(60, 20, async () => await send(url, toBody(200)))
+    const cpu: Point[] = []
+    const rate: Point[] = []
+    for (const streams of [30, 90, 180]) {
+      let events = 0
+      const cost = await measureCost(fleet, 'ratgeber-1', async () => {
+        await runAll(streams, streams, async () => { events += await send(url, toBody(2_000)) })
+      })
+      cpu.push({ size: events, value: cost.entryCpuMs })
+      rate.push({ size: streams, value: events / cost.seconds })
+    }
+    return [
+      { name: 'relay at the entry', of: 'token event', unit: 'ms CPU', points: cpu },
+      { name: 'token events a second, as fast as the stand-ins go', of: 'stream', unit: 'events/s', points: rate }
+    ]
+  } finally {
+    await fleet.stop()
+  }
+}
+
+/** Measures the memory of open streams at an entry. */
+async function measureStreams (): Promise<Slope[]> {
+  const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '250', '--slots', '500'], slots: 500 })
+  try {
+    const url = `${fleet.get('entry-1').url}/v1/chat/completions`
+    const body = { model: 'guidance', stream: true, max_tokens: 60, messages: [{ role: 'user', content: 'x [tokens=60]' }] }
+    const points: Point[] = []
+    const running: Array<Promise<number>> = []
+    for (const size of [100, 300, 500]) {
+      while (running.length < size) running.push(send(url, body))
+      await sleep(2_500)
+      points.push({ size, value: readUsage(fleet.get('entry-1').pid).rssKb })
+    }
+    await Promise.all(running)
+    return [{ name: 'memory of the entry', of: 'open stream', unit: 'kB', points }]
+  } finally {
+    await fleet.stop()
+  }
+}
+
+/** Measures calls of sessions, bookings with a key, and lookups. */
+async function measureCalls (): Promise<Slope[]> {
+  const fleet = await startWorkshop({ engines: 2, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '0'], slots: 64, maxQueued: 1_000 })
+  try {
+    const entry = fleet.get('entry-1').url
+    const lookups: Point[] = []
+    const bookings: Point[] = []
+    const sidecar: Point[] = []
+    const commits: Point[] = []
+    let key = 0
+    await runAll(300, 10, async () => await send(`${entry}/v1/services/kanzlei/parts-lookup`, {}))
+    for (const size of [500, 1_000, 2_000]) {
+      const lookup = await measureCost(fleet, 'kanzlei-1', async () => {
+        await runAll(size, 32, async () => await send(`${entry}/v1/services/kanzlei/parts-lookup`, {}))
+      })
+      lookups.push({ size, value: lookup.entryCpuMs })
+      sidecar.push({ size, value: lookup.sidecarCpuMs })
+      const booking = await measureCost(fleet, 'kanzlei-1', async () => {
+        await runAll(size, 32, async () => await send(`${entry}/v1/services/kanzlei/booking`, {}, { 'idempotency-key': `k-${key++}` }))
+      })
+      bookings.push({ size, value: booking.entryCpuMs })
+    }
+    for (const size of [1, 8, 32, 128]) {
+      const booking = await measureCost(fleet, 'kanzlei-1', async () => {
+        await runAll(600, size, async () => await send(`${entry}/v1/services/kanzlei/booking`, {}, { 'idempotency-key': `k-${key++}` }))
+      })
+      commits.push({ size, value: booking.commits / 600 })
+    }
+    return [
+      { name: 'lookup at the entry', of: 'call', unit: 'ms CPU', points: lookups },
+      { name: 'lookup at the sidecar', of: 'call', unit: 'ms CPU', points: sidecar },
+      { name: 'booking with a key at the entry', of: 'call', unit: 'ms CPU', points: bookings },
+      { name: 'store writes of one booking', of: 'booking at once', unit: 'writes', points: commits }
+    ]
+  } finally {
+    await fleet.stop()
+  }
+}
+
+/** Measures heartbeats: processor time and bytes by the number of watched targets. */
+async function measureHeartbeats (): Promise<Slope[]> {
+  const cpu: Point[] = []
+  const bytes: Point[] = []
+  const idle: Point[] = []
+  const memory: Point[] = []
+  for (const engines of [2, 6, 12]) {
+    const relays: CountingRelay[] = []
+    const fleet = await startWorkshop({
+      engines,
+      desks: 1,
+      entries: 1,
+      beforePublish: async starting => {
+        for (let index = 1; index <= engines; index++) {
+          const relay = await CountingRelay.start(starting.get(`ratgeber-${index}`).url)
+          relays.push(relay)
+          starting.setAddress(`ratgeber-${index}`, relay.url)
+        }
+      }
+    })
+    try {
+      await sleep(2_000)
+      const bytesBefore = relays.reduce((sum, relay) => sum + relay.bytes, 0)
+      const cost = await measureCost(fleet, 'ratgeber-1', async () => { await sleep(IDLE_MS) })
+      const bytesAfter = relays.reduce((sum, relay) => sum + relay.bytes, 0)
+      cpu.push({ size: engines + 1, value: cost.entryCpuMs / cost.seconds })
+      bytes.push({ size: engines, value: (bytesAfter - bytesBefore) / cost.seconds })
+      idle.push({ size: engines, value: cost.sidecarCpuMs / cost.seconds })
+      memory.push({ size: engines, value: readUsage(fleet.get('ratgeber-1').pid).rssKb })
+    } finally {
+      for (const relay of relays) relay.stop()
+      await fleet.stop()
+    }
+  }
+  return [
+    { name: 'control of the entry', of: 'target watched at 1 heartbeat/s', unit: 'ms CPU a second', points: cpu },
+    { name: 'control bytes of the entry', of: 'target watched at 1 heartbeat/s', unit: 'bytes a second', points: bytes },
+    { name: 'idle sidecar', of: 'engine of the service', unit: 'ms CPU a second', points: idle },
+    { name: 'memory of an idle sidecar', of: 'engine of the service', unit: 'kB', points: memory }
+  ]
+}
+
+/** Measures the slopes that need real processes. */
+export async function measureFleetSlopes (): Promise<Slope[]> {
+  try {
+    return [...await measureRelay(), ...await measureCalls(), ...await measureStreams(), ...await measureHeartbeats()]
+  } finally {
+    await agent.destroy()
+  }
+}
