--- a/src/core/config/ConfigChange.ts
+++ b/src/core/config/ConfigChange.ts
@@ -1,6 +1,6 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Rows, Transaction } from '../platform/index.js'
-import { CONFIG_KEY, type ConfigRow } from './Configuration.js'
+import { CONFIG_KEY, CONFIG_VERSION_KEY, type ConfigRow, type ConfigVersionRow } from './Configuration.js'
 import type { DocumentTexts } from './parseDocuments.js'
 
 /** Options of {@link ConfigChange}. */
@@ -42,6 +42,8 @@
     const { texts, operator, applyId } = this._options
     const value: ConfigRow = { version, texts, operator, appliedAt: now, applyId }
     const condition = { key: CONFIG_KEY, version: stored?.version ?? 0 }
-    return Right({ type: 'write', version, transaction: { conditions: [condition], puts: [{ key: CONFIG_KEY, value }] } })
+    const versionRow: ConfigVersionRow = { version }
+    const puts = [{ key: CONFIG_KEY, value }, { key: CONFIG_VERSION_KEY, value: versionRow }]
+    return Right({ type: 'write', version, transaction: { conditions: [condition], puts } })
   }
 }
--- a/src/core/config/Configuration.ts
+++ b/src/core/config/Configuration.ts
@@ -6,6 +6,14 @@
 /** Table key of the configuration in force. */
 export const CONFIG_KEY = 'config/current'
 
+/** Table key of the version in force, so that the documents are read only when they have changed. */
+export const CONFIG_VERSION_KEY = 'config/version'
+
+/** The version in force, as stored in the table. */
+export interface ConfigVersionRow {
+  readonly version: number
+}
+
 /** The configuration as stored in the table. */
 export interface ConfigRow {
   /** Grows by 1 with each accepted change. */
--- a/src/core/platform/InstanceList.ts
+++ b/src/core/platform/InstanceList.ts
@@ -21,6 +21,6 @@
 
 /** The platform's lagging list of live and leaving instances. */
 export abstract class InstanceList {
-  /** Gets the list; rejects when the platform does not answer. */
+  /** Gets the list, the same array while it has not changed; rejects when the platform does not answer. */
   abstract list (): Promise<readonly Instance[]>
 }
--- a/src/core/routing/TargetDirectory.ts
+++ b/src/core/routing/TargetDirectory.ts
@@ -1,9 +1,13 @@
 import { InstanceRole, InstanceState, type Instance } from '../platform/index.js'
 import type { LoadSample } from '../sidecar/index.js'
+import { getHeartbeatMs } from './WatchSet.js'
 
-/** Milliseconds after the last sign of life for which a target still gets work. */
+/** Milliseconds after the last sign of life for which a target still gets work, at least. */
 export const SILENCE_LIMIT_MS = 5_000
 
+/** Heartbeats that may be missed before a target counts as silent. */
+export const SILENCE_HEARTBEATS = 2.5
+
 /** Failures in a row after which a target is ejected. */
 export const EJECT_AFTER_FAILURES = 3
 
@@ -44,6 +48,7 @@
 /** Keeps what an entry knows about targets, from the platform's list and from their sidecars. */
 export class TargetDirectory {
   private readonly _views = new Map<string, TargetView>()
+  private _silenceLimitMs = SILENCE_LIMIT_MS
 
   /** Takes the platform's list; it says which targets exist, their sidecars say how they are. */
   setInstances (instances: readonly Instance[]): void {
@@ -51,6 +56,7 @@
     const listed = new Set(targets.map(target => target.id))
     for (const id of this._views.keys()) if (!listed.has(id)) this._views.delete(id)
     for (const instance of targets) this._setInstance(instance)
+    this._silenceLimitMs = Math.max(SILENCE_LIMIT_MS, SILENCE_HEARTBEATS * getHeartbeatMs(targets.length))
   }
 
   /** Takes a load sample from a sidecar. */
@@ -119,7 +125,7 @@
 
   /** Gets the targets of a service that may be given work. */
   getUsable (service: string, now: number): TargetView[] {
-    return this.getAll().filter(view => view.instance.service === service && isUsable(view, now))
+    return this.getAll().filter(view => view.instance.service === service && isUsable(view, now, this._silenceLimitMs))
   }
 
   private _setInstance (instance: Instance): void {
@@ -163,8 +169,8 @@
   }
 }
 
-function isUsable (view: TargetView, now: number): boolean {
+function isUsable (view: TargetView, now: number, silenceLimitMs: number): boolean {
   if (view.load === undefined || view.load.isLeaving) return false
   if (view.instance.state === InstanceState.Leaving) return false
-  return view.ejectedUntil <= now && now - view.heardAt <= SILENCE_LIMIT_MS
+  return view.ejectedUntil <= now && now - view.heardAt <= silenceLimitMs
 }
--- a/src/core/routing/WatchSet.ts
+++ b/src/core/routing/WatchSet.ts
@@ -1,37 +1,58 @@
-import type { Instance } from '../platform/index.js'
+import { InstanceRole, type Instance } from '../platform/index.js'
 import { rankByRendezvous } from './RendezvousHash.js'
 
-/** Targets of one service that one entry watches. */
-export const DEFAULT_WATCHED_PER_SERVICE = 64
+/** Targets up to which an entry watches all of them. */
+export const MAX_WATCHED = 64
 
-/** Options of {@link selectWatched}. */
+/** Entries that watch each target of a larger fleet. */
+export const WATCHERS_PER_TARGET = 2
+
+/** Heartbeats that an entry sends in a second, at most. */
+export const HEARTBEATS_PER_SECOND = 14
+
+/** Shortest time between two heartbeats to a sidecar, in milliseconds. */
+export const HEARTBEAT_MS = 1_000
+
+/** Place of the entry that watches. */
 export interface WatchOptions {
   readonly entry: string
-  readonly region: string
   readonly failureDomain: string
-  readonly perService?: number
 }
 
 /**
- * Selects the targets that an entry sends heartbeats to: those of its own failure domain first, then of its region,
- * then of other regions; within each, a subset that depends on the entry's id only.
+ * Selects the targets that an entry sends heartbeats to.
+ *
+ * @remarks A small fleet is watched whole. In a large one each target is watched by two entries of its failure domain,
+ * chosen by rendezvous hashing, so that every target is watched and a change of the fleet moves few of them. Targets of
+ * a failure domain without entries are shared out among all entries.
  */
-export function selectWatched (targets: readonly Instance[], options: WatchOptions): Instance[] {
-  const services = [...new Set(targets.map(target => target.service ?? ''))].sort()
-  return services.flatMap(service => selectOfService(targets.filter(target => target.service === service), options))
+export function selectWatched (instances: readonly Instance[], options: WatchOptions): Instance[] {
+  const targets = instances.filter(instance => instance.role === InstanceRole.Target)
+  if (targets.length <= MAX_WATCHED) return targets
+  const entries = instances.filter(instance => instance.role === InstanceRole.Entry)
+  const byDomain = groupByDomain(entries)
+  const all = withSelf(entries.map(entry => entry.id), options.entry)
+  return targets.filter(target => {
+    const local = byDomain.get(target.failureDomain) ?? []
+    const isLocal = target.failureDomain === options.failureDomain
+    if (!isLocal && local.length > 0) return false
+    const watchers = rankByRendezvous(target.id, isLocal ? withSelf(local, options.entry) : all)
+    return watchers.slice(0, WATCHERS_PER_TARGET).includes(options.entry)
+  })
+}
+
+/** Gets the milliseconds between two heartbeats to each of a number of watched targets. */
+export function getHeartbeatMs (watched: number): number {
+  return Math.max(HEARTBEAT_MS, watched * 1_000 / HEARTBEATS_PER_SECOND)
+}
+
+function groupByDomain (entries: readonly Instance[]): Map<string, string[]> {
+  const groups = new Map<string, string[]>()
+  for (const entry of entries) groups.set(entry.failureDomain, [...groups.get(entry.failureDomain) ?? [], entry.id])
+  return groups
 }
 
-function selectOfService (targets: readonly Instance[], options: WatchOptions): Instance[] {
-  const limit = options.perService ?? DEFAULT_WATCHED_PER_SERVICE
-  const byId = new Map(targets.map(target => [target.id, target]))
-  const ranked = rankByRendezvous(options.entry, [...byId.keys()]).map(id => byId.get(id)!)
-  const distance = (target: Instance): number => {
-    if (target.failureDomain === options.failureDomain) return 0
-    return target.region === options.region ? 1 : 2
-  }
-  return ranked
-    .map((target, rank) => ({ target, rank }))
-    .sort((a, b) => distance(a.target) - distance(b.target) || a.rank - b.rank)
-    .slice(0, limit)
-    .map(entry => entry.target)
+/** The list may not know this entry yet. */
+function withSelf (ids: readonly string[], self: string): string[] {
+  return ids.includes(self) ? [...ids] : [...ids, self]
 }
--- a/src/io/entry/EntryLoops.ts
+++ b/src/io/entry/EntryLoops.ts
@@ -1,13 +1,14 @@
 import { mergeArray, periodic, type Stream } from 'most'
-import { CONFIG_KEY, Configuration, formatFinding, type ConfigRow } from '../../core/config/index.js'
+import { CONFIG_KEY, CONFIG_VERSION_KEY, Configuration, formatFinding, type ConfigRow, type ConfigVersionRow } from '../../core/config/index.js'
+import { getHeartbeatMs } from '../../core/routing/index.js'
 import type { StateLogger } from '../process/index.js'
 import type { EntryState } from './EntryState.js'
 
 /** Milliseconds between two reads of the instance list. */
 export const LIST_MS = 1_000
 
-/** Milliseconds between two heartbeats to a sidecar. */
-export const HEARTBEAT_MS = 1_000
+/** Milliseconds between two looks at which heartbeats are due. */
+const HEARTBEAT_TICK_MS = 250
 
 /** Milliseconds between two reads of the configuration. */
 export const CONFIG_MS = 2_000
@@ -20,6 +21,7 @@
   private readonly _state: EntryState
   private readonly _logger: StateLogger
   private readonly _beating = new Set<string>()
+  private readonly _beatAt = new Map<string, number>()
 
   constructor (state: EntryState, logger: StateLogger) {
     this._state = state
@@ -30,7 +32,7 @@
   start (): void {
     const loops: Array<Stream<unknown>> = [
       periodic(LIST_MS).tap(() => { void this._readList() }),
-      periodic(HEARTBEAT_MS).tap(() => { this._sendHeartbeats() }),
+      periodic(HEARTBEAT_TICK_MS).tap(() => { this._sendHeartbeats() }),
       periodic(CONFIG_MS).tap(() => { void this._readConfig() })
     ]
     void mergeArray(loops).drain()
@@ -51,9 +53,15 @@
   }
 
   private _sendHeartbeats (): void {
-    for (const id of this._state.pool.getWatchedIds()) {
-      if (!this._beating.has(id)) void this._sendHeartbeat(id)
+    const now = this._state.clock.now()
+    const ids = this._state.pool.getWatchedIds()
+    const period = getHeartbeatMs(ids.length)
+    for (const id of ids) {
+      if (this._beating.has(id) || now - (this._beatAt.get(id) ?? -Infinity) < period) continue
+      this._beatAt.set(id, now)
+      void this._sendHeartbeat(id)
     }
+    for (const id of this._beatAt.keys()) if (!ids.includes(id)) this._beatAt.delete(id)
   }
 
   private async _sendHeartbeat (id: string): Promise<void> {
@@ -61,11 +69,11 @@
     this._beating.add(id)
     try {
       const client = pool.get(id)!
-      const load = await client.control.heartbeat.mutate({ configVersion: config.getVersion() })
+      const { load, documentsVersion } = await client.control.heartbeat.mutate({ configVersion: config.getVersion() })
       directory.noteLoad(id, load, clock.now())
-      if (load.configVersion > config.getVersion()) this._take(await client.control.getConfig.mutate() ?? undefined)
+      if (documentsVersion > config.getVersion()) this._take(await client.control.getConfig.mutate() ?? undefined)
       const current = config.get()
-      if (current !== undefined && load.configVersion < current.version) await client.control.setConfig.mutate(current.row)
+      if (current !== undefined && documentsVersion < current.version) await client.control.setConfig.mutate(current.row)
     } catch {
       // Silence counts from the last sign of life; the directory leaves the target out when it lasts.
     } finally {
@@ -76,8 +84,10 @@
   private async _readConfig (): Promise<void> {
     const { config, clock, metrics, reader } = this._state
     try {
-      const row = (await reader.read([CONFIG_KEY])).get(CONFIG_KEY)
-      this._take(row?.value as ConfigRow | undefined)
+      const stored = (await reader.read([CONFIG_VERSION_KEY])).get(CONFIG_VERSION_KEY)?.value as ConfigVersionRow | undefined
+      if ((stored?.version ?? 0) > config.getVersion()) {
+        this._take((await reader.read([CONFIG_KEY])).get(CONFIG_KEY)?.value as ConfigRow | undefined)
+      }
       config.confirm(clock.now())
     } catch {
       metrics.addRetry('store-error')
--- a/src/io/entry/EntryState.ts
+++ b/src/io/entry/EntryState.ts
@@ -53,7 +53,7 @@
     this.pool = new TargetPool({
       directory: this.directory,
       signer,
-      watch: { entry: settings.id, region, failureDomain },
+      watch: { entry: settings.id, failureDomain },
       getConfigVersion: () => this.config.getVersion()
     })
   }
--- a/src/io/platform/PlatformHttp.ts
+++ b/src/io/platform/PlatformHttp.ts
@@ -12,6 +12,8 @@
 export interface PlatformResponse {
   readonly status: number
   readonly body: Buffer
+  /** Entity tag of the body, or an empty string. */
+  readonly etag: string
 }
 
 /** Sends requests to one platform service; every request has a deadline. */
@@ -24,8 +26,8 @@
     this._agent = new Agent({ connect: { timeout: options.timeoutMs }, headersTimeout: options.timeoutMs, bodyTimeout: options.timeoutMs })
   }
 
-  /** Sends a request; rejects when no answer comes in time or the breaker is open. */
-  async send (method: 'GET' | 'POST' | 'PUT', path: string, body?: string | Uint8Array): Promise<PlatformResponse> {
+  /** Sends a request, conditional on an entity tag if one is given; rejects when no answer comes in time or the breaker is open. */
+  async send (method: 'GET' | 'POST' | 'PUT', path: string, body?: string | Uint8Array, etag = ''): Promise<PlatformResponse> {
     const { breaker, baseUrl, timeoutMs } = this._options
     if (breaker !== undefined && !breaker.tryPass(Date.now())) throw new Error('The breaker of the platform service is open.')
     try {
@@ -33,13 +35,16 @@
         method,
         dispatcher: this._agent,
         signal: AbortSignal.timeout(timeoutMs),
-        headers: { 'content-type': typeof body === 'string' ? 'application/json' : 'application/octet-stream' },
+        headers: {
+          'content-type': typeof body === 'string' ? 'application/json' : 'application/octet-stream',
+          ...(etag === '' ? {} : { 'if-none-match': etag })
+        },
         ...(body === undefined ? {} : { body })
       })
       const bytes = Buffer.from(await res.body.arrayBuffer())
       if (res.statusCode >= 500) throw new Error(`The platform answered ${res.statusCode}.`)
       breaker?.noteSuccess()
-      return { status: res.statusCode, body: bytes }
+      return { status: res.statusCode, body: bytes, etag: String(res.headers.etag ?? '') }
     } catch (err) {
       breaker?.noteFailure(Date.now())
       throw err
--- a/src/io/sidecar/SidecarRouter.ts
+++ b/src/io/sidecar/SidecarRouter.ts
@@ -18,6 +18,12 @@
   readonly bytes: number
 }
 
+/** Load of the target, and the version of the documents that the sidecar holds; it may have heard of a later one. */
+export interface HeartbeatReply {
+  readonly load: LoadSample
+  readonly documentsVersion: number
+}
+
 /** Result of an attempt, if it has ended, and the load of the target. */
 export interface CollectReply {
   readonly result: RunResult | undefined
@@ -27,7 +33,7 @@
 /** What the control interface of a sidecar does. */
 export abstract class SidecarControl {
   /** Takes a sign of life from an entry and gives one back. */
-  abstract heartbeat (configVersion: number): LoadSample
+  abstract heartbeat (configVersion: number): HeartbeatReply
   abstract locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): LocateReply
   abstract collect (attempt: string): CollectReply
   abstract acknowledge (attempts: readonly string[]): void
--- a/src/io/sidecar/SidecarService.ts
+++ b/src/io/sidecar/SidecarService.ts
@@ -11,7 +11,7 @@
 import { EngineClient } from './EngineClient.js'
 import { PlainClient } from './PlainClient.js'
 import { SidecarMetrics } from './SidecarMetrics.js'
-import { SidecarControl, type CollectReply, type LocateReply } from './SidecarRouter.js'
+import { SidecarControl, type CollectReply, type HeartbeatReply, type LocateReply } from './SidecarRouter.js'
 import type { TargetClient } from './TargetClient.js'
 
 /** Milliseconds between two looks at deadlines and leases. */
@@ -68,9 +68,9 @@
     return this._answers.get(attempt)?.createReader(offset)
   }
 
-  heartbeat (configVersion: number): LoadSample {
+  heartbeat (configVersion: number): HeartbeatReply {
     if (this._core.hearConfig(configVersion)) this._logger.info('configuration heard of', { version: configVersion })
-    return this._core.getLoad()
+    return { load: this._core.getLoad(), documentsVersion: this._config?.version ?? 0 }
   }
 
   locate (attempt: string, incarnation: string, claimedAt: number, cancelIfAbsent: boolean): LocateReply {
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -28,7 +28,7 @@
   async handle (req: IncomingMessage, res: ServerResponse, body: Buffer): Promise<void> {
     const path = req.url ?? '/'
     if (path.startsWith('/admin/')) return this._administer(path, res, body)
-    if (path === '/instances') return reply(res, 200, { instances: this._getListed() })
+    if (path === '/instances') return this._sendList(req, res)
     if (this._faults.isDown === true) return // The connection stays silent, as in an outage.
     if (this._faults.delayMs !== undefined) await sleep(this._faults.delayMs)
     if (path === '/read') this._read(res, body)
@@ -66,9 +66,13 @@
     res.end(bytes)
   }
 
-  private _getListed (): readonly Instance[] {
+  private _sendList (req: IncomingMessage, res: ServerResponse): void {
     const until = Date.now() - (this._faults.listLagMs ?? 0)
-    return this._lists.filter(entry => entry.at <= until).at(-1)?.instances ?? []
+    const listed = this._lists.filter(entry => entry.at <= until)
+    const etag = `"${listed.length}"`
+    res.setHeader('etag', etag)
+    if (req.headers['if-none-match'] === etag) res.writeHead(304).end()
+    else reply(res, 200, { instances: listed.at(-1)?.instances ?? [] })
   }
 
   private _administer (path: string, res: ServerResponse, body: Buffer): void {
--- a/tests/processes/OutageTests.ts
+++ b/tests/processes/OutageTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { waitFor, type Fleet } from '../../tools/fleet/Fleet.js'
 import { startWorkshop, WORKSHOP_DOCUMENTS } from '../../tools/fleet/workshop.js'
-import { createCaller, getLedger, openSession, sendUntilFinal, toBooking, toQuestion } from './helpers.js'
+import { createCaller, getFence, getLedger, openSession, sendUntilFinal, toBooking, toQuestion } from './helpers.js'
 
 /** Milliseconds in which an accepted configuration is in force everywhere. */
 const CONFIG_LIMIT_MS = 8_000
@@ -64,6 +64,10 @@
       const versions = [...output.matchAll(/"configVersion": (\d+)/g)].map(match => match[1])
       return versions.length === 8 && versions.every(version => version === '2')
     }, CONFIG_LIMIT_MS)
+    await waitFor('the engines to be ordered under version 2', async () => {
+      const fences = await Promise.all([1, 2].map(async index => await getFence(fleet, `ratgeber-${index}`)))
+      return fences.every(fence => fence === 2)
+    }, CONFIG_LIMIT_MS)
   })
 
   it('should be told what is wrong with a document, with its place, and change nothing', () => {
--- a/tests/processes/helpers.ts
+++ b/tests/processes/helpers.ts
@@ -32,8 +32,17 @@
 
 /** Gets the number of runs that an engine has started. */
 export async function getEngineRuns (fleet: Fleet, target: string): Promise<number> {
+  return (await getEngineState(fleet, target)).runs.length
+}
+
+/** Gets the fencing number of the latest order that an engine took. */
+export async function getFence (fleet: Fleet, target: string): Promise<number> {
+  return (await getEngineState(fleet, target)).fence
+}
+
+async function getEngineState (fleet: Fleet, target: string): Promise<{ runs: string[], fence: number }> {
   const res = await fetch(`${fleet.get(`${target}/target`).url}/admin/runs`)
-  return (await res.json() as { runs: string[] }).runs.length
+  return await res.json() as { runs: string[], fence: number }
 }
 
 /** Sends a request again until it is answered or refused for good. */
--- /dev/null
+++ b/tests/promises/LongHistoryTests.ts
@@ -0,0 +1,24 @@
+import { expect } from 'earl'
+import { ask, getWords } from '../world/helpers.js'
+import { findBrokenPromises } from '../world/promises.js'
+import type { Step } from '../world/ScriptedCaller.js'
+import { World } from '../world/World.js'
+
+/** Calls of the longest session that the users plan for. */
+const CALLS = 570
+
+describe('a session of 570 turns', () => {
+  it('should keep its history through kills of its entries and an outage', () => {
+    const world = new World()
+    const calls = [...Array(CALLS).keys()].map(index => ask('s', index + 1))
+    const opening: Step = { type: 'open', session: 's', tokens: 6_000, calls: CALLS }
+    const caller = world.addCaller('werkstatt', [opening, ...calls, { type: 'close', session: 's' }])
+    for (const call of [100, 200, 300]) world.strikeAfter({ fault: 'kill-entry', effect: `dispatch session/s#${call} ` })
+    world.strikeAfter({ fault: 'outage', effect: 'dispatch session/s#400 ' })
+    const hasEnded = world.run()
+    expect(findBrokenPromises(world, hasEnded)).toEqual([])
+    expect(getWords(caller).at(-1)).toEqual('closed')
+    const answered = new Set(caller.told.filter(told => told.reply.type === 'answer').map(told => told.step))
+    expect(answered.size).toEqual(CALLS)
+  })
+})
--- a/tools/slopes/coreSlopes.ts
+++ b/tools/slopes/coreSlopes.ts
@@ -88,7 +88,8 @@
 /** Measures the slopes that need no process of their own. */
 export function measureCoreSlopes (): Slope[] {
   const at = (sizes: readonly number[], measure: (size: number) => number): Slope['points'] => sizes.map(size => ({ size, value: measure(size) }))
-  const watch = { entry: 'entry-1', region: 'region-1', failureDomain: 'domain-1' }
+  const watch = { entry: 'entry-1', failureDomain: 'domain-1' }
+  const entries = createTargets(420).map((entry, index): Instance => ({ ...entry, id: `entry-${index}`, role: 'entry' }))
   return [
     {
       name: 'placement of a call',
@@ -115,11 +116,11 @@
       of: 'listed target',
       unit: 'us',
       points: at([3_000, 6_000, 12_000], size => {
-        const targets = createTargets(size)
-        return measureMicroseconds(3, () => { selectWatched(targets, watch) })
+        const instances = [...entries, ...createTargets(size)]
+        return measureMicroseconds(3, () => { selectWatched(instances, watch) })
       })
     },
-    { name: 'watched target', of: 'target', unit: 'bytes', points: at([500, 1_000, 2_000], size => measureHeap(() => createDirectory(size))) },
+    { name: 'watched target', of: 'target', unit: 'bytes', points: at([2_000, 4_000, 8_000], size => measureHeap(() => createDirectory(size))) },
     { name: 'remembered attempt', of: 'attempt', unit: 'bytes', points: at([10_000, 50_000, 100_000], size => measureHeap(() => createAttempts(size))) },
     {
       name: 'check of a configuration',
--- a/tools/slopes/fleetSlopes.ts
+++ b/tools/slopes/fleetSlopes.ts
@@ -69,7 +69,11 @@
     for (const streams of [30, 90, 180]) {
       let events = 0
       const cost = await measureCost(fleet, 'ratgeber-1', async () => {
-        await runAll(streams, streams, async () => { events += await send(url, toBody(2_000)) })
+        await runAll(streams, streams, async () => {
+          // The sum is read after the wait: other streams add to it meanwhile.
+          const received = await send(url, toBody(2_000))
+          events += received
+        })
       })
       cpu.push({ size: events, value: cost.entryCpuMs })
       rate.push({ size: streams, value: events / cost.seconds })
@@ -83,6 +87,38 @@
   }
 }
 
+/** Measures the relay at the users' pace, one event a chunk. */
+async function measurePacedRelay (): Promise<Slope[]> {
+  const engineArgs = ['--ms-per-token', '48', '--slots', '500']
+  const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs, slots: 500, maxQueued: 1_000 })
+  try {
+    const url = `${fleet.get('entry-1').url}/v1/chat/completions`
+    const toBody = (tokens: number): unknown => ({
+      model: 'guidance', stream: true, max_tokens: tokens, messages: [{ role: 'user', content: `x [tokens=${tokens}]` }]
+    })
+    await runAll(100, 100, async () => await send(url, toBody(40)))
+    const entry: Point[] = []
+    const sidecar: Point[] = []
+    for (const streams of [60, 120, 240]) {
+      let events = 0
+      const cost = await measureCost(fleet, 'ratgeber-1', async () => {
+        await runAll(streams, streams, async () => {
+          const received = await send(url, toBody(200))
+          events += received
+        })
+      })
+      entry.push({ size: events, value: cost.entryCpuMs })
+      sidecar.push({ size: events / 3, value: cost.sidecarCpuMs })
+    }
+    return [
+      { name: 'relay at the entry, 48 ms a token', of: 'token event', unit: 'ms CPU', points: entry },
+      { name: 'relay at a sidecar, 48 ms a token', of: 'token event', unit: 'ms CPU', points: sidecar }
+    ]
+  } finally {
+    await fleet.stop()
+  }
+}
+
 /** Measures the memory of open streams at an entry. */
 async function measureStreams (): Promise<Slope[]> {
   const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '250', '--slots', '500'], slots: 500 })
@@ -163,6 +199,7 @@
       }
     })
     try {
+      // The heartbeats settle into their period first.
       await sleep(2_000)
       const bytesBefore = relays.reduce((sum, relay) => sum + relay.bytes, 0)
       const cost = await measureCost(fleet, 'ratgeber-1', async () => { await sleep(IDLE_MS) })
@@ -184,10 +221,23 @@
   ]
 }
 
-/** Measures the slopes that need real processes. */
-export async function measureFleetSlopes (): Promise<Slope[]> {
+/** Measurements by the names that the command line takes. */
+const MEASUREMENTS = {
+  relay: measureRelay,
+  paced: measurePacedRelay,
+  calls: measureCalls,
+  streams: measureStreams,
+  heartbeats: measureHeartbeats
+} as const
+
+/** Measures the slopes that need real processes, or one kind of them. */
+export async function measureFleetSlopes (only: string): Promise<Slope[]> {
+  const slopes: Slope[] = []
   try {
-    return [...await measureRelay(), ...await measureCalls(), ...await measureStreams(), ...await measureHeartbeats()]
+    for (const [name, measure] of Object.entries(MEASUREMENTS)) {
+      if (only === '' || only === name) slopes.push(...await measure())
+    }
+    return slopes
   } finally {
     await agent.destroy()
   }
