--- a/src/core/call/CallProcedure.ts
+++ b/src/core/call/CallProcedure.ts
@@ -4,42 +4,20 @@
 import { StepName, type Trace } from '../explain/index.js'
 import { digestOf, type Answer, type TurnRow } from '../history/index.js'
 import type { RetryBudget } from '../limits/index.js'
-import type { Rows, Transaction } from '../platform/index.js'
+import type { Rows } from '../platform/index.js'
 import { Outcome, type Refusal, type RefusalReason, type RetryReason } from '../reason/index.js'
-import { AttemptState, type CallEffect, type CallEvent, type Reply } from './CallEffects.js'
-import { applyTransaction, type CallLedger, type ReplacedClaim } from './CallLedger.js'
+import { AttemptState, type CallEvent, type Reply } from './CallEffects.js'
+import type { CallLedger, ReplacedClaim } from './CallLedger.js'
 import type { CallSpec } from './CallSpec.js'
 import { CLAIM_GRACE_MS, type Claim } from './Claim.js'
-import { RunOutcome, type RunResult } from './RunResult.js'
-import { addSuspectTarget, getSuspectKey, isQuarantined, type SuspectRow } from './SuspectRow.js'
+import {
+  MAX_TRIES, MAX_ROUNDS, CLAIM_TIMEOUT_MS, SETTLE_TIMEOUT_MS, SETTLE_LINGER_MS, LOCATE_PAUSE_MS, LOCATE_PATIENCE_MS, FIRST_SENDING_MS
+} from './callLimits.js'
+import { hasPossiblyRun, refuse, toAttemptsFailed, toReply, toTurnReply, type Next } from './callReplies.js'
+import { LedgerAccess, type Steps } from './LedgerAccess.js'
+import { RunOutcome } from './RunResult.js'
 import type { SelectedTarget, TargetSelector } from './TargetSelector.js'
-
-/** Attempts that one call may make, the first one included. */
-export const MAX_TRIES = 4
-
-/** Times that a procedure reads its ledger before it gives up. */
-export const MAX_ROUNDS = 24
-
-/** Milliseconds for which a claim waits for the store. */
-export const CLAIM_TIMEOUT_MS = 3_000
-
-/** Milliseconds for which the end of an answer is held until the store has taken it. */
-export const SETTLE_TIMEOUT_MS = 30_000
-
-/** Milliseconds for which an unsettled answer is still offered to the store after its caller has been told. */
-export const SETTLE_LINGER_MS = 600_000
-
-/** Milliseconds between two questions about an attempt. */
-export const LOCATE_PAUSE_MS = 250
-
-/** Milliseconds for which a repeatable attempt is searched before another one is made. */
-export const LOCATE_PATIENCE_MS = 2_000
-
-/** Milliseconds after which a ledger that has been read proves no more that a request did not run. */
-export const LEDGER_FRESH_MS = 1_000
-
-/** Milliseconds in which a caller that marks its first sending does not send again. */
-export const FIRST_SENDING_MS = 5_000
+import { traceRun } from './traceRun.js'
 
 /** What a procedure knows about the session of its call before it has read the ledger. */
 export interface CallContext {
@@ -77,12 +55,6 @@
 /** Fate of an attempt that ended without a result. */
 type Fate = 'not-run' | 'charged'
 
-type Next =
-  | { readonly type: 'reply', readonly reply: Reply }
-  | { readonly type: 'again', readonly reason: RetryReason }
-
-type Steps<T> = Generator<CallEffect, T, CallEvent>
-
 /** Refusals by which a sidecar says that another attempt has taken over. */
 const TAKEN_OVER: ReadonlySet<RefusalReason> = new Set<RefusalReason>(['epoch-stale', 'cancelled'])
 
@@ -101,16 +73,14 @@
   private readonly _fates = new Map<string, Fate>()
   private readonly _excluded = new Set<string>()
   private readonly _startedAt: number
-  private readonly _suspectKey: string
-  private readonly _crashedTargets = new Set<string>()
-  private _rows: Rows = new Map()
-  private _readAt = 0
+  private readonly _access: LedgerAccess
   private _losses = 0
 
   constructor (options: CallProcedureOptions) {
     this._options = options
     this._startedAt = options.clock.now()
-    this._suspectKey = getSuspectKey(digestOf(options.requestDigest))
+    const { ledger, clock, requestDigest } = options
+    this._access = new LedgerAccess({ ledger, clock, contentDigest: digestOf(requestDigest) })
   }
 
   /** Runs the call; the last effect is always a reply, except for acknowledgements. */
@@ -129,9 +99,9 @@
   }
 
   private * _round (): Steps<Next> {
-    const isRead = yield * this._read()
+    const isRead = yield * this._access.read()
     if (!isRead && this._options.ledger.isDurable()) return toReply(this._toUnreadable())
-    const decision = this._options.ledger.decide(this._rows, this._options.clock.now())
+    const decision = this._options.ledger.decide(this._access.getRows(), this._options.clock.now())
     return yield * decision.caseOf<Steps<Next>>({
       Left: refusal => this._refuse(refusal),
       Right: allowed => {
@@ -166,7 +136,7 @@
 
   private * _attempt (replaced: ReplacedClaim | undefined): Steps<Next> {
     if (this._options.isCallerGone() && replaced === undefined) return toReply(refuse('caller-gone'))
-    if (this._isQuarantined()) return yield * this._withdraw(replaced, { reason: 'quarantined' })
+    if (this._access.isQuarantined()) return yield * this._withdraw(replaced, { reason: 'quarantined' })
     const tries = (replaced?.claim.tries ?? 0) + 1
     if (tries > MAX_TRIES) return yield * this._withdraw(replaced, { reason: 'retries-exhausted' })
     if (replaced !== undefined && !this._options.retryBudget.tryRemove()) {
@@ -181,12 +151,12 @@
 
   private _decideAgain (replaced: ReplacedClaim | undefined): Either<Refusal, true> {
     if (replaced === undefined) return Right(true)
-    return this._options.ledger.decideAgain(this._rows, replaced, this._options.clock.now())
+    return this._options.ledger.decideAgain(this._access.getRows(), replaced, this._options.clock.now())
   }
 
   private _select (replaced: ReplacedClaim | undefined): Either<Refusal, SelectedTarget> {
     const { spec, ledger, selector, clock } = this._options
-    const context = this._options.getContext(this._rows)
+    const context = this._options.getContext(this._access.getRows())
     return selector.select({
       service: spec.service,
       workspace: spec.workspace,
@@ -207,9 +177,9 @@
     const history = spec.kind === 'model' && ledger.isDurable() ? yield { type: 'read-history' } : undefined
     if (history?.type === 'history-damaged') return toReply(refuse('history-damaged'))
     if (history?.type === 'unavailable') return toReply(refuse('store-unavailable'))
-    const transaction = ledger.toClaim(this._rows, claim, replaced)
+    const transaction = ledger.toClaim(this._access.getRows(), claim, replaced)
     if (ledger.isDurable()) {
-      const result = yield * this._commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
+      const result = yield * this._access.commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
       if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
       // Nothing has been dispatched and only this procedure may dispatch the attempt, so it does not run.
       if (result !== CommitResult.Committed) return this._toRefused({ reason: claim.mayHaveRun ? 'attempts-failed' : 'store-unavailable' })
@@ -222,7 +192,7 @@
 
   private * _dispatch (claim: Claim, messages: CallSpec['messages']): Steps<Next> {
     const { spec } = this._options
-    const context = this._options.getContext(this._rows)
+    const context = this._options.getContext(this._access.getRows())
     this._options.trace.add(StepName.Dispatched, `try ${claim.tries}`, claim.target)
     const event = yield {
       type: 'dispatch',
@@ -314,7 +284,7 @@
     const event = yield { type: 'collect', claim }
     if (event.type !== 'collected') return yield * this._locate(claim)
     const result = event.result
-    this._traceRun(claim, result)
+    traceRun(this._options.trace, claim.target, result)
     switch (result.outcome) {
       case RunOutcome.Complete:
       case RunOutcome.Cut:
@@ -333,24 +303,12 @@
   }
 
   private * _onCrashed (claim: Claim): Steps<Next> {
-    this._crashedTargets.add(claim.target)
-    yield * this._commitSuspect(claim.target)
+    yield * this._access.recordCrash(claim.target)
     if (!claim.repeatable) return yield * this._settleUnknown(claim, 'the target broke off')
     this._excluded.add(claim.target)
     return this._again(claim, 'charged', 'target-crashed')
   }
 
-  /** Records the crash before any other attempt, so that the next process knows of it. */
-  private * _commitSuspect (target: string): Steps<void> {
-    for (let tries = 0; tries < MAX_TRIES; tries++) {
-      const condition = { key: this._suspectKey, version: this._rows.get(this._suspectKey)?.version ?? 0 }
-      const put = { key: this._suspectKey, value: addSuspectTarget(this._getSuspect(), target) }
-      const result = yield * this._commit({ conditions: [condition], puts: [put] }, this._options.clock.now() + CLAIM_TIMEOUT_MS)
-      if (result !== CommitResult.Conflict) return
-      yield * this._read()
-    }
-  }
-
   private * _settleUnknown (claim: Claim, cause: string): Steps<Next> {
     this._options.trace.add(StepName.Finished, `outcome unknown: ${cause}`, claim.target)
     const answer: Answer = { status: 502, contentType: 'text/plain', text: '', tokens: claim.reservedTokens, finish: 'unknown' }
@@ -367,14 +325,14 @@
       const stands = this._isClaimInForce(claim)
       if (stands === false) return { type: 'again', reason: 'settle-conflict' }
       const deadline = isTold ? giveUpAt : heldUntil
-      const result = yield * this._commit(this._options.ledger.toSettle(this._rows, claim, turn), deadline)
+      const result = yield * this._access.commit(this._options.ledger.toSettle(this._access.getRows(), claim, turn), deadline)
       if (result === CommitResult.Committed) return yield * this._finish(claim, turn, isTold)
       this._options.onRetry?.(result === CommitResult.Conflict ? 'settle-conflict' : 'settle-unavailable')
       if (result !== CommitResult.Conflict && !isTold) {
         isTold = true
         yield { type: 'reply', reply: refuse('answer-not-durable', 5) }
       }
-      yield * this._reread()
+      yield * this._access.reread()
     }
     return toReply(refuse('answer-not-durable'))
   }
@@ -385,35 +343,20 @@
   }
 
   private _isClaimInForce (claim: Claim): boolean {
-    return this._options.ledger.decide(this._rows, this._startedAt).caseOf({
+    return this._options.ledger.decide(this._access.getRows(), this._startedAt).caseOf({
       Left: () => false,
       Right: decision => decision.type === 'join' && decision.claim.attempt === claim.attempt
     })
   }
 
-  private * _read (): Steps<boolean> {
-    // The rows are as old as the question: the answer may have waited for a paused process.
-    const askedAt = this._options.clock.now()
-    const event = yield { type: 'read', keys: [...this._options.ledger.getKeys(), this._suspectKey] }
-    if (event.type !== 'rows') return false
-    this._rows = event.rows
-    this._readAt = askedAt
-    return true
-  }
-
-  private * _reread (): Steps<void> {
-    const isRead = yield * this._read()
-    if (!isRead) yield { type: 'wait', ms: LOCATE_PAUSE_MS }
-  }
-
   /** Withdraws a claim that is proved not to run, so that the refusal leaves nothing behind. */
   private * _withdraw (replaced: ReplacedClaim | undefined, cause: Refusal): Steps<Next> {
     const refusal = hasPossiblyRun(replaced) ? toAttemptsFailed(cause) : cause
-    if (this._isStale()) return { type: 'again', reason: 'ledger-stale' }
+    if (this._access.isStale()) return { type: 'again', reason: 'ledger-stale' }
     this._options.trace.add(StepName.Refused, refusal.reason)
     if (replaced !== undefined && this._options.ledger.isDurable()) {
-      const transaction = this._options.ledger.toRelease(this._rows, replaced)
-      const result = yield * this._commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
+      const transaction = this._options.ledger.toRelease(this._access.getRows(), replaced)
+      const result = yield * this._access.commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
       if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
       if (result !== CommitResult.Committed) return toReply({ type: 'refusal', refusal })
     }
@@ -423,11 +366,7 @@
 
   /** Refuses a call, unless the process was paused since it read the ledger: another one may have run the call since. */
   private _toRefused (refusal: Refusal): Next {
-    return this._isStale() ? { type: 'again', reason: 'ledger-stale' } : toReply({ type: 'refusal', refusal })
-  }
-
-  private _isStale (): boolean {
-    return this._options.ledger.isDurable() && this._options.clock.now() - this._readAt > LEDGER_FRESH_MS
+    return this._access.isStale() ? { type: 'again', reason: 'ledger-stale' } : toReply({ type: 'refusal', refusal })
   }
 
   /** Lets the sidecar forget an attempt that another one has replaced in the ledger. */
@@ -435,13 +374,6 @@
     if (replaced !== undefined) yield { type: 'acknowledge', claim: replaced.claim }
   }
 
-  private * _commit (transaction: Transaction, deadline: number): Steps<CommitResult> {
-    const event = yield { type: 'commit', transaction, deadline }
-    const result = event.type === 'commit-result' ? event.result : CommitResult.Unknown
-    if (result === CommitResult.Committed) this._rows = applyTransaction(this._rows, transaction)
-    return result
-  }
-
   private * _reply (reply: Reply): Steps<void> {
     yield { type: 'reply', reply }
   }
@@ -451,13 +383,9 @@
     return { type: 'again', reason }
   }
 
-  private _isQuarantined (): boolean {
-    return isQuarantined(this._getSuspect()) || isQuarantined({ targets: [...this._crashedTargets] })
-  }
-
   private _toClaim (target: SelectedTarget, tries: number, replaced: ReplacedClaim | undefined): Claim {
     const { ledger, spec, call, requestDigest, entry, clock } = this._options
-    const epoch = ledger.getNextEpoch(this._rows)
+    const epoch = ledger.getNextEpoch(this._access.getRows())
     return {
       attempt: `${ledger.key}#${epoch}`,
       epoch,
@@ -481,21 +409,8 @@
     return { session, call: claim.call, kind: spec.kind, requestDigest, messages: spec.messages, outcome, answer, steps: trace.getSteps() }
   }
 
-  private _traceRun (claim: Claim, result: RunResult): void {
-    const { trace } = this._options
-    if (result.startedAt > 0) trace.add(StepName.Queued, `${result.startedAt - result.queuedAt} ms in the queue`, claim.target, result.startedAt)
-    if (result.firstByteAt > 0) {
-      trace.add(StepName.FirstToken, `${result.cachedTokens} of ${result.promptTokens} prompt tokens cached`, claim.target, result.firstByteAt)
-    }
-    trace.add(StepName.Finished, `${result.outcome}, ${result.answer.tokens} tokens`, claim.target, result.endedAt)
-  }
-
-  private _getSuspect (): SuspectRow | undefined {
-    return this._rows.get(this._suspectKey)?.value as SuspectRow | undefined
-  }
-
   private _getDeadline (): number {
-    const { deadline } = this._options.getContext(this._rows)
+    const { deadline } = this._options.getContext(this._access.getRows())
     return Math.min(this._startedAt + this._options.spec.timeoutMs, deadline)
   }
 
@@ -505,24 +420,3 @@
     return Math.ceil(chars / CHARS_PER_TOKEN)
   }
 }
-
-function hasPossiblyRun (replaced: ReplacedClaim | undefined): boolean {
-  return replaced !== undefined && (replaced.isCharged || replaced.claim.mayHaveRun)
-}
-
-function toAttemptsFailed (cause: Refusal): Refusal {
-  return { reason: 'attempts-failed', detail: cause.reason }
-}
-
-function toReply (reply: Reply): Next {
-  return { type: 'reply', reply }
-}
-
-function refuse (reason: RefusalReason, retryAfterSeconds?: number): Reply {
-  return { type: 'refusal', refusal: { reason, ...(retryAfterSeconds === undefined ? {} : { retryAfterSeconds }) } }
-}
-
-function toTurnReply (turn: TurnRow, isReplay: boolean): Reply {
-  if (turn.outcome === Outcome.Answered) return { type: 'answer', turn, isReplay }
-  return refuse('outcome-unknown')
-}
--- a/src/core/session/SessionProcedures.ts
+++ b/src/core/session/SessionProcedures.ts
@@ -1,8 +1,8 @@
-import type { CallEffect, CallEvent, Reply } from '../call/index.js'
+import { refuse, type Reply, type Steps } from '../call/index.js'
 import type { Clock } from '../clock/index.js'
 import { CommitResult } from '../commit/index.js'
 import type { Rows, Transaction } from '../platform/index.js'
-import type { Refusal, RefusalReason } from '../reason/index.js'
+import type { Refusal } from '../reason/index.js'
 import { toClose } from './SessionClosing.js'
 import type { SessionOpening } from './SessionOpening.js'
 import { getSessionKey, SessionState, type SessionRow } from './SessionRow.js'
@@ -13,24 +13,22 @@
 /** Times that opening or closing is tried against concurrent changes. */
 const MAX_ROUNDS = 16
 
-type Steps<T> = Generator<CallEffect, T, CallEvent>
-
 /** Opens a session; opening it again gives the same session. */
 export function * openSession (opening: SessionOpening, clock: Clock): Steps<void> {
   for (let round = 0; round < MAX_ROUNDS; round++) {
     const event = yield { type: 'read', keys: opening.getKeys() }
-    if (event.type !== 'rows') return yield * refuse('ledger-unreadable')
+    if (event.type !== 'rows') return yield * reply(refuse('ledger-unreadable'))
     const decision = opening.decide(event.rows, clock.now())
     if (decision.isLeft()) return yield * reply({ type: 'refusal', refusal: decision.extract() as Refusal })
     const allowed = decision.unsafeCoerce()
     if (allowed.type === 'exists') return yield * reply({ type: 'session', session: allowed.session })
     const result = yield * commit(allowed.transaction, clock)
     if (result === CommitResult.Committed) return yield * reply({ type: 'session', session: allowed.session })
-    if (result === CommitResult.NotWritten) return yield * refuse('store-unavailable')
+    if (result === CommitResult.NotWritten) return yield * reply(refuse('store-unavailable'))
     // An unknown result may still take effect; opening is idempotent, so the caller sends it again.
-    if (result === CommitResult.Unknown) return yield * refuse('ledger-unreadable')
+    if (result === CommitResult.Unknown) return yield * reply(refuse('ledger-unreadable'))
   }
-  yield * refuse('ledger-unreadable')
+  yield * reply(refuse('ledger-unreadable'))
 }
 
 /** Closes a session and its open sub-agents, returns unspent budget and gives up engine memory. */
@@ -41,21 +39,21 @@
 function * close (id: string, workspace: string, clock: Clock): Steps<Reply> {
   for (let round = 0; round < MAX_ROUNDS; round++) {
     const rows = yield * readWithParent(id)
-    if (rows === undefined) return toRefusal('ledger-unreadable')
+    if (rows === undefined) return refuse('ledger-unreadable')
     const session = rows.get(getSessionKey(id))?.value as SessionRow | undefined
-    if (session === undefined || session.workspace !== workspace) return toRefusal('session-unknown')
+    if (session === undefined || session.workspace !== workspace) return refuse('session-unknown')
     if (session.state === SessionState.Closed) return yield * release(session)
     const pending = session.pending
-    if (pending !== undefined && clock.now() < pending.deadline) return toRefusal('call-pending')
+    if (pending !== undefined && clock.now() < pending.deadline) return refuse('call-pending')
     const childReply = yield * closeChildren(session, clock)
     if (childReply !== undefined) return childReply
     if (session.children.length > 0) continue
     const transaction = toClose(rows, session)
     const result = yield * commit(transaction, clock)
     if (result === CommitResult.Committed) return yield * release(transaction.puts[0]!.value as SessionRow)
-    if (result !== CommitResult.Conflict) return toRefusal('ledger-unreadable')
+    if (result !== CommitResult.Conflict) return refuse('ledger-unreadable')
   }
-  return toRefusal('ledger-unreadable')
+  return refuse('ledger-unreadable')
 }
 
 function * closeChildren (session: SessionRow, clock: Clock): Steps<Reply | undefined> {
@@ -88,11 +86,3 @@
 function * reply (content: Reply): Steps<void> {
   yield { type: 'reply', reply: content }
 }
-
-function * refuse (reason: RefusalReason): Steps<void> {
-  yield * reply(toRefusal(reason))
-}
-
-function toRefusal (reason: RefusalReason): Reply {
-  return { type: 'refusal', refusal: { reason } }
-}
--- a/src/core/sidecar/SidecarCore.ts
+++ b/src/core/sidecar/SidecarCore.ts
@@ -1,23 +1,16 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { AttemptState, RunOutcome, type Dispatch, type RunResult } from '../call/index.js'
 import type { Clock } from '../clock/index.js'
-import type { Answer } from '../history/index.js'
 import type { RefusalReason } from '../reason/index.js'
 import type { TicketClaims } from '../ticket/index.js'
 import { AdmissionQueue, LeastAttainedQueue } from './AdmissionQueue.js'
 import { AttemptTable, type AttemptRecord } from './AttemptTable.js'
+import { EMPTY_END, splitAttempt, toNotRunRecord, toRecord } from './attemptRecords.js'
 import { ConfigFence } from './ConfigFence.js'
 import { HoldTable, type EngineHolds } from './HoldTable.js'
 import type { LoadSample } from './LoadSample.js'
-
-/** Weight of the newest run in the moving average of run times. */
-const RUN_WEIGHT = 0.1
-
-/** Weight of the newest token in the moving average of token times. */
-const TOKEN_WEIGHT = 0.1
-
-/** Milliseconds without a token after which the speed of a target counts as unknown. */
-const SPEED_TTL_MS = 5_000
+import type { RunEnd } from './RunEnd.js'
+import { TargetSpeed } from './TargetSpeed.js'
 
 /** What the sidecar's surroundings shall do. */
 export type SidecarEffect =
@@ -36,14 +29,6 @@
 export const AbortCause = { Budget: 'budget', Deadline: 'deadline', Memory: 'memory' } as const
 export type AbortCause = typeof AbortCause[keyof typeof AbortCause]
 
-/** How a run ended, as seen on the connection to the target. */
-export interface RunEnd {
-  readonly type: 'complete' | 'crashed' | 'unreached' | 'aborted'
-  readonly answer: Answer
-  readonly cachedTokens: number
-  readonly promptTokens: number
-}
-
 /** Options of {@link SidecarCore}. */
 export interface SidecarCoreOptions {
   /** Id of this run of the process; a restarted sidecar has another one. */
@@ -75,9 +60,7 @@
   private readonly _aborted = new Map<string, AbortCause>()
   private _retained = 0
   private _isLeaving = false
-  private _msPerToken = 0
-  private _speedAt = -Infinity
-  private _runMs = 0
+  private readonly _speed = new TargetSpeed()
 
   constructor (options: SidecarCoreOptions) {
     this._options = options
@@ -166,7 +149,7 @@
     const now = this._clock.now()
     const outcome = this._toOutcome(record, end)
     this._finish(record, outcome, end, now)
-    this._noteSpeed(record, outcome, now)
+    if (outcome === RunOutcome.Complete || outcome === RunOutcome.Cut) this._speed.noteRun(now - record.startedAt)
     this._queue.release(attempt)
     return [{ type: 'ended', attempt }, ...this._endHold(record.holdKey, now), ...this._startNext()]
   }
@@ -222,8 +205,8 @@
       running: this._queue.getRunningCount(),
       queued: this._queue.getQueuedCount(),
       queuedTokens: this._queue.getQueuedTokens(),
-      msPerToken: this._clock.now() - this._speedAt <= SPEED_TTL_MS ? this._msPerToken : 0,
-      runMs: this._runMs
+      msPerToken: this._speed.getMsPerToken(this._clock.now()),
+      runMs: this._speed.getRunMs()
     }
   }
 
@@ -245,23 +228,7 @@
 
   private _addNotRun (attempt: string, ledgerKey: string, epoch: number, reason: RefusalReason): void {
     if (this._attempts.get(attempt) !== undefined) return
-    const now = this._clock.now()
-    this._attempts.add({
-      attempt,
-      ledgerKey,
-      epoch,
-      seenAt: now,
-      state: AttemptState.NotRun,
-      reason,
-      maxTokens: 0,
-      deadline: now,
-      holdKey: '',
-      queuedAt: now,
-      startedAt: 0,
-      firstByteAt: 0,
-      lastTokenAt: 0,
-      tokens: 0
-    })
+    this._attempts.add(toNotRunRecord(attempt, ledgerKey, epoch, reason, this._clock.now()))
   }
 
   private _startNext (): SidecarEffect[] {
@@ -318,19 +285,10 @@
     return end.type === 'complete' ? RunOutcome.Complete : RunOutcome.Crashed
   }
 
-  private _noteSpeed (record: AttemptRecord, outcome: RunOutcome, now: number): void {
-    if (outcome !== RunOutcome.Complete && outcome !== RunOutcome.Cut) return
-    this._runMs = average(this._runMs, now - record.startedAt, RUN_WEIGHT)
-  }
-
   private _noteTokens (record: AttemptRecord, count: number): void {
     const now = this._clock.now()
-    if (record.firstByteAt === 0) {
-      record.firstByteAt = now
-    } else {
-      this._msPerToken = average(this._msPerToken, (now - record.lastTokenAt) / count, TOKEN_WEIGHT)
-      this._speedAt = now
-    }
+    if (record.firstByteAt === 0) record.firstByteAt = now
+    else this._speed.noteTokens(now - record.lastTokenAt, count, now)
     record.lastTokenAt = now
     record.tokens += count
   }
@@ -341,38 +299,3 @@
     return this.release(holdKey)
   }
 }
-
-const EMPTY_END: RunEnd = {
-  type: 'aborted',
-  answer: { status: 503, contentType: 'text/plain', text: '', tokens: 0, finish: 'dropped' },
-  cachedTokens: 0,
-  promptTokens: 0
-}
-
-function average (current: number, sample: number, weight: number): number {
-  return current === 0 ? sample : current + weight * (sample - current)
-}
-
-function toRecord (dispatch: Dispatch, now: number): AttemptRecord {
-  const { claim } = dispatch
-  return {
-    attempt: claim.attempt,
-    ledgerKey: dispatch.ledgerKey,
-    epoch: claim.epoch,
-    seenAt: now,
-    state: AttemptState.Queued,
-    maxTokens: claim.reservedTokens,
-    deadline: claim.deadline,
-    holdKey: dispatch.holdKey,
-    queuedAt: now,
-    startedAt: 0,
-    firstByteAt: 0,
-    lastTokenAt: 0,
-    tokens: 0
-  }
-}
-
-function splitAttempt (attempt: string): { ledgerKey: string, epoch: number } {
-  const at = attempt.lastIndexOf('#')
-  return { ledgerKey: attempt.slice(0, at), epoch: Number(attempt.slice(at + 1)) }
-}
--- /dev/null
+++ b/src/core/sidecar/attemptRecords.ts
@@ -0,0 +1,44 @@
+import { AttemptState, type Dispatch } from '../call/index.js'
+import type { RefusalReason } from '../reason/index.js'
+import type { AttemptRecord } from './AttemptTable.js'
+import type { RunEnd } from './RunEnd.js'
+
+/** End of an attempt that never started. */
+export const EMPTY_END: RunEnd = {
+  type: 'aborted',
+  answer: { status: 503, contentType: 'text/plain', text: '', tokens: 0, finish: 'dropped' },
+  cachedTokens: 0,
+  promptTokens: 0
+}
+
+const NOT_STARTED = { startedAt: 0, firstByteAt: 0, lastTokenAt: 0, tokens: 0 } as const
+
+/** Creates the record of an attempt that waits in the queue. */
+export function toRecord (dispatch: Dispatch, now: number): AttemptRecord {
+  const { claim, ledgerKey, holdKey } = dispatch
+  return {
+    ...NOT_STARTED,
+    attempt: claim.attempt,
+    ledgerKey,
+    epoch: claim.epoch,
+    seenAt: now,
+    state: AttemptState.Queued,
+    maxTokens: claim.reservedTokens,
+    deadline: claim.deadline,
+    holdKey,
+    queuedAt: now
+  }
+}
+
+/** Creates the record of an attempt that was refused or cancelled and never runs. */
+export function toNotRunRecord (attempt: string, ledgerKey: string, epoch: number, reason: RefusalReason, now: number): AttemptRecord {
+  return {
+    ...NOT_STARTED, attempt, ledgerKey, epoch, reason, seenAt: now, state: AttemptState.NotRun, maxTokens: 0, deadline: now, holdKey: '', queuedAt: now
+  }
+}
+
+/** Splits the id of an attempt into the key of its ledger row and its epoch. */
+export function splitAttempt (attempt: string): { ledgerKey: string, epoch: number } {
+  const at = attempt.lastIndexOf('#')
+  return { ledgerKey: attempt.slice(0, at), epoch: Number(attempt.slice(at + 1)) }
+}
--- /dev/null
+++ b/src/io/ctl/fleetCommands.ts
@@ -0,0 +1,92 @@
+import { Command, Option } from 'clipanion'
+import { formatRequest, formatSessionExplanation, type SessionExplanation } from '../../core/explain/index.js'
+import type { EntryStatus } from '../entry/index.js'
+import { ConnectedCommand, ExitCode } from './CtlCommand.js'
+
+/** Shows entries and targets. */
+export class StatusCommand extends ConnectedCommand {
+  static override paths = [['status']]
+  static override usage = Command.Usage({ description: 'Show each entry and the targets that it sees.', examples: [['Show the fleet', 'wisteriactl status']] })
+
+  async execute (): Promise<number> {
+    const statuses = await this.askAllEntries(async client => await client.status.query())
+    this.print(statuses, statuses.flatMap(formatStatus))
+    return statuses.length > 0 ? ExitCode.Done : ExitCode.Failed
+  }
+}
+
+/** Explains a session. */
+export class ExplainSessionCommand extends ConnectedCommand {
+  static override paths = [['explain', 'session']]
+  static override usage = Command.Usage({
+    description: 'Explain what a session did, call by call: waits, retries, refusals and their causes.',
+    examples: [['Explain a session', 'wisteriactl explain session 01KDE...']]
+  })
+
+  session = Option.String({ name: 'session' })
+
+  async execute (): Promise<number> {
+    const found = await this.askEntry(async client => await client.explainSession.query(this.session)) as SessionExplanation | null
+    if (found === null) return this._reportMissing()
+    // Requests that left no turn are remembered by the entry that refused them.
+    const others = await this.askAllEntries(async client =>
+      await client.explainSession.query(this.session) as SessionExplanation | null)
+    const refused = new Map(others.flatMap(other => other?.refused ?? []).map(record => [record.id, record]))
+    const explanation = { ...found, refused: [...refused.values()] }
+    this.print(explanation, formatSessionExplanation(explanation))
+    return ExitCode.Done
+  }
+
+  private _reportMissing (): number {
+    this.print(null, [`no session ${this.session}`])
+    return ExitCode.NotFound
+  }
+}
+
+/** Explains a request. */
+export class ExplainRequestCommand extends ConnectedCommand {
+  static override paths = [['explain', 'request']]
+  static override usage = Command.Usage({
+    description: 'Explain one of the latest requests, by the id in its `wisteria-request-id` header.',
+    examples: [['Explain a request', 'wisteriactl explain request 01KDE...']]
+  })
+
+  request = Option.String({ name: 'request' })
+
+  async execute (): Promise<number> {
+    const answers = await this.askAllEntries(async client => await client.explainRequest.query(this.request))
+    const record = answers.find(answer => answer !== null)
+    if (record === undefined || record === null) {
+      this.print(null, [`no request ${this.request} in the memory of the entries`])
+      return ExitCode.NotFound
+    }
+    this.print(record, formatRequest(record))
+    return ExitCode.Done
+  }
+}
+
+/** Makes a target leave. */
+export class DrainCommand extends ConnectedCommand {
+  static override paths = [['drain']]
+  static override usage = Command.Usage({
+    description: 'Let a target finish its work and give it no more.',
+    examples: [['Drain an instance', 'wisteriactl drain ratgeber-3']]
+  })
+
+  instance = Option.String({ name: 'instance' })
+
+  async execute (): Promise<number> {
+    const isKnown = await this.askEntry(async client => await client.drain.mutate(this.instance))
+    this.print({ instance: this.instance, isKnown }, [isKnown ? `${this.instance} is leaving` : `no instance ${this.instance}`])
+    return isKnown ? ExitCode.Done : ExitCode.NotFound
+  }
+}
+
+function formatStatus (status: EntryStatus): string[] {
+  return [
+    `entry ${status.entry} (${status.region}/${status.failureDomain}): configuration ${status.configVersion}, ` +
+      `confirmed ${Math.round(status.configAgeMs / 1000)} s ago, ${status.inProgress} in progress`,
+    ...status.targets.map(target => `  ${target.id.padEnd(24)} ${target.service.padEnd(16)} ${target.failureDomain.padEnd(14)} ` +
+      `${target.state.padEnd(8)} running ${target.running}, queued ${target.queued}, configuration ${target.configVersion}`)
+  ]
+}
--- a/src/io/ctl/index.ts
+++ b/src/io/ctl/index.ts
@@ -1,3 +1,5 @@
 export * from './applyChange.js'
-export * from './commands.js'
+export * from './configCommands.js'
+export * from './CtlCommand.js'
 export * from './documentsOnDisk.js'
+export * from './fleetCommands.js'
--- a/src/io/entry/EntryServer.ts
+++ b/src/io/entry/EntryServer.ts
@@ -1,14 +1,13 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import { Left, Right, type Either } from 'purify-ts'
-import { ulid } from 'ulid'
 import type { Reply } from '../../core/call/index.js'
-import { isKeyValid, isSame, type Configuration } from '../../core/config/index.js'
 import type { TurnRow } from '../../core/history/index.js'
 import type { Refusal } from '../../core/reason/index.js'
-import { closeSession, getSessionKey, getTurnKey, openSession, SessionOpening, type SessionRow } from '../../core/session/index.js'
+import { closeSession, getSessionKey, getTurnKey, openSession, type SessionRow } from '../../core/session/index.js'
 import { parseJson, readBody, sendJson, sendRefusal, startServer, type RequestHandler, type RunningServer } from '../http/index.js'
 import { describeError, type StateLogger } from '../process/index.js'
+import { Authenticator, getHeader, type Identified } from './Authenticator.js'
 import { CallerStream } from './CallerStream.js'
 import { CallService, type CallerInfo, type PreparedCall } from './CallService.js'
 import { RequestKind } from './EntryMetrics.js'
@@ -16,24 +15,15 @@
 import { createOperatorRouter } from './OperatorRouter.js'
 import { ProcedureRunner } from './ProcedureRunner.js'
 import { getReplyHeaders, sendCompletion, sendServiceAnswer, toSessionView } from './replies.js'
-import { CALL_BODY, COMPLETION_BODY, matchPath, OPEN_BODY, parseBody, type OpenBody } from './requests.js'
-
-const BEARER = 'Bearer '
-
-/** A request whose caller has been identified. */
-interface Identified {
-  readonly req: IncomingMessage
-  readonly res: ServerResponse
-  readonly configuration: Configuration
-  readonly caller: CallerInfo
-}
+import { CALL_BODY, COMPLETION_BODY, matchPath, OPEN_BODY, parseBody } from './requests.js'
+import { parseCallNumber, toMissingTurn, toOpening } from './sessionRequests.js'
 
 /** Serves callers and operators. */
 export class EntryServer {
   private readonly _state: EntryState
   private readonly _calls: CallService
   private readonly _operators: RequestHandler
-  private readonly _operatorKeys: readonly string[]
+  private readonly _authenticator: Authenticator
   private readonly _isReady: () => boolean
   private readonly _logger: StateLogger
   private _isStopping = false
@@ -42,12 +32,12 @@
     this._state = state
     this._logger = logger
     this._calls = new CallService(state)
-    this._operatorKeys = operatorKeys
+    this._authenticator = new Authenticator({ state, operatorKeys, isReady })
     this._isReady = isReady
     this._operators = createHTTPHandler({
       router: createOperatorRouter(state),
       basePath: '/trpc/',
-      createContext: ({ req }) => ({ isOperator: this._isOperator(req) })
+      createContext: ({ req }) => ({ isOperator: this._authenticator.isOperator(req) })
     })
   }
 
@@ -75,7 +65,7 @@
     this._state.changeInProgress(1)
     if (this._isStopping) res.setHeader('connection', 'close')
     try {
-      const identified = this._identify(req, res)
+      const identified = this._authenticator.identify(req, res)
       await identified.caseOf({
         Left: async refusal => { await this._refuseUnread(req, res, refusal) },
         Right: async request => { await this._route(request, path) }
@@ -117,7 +107,7 @@
   private async _open (request: Identified): Promise<void> {
     const { res, caller } = request
     const body = (await this._readJson(request)).chain(raw => parseBody(OPEN_BODY, raw))
-    const opening = body.chain(parsed => toOpening(request, parsed))
+    const opening = body.chain(parsed => toOpening(request.configuration, request.caller, parsed))
     if (opening.isLeft()) return this._refuse(res, opening.extract() as Refusal)
     await this._runSession(openSession(opening.unsafeCoerce(), this._state.clock), reply => {
       this._sendSession(res, caller, 201, reply)
@@ -245,31 +235,6 @@
     return await readBody(request.req, this._state.settings.limits.bodyBytes)
   }
 
-  private _identify (req: IncomingMessage, res: ServerResponse): Either<Refusal, Identified> {
-    const configuration = this._state.config.get()
-    if (configuration === undefined || !this._isReady()) return Left({ reason: 'not-ready', retryAfterSeconds: 1 })
-    const header = getHeader(req, 'authorization')
-    if (header === undefined || !header.startsWith(BEARER)) return Left({ reason: 'key-missing' })
-    const key = header.slice(BEARER.length)
-    const name = key.slice(0, Math.max(0, key.indexOf('.')))
-    const workspace = configuration.getWorkspace(name)
-    if (workspace === undefined || !isKeyValid(key, workspace.keyHashes)) return Left({ reason: 'key-wrong' })
-    const caller: CallerInfo = {
-      requestId: ulid(),
-      workspace: name,
-      isFirstSending: getHeader(req, 'wisteria-sending') === 'first',
-      isCallerGone: () => res.destroyed
-    }
-    return Right({ req, res, configuration, caller })
-  }
-
-  private _isOperator (req: IncomingMessage): boolean {
-    const header = getHeader(req, 'authorization') ?? ''
-    const isOperator = this._operatorKeys.some(key => isSame(header, BEARER + key))
-    if (!isOperator) this._state.metrics.addRefusal('operator-key-wrong')
-    return isOperator
-  }
-
   /** Refuses a request whose body is not read; what arrives of it is dropped. */
   private async _refuseUnread (req: IncomingMessage, res: ServerResponse, refusal: Refusal): Promise<void> {
     req.resume()
@@ -297,37 +262,3 @@
     res.end(await registry.metrics())
   }
 }
-
-function toOpening (request: Identified, body: OpenBody): Either<Refusal, SessionOpening> {
-  const { configuration, caller } = request
-  const isAllowed = configuration.getWorkspace(caller.workspace)?.programs.includes(body.program) === true
-  const program = isAllowed ? configuration.getProgram(body.program) : undefined
-  if (program === undefined) return Left({ reason: 'program-unknown' })
-  const { budget } = program
-  return Right(new SessionOpening({
-    id: body.id ?? ulid(),
-    workspace: caller.workspace,
-    program: program.name,
-    ...(body.parent === undefined ? {} : { parent: body.parent }),
-    tokens: Math.min(budget.tokens, body.budget.tokens ?? budget.tokens),
-    calls: Math.min(budget.calls, body.budget.calls ?? budget.calls),
-    seconds: Math.min(budget.seconds, body.budget.seconds ?? budget.seconds),
-    maxChildren: program.maxChildren
-  }))
-}
-
-function toMissingTurn (session: SessionRow, call: number, isRead: boolean): Refusal {
-  if (!isRead) return { reason: 'ledger-unreadable', retryAfterSeconds: 1 }
-  if (session.pending?.call === call) return { reason: 'call-pending', detail: 'send the call again to wait for its answer', retryAfterSeconds: 1 }
-  return { reason: 'call-out-of-order', members: { nextCall: session.nextCall } }
-}
-
-function parseCallNumber (text: string): Either<Refusal, number> {
-  const isNumber = /^[1-9][0-9]{0,5}$/.test(text)
-  return isNumber ? Right(Number(text)) : Left({ reason: 'invalid-request', detail: 'the call number is a whole number from 1' })
-}
-
-function getHeader (req: IncomingMessage, name: string): string | undefined {
-  const value = req.headers[name]
-  return Array.isArray(value) ? value[0] : value
-}
--- a/src/io/entry/index.ts
+++ b/src/io/entry/index.ts
@@ -1,4 +1,5 @@
 export * from './AnswerRelay.js'
+export * from './Authenticator.js'
 export * from './CallerStream.js'
 export * from './CallService.js'
 export * from './EntryLoops.js'
--- a/src/standin/PlatformStandin.ts
+++ b/src/standin/PlatformStandin.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { ServerResponse, IncomingMessage } from 'node:http'
-import { MemoryTable, type Instance, type Transaction } from '../core/platform/index.js'
+import { MemoryObjectStore, MemoryTable, type Instance, type Transaction } from '../core/platform/index.js'
 import { reply } from './standinServer.js'
 
 /** Faults of the platform that a test can switch on. */
@@ -18,7 +18,7 @@
 /** Stands in for the platform: table, object store and lagging instance list over HTTP. */
 export class PlatformStandin {
   private readonly _table = new MemoryTable()
-  private readonly _objects = new Map<string, Buffer>()
+  private readonly _objects = new MemoryObjectStore()
   private readonly _lists: Array<{ at: number, instances: readonly Instance[] }> = []
   private readonly _counts = { reads: 0, commits: 0, rows: 0 }
   private _faults: PlatformFaults = {}
@@ -58,7 +58,7 @@
 
   private _serveObject (req: IncomingMessage, res: ServerResponse, path: string, body: Buffer): void {
     if (req.method === 'PUT') {
-      this._objects.set(path, body)
+      this._objects.put(path, body)
       return reply(res, 200, {})
     }
     const bytes = this._objects.get(path)
