A refusal after a broken attempt no longer says that nothing ran

Cause, found by reading: a claim that replaces a charged attempt was refused with store-unavailable or history-damaged, both *not run*, when the history could not be read, though the replaced attempt may have run. The test drives the procedure by hand; before the change it saw reason store-unavailable.

Ruled out: the claim's own commit (it told the two apart already).

Change: one place refuses a claim that was not made and heeds mayHaveRun; an entry cuts a stream on a defect of its own, in place of leaving it open.

--- a/src/core/call/CallProcedure.ts
+++ b/src/core/call/CallProcedure.ts
@@ -11,7 +11,7 @@
 import type { CallSpec } from './CallSpec.js'
 import { CLAIM_GRACE_MS, type Claim } from './Claim.js'
 import {
-  MAX_TRIES, MAX_ROUNDS, CLAIM_TIMEOUT_MS, SETTLE_TIMEOUT_MS, SETTLE_LINGER_MS, LOCATE_PAUSE_MS, LOCATE_PATIENCE_MS, FIRST_SENDING_MS
+  CLAIM_TIMEOUT_MS, FIRST_SENDING_MS, LOCATE_PATIENCE_MS, LOCATE_PAUSE_MS, MAX_ROUNDS, MAX_TRIES, SETTLE_LINGER_MS, SETTLE_TIMEOUT_MS
 } from './callLimits.js'
 import { hasPossiblyRun, refuse, toAttemptsFailed, toReply, toTurnReply, type Next } from './callReplies.js'
 import { LedgerAccess, type Steps } from './LedgerAccess.js'
@@ -175,14 +175,14 @@
     const claim = this._toClaim(target, tries, replaced)
     trace.add(StepName.Placed, target.cause, target.id)
     const history = spec.kind === 'model' && ledger.isDurable() ? yield { type: 'read-history' } : undefined
-    if (history?.type === 'history-damaged') return toReply(refuse('history-damaged'))
-    if (history?.type === 'unavailable') return toReply(refuse('store-unavailable'))
+    if (history?.type === 'history-damaged') return this._refuseClaim(claim, { reason: 'history-damaged' })
+    if (history?.type === 'unavailable') return this._refuseClaim(claim, { reason: 'store-unavailable' })
     const transaction = ledger.toClaim(this._access.getRows(), claim, replaced)
     if (ledger.isDurable()) {
       const result = yield * this._access.commit(transaction, this._options.clock.now() + CLAIM_TIMEOUT_MS)
       if (result === CommitResult.Conflict) return { type: 'again', reason: 'claim-conflict' }
       // Nothing has been dispatched and only this procedure may dispatch the attempt, so it does not run.
-      if (result !== CommitResult.Committed) return this._toRefused({ reason: claim.mayHaveRun ? 'attempts-failed' : 'store-unavailable' })
+      if (result !== CommitResult.Committed) return this._refuseClaim(claim, { reason: 'store-unavailable' })
       trace.add(StepName.Claimed, `attempt ${claim.attempt}`, target.id)
     }
     yield * this._acknowledgeReplaced(replaced)
@@ -364,8 +364,9 @@
     return toReply({ type: 'refusal', refusal })
   }
 
-  /** Refuses a call, unless the process was paused since it read the ledger: another one may have run the call since. */
-  private _toRefused (refusal: Refusal): Next {
+  /** Refuses a claim that was not made, unless the process was paused since it read the ledger: another one may have run the call since. */
+  private _refuseClaim (claim: Claim, cause: Refusal): Next {
+    const refusal = claim.mayHaveRun ? toAttemptsFailed(cause) : cause
     return this._access.isStale() ? { type: 'again', reason: 'ledger-stale' } : toReply({ type: 'refusal', refusal })
   }
 
--- a/src/io/entry/EntryServer.ts
+++ b/src/io/entry/EntryServer.ts
@@ -73,7 +73,8 @@
     } catch (err) {
       // A defect of ours proves nothing about the request.
       this._logger.error('request failed', { path, error: describeError(err) })
-      this._refuse(res, { reason: 'outcome-unknown' })
+      if (res.headersSent) res.destroy()
+      else this._refuse(res, { reason: 'outcome-unknown' })
     } finally {
       this._state.changeInProgress(-1)
     }
