The fake sidecar ticks every 200 ms again

Ruled out: keeping it, since no trace shows that the finer tick changes nothing. Change: back to 200 ms.

--- a/tests/world/FakeSidecar.ts
+++ b/tests/world/FakeSidecar.ts
@@ -6,7 +6,7 @@
 import type { FakeTarget, RecordedRun } from './FakeTarget.js'
 import type { Scheduler } from './Scheduler.js'
 
-const TICK_MS = 500
+const TICK_MS = 200
 const RECONCILE_MS = 3_000
 /** Milliseconds that the target takes for a step of a run. */
 const STEP_MS = 20
