The slopes measure streams in one place; a comment says what it describes

Cause: two measurements built the same body and summed events by the same loop, which had been wrong in one of them before; CallContext was described as known before the ledger is read, and it comes out of its rows. Ruled out: none. Change: toStreamBody and measureStreaming; the comment.

--- a/src/core/call/CallProcedure.ts
+++ b/src/core/call/CallProcedure.ts
@@ -19,7 +19,7 @@
 import type { SelectedTarget, TargetSelector } from './TargetSelector.js'
 import { traceRun } from './traceRun.js'
 
-/** What a procedure knows about the session of its call before it has read the ledger. */
+/** What the rows of a session say about its next call. */
 export interface CallContext {
   readonly warmTargets: readonly string[]
   readonly attainedTokens: number
--- a/tools/slopes/fleetSlopes.ts
+++ b/tools/slopes/fleetSlopes.ts
@@ -55,26 +55,35 @@
   }))
 }
 
+/** Creates the body of a streamed completion that generates a number of tokens. */
+function toStreamBody (tokens: number): unknown {
+  return { model: 'guidance', stream: true, max_tokens: tokens, messages: [{ role: 'user', content: `x [tokens=${tokens}]` }] }
+}
+
+/** Runs streams side by side and reads what they cost and how many events came. */
+async function measureStreaming (fleet: Fleet, streams: number, body: unknown): Promise<{ cost: Cost, events: number }> {
+  const url = `${fleet.get('entry-1').url}/v1/chat/completions`
+  let events = 0
+  const cost = await measureCost(fleet, 'ratgeber-1', async () => {
+    await runAll(streams, streams, async () => {
+      // The sum is read after the wait: other streams add to it meanwhile.
+      const received = await send(url, body)
+      events += received
+    })
+  })
+  return { cost, events }
+}
+
 /** Measures the relay of token events at an entry. */
 async function measureRelay (): Promise<Slope[]> {
   const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '0', '--slots', '200'], slots: 200, maxQueued: 1_000 })
   try {
     const url = `${fleet.get('entry-1').url}/v1/chat/completions`
-    const toBody = (tokens: number): unknown => ({
-      model: 'guidance', stream: true, max_tokens: tokens, messages: [{ role: 'user', content: `x [tokens=${tokens}]` }]
-    })
-    await runAll(60, 20, async () => await send(url, toBody(200)))
+    await runAll(60, 20, async () => await send(url, toStreamBody(200)))
     const cpu: Point[] = []
     const rate: Point[] = []
     for (const streams of [30, 90, 180]) {
-      let events = 0
-      const cost = await measureCost(fleet, 'ratgeber-1', async () => {
-        await runAll(streams, streams, async () => {
-          // The sum is read after the wait: other streams add to it meanwhile.
-          const received = await send(url, toBody(2_000))
-          events += received
-        })
-      })
+      const { cost, events } = await measureStreaming(fleet, streams, toStreamBody(2_000))
       cpu.push({ size: events, value: cost.entryCpuMs })
       rate.push({ size: streams, value: events / cost.seconds })
     }
@@ -93,20 +102,11 @@
   const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs, slots: 500, maxQueued: 1_000 })
   try {
     const url = `${fleet.get('entry-1').url}/v1/chat/completions`
-    const toBody = (tokens: number): unknown => ({
-      model: 'guidance', stream: true, max_tokens: tokens, messages: [{ role: 'user', content: `x [tokens=${tokens}]` }]
-    })
-    await runAll(100, 100, async () => await send(url, toBody(40)))
+    await runAll(100, 100, async () => await send(url, toStreamBody(40)))
     const entry: Point[] = []
     const sidecar: Point[] = []
     for (const streams of [60, 120, 240]) {
-      let events = 0
-      const cost = await measureCost(fleet, 'ratgeber-1', async () => {
-        await runAll(streams, streams, async () => {
-          const received = await send(url, toBody(200))
-          events += received
-        })
-      })
+      const { cost, events } = await measureStreaming(fleet, streams, toStreamBody(200))
       entry.push({ size: events, value: cost.entryCpuMs })
       sidecar.push({ size: events / 3, value: cost.sidecarCpuMs })
     }
@@ -124,11 +124,10 @@
   const fleet = await startWorkshop({ engines: 3, desks: 1, entries: 1, engineArgs: ['--ms-per-token', '250', '--slots', '500'], slots: 500 })
   try {
     const url = `${fleet.get('entry-1').url}/v1/chat/completions`
-    const body = { model: 'guidance', stream: true, max_tokens: 60, messages: [{ role: 'user', content: 'x [tokens=60]' }] }
     const points: Point[] = []
     const running: Array<Promise<number>> = []
     for (const size of [100, 300, 500]) {
-      while (running.length < size) running.push(send(url, body))
+      while (running.length < size) running.push(send(url, toStreamBody(60)))
       await sleep(2_500)
       points.push({ size, value: readUsage(fleet.get('entry-1').pid).rssKb })
     }
