--- /dev/null
+++ b/src/core/route/RouteTable.ts
@@ -0,0 +1,28 @@
+import type { Route } from './Route.js'
+import type { RouteConfig, ServiceConfig } from './RouteConfig.js'
+
+/** Finds routes of one configuration version. */
+export class RouteTable {
+  readonly config: RouteConfig
+  private readonly _byHost = new Map<string, Route[]>()
+
+  constructor (config: RouteConfig) {
+    this.config = config
+    for (const route of config.routes) {
+      const routes = this._byHost.get(route.host)
+      if (routes === undefined) this._byHost.set(route.host, [route])
+      else routes.push(route)
+    }
+    for (const routes of this._byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+  }
+
+  /** Gets the route with the longest prefix that begins the path. */
+  getRoute (host: string, path: string): Route | undefined {
+    return this._byHost.get(host)?.find(route => path.startsWith(route.pathPrefix))
+  }
+
+  /** Gets a service of the configuration. */
+  getService (name: string): ServiceConfig | undefined {
+    return this.config.services.get(name)
+  }
+}
