--- /dev/null
+++ b/src/core/budget/BudgetAccount.ts
@@ -0,0 +1,56 @@
+/** What one gateway may spend for a program without asking the store. */
+export class BudgetAccount {
+  /** Time at which the account was last used, by the steady clock. */
+  usedAt: number
+  private _granted = 0
+  private _spent = 0
+  private _reserved = 0
+  private _hasAsked = false
+
+  constructor (now: number) {
+    this.usedAt = now
+  }
+
+  /** Gets the tokens granted so far. */
+  getGranted (): number {
+    return this._granted
+  }
+
+  /** Gets the tokens that are neither spent nor reserved. */
+  getAvailable (): number {
+    return this._granted - this._spent - this._reserved
+  }
+
+  /** Tells whether turns are under way. */
+  isInUse (): boolean {
+    return this._reserved > 0
+  }
+
+  /** Notes that a grant is asked for, so that the row's grants from now on belong to this account. */
+  noteAsked (): void {
+    this._hasAsked = true
+  }
+
+  /**
+   * Sets the tokens that the store's row grants to this gateway.
+   *
+   * @remarks What the row granted before this account asked belongs to an account that was forgotten, and counts as spent.
+   */
+  setGranted (tokens: number): void {
+    if (!this._hasAsked) this._spent = tokens
+    this._granted = tokens
+  }
+
+  /** Reserves the most that a turn may spend, if it is available. */
+  tryReserve (tokens: number): boolean {
+    if (this.getAvailable() < tokens) return false
+    this._reserved += tokens
+    return true
+  }
+
+  /** Ends a reservation with what the turn did spend. */
+  settle (reserved: number, spent: number): void {
+    this._reserved -= reserved
+    this._spent += spent
+  }
+}
--- /dev/null
+++ b/src/core/budget/index.ts
@@ -0,0 +1,3 @@
+export * from './BudgetAccount.js'
+export * from './BudgetRow.js'
+export * from './GrantPlan.js'
--- /dev/null
+++ b/src/core/config/GatewaySettings.ts
@@ -0,0 +1,38 @@
+import { z } from 'zod'
+
+const address = z.string().regex(/^[^:]+:[0-9]+$/, 'host:port')
+const name = z.string().min(1)
+
+/** Ways to place requests; all but `cost` are baselines for measurements. */
+export const PlacementKind = { Cost: 'cost', LeastOutstanding: 'least-outstanding', RoundRobin: 'round-robin' } as const
+export type PlacementKind = typeof PlacementKind[keyof typeof PlacementKind]
+
+/** Schema of the settings file of a gateway. */
+export const GATEWAY_SETTINGS = z.strictObject({
+  id: name,
+  failure_domain: name,
+  /** Region by failure domain. */
+  regions: z.record(name, name),
+  listen: z.strictObject({ callers: address, readiness: address, metrics: address }),
+  store: z.strictObject({
+    address,
+    /** Largest value of a row, in bytes of base64. */
+    row_bytes: z.int().min(1_024)
+  }),
+  stop: z.strictObject({
+    /** Milliseconds after the signal at which the process is killed. */
+    grace_ms: z.number().min(1_000)
+  }),
+  placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
+}).transform(raw => ({
+  id: raw.id,
+  failureDomain: raw.failure_domain,
+  regions: raw.regions,
+  listen: raw.listen,
+  store: { address: raw.store.address, rowBytes: raw.store.row_bytes },
+  graceMs: raw.stop.grace_ms,
+  placement: raw.placement
+}))
+
+/** Settings of a gateway. */
+export type GatewaySettings = z.output<typeof GATEWAY_SETTINGS>
--- /dev/null
+++ b/src/core/forward/index.ts
@@ -0,0 +1,3 @@
+export * from './CallProtocol.js'
+export * from './CallRequest.js'
+export * from './RetryPolicy.js'
--- /dev/null
+++ b/src/core/platform/StoreHealth.ts
@@ -0,0 +1,32 @@
+/** Failures in a row after which the store counts as away; one or two may be lost packets. */
+export const AWAY_AFTER_FAILURES = 3
+
+/** Follows whether the store answers, from the outcomes of all calls. */
+export class StoreHealth {
+  private _failures = 0
+  private _answeredAt = -Infinity
+
+  /** Notes an answer; returns true when the store was away. */
+  noteAnswer (now: number): boolean {
+    const wasAway = this.isAway()
+    this._failures = 0
+    this._answeredAt = now
+    return wasAway
+  }
+
+  /** Notes a call without an answer; returns true when the store counts as away from now on. */
+  noteFailure (): boolean {
+    this._failures++
+    return this._failures === AWAY_AFTER_FAILURES
+  }
+
+  /** Tells whether the store does not answer. */
+  isAway (): boolean {
+    return this._failures >= AWAY_AFTER_FAILURES
+  }
+
+  /** Gets the time of the latest answer. */
+  getAnsweredAt (): number {
+    return this._answeredAt
+  }
+}
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -85,6 +85,13 @@
   'outcome-unknown': unknown(502, 'The request may have run; it will not be run again.', 'Look at the ledger of the service, then decide by hand.'),
   'answer-not-durable': answered(504, 'The answer exists but could not be stored in time; fetch the call again.', 'Check the platform table service.'),
   'answer-interrupted': answered(502, 'The stream broke; fetch the call again for the whole answer.', 'Look for a crashed target or sidecar.'),
+  'headers-too-large': notRun(431, 'The headers are larger than the limit.', 'Raise the header limit of the configuration if the size is legitimate.'),
+  'turn-unknown': notRun(404, 'No such turn is kept.', 'The caller starts a new line of turns; look for the turn in the log of the gateway that served it.'),
+  'turn-unreadable': notRun(503, 'The earlier turn cannot be read at the moment.', 'Check the store; the log line `turn-unreadable` names the cause.'),
+  'budget-spent': notRun(402, 'The token budget of the program is spent.', 'Look for a loop: the log line `budget-spent` says how much was granted.'),
+  'budget-unreadable': notRun(503, 'The budget of the program cannot be read at the moment.', 'Check the store; the log line `budget-unreadable` names the cause.'),
+  'crashes-targets': notRun(503, 'This request crashed several targets and is not run again.', 'Read the request; its digest is in the log line `suspect-confirmed`.'),
+  'timeout-not-run': notRun(503, 'The time of the request passed before it could be placed.', 'Look for full targets.'),
   'deadline-passed': unknown(504, 'The call did not finish by its deadline.', 'Look for a hung target; fetch the call again.')
 } as const satisfies Record<string, ReasonDescription>
 
@@ -105,6 +112,9 @@
   'attempt-gone': 'The sidecar of the attempt restarted or vanished.',
   'settle-conflict': 'Another process settled or changed the row.',
   'settle-unavailable': 'The store did not take the result; it is kept and sent again.',
+  'target-not-run': 'The target answered that it did not run the request.',
+  'answer-broken': 'The answer was cut off or was not the answer to this request; the request may run again.',
+  'stream-resumed': 'The stream broke off and goes on at another target after its last whole event.',
   'store-timeout': 'The store did not answer in time.',
   'store-error': 'The store answered with an error.'
 } as const
--- /dev/null
+++ b/src/core/turn/TurnRows.ts
@@ -0,0 +1,47 @@
+import { createHash } from 'node:crypto'
+import type { RowPut, RowRange, StoredRow } from '../platform/index.js'
+
+/** Table of finished turns. */
+export const TURN_TABLE = 'turns'
+
+/** Parts over which turns are spread; a part commits one transaction at a time. */
+export const TURN_PARTS = 64
+
+/** Digits of a piece's number in its key, so that keys sort by number. */
+const PIECE_DIGITS = 4
+
+/** Rows of one turn: its whole transcript, cut into pieces that fit a row. */
+export interface TurnRowsOptions {
+  /** Largest number of bytes that a row may hold. */
+  readonly rowBytes: number
+}
+
+/** Gets the part that a turn lies in. */
+export function getTurnPart (id: string): string {
+  return String(createHash('sha1').update(id).digest().readUInt16BE(0) % TURN_PARTS)
+}
+
+/** Gets the range that holds every piece of a turn. */
+export function getTurnRange (id: string): RowRange {
+  return { table: TURN_TABLE, part: getTurnPart(id), from: `${id}/`, to: `${id}0` }
+}
+
+/** Cuts a transcript into rows; the first byte of each piece says whether another one follows. */
+export function toTurnRows (id: string, transcript: Buffer, options: TurnRowsOptions): RowPut[] {
+  const part = getTurnPart(id)
+  const size = options.rowBytes - 1
+  const rows: RowPut[] = []
+  for (let at = 0; at === 0 || at < transcript.length; at += size) {
+    const isLast = at + size >= transcript.length
+    const key = `${id}/${String(rows.length).padStart(PIECE_DIGITS, '0')}`
+    rows.push({ table: TURN_TABLE, part, key, value: Buffer.concat([Buffer.of(isLast ? 0 : 1), transcript.subarray(at, at + size)]) })
+  }
+  return rows
+}
+
+/** Joins the rows of a turn; undefined when there is no such turn. */
+export function fromTurnRows (rows: readonly StoredRow[]): Buffer | undefined {
+  const last = rows.at(-1)
+  if (last === undefined || last.value[0] !== 0) return undefined
+  return Buffer.concat(rows.map(row => row.value.subarray(1)))
+}
--- /dev/null
+++ b/src/core/turn/index.ts
@@ -0,0 +1,3 @@
+export * from './EventSplitter.js'
+export * from './Transcript.js'
+export * from './TurnRows.js'
--- /dev/null
+++ b/src/io/gateway/Attempts.ts
@@ -0,0 +1,166 @@
+import type { Clock } from '../../core/clock/index.js'
+import { decideRetry } from '../../core/forward/index.js'
+import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
+import { isRepeatable, RouteKind } from '../../core/route/index.js'
+import type { Placement, TargetState } from '../../core/target/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { Exchange } from './Exchange.js'
+import type { GatewayMetrics } from './GatewayMetrics.js'
+import { getParts, type Placer } from './Placer.js'
+import { TargetError, type TargetClient, type TargetReply } from './TargetClient.js'
+
+/** Seconds after which a refused caller may try again when targets were missing or full. */
+const RETRY_AFTER_SECONDS = 0.3
+
+/** What attempts of all requests share. */
+export interface AttemptContext {
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly metrics: GatewayMetrics
+  readonly placer: Placer
+  readonly client: TargetClient
+}
+
+/** An answer with the target that gives it. */
+export interface Attempt {
+  readonly state: TargetState
+  readonly reply: TargetReply
+  /** Notes that the attempt is over; call it once. */
+  readonly finish: () => void
+}
+
+/** Sends one request to targets, one after the other, until one answers or no other may be asked. */
+export class Attempts {
+  private readonly _context: AttemptContext
+  private readonly _exchange: Exchange
+  private readonly _excluded = new Set<string>()
+  private _sends = 0
+  private _runs = 0
+
+  constructor (context: AttemptContext, exchange: Exchange) {
+    this._context = context
+    this._exchange = exchange
+  }
+
+  /** Gets the next answer; undefined when the request was refused or its caller has gone. */
+  async next (body: Buffer | undefined, lastEventId?: string): Promise<Attempt | undefined> {
+    const { call, route, gone } = this._exchange
+    for (;;) {
+      if (gone.aborted) return undefined
+      const placement = this._context.placer.place(call, route, this._excluded)
+      if (placement === undefined) {
+        this._refuse(this._runs > 0 ? 'attempts-failed' : this._sends > 0 ? 'retries-exhausted' : 'no-target')
+        return undefined
+      }
+      const attempt = await this._send(placement, body, lastEventId)
+      if (attempt !== undefined) return attempt
+      if (!this._mayGoOn()) return undefined
+    }
+  }
+
+  /** Notes that the latest answer turned out to be broken; returns whether a further target may be asked, else refuses. */
+  mayRetryBroken (attempt: Attempt, cause: string): boolean {
+    this._noteRun(attempt.state, cause)
+    if (this._exchange.gone.aborted) return false
+    return this._mayGoOn()
+  }
+
+  private async _send (placement: Placement, body: Buffer | undefined, lastEventId: string | undefined): Promise<Attempt | undefined> {
+    const { clock, log, client, metrics } = this._context
+    const { call, route, configVersion } = this._exchange
+    const { state } = placement
+    const sentAt = clock.now()
+    const timeoutMs = this._exchange.getRemainingMs()
+    this._sends++
+    this._excluded.add(state.lifetime)
+    log.info('dispatched', {
+      req: call.id,
+      route: route.name,
+      config: configVersion,
+      target: state.lifetime,
+      send: this._sends,
+      ...placement.inputs,
+      timeoutMs: Math.round(timeoutMs)
+    })
+    const cached = state.cached.getCachedTokens(getParts(call))
+    metrics.notePrompt(cached, Math.max(0, call.promptTokens - cached))
+    state.cached.add(getParts(call))
+    state.noteStart()
+    // What may not be repeated runs to its end when its caller leaves; a half-made booking helps nobody.
+    const isDetached = route.kind === RouteKind.NonIdempotent
+    const limit = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
+    const signal = isDetached ? limit : AbortSignal.any([limit, this._exchange.gone])
+    try {
+      const reply = await client.send({
+        call, body, signal, isRepeatable: isRepeatable(route), dispatch: { target: state.target, timeoutMs, lastEventId }
+      })
+      if (reply.head.requestId !== undefined && reply.head.requestId !== call.id) {
+        reply.discard()
+        state.noteEnd()
+        this._noteRun(state, 'the answer is to another request')
+        return undefined
+      }
+      if (reply.head.isNotRun) {
+        reply.discard()
+        state.noteEnd()
+        this._noteNotRun(state, `status ${reply.head.status}`, false)
+        return undefined
+      }
+      state.noteAnswer(Math.max(0, clock.now() - sentAt - placement.predictedMs), clock.now())
+      return { state, reply, finish: () => { state.noteEnd() } }
+    } catch (err) {
+      state.noteEnd()
+      if (!(err instanceof TargetError)) throw err
+      if (err.isNotRun) this._noteNotRun(state, err.message, !signal.aborted)
+      else this._noteRun(state, err.message, !signal.aborted)
+      return undefined
+    }
+  }
+
+  private _noteNotRun (state: TargetState, cause: string, isUnreachable: boolean): void {
+    if (isUnreachable) this._eject(state, true)
+    this._noteRetry(state, isUnreachable ? 'target-unreachable' : 'target-not-run', cause)
+  }
+
+  private _noteRun (state: TargetState, cause: string, isFailure = true): void {
+    this._runs++
+    if (isFailure) this._eject(state, false)
+    this._noteRetry(state, 'answer-broken', cause)
+  }
+
+  private _eject (state: TargetState, isUnreachable: boolean): void {
+    const { clock, log, metrics } = this._context
+    const ms = state.noteFailure(clock.now(), isUnreachable)
+    if (ms === 0) return
+    metrics.ejections.inc()
+    log.warn('target-ejected', { target: state.lifetime, address: state.target.address, forMs: ms, isUnreachable })
+  }
+
+  private _noteRetry (state: TargetState, reason: RetryReason, cause: string): void {
+    this._context.metrics.addRetry(reason)
+    this._context.log.info('attempt-failed', { req: this._exchange.call.id, target: state.lifetime, send: this._sends, reason, cause })
+  }
+
+  private _mayGoOn (): boolean {
+    const { route } = this._exchange
+    const decision = decideRetry({
+      sends: this._sends,
+      runs: this._runs,
+      isRepeatable: isRepeatable(route),
+      maxAttempts: route.maxAttempts,
+      remainingMs: this._exchange.getRemainingMs()
+    })
+    if (decision.type === 'retry') return true
+    this._refuse(decision.reason)
+    return false
+  }
+
+  private _refuse (reason: RefusalReason): void {
+    if (this._exchange.hasStarted()) {
+      this._exchange.breakOff(reason)
+      return
+    }
+    const members = { sends: this._sends, runs: this._runs }
+    this._exchange.refuse({ reason, members, retryAfterSeconds: this._runs > 0 ? undefined : RETRY_AFTER_SECONDS })
+  }
+}
--- /dev/null
+++ b/src/io/gateway/Exchange.ts
@@ -0,0 +1,153 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from '../../core/clock/index.js'
+import type { CallProtocol, CallRequest, ReplyHead } from '../../core/forward/index.js'
+import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
+import type { Route } from '../../core/route/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { GatewayMetrics } from './GatewayMetrics.js'
+
+/** Headers of an answer whose connection is not used again. */
+const CLOSE = ['Connection', 'close']
+
+/** What all exchanges of a gateway share. */
+export interface ExchangeContext {
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly metrics: GatewayMetrics
+  readonly protocol: CallProtocol
+  /** Tells whether connections are to be closed after their answer. */
+  readonly isStopping: () => boolean
+}
+
+/** Options of {@link Exchange}. */
+export interface ExchangeOptions {
+  readonly context: ExchangeContext
+  readonly req: IncomingMessage
+  readonly res: ServerResponse
+  readonly call: CallRequest
+  readonly route: Route
+  readonly configVersion: number
+}
+
+/** One request of a caller with the way back to it. */
+export class Exchange {
+  readonly call: CallRequest
+  readonly route: Route
+  readonly configVersion: number
+  readonly startedAt: number
+  /** Time by which the caller has its answer, by the steady clock. */
+  readonly deadline: number
+  private readonly _context: ExchangeContext
+  private readonly _res: ServerResponse
+  private readonly _gone = new AbortController()
+
+  constructor (options: ExchangeOptions) {
+    const { context, call, route, res } = options
+    this._context = context
+    this._res = res
+    this.call = call
+    this.route = route
+    this.configVersion = options.configVersion
+    this.startedAt = context.clock.now()
+    this.deadline = this.startedAt + Math.min(call.timeoutMs ?? Infinity, route.timeoutMs)
+    res.on('close', () => { if (!res.writableEnded || !res.writableFinished) this._gone.abort() })
+  }
+
+  /** Aborted when the caller has closed its connection. */
+  get gone (): AbortSignal {
+    return this._gone.signal
+  }
+
+  /** Gets the milliseconds left. */
+  getRemainingMs (): number {
+    return this.deadline - this._context.clock.now()
+  }
+
+  /** Tells whether a part of the answer was sent. */
+  hasStarted (): boolean {
+    return this._res.headersSent
+  }
+
+  /** Sends a target's answer that has arrived whole. */
+  sendWhole (head: ReplyHead, body: Buffer): void {
+    if (this._isClosed()) return
+    this._res.writeHead(head.status, [...head.headers, 'Content-Length', String(body.length), ...this._getClose()])
+    this._res.end(body)
+    this._noteAnswered(head.status)
+  }
+
+  /** Begins an answer whose body follows in pieces. */
+  start (head: ReplyHead): void {
+    if (this._isClosed()) return
+    this._res.writeHead(head.status, [...head.headers, ...this._getClose()])
+    this._context.metrics.noteFirstByte(this.route.kind, this._context.clock.now() - this.startedAt)
+  }
+
+  /** Sends a piece; resolves when the caller takes more. */
+  async write (bytes: Buffer): Promise<void> {
+    if (this._isClosed() || this._res.write(bytes)) return
+    await new Promise<void>(resolve => {
+      const done = (): void => {
+        this._res.off('drain', done).off('close', done)
+        resolve()
+      }
+      this._res.on('drain', done).on('close', done)
+    })
+  }
+
+  /** Ends an answer that was sent in pieces. */
+  end (): void {
+    if (this._isClosed()) return
+    this._res.end()
+    this._noteAnswered(this._res.statusCode)
+  }
+
+  /** Cuts an answer that cannot be completed, so that it does not look whole. */
+  breakOff (cause: string): void {
+    const { log, metrics, clock } = this._context
+    metrics.addRefusal('answer-interrupted')
+    log.warn('answer-broken-off', { req: this.call.id, route: this.route.name, cause, tookMs: Math.round(clock.now() - this.startedAt) })
+    this._res.destroy()
+  }
+
+  /** Refuses the request; does nothing when the caller has gone. */
+  refuse (refusal: Refusal): void {
+    const { log, metrics, clock } = this._context
+    metrics.addRefusal(refusal.reason)
+    const tookMs = Math.round(clock.now() - this.startedAt)
+    const { reason, detail, members } = refusal
+    log.info('refused', { req: this.call.id, route: this.route.name, config: this.configVersion, reason, detail, ...members, tookMs })
+    sendProblem(this._context, this._res, this.call.id, refusal)
+  }
+
+  private _isClosed (): boolean {
+    return this._res.destroyed || this._res.writableEnded
+  }
+
+  private _getClose (): string[] {
+    return this._context.isStopping() ? CLOSE : []
+  }
+
+  private _noteAnswered (status: number): void {
+    const { log, metrics, clock } = this._context
+    const tookMs = clock.now() - this.startedAt
+    metrics.noteAnswer(this.route.kind, status, tookMs)
+    log.info('answered', { req: this.call.id, route: this.route.name, status, tookMs: Math.round(tookMs) })
+  }
+}
+
+/** Sends a refusal as a problem document, if the caller is still there. */
+export function sendProblem (
+  context: ExchangeContext, res: ServerResponse, requestId: string | undefined, refusal: Refusal, isLast = false
+): void {
+  if (res.destroyed || res.headersSent) return
+  const body = Buffer.from(JSON.stringify(toProblem(refusal)))
+  const retryAfterMs = refusal.retryAfterSeconds === undefined ? undefined : refusal.retryAfterSeconds * 1_000
+  res.writeHead(REFUSALS[refusal.reason].status, [
+    ...context.protocol.getRefusalHeaders(requestId, retryAfterMs),
+    'Content-Type', PROBLEM_CONTENT_TYPE,
+    'Content-Length', String(body.length),
+    ...(isLast || context.isStopping() ? CLOSE : [])
+  ])
+  res.end(body)
+}
--- /dev/null
+++ b/src/io/gateway/Gateway.ts
@@ -0,0 +1,212 @@
+import type { Either } from 'purify-ts'
+import type { Clock } from '../../core/clock/index.js'
+import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
+import type { CallProtocol } from '../../core/forward/index.js'
+import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
+import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
+import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
+import type { DecisionLog } from '../process/index.js'
+import { BudgetStore } from './BudgetStore.js'
+import type { GatewayMetrics } from './GatewayMetrics.js'
+import { GatewayServer } from './GatewayServer.js'
+import { PlainForwarder } from './PlainForwarder.js'
+import { Placer } from './Placer.js'
+import { StatusServer } from './StatusServer.js'
+import { StoreAccess } from './StoreAccess.js'
+import { StreamForwarder } from './StreamForwarder.js'
+import { TableWatch } from './TableWatch.js'
+import { TargetClient } from './TargetClient.js'
+import { TurnStore } from './TurnStore.js'
+
+/** Where the platform keeps what a gateway follows, and how to read it. */
+export interface PlatformTables {
+  readonly configTable: string
+  readonly configKey: string
+  readonly targetTable: string
+  readonly readinessPath: string
+  readonly decodeConfig: (value: Uint8Array) => Either<string, RouteConfig>
+  readonly decodeTarget: (row: StoredRow) => Target | undefined
+}
+
+/** Options of {@link Gateway}. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly metrics: GatewayMetrics
+  readonly store: RowStore
+  readonly protocol: CallProtocol
+  readonly tables: PlatformTables
+  /** Name of this run of the process, used by no other one. */
+  readonly incarnation: string
+  readonly random: () => number
+}
+
+/** Share of a row's base64 that is payload. */
+const BASE64_PAYLOAD = 0.75
+
+/** Milliseconds after the signal for which new connections may still come: two readiness checks and their way. */
+const NOTICE_MS = 3_000
+
+/** Milliseconds before the kill at which a stopping process ends in any case. */
+const STOP_MARGIN_MS = 500
+
+/** Milliseconds between two looks at whether a stopping process has finished its work. */
+const STOP_POLL_MS = 25
+
+/** One gateway: takes callers' requests and forwards them by the operator's configuration. */
+export class Gateway {
+  private readonly _options: GatewayOptions
+  private readonly _configs = new ConfigHolder()
+  private readonly _registry = new TargetRegistry()
+  private readonly _server: GatewayServer
+  private readonly _status: StatusServer
+  private readonly _configWatch: TableWatch
+  private readonly _targetWatch: TableWatch
+  private _isStopping = false
+
+  constructor (options: GatewayOptions) {
+    const { clock, log, metrics, store, settings, protocol, tables, incarnation } = options
+    this._options = options
+    const access = new StoreAccess({
+      store,
+      clock,
+      log,
+      onRetry: reason => { metrics.addRetry(reason) },
+      onAway: () => { this._registry.noteStoreAway() },
+      onBack: () => { this._registry.noteStoreBack(clock.now()) }
+    })
+    const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
+    const attempts = { clock, log, metrics, placer, client: new TargetClient(protocol) }
+    const streams = new StreamForwarder({
+      attempts,
+      turns: new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) }),
+      budgets: new BudgetStore({ access, clock, log, holder: incarnation }),
+      clock,
+      getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1
+    })
+    const context = { clock, log, metrics, protocol, isStopping: () => this._isStopping }
+    this._server = new GatewayServer({ context, configs: this._configs, plain: new PlainForwarder(attempts), streams })
+    this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
+    this._configWatch = new TableWatch({
+      access,
+      clock,
+      log,
+      table: tables.configTable,
+      onRows: rows => { for (const row of rows) this._takeConfig(row) },
+      onChange: change => { if (change.type === 'put') this._takeConfig(change.row) }
+    })
+    this._targetWatch = new TableWatch({
+      access,
+      clock,
+      log,
+      table: tables.targetTable,
+      onRows: rows => { this._takeTargets(rows) },
+      onChange: change => { this._onTargetChange(change) }
+    })
+  }
+
+  /** Starts to listen and to follow the store. */
+  async start (): Promise<void> {
+    const { listen } = this._options.settings
+    void this._configWatch.run()
+    void this._targetWatch.run()
+    await this._status.listenForReadiness(...toHostPort(listen.readiness))
+    await this._status.listenForMetrics(...toHostPort(listen.metrics))
+    await this._server.listen(...toHostPort(listen.callers))
+  }
+
+  /** Tells whether requests can be served. */
+  isReady (): boolean {
+    return !this._isStopping && this._configs.get() !== undefined && this._targetWatch.isRead()
+  }
+
+  /** Stops as planned: says so to the balancer, answers what was read, and resolves when nothing is left or the time is up. */
+  async stop (): Promise<void> {
+    const { clock, settings, log } = this._options
+    if (this._isStopping) return
+    this._isStopping = true
+    const startedAt = clock.now()
+    log.info('stopping', { inProgress: this._server.getInProgress() })
+    await waitUntil(() => clock.now() - startedAt >= NOTICE_MS)
+    this._server.stopListening()
+    const latest = startedAt + settings.graceMs - STOP_MARGIN_MS
+    await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= latest)
+    this._configWatch.close()
+    this._targetWatch.close()
+    this._status.close()
+    log.info('stopped', { inProgress: this._server.getInProgress(), tookMs: Math.round(clock.now() - startedAt) })
+  }
+
+  private _takeConfig (row: StoredRow): void {
+    const { tables, log, metrics } = this._options
+    if (row.key !== tables.configKey) return
+    tables.decodeConfig(row.value).caseOf({
+      Left: problem => {
+        metrics.badRows.inc({ table: row.table })
+        log.warn('config-rejected', { row: row.version, problem })
+      },
+      Right: config => {
+        if (!this._configs.offer(config)) return
+        this._server.setLimits(config.limits)
+        metrics.configVersion.set(config.version)
+        log.info('config-adopted', { version: config.version, row: row.version, routes: config.routes.length })
+      }
+    })
+  }
+
+  private _takeTargets (rows: readonly StoredRow[]): void {
+    const targets = rows.flatMap(row => this._decodeTarget(row) ?? [])
+    this._registry.setAll(targets, this._options.clock.now())
+    this._noteTargets()
+  }
+
+  private _onTargetChange (change: RowChange): void {
+    const { log, clock } = this._options
+    if (change.type === 'removed') {
+      this._registry.remove(change.key.key, clock.now())
+      log.info('target-removed', { target: change.key.key })
+    } else {
+      const target = this._decodeTarget(change.row)
+      if (target === undefined) this._registry.remove(change.row.key, clock.now())
+      else if (this._registry.set(target)) log.info('target-changed', { ...target, row: change.row.version })
+    }
+    this._noteTargets()
+  }
+
+  private _decodeTarget (row: StoredRow): Target | undefined {
+    const { tables, log, metrics } = this._options
+    const target = tables.decodeTarget(row)
+    if (target === undefined) {
+      metrics.badRows.inc({ table: row.table })
+      log.warn('target-row-rejected', { target: row.key, row: row.version })
+    }
+    return target
+  }
+
+  private _noteTargets (): void {
+    this._options.metrics.targets.set(this._registry.getSize())
+  }
+}
+
+function createPolicy (options: GatewayOptions): PlacementPolicy {
+  const { failureDomain, regions, placement } = options.settings
+  if (placement === PlacementKind.RoundRobin) return new RoundRobin()
+  if (placement === PlacementKind.LeastOutstanding) return new LeastOutstanding()
+  return new CostPlacement({ failureDomain, regions, random: options.random })
+}
+
+function toHostPort (address: string): [string, number] {
+  const [host, port] = address.split(':')
+  return [host!, Number(port)]
+}
+
+async function waitUntil (isDone: () => boolean): Promise<void> {
+  await new Promise<void>(resolve => {
+    const timer = setInterval(() => {
+      if (!isDone()) return
+      clearInterval(timer)
+      resolve()
+    }, STOP_POLL_MS)
+  })
+}
--- /dev/null
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -0,0 +1,74 @@
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { REFUSALS, RETRIES, type RefusalReason, type RetryReason } from '../../core/reason/index.js'
+
+/** Buckets for times from a millisecond to the longest request. */
+const SECONDS_BUCKETS = [0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10]
+
+/** Metrics of a gateway. */
+export class GatewayMetrics {
+  readonly registry = new Registry()
+  private readonly _refusals = this._counter('wisteria_refusals_total', 'Requests refused, by reason.', ['reason'])
+  private readonly _retries = this._counter('wisteria_retries_total', 'Attempts and store calls tried again, by reason.', ['reason'])
+  private readonly _answers = this._counter('wisteria_answers_total', 'Answers of targets passed on, by kind of route and class of status.', ['kind', 'status'])
+  private readonly _storeCalls = this._counter('wisteria_store_calls_total', 'Calls of the store, by call and result.', ['call', 'result'])
+  private readonly _prompt = this._counter('wisteria_prompt_tokens_total', 'Prompt tokens sent to targets, by whether the target probably had them.', ['cached'])
+  readonly ejections = this._counter('wisteria_ejections_total', 'Targets that get no work for a while.', [])
+  readonly droppedLines = this._counter('wisteria_log_lines_dropped_total', 'Log lines dropped because the reader was too slow.', [])
+  readonly badRows = this._counter('wisteria_bad_rows_total', 'Rows of the store that could not be decoded, by table.', ['table'])
+  readonly configVersion = this._gauge('wisteria_config_version', 'Version of the configuration in force.')
+  readonly targets = this._gauge('wisteria_targets', 'Targets known.')
+  readonly inProgress = this._gauge('wisteria_requests_in_progress', 'Requests in progress.')
+  private readonly _request = this._histogram('wisteria_request_seconds', 'Time from arrival to the end of the answer.', ['kind'])
+  private readonly _firstByte = this._histogram('wisteria_first_byte_seconds', 'Time from arrival to the first byte of an answer in pieces.', ['kind'])
+  private readonly _store = this._histogram('wisteria_store_seconds', 'Time of a call of the store.', ['call'])
+
+  constructor () {
+    for (const reason of Object.keys(REFUSALS)) this._refusals.inc({ reason }, 0)
+    for (const reason of Object.keys(RETRIES)) this._retries.inc({ reason }, 0)
+  }
+
+  /** Counts a refusal. */
+  addRefusal (reason: RefusalReason): void {
+    this._refusals.inc({ reason })
+  }
+
+  /** Counts a retry. */
+  addRetry (reason: RetryReason): void {
+    this._retries.inc({ reason })
+  }
+
+  /** Notes an answer that was passed on whole. */
+  noteAnswer (kind: string, status: number, tookMs: number): void {
+    this._answers.inc({ kind, status: `${Math.floor(status / 100)}xx` })
+    this._request.observe({ kind }, tookMs / 1_000)
+  }
+
+  /** Notes the time to the first byte of an answer in pieces. */
+  noteFirstByte (kind: string, tookMs: number): void {
+    this._firstByte.observe({ kind }, tookMs / 1_000)
+  }
+
+  /** Notes a call of the store. */
+  noteStoreCall (call: string, result: string, tookMs: number): void {
+    this._storeCalls.inc({ call, result })
+    this._store.observe({ call }, tookMs / 1_000)
+  }
+
+  /** Notes the prompt of a request that was placed. */
+  notePrompt (cached: number, uncached: number): void {
+    this._prompt.inc({ cached: 'yes' }, cached)
+    this._prompt.inc({ cached: 'no' }, uncached)
+  }
+
+  private _counter (name: string, help: string, labelNames: string[]): Counter {
+    return new Counter({ name, help, labelNames, registers: [this.registry] })
+  }
+
+  private _gauge (name: string, help: string): Gauge {
+    return new Gauge({ name, help, registers: [this.registry] })
+  }
+
+  private _histogram (name: string, help: string, labelNames: string[]): Histogram {
+    return new Histogram({ name, help, labelNames, buckets: SECONDS_BUCKETS, registers: [this.registry] })
+  }
+}
--- /dev/null
+++ b/src/io/gateway/GatewayServer.ts
@@ -0,0 +1,163 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Refusal } from '../../core/reason/index.js'
+import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
+import { readBody } from '../http/index.js'
+import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
+import type { PlainForwarder } from './PlainForwarder.js'
+import type { StreamForwarder } from './StreamForwarder.js'
+
+/** Largest header block that is parsed at all; the configuration's limit is checked after it. */
+const MAX_HEADER_BYTES = 65_536
+
+/** Milliseconds between two looks for callers that take too long to send. */
+const SLOW_CALLER_CHECK_MS = 500
+
+/** Milliseconds that an idle connection stays open beyond the configured time, so that no request meets its closing. */
+const IDLE_MARGIN_MS = 1_000
+
+/** Milliseconds for a whole request with its body, before the configuration says how long a request may take. */
+const REQUEST_TIMEOUT_MS = 30_000
+
+/** Seconds after which a caller may try again while the configuration is not known. */
+const NOT_READY_RETRY_SECONDS = 0.5
+
+/** Statuses of answers to bytes that are no request, by the parser's error. */
+const PARSE_STATUS: Readonly<Record<string, string>> = {
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+}
+
+/** Options of {@link GatewayServer}. */
+export interface GatewayServerOptions {
+  readonly context: ExchangeContext
+  readonly configs: ConfigHolder
+  readonly plain: PlainForwarder
+  readonly streams: StreamForwarder
+}
+
+/** Takes callers' requests. */
+export class GatewayServer {
+  private readonly _options: GatewayServerOptions
+  private readonly _server: Server
+  private _inProgress = 0
+
+  constructor (options: GatewayServerOptions) {
+    this._options = options
+    this._server = createServer({
+      maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: SLOW_CALLER_CHECK_MS
+    }, (req, res) => { void this._serve(req, res) })
+    this._server.on('clientError', (err: NodeJS.ErrnoException, socket) => { this._refuseBytes(err, socket as Socket) })
+  }
+
+  /** Starts to listen. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, 4_096, resolve)
+    })
+  }
+
+  /** Takes the limits of a configuration. */
+  setLimits (limits: CallerLimits): void {
+    this._server.headersTimeout = limits.headerTimeoutMs
+    this._server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+  }
+
+  /** Takes no further connections; idle ones are closed. */
+  stopListening (): void {
+    this._server.close()
+    this._server.closeIdleConnections()
+  }
+
+  /** Gets the requests that were read and not yet answered. */
+  getInProgress (): number {
+    return this._inProgress
+  }
+
+  private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    this._inProgress++
+    this._options.context.metrics.inProgress.set(this._inProgress)
+    let isOpen = true
+    const done = (): void => {
+      if (!isOpen) return
+      isOpen = false
+      this._inProgress--
+      this._options.context.metrics.inProgress.set(this._inProgress)
+    }
+    // A request is in progress until its answer has left this process or its connection is gone.
+    res.on('finish', done).on('close', done)
+    try {
+      await this._handle(req, res)
+    } catch (err) {
+      this._options.context.log.warn('request-failed', { cause: err instanceof Error ? err.stack : String(err) })
+      res.destroy()
+    }
+  }
+
+  private async _handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const { context, configs } = this._options
+    const head = { method: req.method ?? '', url: req.url ?? '', rawHeaders: req.rawHeaders }
+    const decoded = context.protocol.decodeRequest(head)
+    if (decoded.isLeft()) {
+      this._refuse(req, res, undefined, decoded.extract() as Refusal)
+      return
+    }
+    const call = decoded.unsafeCoerce()
+    const table = configs.get()
+    if (table === undefined) {
+      this._refuse(req, res, call.id, { reason: 'not-ready', retryAfterSeconds: NOT_READY_RETRY_SECONDS })
+      return
+    }
+    const { limits, version } = table.config
+    if (getHeaderBytes(head) > limits.headerBytes) {
+      this._refuse(req, res, call.id, { reason: 'headers-too-large', members: { limitBytes: limits.headerBytes } })
+      return
+    }
+    const route = table.getRoute(call.host, call.path)
+    if (route === undefined) {
+      this._refuse(req, res, call.id, { reason: 'route-unknown', members: { config: version, host: call.host, path: call.path } })
+      return
+    }
+    const exchange = new Exchange({ context, req, res, call, route, configVersion: version })
+    const body = await readBody(req, limits.bodyBytes)
+    if (body.isLeft()) {
+      if (!exchange.gone.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
+      return
+    }
+    const bytes = body.unsafeCoerce()
+    const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
+    if (route.kind === RouteKind.Streaming) await this._options.streams.forward(exchange, content)
+    else await this._options.plain.forward(exchange, content)
+  }
+
+  /** Refuses a request before it is forwarded; a body that was not read ends the connection. */
+  private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, refusal: Refusal): void {
+    const { context } = this._options
+    context.metrics.addRefusal(refusal.reason)
+    context.log.info('refused', { req: id, reason: refusal.reason, detail: refusal.detail, ...refusal.members })
+    sendProblem(context, res, id, refusal, !req.complete && hasBody(req))
+    req.resume()
+  }
+
+  private _refuseBytes (err: NodeJS.ErrnoException, socket: Socket): void {
+    if (err.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const status = PARSE_STATUS[err.code ?? ''] ?? '400 Bad Request'
+    const { context } = this._options
+    context.metrics.addRefusal(status.startsWith('431') ? 'headers-too-large' : status.startsWith('408') ? 'body-timeout' : 'invalid-request')
+    context.log.info('bytes-refused', { code: err.code, cause: err.message })
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+  }
+}
+
+function getHeaderBytes (head: { method: string, url: string, rawHeaders: readonly string[] }): number {
+  // Each header takes a colon, a space and a line end beside its name and value.
+  return head.rawHeaders.reduce((sum, text) => sum + text.length + 2, head.method.length + head.url.length + 12)
+}
+
+function hasBody (req: IncomingMessage): boolean {
+  return req.headers['transfer-encoding'] !== undefined || Number(req.headers['content-length'] ?? 0) > 0
+}
--- /dev/null
+++ b/src/io/gateway/Placer.ts
@@ -0,0 +1,48 @@
+import { createHash } from 'node:crypto'
+import type { Clock } from '../../core/clock/index.js'
+import type { CallRequest, PromptPart } from '../../core/forward/index.js'
+import type { Backend, Route } from '../../core/route/index.js'
+import type { Placement, PlacementPolicy, TargetRegistry } from '../../core/target/index.js'
+
+/** Options of {@link Placer}. */
+export interface PlacerOptions {
+  readonly registry: TargetRegistry
+  readonly policy: PlacementPolicy
+  readonly clock: Clock
+}
+
+/** Finds the target of a request: a backend of its route, then a target of that service. */
+export class Placer {
+  private readonly _options: PlacerOptions
+
+  constructor (options: PlacerOptions) {
+    this._options = options
+  }
+
+  /** Chooses a target; undefined when none takes work. */
+  place (call: CallRequest, route: Route, excluded: ReadonlySet<string>): Placement | undefined {
+    const { registry, policy, clock } = this._options
+    const now = clock.now()
+    const service = chooseBackend(route.backends, call.program?.session ?? call.affinityKey ?? call.id)
+    if (service === undefined) return undefined
+    const work = { promptTokens: call.promptTokens, promptParts: getParts(call), excluded }
+    return policy.select(registry.getServing(service, now), work, now)
+  }
+}
+
+/** Gets the parts by which a target may have the prompt cached; a retained turn begins with the turn that it continues from. */
+export function getParts (call: CallRequest): readonly PromptPart[] {
+  return call.promptParts
+}
+
+/** Chooses a backend by weight; the same subject goes to the same one. */
+function chooseBackend (backends: readonly Backend[], subject: string): string | undefined {
+  if (backends.length <= 1) return backends[0]?.service
+  const total = backends.reduce((sum, backend) => sum + backend.weight, 0)
+  let point = createHash('sha1').update(subject).digest().readUInt32BE(0) / 2 ** 32 * total
+  for (const backend of backends) {
+    point -= backend.weight
+    if (point < 0) return backend.service
+  }
+  return backends.at(-1)!.service
+}
--- /dev/null
+++ b/src/io/gateway/ReplyHandler.ts
@@ -0,0 +1,107 @@
+import type { Dispatcher } from 'undici'
+
+/** Bytes of an answer that may wait for a slow caller before the target is made to wait. */
+const MAX_WAITING_BYTES = 65_536
+
+/** Head of an answer as it arrived. */
+export interface RawReply {
+  readonly status: number
+  /** Names and values alternating. */
+  readonly headers: readonly string[]
+  readonly body: AsyncIterable<Buffer>
+  readonly abort: () => void
+}
+
+/** Receives one answer: its head as a promise, its body as an iterable with back-pressure. */
+export class ReplyHandler implements Dispatcher.DispatchHandler {
+  /** True from the moment at which the request is about to be written to a connection. */
+  isSent = false
+  readonly reply: Promise<RawReply>
+  private _resolve: (reply: RawReply) => void = () => {}
+  private _reject: (err: Error) => void = () => {}
+  private _controller: Dispatcher.DispatchController | undefined
+  private _chunks: Buffer[] = []
+  private _waitingBytes = 0
+  private _isEnded = false
+  private _err: Error | undefined
+  private _wake: () => void = () => {}
+  private readonly _signal: AbortSignal
+  private readonly _onAbort = (): void => { this._abort(new Error('The request was given up.')) }
+
+  constructor (signal: AbortSignal) {
+    this._signal = signal
+    this.reply = new Promise((resolve, reject) => {
+      this._resolve = resolve
+      this._reject = reject
+    })
+    signal.addEventListener('abort', this._onAbort)
+    if (signal.aborted) this._onAbort()
+  }
+
+  onRequestStart (controller: Dispatcher.DispatchController): void {
+    this._controller = controller
+    // The request was given up while it waited for a connection: it is not written.
+    if (this._err !== undefined) {
+      controller.abort(this._err)
+      return
+    }
+    this.isSent = true
+  }
+
+  onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
+    if (status < 200) return
+    const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
+    const headers = rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
+    this._resolve({ status, headers, body: this._read(), abort: () => { this._abort(new Error('The answer was discarded.')) } })
+  }
+
+  onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
+    this._chunks.push(chunk)
+    this._waitingBytes += chunk.length
+    if (this._waitingBytes > MAX_WAITING_BYTES) controller.pause()
+    this._wake()
+  }
+
+  onResponseEnd (): void {
+    this._isEnded = true
+    this._close()
+  }
+
+  onResponseError (_controller: Dispatcher.DispatchController, err: Error): void {
+    this._fail(err)
+  }
+
+  private async * _read (): AsyncGenerator<Buffer> {
+    for (;;) {
+      const chunk = this._chunks.shift()
+      if (chunk !== undefined) {
+        this._waitingBytes -= chunk.length
+        if (this._waitingBytes === 0) this._controller?.resume()
+        yield chunk
+      } else if (this._err !== undefined) {
+        throw this._err
+      } else if (this._isEnded) {
+        return
+      } else {
+        await new Promise<void>(resolve => { this._wake = resolve })
+      }
+    }
+  }
+
+  private _abort (err: Error): void {
+    if (this._isEnded) return
+    this._fail(err)
+    this._controller?.abort(err)
+  }
+
+  private _fail (err: Error): void {
+    this._err ??= err
+    this._reject(this._err)
+    this._close()
+  }
+
+  private _close (): void {
+    this._signal.removeEventListener('abort', this._onAbort)
+    this._wake()
+  }
+}
--- /dev/null
+++ b/src/io/gateway/StatusServer.ts
@@ -0,0 +1,54 @@
+import { createServer, type Server } from 'node:http'
+import type { Registry } from 'prom-client'
+
+/** Options of {@link StatusServer}. */
+export interface StatusServerOptions {
+  /** Path of the readiness check. */
+  readonly readinessPath: string
+  readonly isReady: () => boolean
+  readonly registry: Registry
+}
+
+/** Answers the balancer's readiness check and requests for metrics. */
+export class StatusServer {
+  private readonly _options: StatusServerOptions
+  private readonly _servers: Server[] = []
+
+  constructor (options: StatusServerOptions) {
+    this._options = options
+  }
+
+  /** Starts to answer readiness checks. */
+  async listenForReadiness (host: string, port: number): Promise<void> {
+    const { readinessPath, isReady } = this._options
+    await this._listen(host, port, createServer((req, res) => {
+      res.writeHead(req.url !== readinessPath ? 404 : isReady() ? 200 : 503, { 'content-length': 0 }).end()
+    }))
+  }
+
+  /** Starts to serve metrics. */
+  async listenForMetrics (host: string, port: number): Promise<void> {
+    const { registry } = this._options
+    await this._listen(host, port, createServer((req, res) => {
+      void registry.metrics().then(text => {
+        res.writeHead(200, { 'content-type': registry.contentType }).end(text)
+      })
+    }))
+  }
+
+  /** Closes both servers with their connections. */
+  close (): void {
+    for (const server of this._servers) {
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+
+  private async _listen (host: string, port: number, server: Server): Promise<void> {
+    this._servers.push(server)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, resolve)
+    })
+  }
+}
--- /dev/null
+++ b/src/io/gateway/StoreAccess.ts
@@ -0,0 +1,87 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Clock } from '../../core/clock/index.js'
+import { RowStore, StoreError, StoreFailure, StoreHealth, type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction } from '../../core/platform/index.js'
+import type { DecisionLog } from '../process/index.js'
+
+/** Milliseconds for one try of a read or a commit; ten times what a slow store was seen to take in one domain. */
+export const TRY_TIMEOUT_MS = 700
+
+/** Milliseconds between two tries; a caller waits meanwhile. */
+const PAUSE_MS = 60
+
+/** Options of {@link StoreAccess}. */
+export interface StoreAccessOptions {
+  readonly store: RowStore
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly onRetry: (reason: 'store-timeout' | 'store-error') => void
+  readonly onAway: () => void
+  readonly onBack: () => void
+}
+
+/** Calls the store, again where that is harmless, and follows whether it answers. */
+export class StoreAccess {
+  readonly health = new StoreHealth()
+  private readonly _options: StoreAccessOptions
+
+  constructor (options: StoreAccessOptions) {
+    this._options = options
+  }
+
+  /** Reads a range; tries until the deadline. */
+  async read (range: RowRange, deadline: number): Promise<RowSnapshot> {
+    return await this._untilAnswered(deadline, async options => await this._options.store.read(range, options))
+  }
+
+  /** Makes a change whose repetition is harmless; tries until the deadline. */
+  async commitRepeatable (transaction: RowTransaction, deadline: number): Promise<RowCommit> {
+    return await this._untilAnswered(deadline, async options => await this._options.store.commit(transaction, options))
+  }
+
+  /** Makes a change once. */
+  async commitOnce (transaction: RowTransaction, deadline: number): Promise<RowCommit> {
+    return await this._try(deadline, async options => await this._options.store.commit(transaction, options))
+  }
+
+  /** Waits for changes of a table. */
+  async watch (table: string, after: number, waitMs: number, timeoutMs: number): Promise<RowFeed> {
+    return await this._note(async () => await this._options.store.watch(table, after, waitMs, { timeoutMs }))
+  }
+
+  private async _untilAnswered<T> (deadline: number, call: (options: CallOptions) => Promise<T>): Promise<T> {
+    for (;;) {
+      try {
+        return await this._try(deadline, call)
+      } catch (err) {
+        if (!(err instanceof StoreError) || this._options.clock.now() + PAUSE_MS >= deadline) throw err
+        this._options.onRetry(err.failure === StoreFailure.NoAnswer ? 'store-timeout' : 'store-error')
+        await sleep(PAUSE_MS)
+      }
+    }
+  }
+
+  private async _try<T> (deadline: number, call: (options: CallOptions) => Promise<T>): Promise<T> {
+    const timeoutMs = Math.ceil(Math.min(TRY_TIMEOUT_MS, deadline - this._options.clock.now()))
+    if (timeoutMs <= 0) throw new StoreError(StoreFailure.Refused, 'There is no time left for a call of the store.')
+    return await this._note(async () => await call({ timeoutMs }))
+  }
+
+  private async _note<T> (call: () => Promise<T>): Promise<T> {
+    const { clock, log, onAway, onBack } = this._options
+    const before = this.health.getAnsweredAt()
+    try {
+      const answer = await call()
+      if (this.health.noteAnswer(clock.now())) {
+        log.info('store-back', { awayMs: Math.round(clock.now() - before) })
+        onBack()
+      }
+      return answer
+    } catch (err) {
+      if (err instanceof StoreError && this.health.noteFailure()) {
+        log.warn('store-away', { answeredMsAgo: Math.round(clock.now() - this.health.getAnsweredAt()), cause: err.message })
+        onAway()
+      }
+      throw err
+    }
+  }
+}
--- /dev/null
+++ b/src/io/gateway/StreamForwarder.ts
@@ -0,0 +1,160 @@
+import type { Clock } from '../../core/clock/index.js'
+import { EventSplitter, Transcript } from '../../core/turn/index.js'
+import { Attempts, type Attempt, type AttemptContext } from './Attempts.js'
+import { Reservation, type BudgetStore } from './BudgetStore.js'
+import type { Exchange } from './Exchange.js'
+import { getHeadFailure, relayWhole } from './PlainForwarder.js'
+import type { TurnStore } from './TurnStore.js'
+
+/** Milliseconds without an event after which callers leave a stream, at least. */
+const CALLER_PATIENCE_MS = 2_000
+
+/** Multiple of the route's objective that callers wait for an event. */
+const PATIENCE_OBJECTIVES = 4
+
+/** Multiple of the route's longest pause that callers wait for an event. */
+const PATIENCE_GAPS = 8
+
+/** Milliseconds before the caller leaves at which a held end is given up. */
+const HOLD_MARGIN_MS = 150
+
+/** Milliseconds for which a turn waits for its budget and its earlier turns. */
+const PREPARE_MS = 1_000
+
+/** Seconds after which a caller may try again when the store did not answer. */
+const STORE_RETRY_SECONDS = 0.5
+
+/** Options of {@link StreamForwarder}. */
+export interface StreamForwarderOptions {
+  readonly attempts: AttemptContext
+  readonly turns: TurnStore
+  readonly budgets: BudgetStore
+  readonly clock: Clock
+  /** Gets the tokens that each event of a service's streams stands for. */
+  readonly getTokensPerEvent: (service: string) => number
+}
+
+/** State of one stream while it is relayed. */
+interface StreamProgress {
+  readonly transcript: Transcript
+  events: number
+  lastEventId: string | undefined
+  lastEventAt: number
+}
+
+/** Forwards requests whose answer is a stream of events: turns of programs. */
+export class StreamForwarder {
+  private readonly _options: StreamForwarderOptions
+
+  constructor (options: StreamForwarderOptions) {
+    this._options = options
+  }
+
+  /** Forwards a turn and relays its events. */
+  async forward (exchange: Exchange, input: Buffer | undefined): Promise<void> {
+    const prompt = await this._getPrompt(exchange, input)
+    if (prompt === undefined || !await this._reserve(exchange)) return
+    const progress: StreamProgress = {
+      transcript: new Transcript(prompt), events: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
+    }
+    try {
+      await this._relayAttempts(exchange, prompt, progress)
+    } finally {
+      this._settle(exchange, progress)
+    }
+  }
+
+  private async _getPrompt (exchange: Exchange, input: Buffer | undefined): Promise<Buffer | undefined> {
+    const own = input ?? Buffer.alloc(0)
+    const { previousTurn } = exchange.call
+    if (!exchange.route.isRetained || previousTurn === undefined) return own
+    const loaded = await this._options.turns.load(previousTurn, this._getPrepareDeadline(exchange))
+    return loaded.caseOf({
+      Right: transcript => Buffer.concat([transcript, own]),
+      Left: reason => {
+        const retryAfterSeconds = reason === 'turn-unreadable' ? STORE_RETRY_SECONDS : undefined
+        exchange.refuse({ reason, retryAfterSeconds, members: { turn: previousTurn } })
+        return undefined
+      }
+    })
+  }
+
+  private async _reserve (exchange: Exchange): Promise<boolean> {
+    const { program, maxOutputTokens } = exchange.call
+    if (program?.tokenBudget === undefined) return true
+    const result = await this._options.budgets.reserve({
+      program: program.id, limit: program.tokenBudget, tokens: maxOutputTokens, deadline: this._getPrepareDeadline(exchange)
+    })
+    if (result === Reservation.Granted) return true
+    if (result === Reservation.Spent) exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
+    else exchange.refuse({ reason: 'budget-unreadable', retryAfterSeconds: STORE_RETRY_SECONDS, members: { program: program.id } })
+    return false
+  }
+
+  private _settle (exchange: Exchange, progress: StreamProgress): void {
+    const { program, maxOutputTokens } = exchange.call
+    if (program?.tokenBudget === undefined) return
+    const service = exchange.route.backends[0]?.service ?? ''
+    this._options.budgets.settle(program.id, maxOutputTokens, progress.events * this._options.getTokensPerEvent(service))
+  }
+
+  private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress): Promise<void> {
+    const attempts = new Attempts(this._options.attempts, exchange)
+    for (;;) {
+      const attempt = await attempts.next(prompt, progress.lastEventId)
+      if (attempt === undefined) return
+      const failure = await this._relay(exchange, attempt, progress)
+      attempt.finish()
+      if (failure === undefined) return
+      if (!attempts.mayRetryBroken(attempt, failure)) return
+      if (progress.events > 0) this._options.attempts.metrics.addRetry('stream-resumed')
+    }
+  }
+
+  /** Relays one target's events; returns why it could not be finished, or undefined. */
+  private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<string | undefined> {
+    const { head, body } = attempt.reply
+    if (head.status !== 200) return await relayWhole(exchange, attempt)
+    const failure = getHeadFailure(attempt)
+    if (failure !== undefined) {
+      attempt.reply.discard()
+      return failure
+    }
+    const splitter = new EventSplitter()
+    try {
+      for await (const chunk of body) {
+        for (const event of splitter.add(chunk)) {
+          if (!exchange.hasStarted()) exchange.start(head)
+          progress.events++
+          progress.lastEventAt = this._options.clock.now()
+          if (event.id !== '') progress.lastEventId = event.id
+          progress.transcript.addEvent(event)
+          await exchange.write(event.bytes)
+        }
+      }
+    } catch (err) {
+      return err instanceof Error ? err.message : String(err)
+    }
+    if (splitter.getRest().length > 0 || progress.events === 0) return 'the stream ended within an event'
+    await this._finish(exchange, progress)
+    return undefined
+  }
+
+  /** Ends the answer; a turn counts from its end, so the end follows when the turn is durable. */
+  private async _finish (exchange: Exchange, progress: StreamProgress): Promise<void> {
+    const { route, call } = exchange
+    if (route.isRetained) {
+      const patienceMs = Math.max(CALLER_PATIENCE_MS, PATIENCE_OBJECTIVES * route.objectiveMs, PATIENCE_GAPS * route.maxGapMs)
+      const deadline = Math.min(exchange.deadline, progress.lastEventAt + patienceMs - HOLD_MARGIN_MS)
+      if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), deadline)) {
+        exchange.breakOff('the turn could not be saved')
+        return
+      }
+    }
+    exchange.end()
+  }
+
+  private _getPrepareDeadline (exchange: Exchange): number {
+    return Math.min(exchange.deadline, exchange.startedAt + PREPARE_MS)
+  }
+}
--- /dev/null
+++ b/src/io/gateway/TableWatch.ts
@@ -0,0 +1,97 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Clock } from '../../core/clock/index.js'
+import { StoreError, type RowChange, type StoredRow } from '../../core/platform/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { StoreAccess } from './StoreAccess.js'
+
+/** Milliseconds that the store may hold a watch; a silent connection costs this and the margin. */
+export const WATCH_MS = 1_000
+
+/** Milliseconds beyond the wait after which a watch counts as silent. */
+const WATCH_MARGIN_MS = 600
+
+/** Milliseconds between two tries while the store does not answer. */
+const RETRY_MS = 300
+
+/** Milliseconds after which a table is read again although no change was reported. */
+const REREAD_MS = 15_000
+
+/** Milliseconds for reading a whole table. */
+const READ_TIMEOUT_MS = 2_000
+
+/** Options of {@link TableWatch}. */
+export interface TableWatchOptions {
+  readonly access: StoreAccess
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly table: string
+  /** Takes all rows of the table. */
+  readonly onRows: (rows: readonly StoredRow[]) => void
+  /** Takes one change. */
+  readonly onChange: (change: RowChange) => void
+}
+
+/** Follows a table without parts: reads it whole, then watches for changes, and reads it again after a gap. */
+export class TableWatch {
+  private readonly _options: TableWatchOptions
+  private readonly _stop = new AbortController()
+  private _version = 0
+  private _readAt = -Infinity
+  private _seenAt = -Infinity
+
+  constructor (options: TableWatchOptions) {
+    this._options = options
+  }
+
+  /** Follows the table until {@link close}. */
+  async run (): Promise<void> {
+    while (!this._stop.signal.aborted) {
+      try {
+        if (this._options.clock.now() - this._readAt > REREAD_MS) await this._readAll()
+        await this._watch()
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err
+        await sleep(RETRY_MS)
+      }
+    }
+  }
+
+  /** Gets the milliseconds since the table was last known to be as it is here. */
+  getAgeMs (): number {
+    return this._options.clock.now() - this._seenAt
+  }
+
+  /** Tells whether the table was read. */
+  isRead (): boolean {
+    return this._seenAt > -Infinity
+  }
+
+  /** Stops after the call under way. */
+  close (): void {
+    this._stop.abort()
+  }
+
+  private async _readAll (): Promise<void> {
+    const { access, clock, table } = this._options
+    const startedAt = clock.now()
+    const { rows, version } = await access.read({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
+    this._options.onRows(rows)
+    this._version = version
+    this._readAt = startedAt
+    this._seenAt = startedAt
+  }
+
+  private async _watch (): Promise<void> {
+    const { access, clock, log, table } = this._options
+    const startedAt = clock.now()
+    const feed = await access.watch(table, this._version, WATCH_MS, WATCH_MS + WATCH_MARGIN_MS)
+    if (feed.type === 'gap') {
+      log.info('watch-gap', { table, version: this._version })
+      this._readAt = -Infinity
+      return
+    }
+    for (const change of feed.changes) this._options.onChange(change)
+    this._version = feed.version
+    this._seenAt = startedAt
+  }
+}
--- /dev/null
+++ b/src/io/gateway/TargetClient.ts
@@ -0,0 +1,102 @@
+import { Agent, errors, type Dispatcher } from 'undici'
+import type { CallProtocol, CallRequest, Dispatch, ReplyHead } from '../../core/forward/index.js'
+import { ReplyHandler } from './ReplyHandler.js'
+
+/** Milliseconds in which a connection to a target must open: a round trip between regions and a busy target. */
+export const CONNECT_TIMEOUT_MS = 500
+
+/** Milliseconds for which an idle connection is used again for requests that may be repeated. */
+const KEEP_ALIVE_MS = 4_000
+
+/** Milliseconds for which an idle connection is used again for requests that run at most once; a stale one would lose them. */
+const CAUTIOUS_KEEP_ALIVE_MS = 700
+
+/** Milliseconds before a target's announced idle timeout at which a connection is given up. */
+const KEEP_ALIVE_MARGIN_MS = 700
+
+/** An answer whose head has arrived. */
+export interface TargetReply {
+  readonly head: ReplyHead
+  readonly body: AsyncIterable<Buffer>
+  /** Gives up the rest of the answer and its connection. */
+  readonly discard: () => void
+}
+
+/** A request without an answer. */
+export class TargetError extends Error {
+  /** True when no byte of the request was sent. */
+  readonly isNotRun: boolean
+  /** True when the target accepted no connection. */
+  readonly isUnreachable: boolean
+
+  constructor (message: string, isNotRun: boolean) {
+    super(message)
+    this.name = 'TargetError'
+    this.isNotRun = isNotRun
+    this.isUnreachable = isNotRun
+  }
+}
+
+/** What is sent to a target. */
+export interface Sending {
+  readonly call: CallRequest
+  readonly dispatch: Dispatch
+  readonly body: Buffer | undefined
+  /** True when the request may run again after a broken connection. */
+  readonly isRepeatable: boolean
+  readonly signal: AbortSignal
+}
+
+/** Sends requests to targets, one at a time on a connection. */
+export class TargetClient {
+  private readonly _protocol: CallProtocol
+  private readonly _repeatable = createAgent(KEEP_ALIVE_MS)
+  private readonly _cautious = createAgent(CAUTIOUS_KEEP_ALIVE_MS)
+
+  constructor (protocol: CallProtocol) {
+    this._protocol = protocol
+  }
+
+  /** Sends a request and resolves with the head of its answer; rejects with a {@link TargetError}. */
+  async send (sending: Sending): Promise<TargetReply> {
+    const { call, dispatch, body, signal } = sending
+    const agent = sending.isRepeatable ? this._repeatable : this._cautious
+    const handler = new ReplyHandler(signal)
+    try {
+      // The agent takes the path as it is; a URL would be normalized.
+      agent.dispatch({
+        origin: `http://${dispatch.target.address}`,
+        path: call.target,
+        method: call.method as Dispatcher.HttpMethod,
+        headers: this._protocol.getTargetHeaders(call, dispatch),
+        body: body ?? null
+      }, handler)
+      const reply = await handler.reply
+      return { head: this._protocol.decodeReply(reply.status, reply.headers), body: reply.body, discard: reply.abort }
+    } catch (err) {
+      throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent || isConnectError(err))
+    }
+  }
+
+  /** Closes all connections. */
+  async close (): Promise<void> {
+    await Promise.all([this._repeatable.destroy(), this._cautious.destroy()])
+  }
+}
+
+function createAgent (keepAliveMs: number): Dispatcher {
+  return new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: keepAliveMs,
+    keepAliveMaxTimeout: keepAliveMs,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 1
+  })
+}
+
+function isConnectError (err: unknown): boolean {
+  const code = (err as { code?: string } | undefined)?.code
+  return err instanceof errors.ConnectTimeoutError || code === 'ECONNREFUSED' || code === 'EHOSTUNREACH'
+}
--- /dev/null
+++ b/src/io/gateway/TurnStore.ts
@@ -0,0 +1,72 @@
+import { Left, Right, type Either } from 'purify-ts'
+import type { Clock } from '../../core/clock/index.js'
+import { StoreError } from '../../core/platform/index.js'
+import type { RefusalReason } from '../../core/reason/index.js'
+import { fromTurnRows, getTurnRange, toTurnRows } from '../../core/turn/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { StoreAccess } from './StoreAccess.js'
+
+/** Bytes of transcripts that a gateway keeps in memory, so that the next turn of a line needs no read. */
+export const CACHE_BYTES = 16_777_216
+
+/** Options of {@link TurnStore}. */
+export interface TurnStoreOptions {
+  readonly access: StoreAccess
+  readonly clock: Clock
+  readonly log: DecisionLog
+  /** Largest number of bytes that a row may hold. */
+  readonly rowBytes: number
+}
+
+/** Keeps the transcripts of finished turns. */
+export class TurnStore {
+  private readonly _options: TurnStoreOptions
+  private readonly _cache = new Map<string, Buffer>()
+  private _cachedBytes = 0
+
+  constructor (options: TurnStoreOptions) {
+    this._options = options
+  }
+
+  /** Gets the transcript up to a turn; a turn is unknown only when the store says so. */
+  async load (id: string, deadline: number): Promise<Either<RefusalReason, Buffer>> {
+    const cached = this._cache.get(id)
+    if (cached !== undefined) return Right(cached)
+    try {
+      const { rows } = await this._options.access.read(getTurnRange(id), deadline)
+      const transcript = fromTurnRows(rows)
+      if (transcript === undefined) return Left('turn-unknown')
+      this._remember(id, transcript)
+      return Right(transcript)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      this._options.log.warn('turn-unreadable', { turn: id, cause: err.message })
+      return Left('turn-unreadable')
+    }
+  }
+
+  /** Saves the transcript with a finished turn; returns whether it is durable. */
+  async save (id: string, transcript: Buffer, deadline: number): Promise<boolean> {
+    const puts = toTurnRows(id, transcript, { rowBytes: this._options.rowBytes })
+    try {
+      await this._options.access.commitRepeatable({ puts }, deadline)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      this._options.log.warn('turn-not-saved', { turn: id, bytes: transcript.length, cause: err.message })
+      return false
+    }
+    this._remember(id, transcript)
+    return true
+  }
+
+  private _remember (id: string, transcript: Buffer): void {
+    if (this._cache.has(id)) return
+    this._cache.set(id, transcript)
+    this._cachedBytes += transcript.length
+    for (const [oldest, { length }] of this._cache) {
+      if (this._cachedBytes <= CACHE_BYTES) return
+      this._cache.delete(oldest)
+      this._cachedBytes -= length
+    }
+  }
+}
--- /dev/null
+++ b/src/io/process/SteadyClock.ts
@@ -0,0 +1,8 @@
+import { Clock } from '../../core/clock/index.js'
+
+/** A clock that never jumps; its zero is the start of the process. */
+export class SteadyClock extends Clock {
+  now (): number {
+    return performance.now()
+  }
+}
--- a/src/io/process/index.ts
+++ b/src/io/process/index.ts
@@ -1,4 +1,6 @@
+export * from './DecisionLog.js'
 export * from './lifecycle.js'
 export * from './logging.js'
 export * from './settings.js'
+export * from './SteadyClock.js'
 export * from './SystemClock.js'
