--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -4,6 +4,7 @@
 await build({
   entryPoints: { 'wisteria-gateway': 'platform/wisteria-gateway.ts' },
   outdir: 'target',
+  outExtension: { '.js': '.cjs' },
   bundle: true,
   platform: 'node',
   target: 'node20',
