--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -6,6 +6,7 @@
   private _spent = 0
   private _reserved = 0
   private _hasAsked = false
+  private _left = Infinity
 
   constructor (now: number) {
     this.usedAt = now
@@ -41,6 +42,16 @@
     this._granted = tokens
   }
 
+  /** Notes what the store's row has left to grant; grants are not taken back, so it never has more. */
+  noteLeft (tokens: number): void {
+    this._left = Math.min(this._left, tokens)
+  }
+
+  /** Tells whether a turn is known to be covered neither by this account nor by the store's row. */
+  isKnownSpent (turnTokens: number): boolean {
+    return turnTokens - this.getAvailable() > this._left
+  }
+
   /** Reserves the most that a turn may spend, if it is available. */
   tryReserve (tokens: number): boolean {
     if (this.getAvailable() < tokens) return false
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -48,6 +48,7 @@
     const account = this._getAccount(req.program)
     for (;;) {
       if (account.tryReserve(req.tokens)) return Reservation.Granted
+      if (account.isKnownSpent(req.tokens)) return Reservation.Spent
       const underWay = this._granting.get(req.program)
       if (underWay !== undefined) {
         await underWay
@@ -100,9 +101,9 @@
     account.setGranted(budget.granted[holder] ?? 0)
     const missing = req.tokens - account.getAvailable()
     if (missing <= 0) return { type: 'done', reservation: Reservation.Granted }
-    const plan = planGrant(budget, { holder, limit: req.limit, missing, turnTokens: req.tokens })
+    const plan = planGrant(budget, { holder, limit: req.limit, missing })
     if (plan.type === 'spent') {
-      // An absent row is not proof: only a row that was read says that the budget is spent.
+      account.noteLeft(req.limit - plan.granted)
       log.info('budget-spent', { program: req.program, limit: req.limit, granted: plan.granted, version: row?.version ?? 0 })
       return { type: 'done', reservation: Reservation.Spent }
     }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -83,7 +83,8 @@
       turns: new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) }),
       budgets: new BudgetStore({ access, clock, log, holder: incarnation }),
       clock,
-      getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1
+      getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
+      getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
     const context = { clock, log, metrics, protocol, isStopping: () => this._isStopping }
     this._server = new GatewayServer({ context, configs: this._configs, plain: new PlainForwarder(attempts), streams })
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -21,9 +21,6 @@
 /** Milliseconds for which a turn waits for its budget and its earlier turns. */
 const PREPARE_MS = 1_000
 
-/** Seconds after which a caller may try again when the store did not answer. */
-const STORE_RETRY_SECONDS = 0.5
-
 /** Options of {@link StreamForwarder}. */
 export interface StreamForwarderOptions {
   readonly attempts: AttemptContext
@@ -32,6 +29,8 @@
   readonly clock: Clock
   /** Gets the tokens that each event of a service's streams stands for. */
   readonly getTokensPerEvent: (service: string) => number
+  /** Gets the seconds after which the store may answer again. */
+  readonly getStoreRetrySeconds: () => number
 }
 
 /** State of one stream while it is relayed. */
@@ -72,7 +71,7 @@
     return loaded.caseOf({
       Right: transcript => Buffer.concat([transcript, own]),
       Left: reason => {
-        const retryAfterSeconds = reason === 'turn-unreadable' ? STORE_RETRY_SECONDS : undefined
+        const retryAfterSeconds = reason === 'turn-unreadable' ? this._options.getStoreRetrySeconds() : undefined
         exchange.refuse({ reason, retryAfterSeconds, members: { turn: previousTurn } })
         return undefined
       }
@@ -87,7 +86,7 @@
     })
     if (result === Reservation.Granted) return true
     if (result === Reservation.Spent) exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
-    else exchange.refuse({ reason: 'budget-unreadable', retryAfterSeconds: STORE_RETRY_SECONDS, members: { program: program.id } })
+    else exchange.refuse({ reason: 'budget-unreadable', retryAfterSeconds: this._options.getStoreRetrySeconds(), members: { program: program.id } })
     return false
   }
 
