Programs stay with the target that has their prompts, at every gateway

Ruled out: decoding (8 requests an engine of 48 slots), the store (not away then). Change: a budget's row names the program's target, so a gateway that asks for a grant learns it in the same answer; load counts prompts not yet read; a target's delay is measured at the first event, not at the head of the answer.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 const IO_MODULES = ['node:fs', 'node:fs/*', 'node:net', 'node:http', 'node:https', 'node:child_process', 'node:timers', 'node:timers/*', 'node:process', 'undici', 'prom-client', 'tslog', 'clipanion', '@trpc/*']
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
   {
     rules: {
       // A constant object and the type of its values share a name; the compiler reports real redeclarations.
--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -2,6 +2,8 @@
 export class BudgetAccount {
   /** Time at which the account was last used, by the steady clock. */
   usedAt: number
+  /** Lifetime of the target that ran the program's earlier turns, as the store's row says. */
+  warmTarget: string | undefined
   private _granted = 0
   private _spent = 0
   private _reserved = 0
--- a/src/core/budget/BudgetRow.ts
+++ b/src/core/budget/BudgetRow.ts
@@ -11,6 +11,8 @@
 export interface BudgetRow {
   /** Tokens granted, by holder; a holder is one run of a gateway. What a holder gave back is taken off. */
   readonly granted: Readonly<Record<string, number>>
+  /** Lifetime of the target that ran the program's turns when the row was written; it probably has their prompts cached. */
+  readonly target?: string | undefined
 }
 
 /** Gets the key of a program's budget. */
--- a/src/core/budget/GrantPlan.ts
+++ b/src/core/budget/GrantPlan.ts
@@ -10,6 +10,8 @@
   readonly limit: number
   /** Tokens that the next turn needs beyond what the holder has. */
   readonly missing: number
+  /** Target for the program's next turn, told to other gateways. */
+  readonly target: string | undefined
 }
 
 /** What may be granted. */
@@ -29,9 +31,10 @@
   const left = req.limit - granted
   if (left < req.missing) return { type: 'spent', granted }
   const tokens = Math.max(req.missing, Math.ceil(left * GRANT_SHARE))
-  return { type: 'grant', tokens, next: withGrant(row, req.holder, tokens) }
+  return { type: 'grant', tokens, next: withGrant(row, req, tokens) }
 }
 
-function withGrant (row: BudgetRow, holder: string, tokens: number): BudgetRow {
-  return { granted: { ...row.granted, [holder]: (row.granted[holder] ?? 0) + tokens } }
+function withGrant (row: BudgetRow, req: GrantRequest, tokens: number): BudgetRow {
+  const granted = { ...row.granted, [req.holder]: (row.granted[req.holder] ?? 0) + tokens }
+  return { granted, target: row.target ?? req.target }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -6,7 +6,7 @@
 import type { DecisionLog } from '../process/index.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
-import { getParts, type Placer } from './Placer.js'
+import type { Placer } from './Placer.js'
 import { TargetError, type TargetClient, type TargetReply } from './TargetClient.js'
 
 /** Seconds after which a refused caller may try again when targets were missing or full. */
@@ -25,7 +25,9 @@
 export interface Attempt {
   readonly state: TargetState
   readonly reply: TargetReply
-  /** Notes that the attempt is over; call it once. */
+  /** Notes that the first piece of the answer has come; further calls do nothing. */
+  readonly noteFirst: () => void
+  /** Notes that the attempt is over. */
   readonly finish: () => void
 }
 
@@ -34,12 +36,14 @@
   private readonly _context: AttemptContext
   private readonly _exchange: Exchange
   private readonly _excluded = new Set<string>()
+  private readonly _warmTarget: string | undefined
   private _sends = 0
   private _runs = 0
 
-  constructor (context: AttemptContext, exchange: Exchange) {
+  constructor (context: AttemptContext, exchange: Exchange, warmTarget?: string) {
     this._context = context
     this._exchange = exchange
+    this._warmTarget = warmTarget
   }
 
   /** Gets the next answer; undefined when the request was refused or its caller has gone. */
@@ -47,7 +51,7 @@
     const { call, route, gone } = this._exchange
     for (;;) {
       if (gone.aborted) return undefined
-      const placement = this._context.placer.place(call, route, this._excluded)
+      const placement = this._context.placer.place(call, route, { excluded: this._excluded, warmTarget: this._warmTarget })
       if (placement === undefined) {
         this._refuse(this._runs > 0 ? 'attempts-failed' : this._sends > 0 ? 'retries-exhausted' : 'no-target')
         return undefined
@@ -82,10 +86,10 @@
       ...placement.inputs,
       timeoutMs: Math.round(timeoutMs)
     })
-    const cached = state.cached.getCachedTokens(getParts(call))
+    const cached = state.cached.getCachedTokens(call.promptParts)
     metrics.notePrompt(cached, Math.max(0, call.promptTokens - cached))
-    state.cached.add(getParts(call))
-    state.noteStart()
+    state.cached.add(call.promptParts)
+    const progress = this._track(placement, sentAt)
     // What may not be repeated runs to its end when its caller leaves; a half-made booking helps nobody.
     const isDetached = route.kind === RouteKind.NonIdempotent
     const limit = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
@@ -96,20 +100,19 @@
       })
       if (reply.head.requestId !== undefined && reply.head.requestId !== call.id) {
         reply.discard()
-        state.noteEnd()
+        progress.finish()
         this._noteRun(state, 'the answer is to another request')
         return undefined
       }
       if (reply.head.isNotRun) {
         reply.discard()
-        state.noteEnd()
+        progress.finish()
         this._noteNotRun(state, `status ${reply.head.status}`, false)
         return undefined
       }
-      state.noteAnswer(Math.max(0, clock.now() - sentAt - placement.predictedMs), clock.now())
-      return { state, reply, finish: () => { state.noteEnd() } }
+      return { state, reply, ...progress }
     } catch (err) {
-      state.noteEnd()
+      progress.finish()
       if (!(err instanceof TargetError)) throw err
       if (err.isNotRun) this._noteNotRun(state, err.message, !signal.aborted)
       else this._noteRun(state, err.message, !signal.aborted)
@@ -117,6 +120,27 @@
     }
   }
 
+  /** Follows a request at a target: until the first piece its prompt is being read. */
+  private _track (placement: Placement, sentAt: number): { noteFirst: () => void, finish: () => void } {
+    const { clock } = this._context
+    const { state, prefillMs, predictedMs } = placement
+    state.noteStart(prefillMs)
+    let isReading = true
+    const endReading = (): boolean => {
+      if (!isReading) return false
+      isReading = false
+      state.notePrefilled(prefillMs)
+      return true
+    }
+    return {
+      noteFirst: () => { if (endReading()) state.noteAnswer(Math.max(0, clock.now() - sentAt - predictedMs), clock.now()) },
+      finish: () => {
+        endReading()
+        state.noteEnd()
+      }
+    }
+  }
+
   private _noteNotRun (state: TargetState, cause: string, isUnreachable: boolean): void {
     if (isUnreachable) this._eject(state, true)
     this._noteRetry(state, isUnreachable ? 'target-unreachable' : 'target-not-run', cause)
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -21,6 +21,8 @@
   readonly limit: number
   /** Most tokens of the turn. */
   readonly tokens: number
+  /** Target for the turn, which other gateways learn with the budget. */
+  readonly target: string | undefined
   readonly deadline: number
 }
 
@@ -61,6 +63,11 @@
     }
   }
 
+  /** Gets the target that ran the program's earlier turns, as far as the store says. */
+  getWarmTarget (program: string): string | undefined {
+    return this._accounts.get(program)?.warmTarget
+  }
+
   /** Ends a reservation with what the turn did spend. */
   settle (program: string, reserved: number, spent: number): void {
     const account = this._getAccount(program)
@@ -99,9 +106,10 @@
     const { holder, access, log } = this._options
     const budget: BudgetRow = row === undefined ? { granted: {} } : decodeBudgetRow(row)
     account.setGranted(budget.granted[holder] ?? 0)
+    account.warmTarget = budget.target ?? account.warmTarget
     const missing = req.tokens - account.getAvailable()
     if (missing <= 0) return { type: 'done', reservation: Reservation.Granted }
-    const plan = planGrant(budget, { holder, limit: req.limit, missing })
+    const plan = planGrant(budget, { holder, limit: req.limit, missing, target: req.target })
     if (plan.type === 'spent') {
       account.noteLeft(req.limit - plan.granted)
       log.info('budget-spent', { program: req.program, limit: req.limit, granted: plan.granted, version: row?.version ?? 0 })
@@ -112,6 +120,7 @@
     const result = await access.commitOnce({ conditions, puts: [{ ...key, value: encodeBudgetRow(plan.next) }] }, req.deadline)
     if (result.type === 'conflict') return { type: 'changed', row: result.rows.find(found => found.key === key.key) }
     account.setGranted(plan.next.granted[holder] ?? 0)
+    account.warmTarget = plan.next.target
     return { type: 'done', reservation: Reservation.Granted }
   }
 
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import type { Clock } from '../../core/clock/index.js'
-import type { CallRequest, PromptPart } from '../../core/forward/index.js'
+import type { CallRequest } from '../../core/forward/index.js'
 import type { Backend, Route } from '../../core/route/index.js'
 import type { Placement, PlacementPolicy, TargetRegistry } from '../../core/target/index.js'
 
@@ -11,6 +11,16 @@
   readonly clock: Clock
 }
 
+/** What is known beside the request itself. */
+export interface PlaceOptions {
+  /** Names of lifetimes that the request was already sent to. */
+  readonly excluded?: ReadonlySet<string>
+  /** Name of the lifetime that ran the program's earlier turns. */
+  readonly warmTarget?: string | undefined
+}
+
+const NONE: ReadonlySet<string> = new Set()
+
 /** Finds the target of a request: a backend of its route, then a target of that service. */
 export class Placer {
   private readonly _options: PlacerOptions
@@ -20,21 +30,17 @@
   }
 
   /** Chooses a target; undefined when none takes work. */
-  place (call: CallRequest, route: Route, excluded: ReadonlySet<string>): Placement | undefined {
+  place (call: CallRequest, route: Route, options: PlaceOptions = {}): Placement | undefined {
     const { registry, policy, clock } = this._options
     const now = clock.now()
     const service = chooseBackend(route.backends, call.program?.session ?? call.affinityKey ?? call.id)
     if (service === undefined) return undefined
-    const work = { promptTokens: call.promptTokens, promptParts: getParts(call), excluded }
+    const { excluded = NONE, warmTarget } = options
+    const work = { promptTokens: call.promptTokens, promptParts: call.promptParts, excluded, warmTarget }
     return policy.select(registry.getServing(service, now), work, now)
   }
 }
 
-/** Gets the parts by which a target may have the prompt cached; a retained turn begins with the turn that it continues from. */
-export function getParts (call: CallRequest): readonly PromptPart[] {
-  return call.promptParts
-}
-
 /** Chooses a backend by weight; the same subject goes to the same one. */
 function chooseBackend (backends: readonly Backend[], subject: string): string | undefined {
   if (backends.length <= 1) return backends[0]?.service
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -34,6 +34,7 @@
     discard()
     return failure
   }
+  attempt.noteFirst()
   const chunks: Buffer[] = []
   let size = 0
   try {
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -81,8 +81,14 @@
   private async _reserve (exchange: Exchange): Promise<boolean> {
     const { program, maxOutputTokens } = exchange.call
     if (program?.tokenBudget === undefined) return true
-    const result = await this._options.budgets.reserve({
-      program: program.id, limit: program.tokenBudget, tokens: maxOutputTokens, deadline: this._getPrepareDeadline(exchange)
+    const { budgets, attempts } = this._options
+    const warmTarget = budgets.getWarmTarget(program.id)
+    const result = await budgets.reserve({
+      program: program.id,
+      limit: program.tokenBudget,
+      tokens: maxOutputTokens,
+      target: warmTarget ?? attempts.placer.place(exchange.call, exchange.route)?.state.lifetime,
+      deadline: this._getPrepareDeadline(exchange)
     })
     if (result === Reservation.Granted) return true
     if (result === Reservation.Spent) exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
@@ -98,7 +104,9 @@
   }
 
   private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress): Promise<void> {
-    const attempts = new Attempts(this._options.attempts, exchange)
+    const { program } = exchange.call
+    const warmTarget = program === undefined ? undefined : this._options.budgets.getWarmTarget(program.id)
+    const attempts = new Attempts(this._options.attempts, exchange, warmTarget)
     for (;;) {
       const attempt = await attempts.next(prompt, progress.lastEventId)
       if (attempt === undefined) return
@@ -124,6 +132,7 @@
       for await (const chunk of body) {
         for (const event of splitter.add(chunk)) {
           if (!exchange.hasStarted()) exchange.start(head)
+          attempt.noteFirst()
           progress.events++
           progress.lastEventAt = this._options.clock.now()
           if (event.id !== '') progress.lastEventId = event.id
