A gateway whose own way to the store is cut uses that of a peer

Ruled out: readiness alone: callers keep open connections, and both gateways of a domain may be cut at once. Change: gateways list themselves in a table of the store; a gateway counts its own way as cut after three failures and then sends store calls to a peer over trpc, which makes them only by its own way; the own way is probed every 0.4 s.

--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -13,7 +13,7 @@
   failure_domain: name,
   /** Region by failure domain. */
   regions: z.record(name, name),
-  listen: z.strictObject({ callers: address, readiness: address, metrics: address }),
+  listen: z.strictObject({ callers: address, readiness: address, metrics: address, peers: address }),
   store: z.strictObject({
     address,
     /** Largest value of a row, in bytes of base64. */
--- /dev/null
+++ b/src/core/peer/index.ts
@@ -0,0 +1,2 @@
+export * from './PeerRanking.js'
+export * from './PeerRow.js'
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -5,6 +5,8 @@
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
+import { PeerRanking } from '../../core/peer/index.js'
+import { PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore } from './BudgetStore.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -34,6 +36,7 @@
   readonly clock: Clock
   readonly log: DecisionLog
   readonly metrics: GatewayMetrics
+  /** The store by this machine's own way. */
   readonly store: RowStore
   readonly protocol: CallProtocol
   readonly tables: PlatformTables
@@ -61,13 +64,20 @@
   private readonly _registry = new TargetRegistry()
   private readonly _server: GatewayServer
   private readonly _status: StatusServer
+  private readonly _peers: PeerServer
+  private readonly _directory: PeerDirectory
   private readonly _configWatch: TableWatch
   private readonly _targetWatch: TableWatch
   private _isStopping = false
 
   constructor (options: GatewayOptions) {
-    const { clock, log, metrics, store, settings, protocol, tables, incarnation } = options
+    const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
+    const ranking = new PeerRanking({ ownId: settings.id, random: options.random })
+    const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
+    const own = { id: settings.id, address: settings.listen.peers, failureDomain: settings.failureDomain }
+    this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut() })
+    this._directory = new PeerDirectory({ store, clock, log, own, ranking })
     const access = new StoreAccess({
       store,
       clock,
@@ -112,8 +122,10 @@
     const { listen } = this._options.settings
     void this._configWatch.run()
     void this._targetWatch.run()
+    void this._directory.run()
     await this._status.listenForReadiness(...toHostPort(listen.readiness))
     await this._status.listenForMetrics(...toHostPort(listen.metrics))
+    await this._peers.listen(...toHostPort(listen.peers))
     await this._server.listen(...toHostPort(listen.callers))
   }
 
@@ -136,6 +148,7 @@
     this._configWatch.close()
     this._targetWatch.close()
     this._status.close()
+    this._peers.close()
     log.info('stopped', { inProgress: this._server.getInProgress(), tookMs: Math.round(clock.now() - startedAt) })
   }
 
--- /dev/null
+++ b/src/io/peer/PeerRouter.ts
@@ -0,0 +1,57 @@
+import { initTRPC, TRPCError } from '@trpc/server'
+import { z } from 'zod'
+import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
+import { decodeTransaction, encodeCommit, encodeFeed, encodeSnapshot } from './rowCodec.js'
+
+const t = initTRPC.create()
+
+const KEY = { table: z.string(), part: z.string(), key: z.string() }
+const TIMEOUT = { timeoutMs: z.number().positive() }
+
+const COMMIT = z.object({
+  conditions: z.array(z.object({ ...KEY, version: z.number() })),
+  puts: z.array(z.object({ ...KEY, value: z.string() })),
+  removes: z.array(z.object(KEY)),
+  ...TIMEOUT
+})
+
+const READ = z.object({ table: z.string(), part: z.string(), from: z.string().optional(), to: z.string().optional(), ...TIMEOUT })
+
+const WATCH = z.object({ table: z.string(), after: z.number(), waitMs: z.number(), ...TIMEOUT })
+
+/** Options of {@link createPeerRouter}. */
+export interface PeerRouterOptions {
+  /** The store without a detour, so that calls are never passed on twice. */
+  readonly direct: RowStore
+  /** Tells whether the own way to the store is cut. */
+  readonly isCut: () => boolean
+}
+
+/** Creates the router by which gateways lend each other their way to the store. */
+export function createPeerRouter (options: PeerRouterOptions) {
+  const { direct } = options
+  // The message of an error is the kind of failure, which decides what the asking gateway may repeat.
+  const relay = async <T>(call: () => Promise<T>): Promise<T> => {
+    if (options.isCut()) throw new TRPCError({ code: 'INTERNAL_SERVER_ERROR', message: StoreFailure.Refused })
+    try {
+      return await call()
+    } catch (err) {
+      const message = err instanceof StoreError ? err.failure : StoreFailure.NoAnswer
+      throw new TRPCError({ code: 'INTERNAL_SERVER_ERROR', message, cause: err })
+    }
+  }
+  return t.router({
+    commit: t.procedure.input(COMMIT).mutation(async ({ input }) => {
+      return encodeCommit(await relay(async () => await direct.commit(decodeTransaction(input), input)))
+    }),
+    read: t.procedure.input(READ).mutation(async ({ input }) => {
+      return encodeSnapshot(await relay(async () => await direct.read(input, input)))
+    }),
+    watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
+      return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
+    })
+  })
+}
+
+/** Type of the router, for clients. */
+export type PeerRouter = ReturnType<typeof createPeerRouter>
--- /dev/null
+++ b/src/io/peer/PeerServer.ts
@@ -0,0 +1,29 @@
+import { createServer, type Server } from 'node:http'
+import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { createPeerRouter, type PeerRouterOptions } from './PeerRouter.js'
+
+/** Largest call of a peer: a transaction of the store with its values in base64. */
+const MAX_BODY_BYTES = 2_097_152
+
+/** Lets peers use this gateway's own way to the store. */
+export class PeerServer {
+  private readonly _server: Server
+
+  constructor (options: PeerRouterOptions) {
+    this._server = createServer(createHTTPHandler({ router: createPeerRouter(options), maxBodySize: MAX_BODY_BYTES }))
+  }
+
+  /** Starts to listen. */
+  async listen (host: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this._server.once('error', reject)
+      this._server.listen(port, host, resolve)
+    })
+  }
+
+  /** Closes the server with its connections. */
+  close (): void {
+    this._server.close()
+    this._server.closeAllConnections()
+  }
+}
--- /dev/null
+++ b/src/io/peer/index.ts
@@ -0,0 +1,5 @@
+export * from './PeerDirectory.js'
+export * from './PeerRouter.js'
+export * from './PeerServer.js'
+export * from './PeerStore.js'
+export * from './RelayedStore.js'
