--- /dev/null
+++ b/src/core/target/CostPlacement.ts
@@ -0,0 +1,77 @@
+import { getEligible, PlacementPolicy, type Placement, type Work } from './PlacementPolicy.js'
+import type { TargetState } from './TargetState.js'
+
+/** Milliseconds to read one prompt token that is not cached; of the order of a large model on eight accelerators. */
+export const PREFILL_MS_PER_TOKEN = 0.03
+
+/** Milliseconds that each request of this gateway adds to the wait of the next one at a target of one slot. */
+export const LOAD_MS = 100
+
+/** Milliseconds by which a target of another failure domain is worse: its bytes are paid for. */
+export const OTHER_DOMAIN_MS = 10
+
+/** Milliseconds by which a target of another region is worse: the round trip and the narrow link. */
+export const OTHER_REGION_MS = 60
+
+/** Options of {@link CostPlacement}. */
+export interface CostPlacementOptions {
+  readonly failureDomain: string
+  /** Region by failure domain. */
+  readonly regions: Readonly<Record<string, string>>
+  /** Gives numbers in [0, 1), so that gateways break ties differently. */
+  readonly random: () => number
+}
+
+/**
+ * Places by predicted time to the first byte: uncached prompt, load, distance and recent delay.
+ *
+ * Answers lines of turns whose prompts grow from one turn to the next, and targets that are slowed by neighbours nobody sees.
+ */
+export class CostPlacement extends PlacementPolicy {
+  private readonly _options: CostPlacementOptions
+
+  constructor (options: CostPlacementOptions) {
+    super()
+    this._options = options
+  }
+
+  select (candidates: readonly TargetState[], work: Work, now: number): Placement | undefined {
+    const eligible = getEligible(candidates, work, now)
+    const start = Math.floor(this._options.random() * eligible.length)
+    let best: Placement | undefined
+    for (let at = 0; at < eligible.length; at++) {
+      const estimate = this._estimate(eligible[(start + at) % eligible.length]!, work, now)
+      if (best === undefined || estimate.predictedMs < best.predictedMs) best = estimate
+    }
+    return best
+  }
+
+  private _estimate (state: TargetState, work: Work, now: number): Placement {
+    const cached = getCachedTokens(state, work)
+    const prefillMs = Math.max(0, work.promptTokens - cached) * PREFILL_MS_PER_TOKEN
+    const loadMs = state.getInFlight() * LOAD_MS / state.target.slots + state.getPendingPrefillMs()
+    const distanceMs = this._getDistanceMs(state.target.failureDomain)
+    const excessMs = state.getExcessMs(now)
+    return {
+      state,
+      predictedMs: prefillMs + loadMs + distanceMs + excessMs,
+      prefillMs,
+      inputs: { cached, inFlight: state.getInFlight(), loadMs: Math.round(loadMs), distanceMs, excessMs: Math.round(excessMs) }
+    }
+  }
+
+  private _getDistanceMs (failureDomain: string): number {
+    const { failureDomain: own, regions } = this._options
+    if (failureDomain === own) return 0
+    return regions[failureDomain] === regions[own] ? OTHER_DOMAIN_MS : OTHER_REGION_MS
+  }
+}
+
+/** Gets the prompt tokens that a target probably has: by what this gateway sent there, or by what other gateways say of the program. */
+function getCachedTokens (state: TargetState, work: Work): number {
+  const sent = state.cached.getCachedTokens(work.promptParts)
+  if (state.lifetime !== work.warmTarget) return sent
+  // The last part is new in each turn.
+  const earlier = work.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
+  return Math.max(sent, earlier)
+}
--- /dev/null
+++ b/src/core/target/PlacementPolicy.ts
@@ -0,0 +1,36 @@
+import type { PromptPart } from '../forward/index.js'
+import type { TargetState } from './TargetState.js'
+
+/** Work that is to be placed. */
+export interface Work {
+  readonly promptTokens: number
+  readonly promptParts: readonly PromptPart[]
+  /** Name of the lifetime that ran the program's earlier turns, as far as other gateways say. */
+  readonly warmTarget: string | undefined
+  /** Names of lifetimes that the request was already sent to. */
+  readonly excluded: ReadonlySet<string>
+}
+
+/** Where a request goes, with the reason for logs. */
+export interface Placement {
+  readonly state: TargetState
+  /** Milliseconds to the first byte as predicted. */
+  readonly predictedMs: number
+  /** Milliseconds of it in which the prompt is read. */
+  readonly prefillMs: number
+  /** Inputs that decided. */
+  readonly inputs: Readonly<Record<string, number | string>>
+}
+
+/** Chooses the target of a request. */
+export abstract class PlacementPolicy {
+  /** Chooses among targets that take work; undefined when none is left. */
+  abstract select (candidates: readonly TargetState[], work: Work, now: number): Placement | undefined
+}
+
+/** Gets the candidates that are not excluded; ejected ones only when there are no others. */
+export function getEligible (candidates: readonly TargetState[], work: Work, now: number): TargetState[] {
+  const fresh = candidates.filter(state => !work.excluded.has(state.lifetime))
+  const healthy = fresh.filter(state => !state.isEjected(now))
+  return healthy.length > 0 ? healthy : fresh
+}
--- /dev/null
+++ b/src/core/target/index.ts
@@ -0,0 +1,7 @@
+export * from './baselines.js'
+export * from './CostPlacement.js'
+export * from './PlacementPolicy.js'
+export * from './PrefixMemory.js'
+export * from './Target.js'
+export * from './TargetRegistry.js'
+export * from './TargetState.js'
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -83,6 +83,7 @@
       config: configVersion,
       target: state.lifetime,
       send: this._sends,
+      promptTokens: call.promptTokens,
       ...placement.inputs,
       timeoutMs: Math.round(timeoutMs)
     })
