A budget's row names the target that the program is at

Change: each grant writes the target chosen for the next turn, chosen with the row's own target in view.

--- a/src/core/budget/GrantPlan.ts
+++ b/src/core/budget/GrantPlan.ts
@@ -36,5 +36,5 @@
 
 function withGrant (row: BudgetRow, req: GrantRequest, tokens: number): BudgetRow {
   const granted = { ...row.granted, [req.holder]: (row.granted[req.holder] ?? 0) + tokens }
-  return { granted, target: row.target ?? req.target }
+  return { granted, target: req.target }
 }
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -21,8 +21,8 @@
   readonly limit: number
   /** Most tokens of the turn. */
   readonly tokens: number
-  /** Target for the turn, which other gateways learn with the budget. */
-  readonly target: string | undefined
+  /** Chooses the target for the turn, given the one of the program's earlier turns; other gateways learn it with the budget. */
+  readonly chooseTarget: (warmTarget: string | undefined) => string | undefined
   readonly deadline: number
 }
 
@@ -109,7 +109,7 @@
     account.warmTarget = budget.target ?? account.warmTarget
     const missing = req.tokens - account.getAvailable()
     if (missing <= 0) return { type: 'done', reservation: Reservation.Granted }
-    const plan = planGrant(budget, { holder, limit: req.limit, missing, target: req.target })
+    const plan = planGrant(budget, { holder, limit: req.limit, missing, target: req.chooseTarget(account.warmTarget) })
     if (plan.type === 'spent') {
       account.noteLeft(req.limit - plan.granted)
       log.info('budget-spent', { program: req.program, limit: req.limit, granted: plan.granted, version: row?.version ?? 0 })
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -82,12 +82,11 @@
     const { program, maxOutputTokens } = exchange.call
     if (program?.tokenBudget === undefined) return true
     const { budgets, attempts } = this._options
-    const warmTarget = budgets.getWarmTarget(program.id)
     const result = await budgets.reserve({
       program: program.id,
       limit: program.tokenBudget,
       tokens: maxOutputTokens,
-      target: warmTarget ?? attempts.placer.place(exchange.call, exchange.route)?.state.lifetime,
+      chooseTarget: warmTarget => attempts.placer.place(exchange.call, exchange.route, { warmTarget })?.state.lifetime,
       deadline: this._getPrepareDeadline(exchange)
     })
     if (result === Reservation.Granted) return true
