A peer carries store calls once a small read has shown its way

Change: while the own way is cut one loop looks for a peer by a read of nothing; calls fail at once without one; peers of the own region are asked first; pauses between tries double up to 200 ms.

--- a/src/core/peer/PeerRanking.ts
+++ b/src/core/peer/PeerRanking.ts
@@ -6,6 +6,9 @@
 /** Options of {@link PeerRanking}. */
 export interface PeerRankingOptions {
   readonly ownId: string
+  readonly ownDomain: string
+  /** Region by failure domain. */
+  readonly regions: Readonly<Record<string, string>>
   /** Gives numbers in [0, 1), so that gateways spread over their peers. */
   readonly random: () => number
 }
@@ -13,7 +16,8 @@
 /**
  * Orders peers by their use as a way to the store.
  *
- * Answers a path that is cut for some machines only: the peer that helped last is asked first, one that failed last of all.
+ * Answers a path that is cut for some machines only: the peer that helped last is asked first, then those of the own region, and those that
+ * failed just now last of all.
  */
 export class PeerRanking {
   private readonly _options: PeerRankingOptions
@@ -27,8 +31,9 @@
 
   /** Takes the peers that are known, this gateway among them or not. */
   setPeers (peers: readonly Peer[]): void {
-    const { ownId, random } = this._options
-    const weighed = peers.filter(peer => peer.id !== ownId).map(peer => ({ peer, weight: random() }))
+    const { ownId, ownDomain, regions, random } = this._options
+    const getWeight = (peer: Peer): number => random() + (regions[peer.failureDomain] === regions[ownDomain] ? 0 : 1)
+    const weighed = peers.filter(peer => peer.id !== ownId).map(peer => ({ peer, weight: getWeight(peer) }))
     this._peers = weighed.sort((a, b) => a.weight - b.weight).map(entry => entry.peer)
   }
 
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -73,9 +73,10 @@
   constructor (options: GatewayOptions) {
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
-    const ranking = new PeerRanking({ ownId: settings.id, random: options.random })
+    const { id, failureDomain, regions, listen } = settings
+    const ranking = new PeerRanking({ ownId: id, ownDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
-    const own = { id: settings.id, address: settings.listen.peers, failureDomain: settings.failureDomain }
+    const own = { id, address: listen.peers, failureDomain }
     this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut() })
     this._directory = new PeerDirectory({ store, clock, log, own, ranking })
     const access = new StoreAccess({
--- a/src/io/gateway/StoreAccess.ts
+++ b/src/io/gateway/StoreAccess.ts
@@ -6,8 +6,11 @@
 /** Milliseconds for one try of a read or a commit; ten times what a slow store was seen to take in one domain. */
 export const TRY_TIMEOUT_MS = 700
 
-/** Milliseconds between two tries; a caller waits meanwhile. */
-const PAUSE_MS = 60
+/** Milliseconds before the second try; the pause doubles with each further one. A caller waits meanwhile. */
+const PAUSE_MS = 50
+
+/** Longest pause between two tries, in milliseconds. */
+const PAUSE_CAP_MS = 200
 
 /** Options of {@link StoreAccess}. */
 export interface StoreAccessOptions {
@@ -49,13 +52,13 @@
   }
 
   private async _untilAnswered<T> (deadline: number, call: (options: CallOptions) => Promise<T>): Promise<T> {
-    for (;;) {
+    for (let pauseMs = PAUSE_MS; ; pauseMs = Math.min(PAUSE_CAP_MS, 2 * pauseMs)) {
       try {
         return await this._try(deadline, call)
       } catch (err) {
-        if (!(err instanceof StoreError) || this._options.clock.now() + PAUSE_MS >= deadline) throw err
+        if (!(err instanceof StoreError) || this._options.clock.now() + pauseMs >= deadline) throw err
         this._options.onRetry(err.failure === StoreFailure.NoAnswer ? 'store-timeout' : 'store-error')
-        await sleep(PAUSE_MS)
+        await sleep(pauseMs)
       }
     }
   }
--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -8,15 +8,18 @@
 import type { DecisionLog } from '../process/index.js'
 import { PeerStore } from './PeerStore.js'
 
-/** Peers that one call asks. */
-const MAX_PEERS = 2
-
-/** Milliseconds between two tries of the own way while it counts as cut. */
+/** Milliseconds between two looks for a way to the store while the own one is cut. */
 const PROBE_MS = 400
 
-/** Milliseconds for one such try. */
+/** Milliseconds for one such look. */
 const PROBE_TIMEOUT_MS = 700
 
+/** Peers asked in one look. */
+const PROBED_PEERS = 2
+
+/** A read that costs next to nothing. */
+const PROBE_RANGE: RowRange = { table: PEER_TABLE, part: '', from: '', to: '\u0001' }
+
 /** Options of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
   /** The store without a detour. */
@@ -27,15 +30,22 @@
   readonly onRelayed: () => void
 }
 
+interface Helper {
+  readonly peer: Peer
+  readonly store: PeerStore
+}
+
 /**
  * The store by the own way, or through a peer while that is cut.
  *
- * Answers outages and cuts that hit some machines only.
+ * Answers outages and cuts that hit some machines only. A peer is used once a small read has shown that it reaches the store, so that an
+ * outage for all costs no more than these reads.
  */
 export class RelayedStore extends RowStore {
   private readonly _options: RelayedStoreOptions
   private readonly _health = new StoreHealth()
-  private readonly _peers = new Map<string, { readonly peer: Peer, readonly store: PeerStore }>()
+  private readonly _stores = new Map<string, Helper>()
+  private _helper: Helper | undefined
 
   constructor (options: RelayedStoreOptions) {
     super()
@@ -60,7 +70,9 @@
   }
 
   private async _call<T> (call: (store: RowStore) => Promise<T>): Promise<T> {
-    return this._health.isAway() ? await this._callPeers(call) : await this._callDirect(call)
+    if (!this.isCut()) return await this._callDirect(call)
+    if (this._helper === undefined) throw new StoreError(StoreFailure.Refused, 'Neither this gateway nor a peer reaches the store.')
+    return await this._callHelper(this._helper, call)
   }
 
   private async _callDirect<T> (call: (store: RowStore) => Promise<T>): Promise<T> {
@@ -72,47 +84,63 @@
     } catch (err) {
       if (this._health.noteFailure()) {
         log.warn('own-way-to-store-cut', { cause: String(err) })
-        void this._probe()
+        void this._findWay()
+      }
+      throw err
+    }
+  }
+
+  private async _callHelper<T> (helper: Helper, call: (store: RowStore) => Promise<T>): Promise<T> {
+    const { ranking, clock, log, onRelayed } = this._options
+    try {
+      const answer = await call(helper.store)
+      onRelayed()
+      return answer
+    } catch (err) {
+      ranking.noteFailure(helper.peer.id, clock.now())
+      if (this._helper === helper) {
+        this._helper = undefined
+        log.warn('peer-lost', { peer: helper.peer.id, cause: String(err) })
       }
       throw err
     }
   }
 
-  /** Tries the own way until it is back. */
-  private async _probe (): Promise<void> {
-    const range = { table: PEER_TABLE, part: '', from: '', to: '\u0001' }
-    while (this._health.isAway()) {
+  /** Looks for a peer that reaches the store, and for the return of the own way, until it is back. */
+  private async _findWay (): Promise<void> {
+    const probe = async (store: RowStore): Promise<RowSnapshot> => await store.read(PROBE_RANGE, { timeoutMs: PROBE_TIMEOUT_MS })
+    while (this.isCut()) {
+      if (this._helper === undefined) await this._findHelper(probe)
       await sleep(PROBE_MS)
-      // A failed try is counted by the client like any other call.
-      await this._callDirect(async store => await store.read(range, { timeoutMs: PROBE_TIMEOUT_MS })).catch(() => {})
+      // A failed look is counted and logged where the calls of the store are.
+      await this._callDirect(probe).catch(() => {})
     }
+    this._helper = undefined
   }
 
-  private async _callPeers<T> (call: (store: RowStore) => Promise<T>): Promise<T> {
-    const { ranking, clock, onRelayed } = this._options
-    let last: unknown = new StoreError(StoreFailure.Refused, 'No peer is known.')
-    for (const peer of ranking.getCandidates(MAX_PEERS, clock.now())) {
+  private async _findHelper (probe: (store: RowStore) => Promise<RowSnapshot>): Promise<void> {
+    const { ranking, clock, log } = this._options
+    for (const peer of ranking.getCandidates(PROBED_PEERS, clock.now())) {
+      const helper = this._getHelper(peer)
       try {
-        const answer = await call(this._getStore(peer))
+        await probe(helper.store)
+        this._helper = helper
         ranking.noteHelp(peer.id)
-        onRelayed()
-        return answer
+        log.info('peer-found', { peer: peer.id, address: peer.address })
+        return
       } catch (err) {
+        if (!(err instanceof StoreError)) throw err
         ranking.noteFailure(peer.id, clock.now())
-        last = err
-        // Without an answer the call may have been made; whoever asked decides what may be repeated.
-        if (!(err instanceof StoreError) || err.failure === StoreFailure.NoAnswer) throw err
       }
     }
-    throw last
   }
 
-  private _getStore (peer: Peer): PeerStore {
-    const known = this._peers.get(peer.id)
-    if (known?.peer.address === peer.address) return known.store
+  private _getHelper (peer: Peer): Helper {
+    const known = this._stores.get(peer.id)
+    if (known?.peer.address === peer.address) return known
     void known?.store.close()
-    const store = new PeerStore(peer)
-    this._peers.set(peer.id, { peer, store })
-    return store
+    const helper = { peer, store: new PeerStore(peer) }
+    this._stores.set(peer.id, helper)
+    return helper
   }
 }
