--- /dev/null
+++ b/tests/core/budget/BudgetTests.ts
@@ -0,0 +1,65 @@
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { BudgetAccount, getTotalGranted, planGrant, type BudgetRow } from '../../../src/core/budget/index.js'
+
+/** Seed of the random cases, so that every run plays the same ones. */
+const SEED = 20261204
+
+describe('planGrant', () => {
+  it('should never let all grants exceed the budget', () => {
+    const request = fc.record({ holder: fc.constantFrom('a', 'b', 'c'), missing: fc.integer({ min: 1, max: 200 }) })
+    fc.assert(fc.property(fc.integer({ min: 100, max: 6_000 }), fc.array(request, { maxLength: 60 }), (limit, requests) => {
+      let row: BudgetRow = { granted: {} }
+      for (const { holder, missing } of requests) {
+        const plan = planGrant(row, { holder, missing, limit, target: undefined })
+        if (plan.type === 'grant') row = plan.next
+        else expect(limit - getTotalGranted(row) < missing).toEqual(true)
+      }
+      expect(getTotalGranted(row) <= limit).toEqual(true)
+    }), { seed: SEED, numRuns: 200 })
+  })
+
+  it('should leave something to the seventh gateway that a program comes to', () => {
+    let row: BudgetRow = { granted: {} }
+    for (const holder of ['a', 'b', 'c', 'd', 'e', 'f', 'g']) {
+      const plan = planGrant(row, { holder, missing: 135, limit: 2_700, target: undefined })
+      if (plan.type !== 'grant') throw new Error(`${holder} was refused`)
+      row = plan.next
+    }
+    expect(Object.keys(row.granted).length).toEqual(7)
+  })
+
+  it('should name the target of the latest grant', () => {
+    const first = planGrant({ granted: {} }, { holder: 'a', missing: 10, limit: 100, target: 'gone@1' })
+    if (first.type !== 'grant') throw new Error('refused')
+    const second = planGrant(first.next, { holder: 'b', missing: 10, limit: 100, target: 'new@2' })
+    expect(second.type === 'grant' && second.next.target).toEqual('new@2')
+  })
+})
+
+describe('BudgetAccount', () => {
+  it('should give back what a turn reserved and did not spend', () => {
+    const account = new BudgetAccount(0)
+    account.noteAsked()
+    account.setGranted(200)
+    expect(account.tryReserve(135)).toEqual(true)
+    expect(account.tryReserve(135)).toEqual(false)
+    account.settle(135, 40)
+    expect(account.getAvailable()).toEqual(160)
+  })
+
+  it('should count grants as spent that an account before it was given', () => {
+    const account = new BudgetAccount(0)
+    account.setGranted(500)
+    expect(account.getAvailable()).toEqual(0)
+  })
+
+  it('should know a turn to be refused without the store, but not one that its own tokens cover', () => {
+    const account = new BudgetAccount(0)
+    account.noteAsked()
+    account.setGranted(100)
+    account.noteLeft(20)
+    expect(account.isKnownSpent(135)).toEqual(true)
+    expect(account.isKnownSpent(120)).toEqual(false)
+  })
+})
--- /dev/null
+++ b/tests/core/route/RouteTableTests.ts
@@ -0,0 +1,49 @@
+import { expect } from 'earl'
+import { ConfigHolder, RouteKind, RouteTable, type Route, type RouteConfig } from '../../../src/core/route/index.js'
+
+describe('RouteTable', () => {
+  const table = new RouteTable(toConfig(1, [toRoute('a', '/shop/'), toRoute('b', '/shop/books/'), toRoute('c', '/', 'other.example')]))
+
+  it('should take the longest prefix that begins the path', () => {
+    expect(table.getRoute('desk.example', '/shop/books/1')?.name).toEqual('b')
+    expect(table.getRoute('desk.example', '/shop/bookshelf')?.name).toEqual('a')
+  })
+
+  it('should know no route of another host or beyond the prefixes', () => {
+    expect(table.getRoute('desk.example', '/shop')).toEqual(undefined)
+    expect(table.getRoute('nobody.example', '/shop/')).toEqual(undefined)
+    expect(table.getRoute('other.example', '/anything')?.name).toEqual('c')
+  })
+})
+
+describe('ConfigHolder', () => {
+  it('should never go back to an older version', () => {
+    const holder = new ConfigHolder()
+    expect(holder.offer(toConfig(7, []))).toEqual(true)
+    expect(holder.offer(toConfig(4, []))).toEqual(false)
+    expect(holder.offer(toConfig(7, []))).toEqual(false)
+    expect(holder.get()?.config.version).toEqual(7)
+  })
+})
+
+function toRoute (name: string, pathPrefix: string, host = 'desk.example'): Route {
+  return {
+    name,
+    host,
+    pathPrefix,
+    kind: RouteKind.Idempotent,
+    backends: [],
+    timeoutMs: 1,
+    objectiveMs: 1,
+    priority: 0,
+    maxAttempts: 1,
+    isRetained: false,
+    retentionMs: 0,
+    isResumable: false,
+    maxGapMs: 1
+  }
+}
+
+function toConfig (version: number, routes: Route[]): RouteConfig {
+  return { version, routes, services: new Map(), limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } }
+}
--- /dev/null
+++ b/tests/core/target/CostPlacementTests.ts
@@ -0,0 +1,76 @@
+import { expect } from 'earl'
+import type { PromptPart } from '../../../src/core/forward/index.js'
+import { CostPlacement, TargetState, type Placement, type PlacementPolicy, type Target } from '../../../src/core/target/index.js'
+
+describe('CostPlacement', () => {
+  const regions = { here: 'home', near: 'home', far: 'away' }
+  const parts: PromptPart[] = [{ id: 'shared', tokens: 2_500 }, { id: 'line', tokens: 1_000 }, { id: 'new', tokens: 100 }]
+  const createPolicy = (): PlacementPolicy => new CostPlacement({ failureDomain: 'here', regions, random: () => 0 })
+
+  it('should go where the prompt is, across failure domains', () => {
+    const states = [toState('a', 'here'), toState('b', 'near')]
+    states[1]!.cached.add(parts)
+    expect(place(createPolicy(), states, parts)?.state.target.id).toEqual('b')
+  })
+
+  it('should stay in its failure domain without a reason to leave it', () => {
+    const states = [toState('a', 'far'), toState('b', 'near'), toState('c', 'here')]
+    expect(place(createPolicy(), states, [])?.state.target.id).toEqual('c')
+  })
+
+  it('should leave a target that has prompts left to read', () => {
+    const states = [toState('a', 'here'), toState('b', 'near')]
+    states[0]!.noteStart(100)
+    expect(place(createPolicy(), states, [])?.state.target.id).toEqual('b')
+    states[0]!.notePrefilled(100)
+    expect(place(createPolicy(), states, [])?.state.target.id).toEqual('a')
+  })
+
+  it('should avoid an unreachable target until its ejection ends, unless there is no other', () => {
+    const states = [toState('a', 'here'), toState('b', 'far')]
+    const forMs = states[0]!.noteFailure(0, true)
+    expect(place(createPolicy(), states, [], 1)?.state.target.id).toEqual('b')
+    expect(place(createPolicy(), [states[0]!], [], 1)?.state.target.id).toEqual('a')
+    expect(place(createPolicy(), states, [], forMs)?.state.target.id).toEqual('a')
+  })
+
+  it('should try a slowed target again after a while', () => {
+    const states = [toState('a', 'here'), toState('b', 'near')]
+    for (let at = 0; at < 5; at++) states[0]!.noteAnswer(400, 0)
+    expect(place(createPolicy(), states, [], 0)?.state.target.id).toEqual('b')
+    expect(place(createPolicy(), states, [], 20_000)?.state.target.id).toEqual('a')
+  })
+
+  // The load after all gateways lost power: programs go on at gateways that remember nothing.
+  it('should read a tenth of the prompts again at most after a restart, when the store names each program\'s target', () => {
+    const states = Array.from({ length: 6 }, (_, at) => toState(`t${at}`, ['here', 'near', 'far'][at % 3]!))
+    const programs = Array.from({ length: 60 }, (_, at) => ({ target: states[at % 6]!, parts: toLine(at) }))
+    let read = 0
+    let whole = 0
+    for (const [at, program] of programs.entries()) {
+      const policy = createPolicy()
+      const placement = place(policy, states, program.parts, at, program.target.lifetime)!
+      const { state, prefillMs } = placement
+      state.noteStart(prefillMs)
+      const total = program.parts.reduce((sum, part) => sum + part.tokens, 0)
+      whole += total
+      read += state === program.target ? program.parts.at(-1)!.tokens : total
+      state.notePrefilled(prefillMs)
+    }
+    expect(read <= 0.1 * whole).toEqual(true)
+  })
+})
+
+function toLine (program: number): PromptPart[] {
+  return [{ id: `shared-${program % 8}`, tokens: 2_560 }, { id: `line-${program}`, tokens: 2_000 }, { id: `new-${program}`, tokens: 200 }]
+}
+
+function toState (id: string, failureDomain: string): TargetState {
+  const target: Target = { id, bornAt: 1, service: 'model', address: '10.0.0.1:80', failureDomain, isLeaving: false, slots: 48 }
+  return new TargetState(target)
+}
+
+function place (policy: PlacementPolicy, states: TargetState[], parts: PromptPart[], now = 0, warmTarget?: string): Placement | undefined {
+  const promptTokens = parts.reduce((sum, part) => sum + part.tokens, 0)
+  return policy.select(states, { promptTokens, promptParts: parts, excluded: new Set(), warmTarget }, now)
+}
--- /dev/null
+++ b/tests/core/target/TargetRegistryTests.ts
@@ -0,0 +1,50 @@
+import { expect } from 'earl'
+import { REREGISTER_MS, TargetRegistry, type Target } from '../../../src/core/target/index.js'
+
+describe('TargetRegistry', () => {
+  const target: Target = { id: 'i-1', bornAt: 5, service: 'model', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: false, slots: 8 }
+  const getIds = (registry: TargetRegistry, now: number): string[] => registry.getServing('model', now).map(state => state.target.id)
+
+  it('should give no work to a target from the moment at which it says that it leaves', () => {
+    const registry = new TargetRegistry()
+    registry.set(target)
+    registry.set({ ...target, isLeaving: true })
+    expect(getIds(registry, 0)).toEqual([])
+  })
+
+  it('should forget a target whose row is removed', () => {
+    const registry = new TargetRegistry()
+    registry.set(target)
+    registry.remove('i-1', 0)
+    expect(getIds(registry, 0)).toEqual([])
+  })
+
+  it('should keep a target that lapsed in an outage until it had time to register again', () => {
+    const registry = new TargetRegistry()
+    registry.set(target)
+    registry.noteStoreAway()
+    registry.setAll([], 100)
+    registry.noteStoreBack(200)
+    registry.setAll([], 210)
+    expect(getIds(registry, 200 + REREGISTER_MS - 1)).toEqual(['i-1'])
+    expect(getIds(registry, 200 + REREGISTER_MS)).toEqual([])
+  })
+
+  it('should keep a target that registered again after an outage', () => {
+    const registry = new TargetRegistry()
+    registry.set(target)
+    registry.noteStoreAway()
+    registry.remove('i-1', 100)
+    registry.noteStoreBack(200)
+    registry.set(target)
+    expect(getIds(registry, 200 + 2 * REREGISTER_MS)).toEqual(['i-1'])
+  })
+
+  it('should start anew with a target that started again under its id', () => {
+    const registry = new TargetRegistry()
+    registry.set(target)
+    registry.getServing('model', 0)[0]!.cached.add([{ id: 'p', tokens: 10 }])
+    registry.set({ ...target, bornAt: 6 })
+    expect(registry.getServing('model', 0)[0]!.cached.getCachedTokens([{ id: 'p', tokens: 10 }])).toEqual(0)
+  })
+})
--- /dev/null
+++ b/tests/core/turn/TurnTests.ts
@@ -0,0 +1,55 @@
+import { expect } from 'earl'
+import { EventSplitter, fromTurnRows, getTurnRange, toTurnRows, Transcript } from '../../../src/core/turn/index.js'
+
+describe('EventSplitter', () => {
+  it('should give whole events however the bytes are cut', () => {
+    const bytes = Buffer.from('x-weight-versions: 2\nid: 1\ndata: a\ndata: b\n\nid: 2\r\ndata: \u00e9\r\n\r\n')
+    for (let cut = 0; cut <= bytes.length; cut++) {
+      const splitter = new EventSplitter()
+      const events = [...splitter.add(bytes.subarray(0, cut)), ...splitter.add(bytes.subarray(cut))]
+      expect(events.map(event => event.id)).toEqual(['1', '2'])
+      expect(Buffer.concat(events.map(event => event.bytes))).toEqual(bytes)
+      expect(splitter.getRest().length).toEqual(0)
+    }
+  })
+
+  it('should keep back an event that has not ended', () => {
+    const splitter = new EventSplitter()
+    expect(splitter.add(Buffer.from('id: 1\ndata: a\n')).length).toEqual(0)
+    expect(splitter.getRest().length).toEqual(14)
+  })
+})
+
+describe('Transcript', () => {
+  it('should follow the prompt with the data of each event and a line feed, byte for byte', () => {
+    const transcript = new Transcript(Buffer.from('input'))
+    for (const event of new EventSplitter().add(Buffer.from('id: 1\ndata: \u00e9\n\nid: 2\ndata: b\n\nid: 3\n\n'))) transcript.addEvent(event)
+    expect(transcript.toBuffer().toString()).toEqual('input\u00e9\nb\n')
+  })
+})
+
+describe('turn rows', () => {
+  const store = (transcript: Buffer, rowBytes: number) => toTurnRows('t1', transcript, { rowBytes }).map(put => ({ ...put, version: 1 }))
+
+  it('should give back a transcript of any length', () => {
+    for (const length of [0, 1, 98, 99, 100, 250]) {
+      const transcript = Buffer.alloc(length, 'x')
+      const rows = store(transcript, 100)
+      expect(rows.every(row => row.value.length <= 100)).toEqual(true)
+      expect(fromTurnRows(rows)).toEqual(transcript)
+    }
+  })
+
+  it('should lie in the range that is read for the turn, and no other turn in it', () => {
+    const { from, to, part } = getTurnRange('t1')
+    const rows = store(Buffer.alloc(500), 100)
+    expect(rows.every(row => row.key >= from! && row.key < to! && row.part === part)).toEqual(true)
+    expect(from! <= 't10/0000' && to! > 't10/0000').toEqual(false)
+  })
+
+  it('should not take a turn for whole whose last piece is missing', () => {
+    const rows = store(Buffer.alloc(250), 100)
+    expect(fromTurnRows(rows.slice(0, -1))).toEqual(undefined)
+    expect(fromTurnRows([])).toEqual(undefined)
+  })
+})
--- /dev/null
+++ b/tools/platform/GatewayProcess.ts
@@ -0,0 +1,121 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { createInterface } from 'node:readline'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+
+/** Milliseconds in which a gateway must take requests. */
+const START_TIMEOUT_MS = 20_000
+
+/** Milliseconds between two looks at whether it does. */
+const POLL_MS = 20
+
+/** Options of {@link GatewayProcess}. */
+export interface GatewayProcessOptions {
+  readonly id: string
+  readonly storeAddress: string
+  readonly graceMs?: number
+}
+
+/** A gateway as a process of its own, ended by its id. */
+export class GatewayProcess {
+  readonly callers: string
+  readonly readiness: string
+  readonly metrics: string
+  readonly lines: string[] = []
+  private readonly _child: ChildProcess
+  private readonly _folder: string
+  private readonly _exited: Promise<number | null>
+
+  private constructor (child: ChildProcess, folder: string, ports: readonly number[]) {
+    this._child = child
+    this._folder = folder
+    this.callers = `127.0.0.1:${ports[0]}`
+    this.readiness = `http://127.0.0.1:${ports[1]}/v1/ready`
+    this.metrics = `http://127.0.0.1:${ports[2]}/metrics`
+    createInterface({ input: child.stdout! }).on('line', line => { this.lines.push(line) })
+    createInterface({ input: child.stderr! }).on('line', line => { this.lines.push(line) })
+    this._exited = new Promise(resolve => { child.once('exit', code => { resolve(code) }) })
+  }
+
+  /** Starts a gateway and waits until it is ready. */
+  static async start (options: GatewayProcessOptions): Promise<GatewayProcess> {
+    const gateway = await GatewayProcess.launch(options)
+    await gateway.waitUntilReady()
+    return gateway
+  }
+
+  /** Starts a gateway without waiting for it. */
+  static async launch (options: GatewayProcessOptions): Promise<GatewayProcess> {
+    const ports = await getFreePorts(4)
+    const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
+    const file = join(folder, 'settings.toml')
+    writeFileSync(file, toSettings(options, ports))
+    const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    return new GatewayProcess(child, folder, ports)
+  }
+
+  /** Waits until the readiness check passes. */
+  async waitUntilReady (): Promise<void> {
+    const deadline = Date.now() + START_TIMEOUT_MS
+    for (;;) {
+      if (await this.getReadiness() === 200) return
+      if (Date.now() > deadline) throw new Error(`The gateway did not become ready:\n${this.lines.join('\n')}`)
+      await new Promise(resolve => { setTimeout(resolve, POLL_MS) })
+    }
+  }
+
+  /** Gets the status of the readiness check, or 0 without an answer. */
+  async getReadiness (): Promise<number> {
+    try {
+      return (await fetch(this.readiness)).status
+    } catch {
+      return 0
+    }
+  }
+
+  /** Gets the log lines of an event. */
+  getEvents (event: string): Array<Record<string, unknown>> {
+    return this.lines.filter(line => line.includes(`"event":"${event}"`)).map(line => JSON.parse(line) as Record<string, unknown>)
+  }
+
+  /** Sends a signal. */
+  signal (name: NodeJS.Signals): void {
+    if (this._child.exitCode === null) this._child.kill(name)
+  }
+
+  /** Resolves with the exit code. */
+  async waitForExit (): Promise<number | null> {
+    return await this._exited
+  }
+
+  /** Ends the process at once and removes its settings. */
+  async kill (): Promise<void> {
+    this.signal('SIGKILL')
+    await this._exited
+    rmSync(this._folder, { recursive: true, force: true })
+  }
+}
+
+function toSettings (options: GatewayProcessOptions, ports: readonly number[]): string {
+  const [callers, readiness, metrics, peers] = ports.map(port => `"127.0.0.1:${port}"`)
+  return [
+    `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', `callers = ${callers}`, `readiness = ${readiness}`,
+    `metrics = ${metrics}`, `peers = ${peers}`, '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]',
+    `grace_ms = ${options.graceMs ?? 8_000}`
+  ].join('\n')
+}
+
+/** Gets ports that the operating system has free; all are taken at once so that none comes twice. */
+async function getFreePorts (count: number): Promise<number[]> {
+  const servers = await Promise.all(Array.from({ length: count }, async () => {
+    const server = createServer()
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    return server
+  }))
+  const ports = servers.map(server => (server.address() as AddressInfo).port)
+  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
+  return ports
+}
--- /dev/null
+++ b/tools/platform/MemoryRowStore.ts
@@ -0,0 +1,118 @@
+import {
+  RowStore, StoreError, StoreFailure,
+  type RowChange, type RowCommit, type RowFeed, type RowKey, type RowRange, type RowSnapshot, type RowTransaction, type StoredRow
+} from '../../src/core/platform/index.js'
+
+interface Entry {
+  readonly key: RowKey
+  /** Undefined for a row that was removed. */
+  readonly value: Uint8Array | undefined
+  readonly version: number
+}
+
+/** An in-memory row store with the semantics of the platform's, for tests and stand-ins. */
+export class MemoryRowStore extends RowStore {
+  private readonly _entries = new Map<string, Entry>()
+  private _version = 1
+  private _forgottenUntil = 0
+  private _waiting: Array<() => void> = []
+
+  /** Calls of each kind so far. */
+  readonly calls = { commit: 0, read: 0, watch: 0 }
+  /** While set, calls fail in this way; after a lost answer the change is made all the same. */
+  failure: 'refused' | 'silent' | 'answer-lost' | undefined
+
+  async commit (transaction: RowTransaction): Promise<RowCommit> {
+    this.calls.commit++
+    this._failIfAway()
+    const result = this.apply(transaction)
+    if (this.failure === 'answer-lost') throw new StoreError(StoreFailure.NoAnswer, 'The answer was lost.')
+    return result
+  }
+
+  async read (range: RowRange): Promise<RowSnapshot> {
+    this.calls.read++
+    this._failIfAway()
+    const rows = [...this._entries.values()].flatMap(entry => isInRange(entry, range) ? [toRow(entry)] : [])
+    rows.sort((a, b) => a.key < b.key ? -1 : 1)
+    return { rows, version: this._version }
+  }
+
+  async watch (table: string, after: number, waitMs: number): Promise<RowFeed> {
+    this.calls.watch++
+    this._failIfAway()
+    if (after < this._forgottenUntil) return { type: 'gap' }
+    if (this._getChanges(table, after).length === 0) await this._waitForChange(waitMs)
+    this._failIfAway()
+    return { type: 'changes', changes: this._getChanges(table, after), version: this._version }
+  }
+
+  /** Applies a transaction if its conditions hold, whatever {@link failure} says. */
+  apply (transaction: RowTransaction): RowCommit {
+    const conditions = transaction.conditions ?? []
+    if (conditions.some(condition => this._getVersion(condition) !== condition.version)) {
+      return { type: 'conflict', rows: conditions.flatMap(condition => this.getRow(condition) ?? []) }
+    }
+    this._version++
+    for (const put of transaction.puts ?? []) this._set(put, put.value)
+    for (const key of transaction.removes ?? []) this._set(key, undefined)
+    for (const wake of this._waiting.splice(0)) wake()
+    return { type: 'committed', version: this._version }
+  }
+
+  /** Gets a row that exists. */
+  getRow (key: RowKey): StoredRow | undefined {
+    const entry = this._entries.get(toId(key))
+    return entry?.value === undefined ? undefined : toRow(entry)
+  }
+
+  /** Drops the history, so that watches from before find a gap. */
+  forgetHistory (): void {
+    this._forgottenUntil = ++this._version
+    for (const wake of this._waiting.splice(0)) wake()
+  }
+
+  private _set (key: RowKey, value: Uint8Array | undefined): void {
+    const { table, part, key: name } = key
+    this._entries.set(toId(key), { key: { table, part, key: name }, value, version: this._version })
+  }
+
+  private _getVersion (key: RowKey): number {
+    return this.getRow(key)?.version ?? 0
+  }
+
+  private _getChanges (table: string, after: number): RowChange[] {
+    const entries = [...this._entries.values()].filter(entry => entry.key.table === table && entry.version > after)
+    entries.sort((a, b) => a.version - b.version)
+    return entries.map(entry => entry.value === undefined ? { type: 'removed', key: entry.key } : { type: 'put', row: toRow(entry) })
+  }
+
+  private async _waitForChange (waitMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, waitMs)
+      this._waiting.push(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
+  private _failIfAway (): void {
+    if (this.failure === 'refused') throw new StoreError(StoreFailure.Refused, 'The store is away.')
+    if (this.failure === 'silent') throw new StoreError(StoreFailure.NoAnswer, 'The store does not answer.')
+  }
+}
+
+function isInRange (entry: Entry, range: RowRange): boolean {
+  const { table, part, key } = entry.key
+  return entry.value !== undefined && table === range.table && part === range.part && key >= (range.from ?? '') &&
+    (range.to === undefined || key < range.to)
+}
+
+function toId (key: RowKey): string {
+  return JSON.stringify([key.table, key.part, key.key])
+}
+
+function toRow (entry: Entry): StoredRow {
+  return { ...entry.key, value: entry.value!, version: entry.version }
+}
--- /dev/null
+++ b/tools/platform/PlatformCaller.ts
@@ -0,0 +1,52 @@
+import { request, type IncomingHttpHeaders } from 'node:http'
+import { FIXTURE_HOST } from './PlatformFixture.js'
+
+/** What a caller sends. */
+export interface PlatformCall {
+  readonly method?: string
+  readonly path: string
+  readonly id: string
+  readonly headers?: Readonly<Record<string, string>>
+  readonly body?: string
+  /** Called with each piece of the answer. */
+  readonly onData?: (text: string) => void
+  /** Closes the connection when aborted. */
+  readonly signal?: AbortSignal
+}
+
+/** An answer as a caller sees it. */
+export interface PlatformAnswer {
+  readonly status: number
+  readonly headers: IncomingHttpHeaders
+  readonly body: string
+  /** False when the connection closed before the answer was complete. */
+  readonly isWhole: boolean
+}
+
+/** Sends one request of a caller, on a connection of its own; status 0 stands for a connection that closed without an answer. */
+export async function callPlatform (address: string, call: PlatformCall): Promise<PlatformAnswer> {
+  const [host, port] = address.split(':')
+  return await new Promise(resolve => {
+    const req = request({
+      host,
+      port: Number(port),
+      method: call.method ?? (call.body === undefined ? 'GET' : 'POST'),
+      path: call.path,
+      agent: false,
+      signal: call.signal,
+      headers: { host: FIXTURE_HOST, 'x-request-id': call.id, 'x-timeout-ms': '3000', ...call.headers }
+    }, res => {
+      const chunks: Buffer[] = []
+      res.on('data', (chunk: Buffer) => {
+        chunks.push(chunk)
+        call.onData?.(chunk.toString())
+      })
+      const finish = (): void => {
+        resolve({ status: res.statusCode!, headers: res.headers, body: Buffer.concat(chunks).toString(), isWhole: res.complete })
+      }
+      res.on('end', finish).on('error', finish).on('close', finish)
+    })
+    req.on('error', () => { resolve({ status: 0, headers: {}, body: '', isWhole: false }) })
+    req.end(call.body)
+  })
+}
--- /dev/null
+++ b/tools/platform/PlatformFixture.ts
@@ -0,0 +1,66 @@
+import { EngineStandin } from './EngineStandin.js'
+import { StoreStandin } from './StoreStandin.js'
+
+/** Host of all routes of the fixture. */
+export const FIXTURE_HOST = 'desk.example'
+
+/** Version of the fixture's first configuration. */
+const FIRST_VERSION = 4
+
+interface RouteOverrides {
+  readonly timeoutMs?: number
+  readonly maxAttempts?: number
+}
+
+/** A store with a configuration and registered stand-ins for targets. */
+export class PlatformFixture {
+  readonly store = new StoreStandin()
+  readonly engines: EngineStandin[] = []
+  readonly desks: EngineStandin[] = []
+  storeAddress = ''
+  private _version = FIRST_VERSION
+
+  /** Starts the store and the targets, registers them and writes the configuration. */
+  async start (options: { engines?: number, desks?: number, route?: RouteOverrides } = {}): Promise<void> {
+    this.storeAddress = await this.store.start()
+    for (let at = 0; at < (options.engines ?? 2); at++) this.engines.push(await this._addTarget(`engine-${at}`, 'model'))
+    for (let at = 0; at < (options.desks ?? 2); at++) this.desks.push(await this._addTarget(`desk-${at}`, 'desk'))
+    this.configure(options.route)
+  }
+
+  /** Writes the configuration anew. */
+  configure (route: RouteOverrides = {}, extra: readonly string[] = []): void {
+    const base = { host: FIXTURE_HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 0, maxAttempts: 2, ...route }
+    const stream = { ...base, kind: 'streaming', service: 'model', maxAttempts: 1, retentionS: 60, sessionAffinity: true, targetGapMs: 300 }
+    this.store.put('op', 'config', {
+      version: this._version++,
+      routes: [
+        { ...stream, name: 'kept', pathPrefix: '/turns/kept/', retained: true, resumable: false },
+        { ...stream, name: 'resumable', pathPrefix: '/turns/resumable/', maxAttempts: 2, retained: false, resumable: true },
+        { ...base, name: 'lookup', pathPrefix: '/lookup/', kind: 'idempotent', service: 'desk' },
+        { ...base, name: 'booking', pathPrefix: '/booking/', kind: 'non_idempotent', service: 'desk' },
+        ...extra.map(prefix => ({ ...base, name: prefix, pathPrefix: prefix, kind: 'idempotent', service: 'desk' }))
+      ],
+      services: [
+        { name: 'model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 4 } },
+        { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }
+      ],
+      limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000 }
+    })
+  }
+
+  /** Ends all stand-ins. */
+  close (): void {
+    for (const standin of [...this.engines, ...this.desks]) standin.close()
+    this.store.close()
+  }
+
+  private async _addTarget (id: string, service: string): Promise<EngineStandin> {
+    const standin = new EngineStandin(id)
+    const address = await standin.start()
+    this.store.put('servers', id, {
+      service, address, zone: 'here', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: 1_700_000_000_000
+    })
+    return standin
+  }
+}
