--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -25,6 +25,7 @@
 /** Tells peers where this gateway listens, and learns where they do. */
 export class PeerDirectory {
   private readonly _options: PeerDirectoryOptions
+  private _known = 0
 
   constructor (options: PeerDirectoryOptions) {
     this._options = options
@@ -45,9 +46,12 @@
   }
 
   private async _read (): Promise<void> {
-    const { store, ranking } = this._options
+    const { store, ranking, log } = this._options
     const { rows } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
-    ranking.setPeers(rows.map(decodePeer))
+    const peers = rows.map(decodePeer)
+    ranking.setPeers(peers)
+    if (peers.length !== this._known) log.info('peers-known', { peers: peers.map(peer => peer.id) })
+    this._known = peers.length
   }
 
   private async _untilDone (step: () => Promise<void>): Promise<void> {
--- a/src/io/process/DecisionLog.ts
+++ b/src/io/process/DecisionLog.ts
@@ -18,6 +18,8 @@
   readonly process: string
   readonly id: string
   readonly onDropped?: (lines: number) => void
+  /** True to write nothing, for tests. */
+  readonly isSilent?: boolean
 }
 
 /** Writes one JSON line for each decision or change of belief; it never blocks and drops lines beyond its bound. */
@@ -36,7 +38,7 @@
     // The reader of the pipe may go before the process does; there is then nobody left to tell.
     this._out.on('error', () => {})
     this._logger = new Logger({ type: 'hidden', name: `${options.process}/${options.id}`, stack: { capture: 'off' }, meta: { property: '_meta' } })
-    this._logger.attachTransport(record => { this._add(record) })
+    if (options.isSilent !== true) this._logger.attachTransport(record => { this._add(record) })
     setInterval(() => { this._flush() }, FLUSH_MS).unref()
   }
 
--- /dev/null
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -0,0 +1,62 @@
+import { expect } from 'earl'
+import { PlatformProtocol } from '../../platform/PlatformProtocol.js'
+
+describe('PlatformProtocol', () => {
+  const protocol = new PlatformProtocol()
+  const decode = (rawHeaders: string[], url = '/a/b?c=1') => protocol.decodeRequest({ method: 'POST', url, rawHeaders })
+  const minimal = ['Host', 'Desk.Example:80', 'X-Request-Id', 'r1']
+
+  it('should decode what the gateway decides by', () => {
+    const call = decode([
+      ...minimal, 'X-Timeout-Ms', '4000', 'X-Token-Usage', '1460,80', 'X-Prompt-Prefix', '5c:800,91:410', 'X-Program-Id', 'p', 'X-Session-Id', 's',
+      'X-Program-Deadline-Ms', '5200', 'X-Token-Budget', '1088', 'X-Previous-Turn', 't0', 'X-Custom', 'x'
+    ]).unsafeCoerce()
+    expect(call).toEqual({
+      id: 'r1',
+      method: 'POST',
+      target: '/a/b?c=1',
+      path: '/a/b',
+      host: 'desk.example',
+      headers: call.headers,
+      timeoutMs: 4_000,
+      affinityKey: undefined,
+      program: { id: 'p', session: 's', remainingMs: 5_200, tokenBudget: 1_088 },
+      promptTokens: 1_460,
+      maxOutputTokens: 80,
+      promptParts: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }],
+      previousTurn: 't0',
+      lastEventId: undefined
+    })
+  })
+
+  it('should pass on neither headers of the connection nor those that only the gateway may set', () => {
+    const call = decode([
+      ...minimal, 'Connection', 'keep-alive, X-Hop', 'X-Hop', '1', 'Keep-Alive', '5', 'TE', 'trailers', 'Transfer-Encoding', 'chunked', 'X-Hold', 'h',
+      'X-Pin-Ms', '9', 'X-Kv-Backup', '10.0.0.1:1', 'Kv-From', '10.0.0.1:1/x', 'Kv-Fetch', '10.0.0.1:1', 'X-Target-Instance', 'i-9',
+      'X-Request-Priority', '0', 'X-Keep', 'yes', 'X-Keep', 'twice'
+    ]).unsafeCoerce()
+    expect(call.headers).toEqual([...minimal, 'X-Keep', 'yes', 'X-Keep', 'twice'])
+  })
+
+  it('should refuse a request that could be read in two ways', () => {
+    for (const headers of [['Host', 'a'], [...minimal, 'X-Request-Id', 'r2'], [...minimal, 'Host', 'b'], [...minimal, 'X-Token-Budget', '1', 'X-Token-Budget', '9']]) {
+      expect(decode(headers).isLeft()).toEqual(true)
+    }
+    expect(decode(minimal, 'http://other/').isLeft()).toEqual(true)
+  })
+
+  it('should name the only target that may run the request and the time that is left', () => {
+    const call = decode([...minimal, 'X-Timeout-Ms', '4000']).unsafeCoerce()
+    const target = { id: 'i-1', bornAt: 1, service: 's', address: '10.0.0.1:1', failureDomain: 'z', isLeaving: false, slots: 1 }
+    expect(protocol.getTargetHeaders(call, { target, timeoutMs: 1_234.9, lastEventId: '7' })).toEqual([
+      ...minimal, 'x-timeout-ms', '1234', 'x-target-instance', 'i-1', 'last-event-id', '7'
+    ])
+  })
+
+  it('should take a request for not run only by the target\'s own statement', () => {
+    expect(protocol.decodeReply(503, ['X-Not-Executed', '1']).isNotRun).toEqual(true)
+    expect(protocol.decodeReply(421, []).isNotRun).toEqual(true)
+    expect(protocol.decodeReply(503, []).isNotRun).toEqual(false)
+    expect(protocol.decodeReply(200, ['Content-Encoding', 'gzip']).isEncoded).toEqual(true)
+  })
+})
--- /dev/null
+++ b/tests/platform/decodeTests.ts
@@ -0,0 +1,47 @@
+import { expect } from 'earl'
+import { decodeConfig } from '../../platform/decodeConfig.js'
+import { decodeTarget } from '../../platform/decodeTarget.js'
+
+const toBytes = (value: unknown): Buffer => Buffer.from(typeof value === 'string' ? value : JSON.stringify(value))
+
+describe('decodeTarget', () => {
+  const entry = { service: 'model', address: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: 5 }
+  const decode = (value: unknown) => decodeTarget({ table: 'servers', part: '', key: 'i-1', value: toBytes(value), version: 1 })
+
+  it('should decode a lifetime of a target', () => {
+    expect(decode({ ...entry, state: 'draining', surprise: true })).toEqual({
+      id: 'i-1', bornAt: 5, service: 'model', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: true, slots: 8
+    })
+  })
+
+  it('should skip what another writer left', () => {
+    const changes = [{ slots: '8' }, { state: 'sleeping' }, { address: 'elsewhere' }, { service: undefined }, { born: 'today' }]
+    const broken = ['no JSON', '[]', {}, ...changes.map(change => ({ ...entry, ...change }))]
+    for (const value of broken) expect(decode(value)).toEqual(undefined)
+  })
+})
+
+describe('decodeConfig', () => {
+  it('should decode routes with one service and with several', () => {
+    const route = { name: 'r', host: 'Desk.Example', pathPrefix: '/a/', kind: 'non_idempotent', timeoutMs: 5, targetLatencyMs: 3, priority: 1 }
+    const config = decodeConfig(toBytes({
+      version: 7,
+      routes: [
+        { ...route, service: 's' },
+        { ...route, kind: 'streaming', retained: true, retentionS: 60, backends: [{ service: 's', weight: 90 }, { service: 't', weight: 0 }] }
+      ],
+      services: [{ name: 's', maxConns: 10, engine: { tokensPerEvent: 3 } }]
+    })).unsafeCoerce()
+    const routes = config.routes.map(({ host, kind, backends, isRetained, retentionMs }) => ({ host, kind, backends, isRetained, retentionMs }))
+    expect(routes).toEqual([
+      { host: 'desk.example', kind: 'non-idempotent', backends: [{ service: 's', weight: 1 }], isRetained: false, retentionMs: 60_000 },
+      { host: 'desk.example', kind: 'streaming', backends: [{ service: 's', weight: 90 }], isRetained: true, retentionMs: 60_000 }
+    ])
+    expect(config.services.get('s')?.tokensPerEvent).toEqual(3)
+  })
+
+  it('should say what is wrong with a configuration', () => {
+    expect(decodeConfig(toBytes('{')).isLeft()).toEqual(true)
+    expect(decodeConfig(toBytes({ version: 1, routes: [{ name: 'r' }] })).extract()).toEqual(expect.includes('routes'))
+  })
+})
