--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -8,7 +8,7 @@
 export const LOAD_MS = 100
 
 /** Milliseconds by which a target of another failure domain is worse: its bytes are paid for. */
-export const OTHER_DOMAIN_MS = 10
+export const OTHER_DOMAIN_MS = 25
 
 /** Milliseconds by which a target of another region is worse: the round trip and the narrow link. */
 export const OTHER_REGION_MS = 60
--- /dev/null
+++ b/src/core/turn/TurnExpiry.ts
@@ -0,0 +1,38 @@
+import type { RowKey } from '../platform/index.js'
+
+/** Milliseconds beyond its retention for which a turn is kept, so that no caller meets its removal. */
+export const EXPIRY_MARGIN_MS = 30_000
+
+/** Rows that one transaction removes at most. */
+export const REMOVES_PER_TRANSACTION = 100
+
+interface Expiring {
+  readonly keys: readonly RowKey[]
+  readonly expiresAt: number
+}
+
+/** Remembers which rows of turns this gateway wrote and when they may be removed. */
+export class TurnExpiry {
+  private readonly _expiring: Expiring[] = []
+
+  /** Notes the rows of a turn that was saved. */
+  add (keys: readonly RowKey[], retentionMs: number, now: number): void {
+    this._expiring.push({ keys, expiresAt: now + retentionMs + EXPIRY_MARGIN_MS })
+  }
+
+  /** Takes the rows of one part whose turns have expired; empty when there are none. */
+  takeExpired (now: number): RowKey[] {
+    const part = this._expiring.find(entry => entry.expiresAt <= now)?.keys[0]?.part
+    const taken: RowKey[] = []
+    for (let at = 0; at < this._expiring.length;) {
+      const { keys, expiresAt } = this._expiring[at]!
+      if (expiresAt > now || keys[0]?.part !== part || taken.length + keys.length > REMOVES_PER_TRANSACTION) {
+        at++
+        continue
+      }
+      taken.push(...keys)
+      this._expiring.splice(at, 1)
+    }
+    return taken
+  }
+}
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,3 +1,4 @@
+import { periodic } from 'most'
 import type { Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
@@ -18,7 +19,7 @@
 import { StreamForwarder } from './StreamForwarder.js'
 import { TableWatch } from './TableWatch.js'
 import { TargetClient } from './TargetClient.js'
-import { TurnStore } from './TurnStore.js'
+import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
 
 /** Where the platform keeps what a gateway follows, and how to read it. */
 export interface PlatformTables {
@@ -64,15 +65,18 @@
   private readonly _registry = new TargetRegistry()
   private readonly _server: GatewayServer
   private readonly _status: StatusServer
+  private readonly _turns: TurnStore
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _configWatch: TableWatch
   private readonly _targetWatch: TableWatch
   private _isStopping = false
+  private _graceMs: number
 
   constructor (options: GatewayOptions) {
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
+    this._graceMs = settings.graceMs
     const { id, failureDomain, regions, listen } = settings
     const ranking = new PeerRanking({ ownId: id, ownDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
@@ -89,9 +93,10 @@
     })
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const attempts = { clock, log, metrics, placer, client: new TargetClient(protocol) }
+    this._turns = new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) })
     const streams = new StreamForwarder({
       attempts,
-      turns: new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) }),
+      turns: this._turns,
       budgets: new BudgetStore({ access, clock, log, holder: incarnation }),
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
@@ -124,12 +129,22 @@
     void this._configWatch.run()
     void this._targetWatch.run()
     void this._directory.run()
+    void periodic(EXPIRY_CHECK_MS).observe(() => { void this._turns.removeExpired() })
     await this._status.listenForReadiness(...toHostPort(listen.readiness))
     await this._status.listenForMetrics(...toHostPort(listen.metrics))
     await this._peers.listen(...toHostPort(listen.peers))
     await this._server.listen(...toHostPort(listen.callers))
   }
 
+  /** Takes changed settings; addresses to listen at and the place of this gateway need a restart. */
+  setSettings (settings: GatewaySettings): void {
+    const { settings: before, log } = this._options
+    this._graceMs = settings.graceMs
+    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement'] as const
+    const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(before[key]))
+    log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
+  }
+
   /** Tells whether requests can be served. */
   isReady (): boolean {
     return !this._isStopping && this._configs.get() !== undefined && this._targetWatch.isRead()
@@ -137,14 +152,14 @@
 
   /** Stops as planned: says so to the balancer, answers what was read, and resolves when nothing is left or the time is up. */
   async stop (): Promise<void> {
-    const { clock, settings, log } = this._options
+    const { clock, log } = this._options
     if (this._isStopping) return
     this._isStopping = true
     const startedAt = clock.now()
     log.info('stopping', { inProgress: this._server.getInProgress() })
     await waitUntil(() => clock.now() - startedAt >= NOTICE_MS)
     this._server.stopListening()
-    const latest = startedAt + settings.graceMs - STOP_MARGIN_MS
+    const latest = startedAt + this._graceMs - STOP_MARGIN_MS
     await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= latest)
     this._configWatch.close()
     this._targetWatch.close()
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -153,7 +153,7 @@
     if (route.isRetained) {
       const patienceMs = Math.max(CALLER_PATIENCE_MS, PATIENCE_OBJECTIVES * route.objectiveMs, PATIENCE_GAPS * route.maxGapMs)
       const deadline = Math.min(exchange.deadline, progress.lastEventAt + patienceMs - HOLD_MARGIN_MS)
-      if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), deadline)) {
+      if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.breakOff('the turn could not be saved')
         return
       }
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -2,13 +2,19 @@
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
-import { fromTurnRows, getTurnRange, toTurnRows } from '../../core/turn/index.js'
+import { fromTurnRows, getTurnRange, toTurnRows, TurnExpiry } from '../../core/turn/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { StoreAccess } from './StoreAccess.js'
 
 /** Bytes of transcripts that a gateway keeps in memory, so that the next turn of a line needs no read. */
 export const CACHE_BYTES = 16_777_216
 
+/** Milliseconds between two looks for turns that may be removed. */
+export const EXPIRY_CHECK_MS = 5_000
+
+/** Milliseconds for removing the rows of expired turns. */
+const REMOVE_TIMEOUT_MS = 2_000
+
 /** Options of {@link TurnStore}. */
 export interface TurnStoreOptions {
   readonly access: StoreAccess
@@ -22,6 +28,7 @@
 export class TurnStore {
   private readonly _options: TurnStoreOptions
   private readonly _cache = new Map<string, Buffer>()
+  private readonly _expiry = new TurnExpiry()
   private _cachedBytes = 0
 
   constructor (options: TurnStoreOptions) {
@@ -46,7 +53,7 @@
   }
 
   /** Saves the transcript with a finished turn; returns whether it is durable. */
-  async save (id: string, transcript: Buffer, deadline: number): Promise<boolean> {
+  async save (id: string, transcript: Buffer, retentionMs: number, deadline: number): Promise<boolean> {
     const puts = toTurnRows(id, transcript, { rowBytes: this._options.rowBytes })
     try {
       await this._options.access.commitRepeatable({ puts }, deadline)
@@ -56,9 +63,24 @@
       return false
     }
     this._remember(id, transcript)
+    this._expiry.add(puts.map(({ table, part, key }) => ({ table, part, key })), retentionMs, this._options.clock.now())
     return true
   }
 
+  /** Removes the rows of turns that have expired. */
+  async removeExpired (): Promise<void> {
+    const { access, clock, log } = this._options
+    if (access.health.isAway()) return
+    for (let removes = this._expiry.takeExpired(clock.now()); removes.length > 0; removes = this._expiry.takeExpired(clock.now())) {
+      try {
+        await access.commitRepeatable({ removes }, clock.now() + REMOVE_TIMEOUT_MS)
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err
+        log.warn('turns-not-removed', { rows: removes.length, cause: err.message })
+      }
+    }
+  }
+
   private _remember (id: string, transcript: Buffer): void {
     if (this._cache.has(id)) return
     this._cache.set(id, transcript)
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -24,18 +24,18 @@
 describe('decodeConfig', () => {
   it('should decode routes with one service and with several', () => {
     const route = { name: 'r', host: 'Desk.Example', pathPrefix: '/a/', kind: 'non_idempotent', timeoutMs: 5, targetLatencyMs: 3, priority: 1 }
+    const backends = [{ service: 's', weight: 90 }, { service: 't', weight: 0 }]
     const config = decodeConfig(toBytes({
       version: 7,
       routes: [
         { ...route, service: 's' },
-        { ...route, kind: 'streaming', retained: true, retentionS: 60, backends: [{ service: 's', weight: 90 }, { service: 't', weight: 0 }] }
+        { ...route, kind: 'streaming', retained: true, retentionS: 60, backends }
       ],
       services: [{ name: 's', maxConns: 10, engine: { tokensPerEvent: 3 } }]
     })).unsafeCoerce()
-    const routes = config.routes.map(({ host, kind, backends, isRetained, retentionMs }) => ({ host, kind, backends, isRetained, retentionMs }))
-    expect(routes).toEqual([
-      { host: 'desk.example', kind: 'non-idempotent', backends: [{ service: 's', weight: 1 }], isRetained: false, retentionMs: 60_000 },
-      { host: 'desk.example', kind: 'streaming', backends: [{ service: 's', weight: 90 }], isRetained: true, retentionMs: 60_000 }
+    expect(config.routes.map(decoded => [decoded.host, decoded.kind, decoded.backends, decoded.isRetained, decoded.retentionMs])).toEqual([
+      ['desk.example', 'non-idempotent', [{ service: 's', weight: 1 }], false, 60_000],
+      ['desk.example', 'streaming', [{ service: 's', weight: 90 }], true, 60_000]
     ])
     expect(config.services.get('s')?.tokensPerEvent).toEqual(3)
   })
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -216,6 +216,25 @@
     expect(await gateway.waitForExit()).toEqual(0)
   })
 
+  it('should take changed settings, and go on with the old ones when they have findings', async () => {
+    gateway.writeSettings('id = 5')
+    gateway.signal('SIGHUP')
+    await waitFor(() => gateway.getEvents('settings-rejected').length === 1)
+    expect((await call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
+    const moved = new PlatformFixture()
+    await moved.start()
+    try {
+      // No signal: the file is looked at now and then.
+      gateway.writeSettings(gateway.getSettings({ storeAddress: moved.storeAddress }))
+      await waitFor(() => gateway.getEvents('settings-taken').length === 1)
+      const headers = { 'x-program-id': 'p9', 'x-token-budget': '1000', 'x-token-usage': '10,50' }
+      await call({ id: 't1', path: '/turns/kept/a', body: 'x', headers })
+      await waitFor(() => moved.store.rows.getRow({ table: 'turns', part: getPart('t1'), key: 't1/0000' }) !== undefined)
+    } finally {
+      moved.close()
+    }
+  })
+
   it('should refuse bytes that could be read in two ways, and what exceeds the limits', async () => {
     const start = `POST /booking/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: raw\r\n`
     const cases: Array<[string, string]> = [
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -12,6 +12,9 @@
 /** Milliseconds between two looks at whether it does. */
 const POLL_MS = 20
 
+/** Name of the settings file in a gateway's own folder. */
+const SETTINGS_FILE = 'settings.toml'
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly id: string
@@ -29,9 +32,14 @@
   private readonly _folder: string
   private readonly _exited: Promise<number | null>
 
-  private constructor (child: ChildProcess, folder: string, ports: readonly number[]) {
+  private readonly _options: GatewayProcessOptions
+  private readonly _ports: readonly number[]
+
+  private constructor (child: ChildProcess, folder: string, options: GatewayProcessOptions, ports: readonly number[]) {
     this._child = child
     this._folder = folder
+    this._options = options
+    this._ports = ports
     this.callers = `127.0.0.1:${ports[0]}`
     this.readiness = `http://127.0.0.1:${ports[1]}/v1/ready`
     this.metrics = `http://127.0.0.1:${ports[2]}/metrics`
@@ -51,10 +59,10 @@
   static async launch (options: GatewayProcessOptions): Promise<GatewayProcess> {
     const ports = await getFreePorts(4)
     const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
-    const file = join(folder, 'settings.toml')
+    const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, toSettings(options, ports))
     const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
-    return new GatewayProcess(child, folder, ports)
+    return new GatewayProcess(child, folder, options, ports)
   }
 
   /** Waits until the readiness check passes. */
@@ -81,6 +89,16 @@
     return this.lines.filter(line => line.includes(`"event":"${event}"`)).map(line => JSON.parse(line) as Record<string, unknown>)
   }
 
+  /** Gets the settings that the gateway was started with, changed in parts. */
+  getSettings (changes: Partial<GatewayProcessOptions>): string {
+    return toSettings({ ...this._options, ...changes }, this._ports)
+  }
+
+  /** Overwrites the settings file. */
+  writeSettings (text: string): void {
+    writeFileSync(join(this._folder, SETTINGS_FILE), text)
+  }
+
   /** Sends a signal. */
   signal (name: NodeJS.Signals): void {
     if (this._child.exitCode === null) this._child.kill(name)
