A request that breaks three targets is refused at every gateway

Answers that are unsigned or another request's are no crashes. Ruled out: counting requests without a body, which look the same for many callers.

--- /dev/null
+++ b/src/core/suspect/SuspectList.ts
@@ -0,0 +1,58 @@
+import { createHash } from 'node:crypto'
+import type { RowKey, RowPut } from '../platform/index.js'
+
+/** Table of crashes: one row for each request and each lifetime of a target that broke off while it ran the request. */
+export const SUSPECT_TABLE = 'suspects'
+
+/** Lifetimes of targets that a request may break before it is refused. */
+export const REFUSE_AFTER_LIFETIMES = 3
+
+/** Requests that are remembered; the oldest yield. */
+const MAX_SUSPECTS = 10_000
+
+/** Digest and lifetime in a row's key. */
+const SEPARATOR = '/'
+
+/** Gets the digest by which a request is known when it comes again; undefined without a body, which would be shared by many requests. */
+export function getSuspectDigest (host: string, target: string, body: Buffer | undefined): string | undefined {
+  if (body === undefined || body.length === 0) return undefined
+  return createHash('sha1').update(host).update('\u0000').update(target).update('\u0000').update(body).digest('hex')
+}
+
+/** Gets the row that tells all gateways of a crash; writing it twice is harmless. */
+export function toSuspectRow (digest: string, lifetime: string): RowPut {
+  return { table: SUSPECT_TABLE, part: '', key: `${digest}${SEPARATOR}${lifetime}`, value: Buffer.alloc(0) }
+}
+
+/**
+ * Knows which requests broke targets.
+ *
+ * Answers a request that crashes each target that runs it and comes again at any gateway.
+ */
+export class SuspectList {
+  private readonly _lifetimes = new Map<string, Set<string>>()
+
+  /** Notes that a target broke off while it ran a request; returns whether the request is refused from now on. */
+  add (digest: string, lifetime: string): boolean {
+    const known = this._lifetimes.get(digest) ?? new Set()
+    this._lifetimes.set(digest, known)
+    if (known.has(lifetime)) return false
+    known.add(lifetime)
+    if (this._lifetimes.size > MAX_SUSPECTS) {
+      const [oldest] = this._lifetimes.keys()
+      this._lifetimes.delete(oldest!)
+    }
+    return known.size === REFUSE_AFTER_LIFETIMES
+  }
+
+  /** Takes a row that a gateway wrote. */
+  addRow (key: RowKey): boolean {
+    const [digest, lifetime] = key.key.split(SEPARATOR)
+    return digest !== undefined && lifetime !== undefined && this.add(digest, lifetime)
+  }
+
+  /** Tells whether a request may not be run any more. */
+  isRefused (digest: string | undefined): boolean {
+    return digest !== undefined && (this._lifetimes.get(digest)?.size ?? 0) >= REFUSE_AFTER_LIFETIMES
+  }
+}
--- /dev/null
+++ b/src/core/suspect/index.ts
@@ -0,0 +1,1 @@
+export * from './SuspectList.js'
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -7,6 +7,7 @@
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { Placer } from './Placer.js'
+import type { SuspectStore } from './SuspectStore.js'
 import { TargetError, type TargetClient, type TargetReply } from './TargetClient.js'
 
 /** Seconds after which a refused caller may try again when targets were missing or full. */
@@ -19,6 +20,14 @@
   readonly metrics: GatewayMetrics
   readonly placer: Placer
   readonly client: TargetClient
+  readonly suspects: SuspectStore
+}
+
+/** Why an answer could not be passed on. */
+export interface AnswerFailure {
+  readonly cause: string
+  /** True when the target's connection broke, so that the target may have crashed. */
+  readonly isBrokenOff: boolean
 }
 
 /** An answer with the target that gives it. */
@@ -51,6 +60,10 @@
     const { call, route, gone } = this._exchange
     for (;;) {
       if (gone.aborted) return undefined
+      if (this._context.suspects.isRefused(this._exchange.suspectDigest)) {
+        this._refuse(this._runs > 0 ? 'attempts-failed' : 'crashes-targets')
+        return undefined
+      }
       const placement = this._context.placer.place(call, route, { excluded: this._excluded, warmTarget: this._warmTarget })
       if (placement === undefined) {
         this._refuse(this._runs > 0 ? 'attempts-failed' : this._sends > 0 ? 'retries-exhausted' : 'no-target')
@@ -63,8 +76,10 @@
   }
 
   /** Notes that the latest answer turned out to be broken; returns whether a further target may be asked, else refuses. */
-  mayRetryBroken (attempt: Attempt, cause: string): boolean {
-    this._noteRun(attempt.state, cause)
+  mayRetryBroken (attempt: Attempt, failure: AnswerFailure): boolean {
+    const isOwnDoing = this._exchange.gone.aborted || this._exchange.getRemainingMs() <= 0
+    this._noteRun(attempt.state, failure.cause, !isOwnDoing)
+    if (failure.isBrokenOff && !isOwnDoing) this._suspect(attempt.state)
     if (this._exchange.gone.aborted) return false
     return this._mayGoOn()
   }
@@ -116,7 +131,10 @@
       progress.finish()
       if (!(err instanceof TargetError)) throw err
       if (err.isNotRun) this._noteNotRun(state, err.message, !signal.aborted)
-      else this._noteRun(state, err.message, !signal.aborted)
+      else {
+        this._noteRun(state, err.message, !signal.aborted)
+        if (!signal.aborted) this._suspect(state)
+      }
       return undefined
     }
   }
@@ -153,6 +171,12 @@
     this._noteRetry(state, 'answer-broken', cause)
   }
 
+  /** Notes that a target broke off while it ran the request; a request that does so to several is refused. */
+  private _suspect (state: TargetState): void {
+    const { suspectDigest, call } = this._exchange
+    if (suspectDigest !== undefined) void this._context.suspects.note(suspectDigest, state.lifetime, call.id)
+  }
+
   private _eject (state: TargetState, isUnreachable: boolean): void {
     const { clock, log, metrics } = this._context
     const ms = state.noteFailure(clock.now(), isUnreachable)
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -37,6 +37,8 @@
   readonly startedAt: number
   /** Time by which the caller has its answer, by the steady clock. */
   readonly deadline: number
+  /** Digest by which the request is known when it comes again; undefined without a body. */
+  suspectDigest: string | undefined
   private readonly _context: ExchangeContext
   private readonly _res: ServerResponse
   private readonly _gone = new AbortController()
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -7,6 +7,7 @@
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
+import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore } from './BudgetStore.js'
@@ -17,6 +18,7 @@
 import { StatusServer } from './StatusServer.js'
 import { StoreAccess } from './StoreAccess.js'
 import { StreamForwarder } from './StreamForwarder.js'
+import { SuspectStore } from './SuspectStore.js'
 import { TableWatch } from './TableWatch.js'
 import { TargetClient } from './TargetClient.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
@@ -55,6 +57,9 @@
 /** Milliseconds before the kill at which a stopping process ends in any case. */
 const STOP_MARGIN_MS = 500
 
+/** Milliseconds that the store may hold a watch for crashes; they are rare, and a change is reported at once. */
+const SUSPECT_WATCH_MS = 4_000
+
 /** Milliseconds between two looks at whether a stopping process has finished its work. */
 const STOP_POLL_MS = 25
 
@@ -70,6 +75,7 @@
   private readonly _directory: PeerDirectory
   private readonly _configWatch: TableWatch
   private readonly _targetWatch: TableWatch
+  private readonly _suspectWatch: TableWatch
   private _isStopping = false
   private _graceMs: number
 
@@ -92,7 +98,8 @@
       onBack: () => { this._registry.noteStoreBack(clock.now()) }
     })
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
-    const attempts = { clock, log, metrics, placer, client: new TargetClient(protocol) }
+    const suspects = new SuspectStore({ access, clock, log })
+    const attempts = { clock, log, metrics, placer, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) })
     const streams = new StreamForwarder({
       attempts,
@@ -121,6 +128,15 @@
       onRows: rows => { this._takeTargets(rows) },
       onChange: change => { this._onTargetChange(change) }
     })
+    this._suspectWatch = new TableWatch({
+      access,
+      clock,
+      log,
+      table: SUSPECT_TABLE,
+      waitMs: SUSPECT_WATCH_MS,
+      onRows: rows => { for (const row of rows) suspects.take(row) },
+      onChange: change => { if (change.type === 'put') suspects.take(change.row) }
+    })
   }
 
   /** Starts to listen and to follow the store. */
@@ -128,6 +144,7 @@
     const { listen } = this._options.settings
     void this._configWatch.run()
     void this._targetWatch.run()
+    void this._suspectWatch.run()
     void this._directory.run()
     void periodic(EXPIRY_CHECK_MS).observe(() => { void this._turns.removeExpired() })
     await this._status.listenForReadiness(...toHostPort(listen.readiness))
@@ -163,6 +180,7 @@
     await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= latest)
     this._configWatch.close()
     this._targetWatch.close()
+    this._suspectWatch.close()
     this._status.close()
     this._peers.close()
     log.info('stopped', { inProgress: this._server.getInProgress(), tookMs: Math.round(clock.now() - startedAt) })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import type { Refusal } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
+import { getSuspectDigest } from '../../core/suspect/index.js'
 import { readBody } from '../http/index.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
@@ -127,6 +128,7 @@
     }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
+    exchange.suspectDigest = getSuspectDigest(call.host, call.target, content)
     if (route.kind === RouteKind.Streaming) await this._options.streams.forward(exchange, content)
     else await this._options.plain.forward(exchange, content)
   }
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -1,4 +1,4 @@
-import { Attempts, type Attempt, type AttemptContext } from './Attempts.js'
+import { Attempts, type AnswerFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { Exchange } from './Exchange.js'
 
 /** Bytes of an answer that are collected before the first is passed on, so that a broken answer can be replaced. */
@@ -27,12 +27,12 @@
 }
 
 /** Passes on an answer with one body; returns why it could not, or undefined. */
-export async function relayWhole (exchange: Exchange, attempt: Attempt): Promise<string | undefined> {
+export async function relayWhole (exchange: Exchange, attempt: Attempt): Promise<AnswerFailure | undefined> {
   const { head, body, discard } = attempt.reply
   const failure = getHeadFailure(attempt)
   if (failure !== undefined) {
     discard()
-    return failure
+    return { cause: failure, isBrokenOff: false }
   }
   attempt.noteFirst()
   const chunks: Buffer[] = []
@@ -50,7 +50,7 @@
       await exchange.write(Buffer.concat(chunks))
     }
   } catch (err) {
-    return err instanceof Error ? err.message : String(err)
+    return { cause: err instanceof Error ? err.message : String(err), isBrokenOff: true }
   }
   if (exchange.hasStarted()) exchange.end()
   else exchange.sendWhole(head, Buffer.concat(chunks))
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../../core/clock/index.js'
 import { EventSplitter, Transcript } from '../../core/turn/index.js'
-import { Attempts, type Attempt, type AttemptContext } from './Attempts.js'
+import { Attempts, type AnswerFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import { Reservation, type BudgetStore } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayWhole } from './PlainForwarder.js'
@@ -118,13 +118,13 @@
   }
 
   /** Relays one target's events; returns why it could not be finished, or undefined. */
-  private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<string | undefined> {
+  private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<AnswerFailure | undefined> {
     const { head, body } = attempt.reply
     if (head.status !== 200) return await relayWhole(exchange, attempt)
     const failure = getHeadFailure(attempt)
     if (failure !== undefined) {
       attempt.reply.discard()
-      return failure
+      return { cause: failure, isBrokenOff: false }
     }
     const splitter = new EventSplitter()
     try {
@@ -140,9 +140,9 @@
         }
       }
     } catch (err) {
-      return err instanceof Error ? err.message : String(err)
+      return { cause: err instanceof Error ? err.message : String(err), isBrokenOff: true }
     }
-    if (splitter.getRest().length > 0 || progress.events === 0) return 'the stream ended within an event'
+    if (splitter.getRest().length > 0 || progress.events === 0) return { cause: 'the stream ended within an event', isBrokenOff: true }
     await this._finish(exchange, progress)
     return undefined
   }
--- /dev/null
+++ b/src/io/gateway/SuspectStore.ts
@@ -0,0 +1,47 @@
+import type { Clock } from '../../core/clock/index.js'
+import { StoreError, type RowKey } from '../../core/platform/index.js'
+import { SuspectList, toSuspectRow } from '../../core/suspect/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { StoreAccess } from './StoreAccess.js'
+
+/** Milliseconds for which a crash is offered to the store. */
+const WRITE_TIMEOUT_MS = 10_000
+
+/** Options of {@link SuspectStore}. */
+export interface SuspectStoreOptions {
+  readonly access: StoreAccess
+  readonly clock: Clock
+  readonly log: DecisionLog
+}
+
+/** Shares between gateways which requests broke targets. */
+export class SuspectStore {
+  private readonly _options: SuspectStoreOptions
+  private readonly _list = new SuspectList()
+
+  constructor (options: SuspectStoreOptions) {
+    this._options = options
+  }
+
+  /** Tells whether a request may not be run any more. */
+  isRefused (digest: string | undefined): boolean {
+    return this._list.isRefused(digest)
+  }
+
+  /** Notes that a target broke off while it ran a request, and tells the other gateways. */
+  async note (digest: string, lifetime: string, requestId: string): Promise<void> {
+    const { access, clock, log } = this._options
+    if (this._list.add(digest, lifetime)) log.warn('suspect-confirmed', { digest, req: requestId, lifetime })
+    try {
+      await access.commitRepeatable({ puts: [toSuspectRow(digest, lifetime)] }, clock.now() + WRITE_TIMEOUT_MS)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log.warn('suspect-not-shared', { digest, lifetime, cause: err.message })
+    }
+  }
+
+  /** Takes what another gateway wrote. */
+  take (key: RowKey): void {
+    if (this._list.addRow(key)) this._options.log.warn('suspect-confirmed', { row: key.key })
+  }
+}
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -4,7 +4,7 @@
 import type { DecisionLog } from '../process/index.js'
 import type { StoreAccess } from './StoreAccess.js'
 
-/** Milliseconds that the store may hold a watch; a silent connection costs this and the margin. */
+/** Milliseconds that the store holds a watch unless set otherwise; a silent connection costs this and the margin. */
 export const WATCH_MS = 1_000
 
 /** Milliseconds beyond the wait after which a watch counts as silent. */
@@ -29,6 +29,8 @@
   readonly onRows: (rows: readonly StoredRow[]) => void
   /** Takes one change. */
   readonly onChange: (change: RowChange) => void
+  /** Milliseconds that the store may hold a watch. */
+  readonly waitMs?: number
 }
 
 /** Follows a table without parts: reads it whole, then watches for changes, and reads it again after a gap. */
@@ -82,9 +84,9 @@
   }
 
   private async _watch (): Promise<void> {
-    const { access, clock, log, table } = this._options
+    const { access, clock, log, table, waitMs = WATCH_MS } = this._options
     const startedAt = clock.now()
-    const feed = await access.watch(table, this._version, WATCH_MS, WATCH_MS + WATCH_MARGIN_MS)
+    const feed = await access.watch(table, this._version, waitMs, waitMs + WATCH_MARGIN_MS)
     if (feed.type === 'gap') {
       log.info('watch-gap', { table, version: this._version })
       this._readAt = -Infinity
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -7,6 +7,9 @@
 /** Version of the fixture's first configuration. */
 const FIRST_VERSION = 4
 
+/** Start of the fixture's first target, in Unix milliseconds. */
+const FIRST_BORN_AT = 1_700_000_000_000
+
 interface RouteOverrides {
   readonly timeoutMs?: number
   readonly maxAttempts?: number
@@ -18,7 +21,9 @@
   readonly engines: EngineStandin[] = []
   readonly desks: EngineStandin[] = []
   storeAddress = ''
+  private readonly _addresses = new Map<string, string>()
   private _version = FIRST_VERSION
+  private _bornAt = FIRST_BORN_AT
 
   /** Starts the store and the targets, registers them and writes the configuration. */
   async start (options: { engines?: number, desks?: number, route?: RouteOverrides } = {}): Promise<void> {
@@ -49,6 +54,11 @@
     })
   }
 
+  /** Registers the plain services as if each had started again. */
+  restartTargets (): void {
+    for (const desk of this.desks) this._register(desk, 'desk')
+  }
+
   /** Ends all stand-ins. */
   close (): void {
     for (const standin of [...this.engines, ...this.desks]) standin.close()
@@ -57,10 +67,14 @@
 
   private async _addTarget (id: string, service: string): Promise<EngineStandin> {
     const standin = new EngineStandin(id)
-    const address = await standin.start()
-    this.store.put('servers', id, {
-      service, address, zone: 'here', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: 1_700_000_000_000
-    })
+    this._addresses.set(id, await standin.start())
+    this._register(standin, service)
     return standin
   }
+
+  private _register (standin: EngineStandin, service: string): void {
+    this.store.put('servers', standin.id, {
+      service, address: this._addresses.get(standin.id), zone: 'here', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: this._bornAt++
+    })
+  }
 }
