The own way to the store is looked for every 0.2 s whatever peers do; settings are read once at a time

Change: the search for a peer no longer delays the look at the own way, which comes every 0.2 s; one read of the settings at a time, an empty file is not taken. Tests: SettingsFollowerTests and "although peers do not answer" in RelayedStoreTests were run against the code before and failed there.

--- a/src/io/peer/PeerServer.ts
+++ b/src/io/peer/PeerServer.ts
@@ -1,4 +1,5 @@
 import { createServer, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
 import { createPeerRouter, type PeerRouterOptions } from './PeerRouter.js'
 
@@ -13,12 +14,13 @@
     this._server = createServer(createHTTPHandler({ router: createPeerRouter(options), maxBodySize: MAX_BODY_BYTES }))
   }
 
-  /** Starts to listen. */
-  async listen (host: string, port: number): Promise<void> {
+  /** Starts to listen; returns the port, for a port of 0 the one that the operating system chose. */
+  async listen (host: string, port: number): Promise<number> {
     await new Promise<void>((resolve, reject) => {
       this._server.once('error', reject)
       this._server.listen(port, host, resolve)
     })
+    return (this._server.address() as AddressInfo).port
   }
 
   /** Closes the server with its connections. */
--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -9,7 +9,7 @@
 import { PeerStore } from './PeerStore.js'
 
 /** Milliseconds between two looks for a way to the store while the own one is cut. */
-const PROBE_MS = 400
+const PROBE_MS = 200
 
 /** Milliseconds for one such look. */
 const PROBE_TIMEOUT_MS = 700
@@ -46,6 +46,7 @@
   private readonly _health = new StoreHealth()
   private readonly _stores = new Map<string, Helper>()
   private _helper: Helper | undefined
+  private _isSearching = false
 
   constructor (options: RelayedStoreOptions) {
     super()
@@ -110,7 +111,8 @@
   private async _findWay (): Promise<void> {
     const probe = async (store: RowStore): Promise<RowSnapshot> => await store.read(PROBE_RANGE, { timeoutMs: PROBE_TIMEOUT_MS })
     while (this.isCut()) {
-      if (this._helper === undefined) await this._findHelper(probe)
+      // Peers that do not answer must not delay the look at the own way.
+      if (this._helper === undefined && !this._isSearching) void this._findHelper(probe)
       await sleep(PROBE_MS)
       // A failed look is counted and logged where the calls of the store are.
       await this._callDirect(probe).catch(() => {})
@@ -120,19 +122,22 @@
 
   private async _findHelper (probe: (store: RowStore) => Promise<RowSnapshot>): Promise<void> {
     const { ranking, clock, log } = this._options
+    this._isSearching = true
     for (const peer of ranking.getCandidates(PROBED_PEERS, clock.now())) {
+      if (this._helper !== undefined || !this.isCut()) break
       const helper = this._getHelper(peer)
       try {
         await probe(helper.store)
-        this._helper = helper
         ranking.noteHelp(peer.id)
+        if (!this.isCut()) break
+        this._helper = helper
         log.info('peer-found', { peer: peer.id, address: peer.address })
-        return
       } catch (err) {
         if (!(err instanceof StoreError)) throw err
         ranking.noteFailure(peer.id, clock.now())
       }
     }
+    this._isSearching = false
   }
 
   private _getHelper (peer: Peer): Helper {
--- a/src/io/process/SettingsFollower.ts
+++ b/src/io/process/SettingsFollower.ts
@@ -12,40 +12,53 @@
 export interface SettingsFollowerOptions<T> {
   readonly file: string
   readonly schema: z.ZodType<T>
-  readonly log: DecisionLog
+  readonly log: Pick<DecisionLog, 'warn'>
   /** Takes settings that differ from those before. */
   readonly onChange: (settings: T) => void
+  /** Reads the file; tests give their own. */
+  readonly read?: (file: string) => Promise<string>
 }
 
 /** Follows a settings file: by a signal, and by looking now and then. Settings with findings are reported and not taken. */
 export class SettingsFollower<T> {
   private readonly _options: SettingsFollowerOptions<T>
   private _text: string | undefined
+  private _isReading = false
 
   constructor (options: SettingsFollowerOptions<T>) {
     this._options = options
   }
 
-  /** Starts to look. */
+  /** Starts to look; the first look shows what the process started with. */
   start (): void {
-    void this.check()
     void periodic(CHECK_MS).observe(() => { void this.check() })
   }
 
-  /** Looks once. */
+  /** Looks once, unless a look is under way. */
   async check (): Promise<void> {
-    const { file, schema, log, onChange } = this._options
-    let text: string
+    if (this._isReading) return
+    this._isReading = true
+    const text = await this._read()
+    this._isReading = false
+    // An empty file is about to be written; the next look finds it whole.
+    if (text === undefined || text === '' || text === this._text) return
+    const isFirst = this._text === undefined
+    this._text = text
+    if (!isFirst) this._take(text)
+  }
+
+  private async _read (): Promise<string | undefined> {
+    const { file, log, read = async (name: string) => await readFile(name, 'utf8') } = this._options
     try {
-      text = await readFile(file, 'utf8')
+      return await read(file)
     } catch (err) {
       log.warn('settings-unreadable', { file, cause: describeError(err) })
-      return
+      return undefined
     }
-    const isFirst = this._text === undefined
-    if (text === this._text) return
-    this._text = text
-    if (isFirst) return
+  }
+
+  private _take (text: string): void {
+    const { file, schema, log, onChange } = this._options
     parseToml(file, text, schema).caseOf({
       Left: findings => { log.warn('settings-rejected', { file, findings: findings.map(formatFinding) }) },
       Right: onChange
--- /dev/null
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -0,0 +1,96 @@
+import { createServer, type AddressInfo } from 'node:net'
+import { expect } from 'earl'
+import { PeerRanking, type Peer } from '../../../src/core/peer/index.js'
+import { PeerServer, RelayedStore } from '../../../src/io/peer/index.js'
+import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
+import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
+
+const PUT = { puts: [{ table: 't', part: '', key: 'k', value: Buffer.from('v') }] }
+const LIMIT = { timeoutMs: 500 }
+
+describe('RelayedStore', () => {
+  let own: MemoryRowStore
+  let shared: MemoryRowStore
+  let server: PeerServer
+  let store: RelayedStore
+  let isPeerCut: boolean
+
+  beforeEach(async () => {
+    own = new MemoryRowStore()
+    shared = new MemoryRowStore()
+    isPeerCut = false
+    server = new PeerServer({ direct: shared, isCut: () => isPeerCut })
+    const port = await server.listen('127.0.0.1', 0)
+    store = createStore([
+      // Nothing listens at the discard port; a search must get past it.
+      { id: 'gone', address: '127.0.0.1:9', failureDomain: 'here' },
+      { id: 'alive', address: `127.0.0.1:${port}`, failureDomain: 'far' }
+    ])
+  })
+
+  const createStore = (peers: Peer[]): RelayedStore => {
+    const ranking = new PeerRanking({ ownId: 'own', ownDomain: 'here', regions: { here: 'home', far: 'away' }, random: () => 0 })
+    ranking.setPeers(peers)
+    const log = new DecisionLog({ process: 'test', id: 'own', isSilent: true })
+    return new RelayedStore({ direct: own, ranking, clock: new SteadyClock(), log, onRelayed: () => {} })
+  }
+
+  afterEach(() => { server.close() })
+
+  it('should use the own way while that works', async () => {
+    await store.commit(PUT, LIMIT)
+    expect(own.calls.commit).toEqual(1)
+  })
+
+  it('should go through a peer while the own way is cut, and back', async () => {
+    own.failure = 'refused'
+    await untilDone(async () => { await store.commit(PUT, LIMIT) })
+    expect(shared.getRow({ table: 't', part: '', key: 'k' })?.value).toEqual(Buffer.from('v'))
+    expect((await store.read({ table: 't', part: '' }, LIMIT)).rows.map(row => row.key)).toEqual(['k'])
+    own.failure = undefined
+    await untilDone(async () => { if (store.isCut()) throw new Error('still cut') })
+    await store.commit(PUT, LIMIT)
+    expect(own.getRow({ table: 't', part: '', key: 'k' }) === undefined).toEqual(false)
+  })
+
+  // The load of an outage for all: held turns are sent nowhere.
+  it('should send nothing to peers that are cut as well', async () => {
+    isPeerCut = true
+    own.failure = 'refused'
+    for (let at = 0; at < 50; at++) await store.commit(PUT, LIMIT).catch(() => {})
+    expect(store.isCut()).toEqual(true)
+    expect(shared.calls.commit).toEqual(0)
+  })
+
+  it('should see the own way return within two looks although peers do not answer', async () => {
+    const silent = createServer(socket => { socket.on('error', () => {}) })
+    await new Promise<void>(resolve => silent.listen(0, '127.0.0.1', resolve))
+    const { port } = silent.address() as AddressInfo
+    const lonely = createStore(['a', 'b'].map(id => ({ id, address: `127.0.0.1:${port}`, failureDomain: 'here' })))
+    try {
+      own.failure = 'refused'
+      for (let at = 0; at < 3; at++) await lonely.commit(PUT, LIMIT).catch(() => {})
+      own.failure = undefined
+      const before = own.calls.read
+      await untilDone(async () => { if (lonely.isCut()) throw new Error('still cut') })
+      expect(own.calls.read - before).toEqual(1)
+    } finally {
+      silent.close()
+    }
+  })
+})
+
+/** Repeats a step until it succeeds. */
+async function untilDone (step: () => Promise<void>): Promise<void> {
+  // Half of the time for which one search for a peer may wait.
+  const deadline = Date.now() + 850
+  for (;;) {
+    try {
+      await step()
+      return
+    } catch (err) {
+      if (Date.now() > deadline) throw err
+      await new Promise(resolve => { setTimeout(resolve, 10) })
+    }
+  }
+}
--- /dev/null
+++ b/tests/io/process/SettingsFollowerTests.ts
@@ -0,0 +1,31 @@
+import { expect } from 'earl'
+import { z } from 'zod'
+import { SettingsFollower } from '../../../src/io/process/index.js'
+
+describe('SettingsFollower', () => {
+  const play = async (texts: string[]): Promise<{ taken: unknown[], warned: string[] }> => {
+    const taken: unknown[] = []
+    const warned: string[] = []
+    const follower = new SettingsFollower({
+      file: 'settings.toml',
+      schema: z.object({ size: z.number() }),
+      log: { warn: event => { warned.push(event) } },
+      onChange: settings => { taken.push(settings) },
+      read: async () => texts.shift() ?? ''
+    })
+    while (texts.length > 0) await Promise.all([follower.check(), follower.check()])
+    return { taken, warned }
+  }
+
+  it('should take what differs from the settings before', async () => {
+    expect(await play(['size = 1', 'size = 1', 'size = 2'])).toEqual({ taken: [{ size: 2 }], warned: [] })
+  })
+
+  it('should wait for a file that is empty, and read it once at a time', async () => {
+    expect(await play(['size = 1', '', 'size = 1'])).toEqual({ taken: [], warned: [] })
+  })
+
+  it('should report settings with findings and keep those before', async () => {
+    expect(await play(['size = 1', 'size = "x"'])).toEqual({ taken: [], warned: ['settings-rejected'] })
+  })
+})
