--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -5,6 +5,7 @@
 [ -d node_modules ] || npm ci --silent
 npm run --silent lint
 npm run --silent build
+npm run --silent bundle
 results=$(mktemp)
 trap 'rm -f "$results"' EXIT
 code=0
--- /dev/null
+++ b/tools/program/program.ts
@@ -0,0 +1,33 @@
+/** Serves one program end to end on loopback: gateway, store and targets as on the users' platform, all stand-ins ended by their ids. */
+import { callPlatform, type PlatformAnswer, type PlatformCall } from '../platform/PlatformCaller.js'
+import { GatewayProcess } from '../platform/GatewayProcess.js'
+import { PlatformFixture } from '../platform/PlatformFixture.js'
+
+const PROGRAM = { 'x-program-id': 'p1', 'x-token-budget': '1000', 'x-token-usage': '10,50' }
+
+const fixture = new PlatformFixture()
+await fixture.start()
+let gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: fixture.storeAddress })
+try {
+  await show({ id: 't1', path: '/turns/kept/plan', headers: PROGRAM, body: 'Where do I look first? ' })
+  await show({ id: 'c1', path: '/lookup/part/7', headers: PROGRAM })
+  await show({ id: 'c2', path: '/booking/bench/4', headers: PROGRAM, body: 'bench 4, nine o\'clock' })
+  process.stdout.write('-- the gateway is killed and another one started\n')
+  await gateway.kill()
+  gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: fixture.storeAddress })
+  await show({ id: 't2', path: '/turns/kept/plan', headers: { ...PROGRAM, 'x-previous-turn': 't1' }, body: 'And then? ' })
+  const turn = fixture.engines.flatMap(engine => engine.runs).find(run => run.id === 't2')
+  process.stdout.write(`-- the engine received the whole line: ${JSON.stringify(turn?.body)}\n`)
+  await show({ id: 't3', path: '/turns/kept/plan', headers: { ...PROGRAM, 'x-program-id': 'p2', 'x-token-budget': '20' }, body: 'Once more ' })
+  process.stdout.write('-- what the gateway logged of t2\n')
+  for (const line of gateway.lines.filter(text => text.includes('"t2"'))) process.stdout.write(`${line}\n`)
+} finally {
+  await gateway.kill()
+  fixture.close()
+}
+
+async function show (call: PlatformCall): Promise<PlatformAnswer> {
+  const answer = await callPlatform(gateway.callers, call)
+  process.stdout.write(`${call.id} ${call.path}: ${answer.status} ${JSON.stringify(answer.body)}\n`)
+  return answer
+}
