Tokens are counted by the service that ran the turn

Cause, found by reading: a route with several backends counted events by the first backend's tokens per event; a program of such a route could spend more than its budget (the test handed out 60 tokens of a budget of 24). Change: the attempt's own service says how many tokens an event stands for.

--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -37,6 +37,8 @@
 interface StreamProgress {
   readonly transcript: Transcript
   events: number
+  /** Tokens of the events that were sent to the caller. */
+  tokens: number
   lastEventId: string | undefined
   lastEventAt: number
 }
@@ -54,7 +56,7 @@
     const prompt = await this._getPrompt(exchange, input)
     if (prompt === undefined || !await this._reserve(exchange)) return
     const progress: StreamProgress = {
-      transcript: new Transcript(prompt), events: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
+      transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
     }
     try {
       await this._relayAttempts(exchange, prompt, progress)
@@ -98,8 +100,7 @@
   private _settle (exchange: Exchange, progress: StreamProgress): void {
     const { program, maxOutputTokens } = exchange.call
     if (program?.tokenBudget === undefined) return
-    const service = exchange.route.backends[0]?.service ?? ''
-    this._options.budgets.settle(program.id, maxOutputTokens, progress.events * this._options.getTokensPerEvent(service))
+    this._options.budgets.settle(program.id, maxOutputTokens, progress.tokens)
   }
 
   private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress): Promise<void> {
@@ -127,12 +128,14 @@
       return { cause: failure, isBrokenOff: false }
     }
     const splitter = new EventSplitter()
+    const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
     try {
       for await (const chunk of body) {
         for (const event of splitter.add(chunk)) {
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.noteFirst()
           progress.events++
+          progress.tokens += tokensPerEvent
           progress.lastEventAt = this._options.clock.now()
           if (event.id !== '') progress.lastEventId = event.id
           progress.transcript.addEvent(event)
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -98,6 +98,16 @@
     }
   })
 
+  it('should count the tokens of the service that ran the turn, on a route with several', async () => {
+    let handedOut = 0
+    for (let at = 0; at < 8; at++) {
+      const headers = { 'x-program-id': 'p3', 'x-token-budget': '24', 'x-token-usage': '10,12' }
+      const answer = await call({ id: `s${at}`, path: '/turns/split/a', body: `turn ${at}`, headers })
+      if (answer.status === 200) handedOut += 12
+    }
+    expect(handedOut).toEqual(24)
+  })
+
   it('should repeat a lookup elsewhere, and never a booking that may have run', async () => {
     setNext('reset', false)
     setNext('reset', false)
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -10,6 +10,9 @@
 /** Start of the fixture's first target, in Unix milliseconds. */
 const FIRST_BORN_AT = 1_700_000_000_000
 
+/** Backends of a route of which the first has no targets and events of another size. */
+const MOSTLY_MODEL = [{ service: 'small-model', weight: 1 }, { service: 'model', weight: 1_000_000 }]
+
 interface RouteOverrides {
   readonly timeoutMs?: number
   readonly maxAttempts?: number
@@ -42,12 +45,14 @@
       routes: [
         { ...stream, name: 'kept', pathPrefix: '/turns/kept/', retained: true, resumable: false },
         { ...stream, name: 'resumable', pathPrefix: '/turns/resumable/', maxAttempts: 2, retained: false, resumable: true },
+        { ...stream, name: 'split', service: undefined, backends: MOSTLY_MODEL, pathPrefix: '/turns/split/', retained: false, resumable: false },
         { ...base, name: 'lookup', pathPrefix: '/lookup/', kind: 'idempotent', service: 'desk' },
         { ...base, name: 'booking', pathPrefix: '/booking/', kind: 'non_idempotent', service: 'desk' },
         ...extra.map(prefix => ({ ...base, name: prefix, pathPrefix: prefix, kind: 'idempotent', service: 'desk' }))
       ],
       services: [
         { name: 'model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 4 } },
+        { name: 'small-model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 1 } },
         { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }
       ],
       limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000 }
