A second target's failure is not mixed into a stream that has begun

Cause, found by reading: when a resumable stream broke off and the next target answered with a failure, the failure's body was written into the stream and the answer ended as whole (the test saw "the target failed" after the first event). Ruled out: both sites' own routes, which allow one attempt for a stream. Change: once a stream has begun, an answer other than 200 counts as a failed attempt; the stream goes on elsewhere or is cut.

--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -121,8 +121,8 @@
   /** Relays one target's events; returns why it could not be finished, or undefined. */
   private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<AnswerFailure | undefined> {
     const { head, body } = attempt.reply
-    if (head.status !== 200) return await relayWhole(exchange, attempt)
-    const failure = getHeadFailure(attempt)
+    if (head.status !== 200 && !exchange.hasStarted()) return await relayWhole(exchange, attempt)
+    const failure = head.status === 200 ? getHeadFailure(attempt) : `status ${head.status} when the stream was to go on`
     if (failure !== undefined) {
       attempt.reply.discard()
       return { cause: failure, isBrokenOff: false }
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -166,6 +166,18 @@
     expect(answers.map(answer => answer.body)).toEqual(ids.map(() => STREAM))
   })
 
+  it('should not mix the failure of a second target into a stream that has begun', async () => {
+    // Which target comes first is chosen at random; only the order in which the stream has begun is of interest.
+    const begun: PlatformAnswer[] = []
+    for (let at = 0; at < 40 && begun.length === 0; at++) {
+      fixture.engines[0]!.next.splice(0, 1, 'break-off')
+      fixture.engines[1]!.next.splice(0, 1, 'fail')
+      const answer = await turn(`s${at}`, { 'x-program-id': `p-${at}` }, `turn ${at}`, '/turns/resumable/a')
+      if (answer.status === 200) begun.push(answer)
+    }
+    expect(begun.map(answer => [answer.body, answer.isWhole])).toEqual([['id: 1\ndata: first\n\n', false]])
+  })
+
   it('should cut a stream that may not be resumed where its target cut it', async () => {
     setNext('break-off')
     const answer = await turn('t1', {}, 'x')
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 
 /** How a stand-in answers the next request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail'
 
 /** One request as the stand-in received it. */
 export interface EngineRun {
@@ -76,7 +76,8 @@
     }
     res.setHeader('x-request-id', behaviour === 'other-request' ? 'another' : run.id)
     if (behaviour !== 'unsigned') res.setHeader('x-response-signature', `signed-${run.id}`)
-    if (run.url.startsWith('/turns/')) await this._stream(run, res, behaviour)
+    if (behaviour === 'fail') res.writeHead(500).end('the target failed')
+    else if (run.url.startsWith('/turns/')) await this._stream(run, res, behaviour)
     else if (behaviour === 'cut-length') res.writeHead(200, { 'content-length': 100 }).write('short', () => { res.destroy() })
     else res.writeHead(200).end(`answer to ${run.url}`)
   }
