--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -1,4 +1,4 @@
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer, type AddressInfo, type Socket } from 'node:net'
 import { expect } from 'earl'
 import { PeerRanking, type Peer } from '../../../src/core/peer/index.js'
 import { PeerServer, RelayedStore } from '../../../src/io/peer/index.js'
@@ -35,7 +35,12 @@
     return new RelayedStore({ direct: own, ranking, clock: new SteadyClock(), log, onRelayed: () => {} })
   }
 
-  afterEach(() => { server.close() })
+  afterEach(async () => {
+    // A store that is cut looks for a way for as long as the process runs.
+    own.failure = undefined
+    await untilDone(async () => { if (store.isCut()) throw new Error('still cut') })
+    server.close()
+  })
 
   it('should use the own way while that works', async () => {
     await store.commit(PUT, LIMIT)
@@ -63,7 +68,8 @@
   })
 
   it('should see the own way return within two looks although peers do not answer', async () => {
-    const silent = createServer(socket => { socket.on('error', () => {}) })
+    const sockets: Socket[] = []
+    const silent = createServer(socket => { sockets.push(socket.on('error', () => {})) })
     await new Promise<void>(resolve => silent.listen(0, '127.0.0.1', resolve))
     const { port } = silent.address() as AddressInfo
     const lonely = createStore(['a', 'b'].map(id => ({ id, address: `127.0.0.1:${port}`, failureDomain: 'here' })))
@@ -75,6 +81,7 @@
       await untilDone(async () => { if (lonely.isCut()) throw new Error('still cut') })
       expect(own.calls.read - before).toEqual(1)
     } finally {
+      for (const socket of sockets) socket.destroy()
       silent.close()
     }
   })
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -218,15 +218,14 @@
   })
 
   it('should reach the store through a peer while its own way is cut', async () => {
+    await waitFor(() => gateway.getEvents('listening').length === 1)
+    const peer = { address: gateway.getEvents('listening')[0]!.peers, failureDomain: 'here' }
     const cut = new PlatformFixture()
     const cutAddress = await cut.store.start()
-    cut.store.rows.failure = 'refused'
-    fixture.store.put('gateways', 'gateway-1', { address: gateway.getEvents('listening')[0]!.peers, failureDomain: 'here' })
+    cut.store.put('gateways', 'gateway-1', peer)
+    // The gateway learns its peers while its own way is open.
     const other = await GatewayProcess.launch({ id: 'gateway-2', storeAddress: cutAddress })
     try {
-      // The cut gateway learns its peers as soon as its own way opens once.
-      cut.store.put('gateways', 'gateway-1', { address: gateway.getEvents('listening')[0]!.peers, failureDomain: 'here' })
-      cut.store.rows.failure = undefined
       await waitFor(() => other.getEvents('peers-known').length > 0)
       cut.store.rows.failure = 'refused'
       await other.waitUntilReady()
