--- /dev/null
+++ b/tests/processes/GatewayHarness.ts
@@ -0,0 +1,82 @@
+import { createHash } from 'node:crypto'
+import { connect } from 'node:net'
+import type { EngineBehaviour } from '../../tools/platform/EngineStandin.js'
+import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
+import { callPlatform, type PlatformAnswer, type PlatformCall } from '../../tools/platform/PlatformCaller.js'
+import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
+
+/** What a stand-in for an engine streams. */
+export const STREAM = 'id: 1\ndata: first\n\nid: 2\ndata: second\n\nid: 3\ndata: third\n\n'
+
+/** One gateway before stand-ins of the platform, with what tests ask of them. */
+export class GatewayHarness {
+  readonly fixture = new PlatformFixture()
+  gateway!: GatewayProcess
+
+  /** Starts stand-ins and gateway. */
+  async start (): Promise<void> {
+    await this.fixture.start()
+    await this.startGateway()
+  }
+
+  /** Starts a gateway in place of the one before. */
+  async startGateway (): Promise<void> {
+    this.gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: this.fixture.storeAddress })
+  }
+
+  /** Ends all of them. */
+  async stop (): Promise<void> {
+    await this.gateway.kill()
+    this.fixture.close()
+  }
+
+  /** Sends a request. */
+  async call (options: PlatformCall): Promise<PlatformAnswer> {
+    return await callPlatform(this.gateway.callers, options)
+  }
+
+  /** Sends a turn of a program. */
+  async turn (id: string, headers: Record<string, string>, body: string, path = '/turns/kept/a'): Promise<PlatformAnswer> {
+    const program = { 'x-program-id': 'p1', 'x-token-budget': '1000', 'x-token-usage': '10,50' }
+    return await this.call({ id, path, body, headers: { ...program, ...headers } })
+  }
+
+  /** Gets the bodies of the runs of a request, at all targets. */
+  getRuns (id: string): string[] {
+    const runs = [...this.fixture.engines, ...this.fixture.desks].flatMap(standin => standin.runs)
+    return runs.filter(run => run.id === id).map(run => run.body)
+  }
+
+  /** Sets how all targets, or only the first plain service, answer their next request. */
+  setNext (behaviour: EngineBehaviour, all = true): void {
+    const standins = all ? [...this.fixture.engines, ...this.fixture.desks] : [this.fixture.desks[0]!]
+    for (const standin of standins) standin.next.push(behaviour)
+  }
+}
+
+/** Gets the part of the store that a turn lies in. */
+export function getPart (id: string): string {
+  return String(createHash('sha1').update(id).digest().readUInt16BE(0) % 64)
+}
+
+/** Sends bytes as they are and resolves with what comes back first. */
+export async function sendBytes (address: string, bytes: string): Promise<string> {
+  const [host, port] = address.split(':')
+  return await new Promise((resolve, reject) => {
+    const socket = connect(Number(port), host!, () => { socket.write(bytes) })
+    socket.once('data', data => {
+      socket.destroy()
+      resolve(data.toString())
+    })
+    socket.once('error', reject)
+  })
+}
+
+/** Waits until a condition holds. */
+export async function waitFor (isTrue: () => boolean): Promise<void> {
+  const deadline = Date.now() + 10_000
+  while (!isTrue()) {
+    if (Date.now() > deadline) throw new Error('The condition did not come true.')
+    await new Promise(resolve => { setTimeout(resolve, 10) })
+  }
+}
--- /dev/null
+++ b/tests/processes/GatewayStateTests.ts
@@ -0,0 +1,170 @@
+import { expect } from 'earl'
+import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
+import { callPlatform } from '../../tools/platform/PlatformCaller.js'
+import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
+import { GatewayHarness, getPart, STREAM, waitFor } from './GatewayHarness.js'
+
+describe('a gateway and what lasts', () => {
+  let harness: GatewayHarness
+
+  beforeEach(async () => {
+    harness = new GatewayHarness()
+    await harness.start()
+  })
+
+  afterEach(async () => { await harness.stop() })
+
+  it('should build a turn from the turns before it, byte for byte, also after a restart', async () => {
+    expect((await harness.turn('t1', {}, 'one,')).body).toEqual(STREAM)
+    expect((await harness.turn('t2', { 'x-previous-turn': 't1' }, 'two,')).body).toEqual(STREAM)
+    await harness.gateway.kill()
+    await harness.startGateway()
+    await harness.turn('t3', { 'x-previous-turn': 't2' }, 'three,')
+    expect(harness.getRuns('t3')).toEqual(['one,first\nsecond\nthird\ntwo,first\nsecond\nthird\nthree,'])
+  })
+
+  it('should say that a turn is unknown only when the store says so', async () => {
+    expect((await harness.turn('t1', { 'x-previous-turn': 'nobody' }, 'x')).status).toEqual(404)
+    harness.fixture.store.rows.failure = 'silent'
+    expect((await harness.turn('t2', { 'x-previous-turn': 'nobody' }, 'x')).status).toEqual(503)
+    expect(harness.getRuns('t2')).toEqual([])
+  })
+
+  it('should end a turn\'s answer only when the turn is in the store', async () => {
+    await harness.turn('t0', {}, 'zero,')
+    harness.fixture.store.rows.failure = 'refused'
+    let seen = ''
+    const headers = { 'x-program-id': 'p1', 'x-token-budget': '1000', 'x-token-usage': '10,50', 'x-previous-turn': 't0' }
+    const answer = harness.call({ id: 't1', path: '/turns/kept/a', body: 'one,', headers, onData: text => { seen += text } }).then(result => {
+      seen += 'ended'
+      return result
+    })
+    await waitFor(() => seen === STREAM && harness.gateway.getEvents('store-away').length === 1)
+    expect(seen).toEqual(STREAM)
+    harness.fixture.store.rows.failure = undefined
+    expect((await answer).isWhole).toEqual(true)
+    expect((await harness.turn('t2', { 'x-previous-turn': 't1' }, 'two,')).status).toEqual(200)
+  })
+
+  it('should break off a turn that cannot be saved, so that it does not look whole', async () => {
+    await harness.turn('t0', {}, 'zero,')
+    harness.fixture.store.rows.failure = 'refused'
+    const answer = await harness.turn('t1', { 'x-previous-turn': 't0' }, 'one,')
+    expect(answer.isWhole).toEqual(false)
+  })
+
+  it('should refuse a turn when the budget is spent, at every gateway, and not run it', async () => {
+    const other = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
+    try {
+      const headers = { 'x-program-id': 'p2', 'x-token-budget': '24', 'x-token-usage': '10,12', 'x-timeout-ms': '3000' }
+      let handedOut = 0
+      let refused = 0
+      for (let at = 0; at < 8; at++) {
+        const target = at % 2 === 0 ? harness.gateway : other
+        const answer = await callPlatform(target.callers, { id: `b${at}`, path: '/turns/kept/a', body: 'x', headers })
+        if (answer.status === 200) handedOut += 12
+        else refused += answer.status === 402 && harness.getRuns(`b${at}`).length === 0 ? 1 : 0
+      }
+      expect(handedOut).toEqual(24)
+      expect(refused).toEqual(6)
+    } finally {
+      await other.kill()
+    }
+  })
+
+  it('should count the tokens of the service that ran the turn, on a route with several', async () => {
+    let handedOut = 0
+    for (let at = 0; at < 8; at++) {
+      const headers = { 'x-program-id': 'p3', 'x-token-budget': '24', 'x-token-usage': '10,12' }
+      const answer = await harness.call({ id: `s${at}`, path: '/turns/split/a', body: `turn ${at}`, headers })
+      if (answer.status === 200) handedOut += 12
+    }
+    expect(handedOut).toEqual(24)
+  })
+
+  it('should refuse a request that broke three targets, also at another gateway', async () => {
+    const other = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
+    try {
+      for (const address of [harness.gateway.callers, other.callers, harness.gateway.callers]) {
+        harness.setNext('reset')
+        await callPlatform(address, { id: 'poison', path: '/booking/x', body: 'poison' })
+        harness.fixture.desks.forEach(desk => { desk.next.length = 0 })
+        harness.fixture.restartTargets()
+        await waitFor(() => [harness.gateway, other].every(process => process.getEvents('target-changed').length % 2 === 0))
+      }
+      await waitFor(() => other.getEvents('suspect-confirmed').length === 1)
+      expect((await callPlatform(other.callers, { id: 'b9', path: '/booking/x', body: 'poison' })).status).toEqual(503)
+      expect((await callPlatform(other.callers, { id: 'b10', path: '/booking/x', body: 'harmless' })).status).toEqual(200)
+    } finally {
+      await other.kill()
+    }
+  })
+
+  it('should follow a new configuration and keep the routes of an older one out', async () => {
+    expect((await harness.call({ id: 'r1', path: '/new/x' })).status).toEqual(404)
+    harness.fixture.configure({}, ['/new/'])
+    await waitFor(() => harness.gateway.getEvents('config-adopted').length === 2)
+    expect((await harness.call({ id: 'r2', path: '/new/x' })).status).toEqual(200)
+    harness.fixture.store.rows.forgetHistory()
+    harness.fixture.configure({}, ['/newer/'])
+    await waitFor(() => harness.gateway.getEvents('config-adopted').length === 3)
+    expect((await harness.call({ id: 'r3', path: '/newer/x' })).status).toEqual(200)
+  })
+
+  it('should reach the store through a peer while its own way is cut', async () => {
+    await waitFor(() => harness.gateway.getEvents('listening').length === 1)
+    const peer = { address: harness.gateway.getEvents('listening')[0]!.peers, failureDomain: 'here' }
+    const cut = new PlatformFixture()
+    const cutAddress = await cut.store.start()
+    cut.store.put('gateways', 'gateway-1', peer)
+    // The harness.gateway learns its peers while its own way is open.
+    const other = await GatewayProcess.launch({ id: 'gateway-2', storeAddress: cutAddress })
+    try {
+      await waitFor(() => other.getEvents('peers-known').length > 0)
+      cut.store.rows.failure = 'refused'
+      await other.waitUntilReady()
+      const headers = { 'x-program-id': 'p9', 'x-token-budget': '1000', 'x-token-usage': '10,50' }
+      const answer = await callPlatform(other.callers, { id: 't1', path: '/turns/kept/a', body: 'x', headers })
+      expect(answer.status).toEqual(200)
+      expect(harness.fixture.store.rows.getRow({ table: 'turns', part: getPart('t1'), key: 't1/0000' }) === undefined).toEqual(false)
+    } finally {
+      await other.kill()
+      cut.close()
+    }
+  })
+
+  it('should finish what it has read when it is told to stop, and exit', async () => {
+    let open = (): void => {}
+    const gate = new Promise<void>(resolve => { open = resolve })
+    for (const engine of harness.fixture.engines) engine.gate = gate
+    const answer = harness.turn('t1', {}, 'x')
+    await waitFor(() => harness.getRuns('t1').length === 1)
+    harness.gateway.signal('SIGTERM')
+    await waitFor(() => harness.gateway.getEvents('stopping').length === 1)
+    expect(await harness.gateway.getReadiness()).toEqual(503)
+    const late = await harness.call({ id: 'r1', path: '/lookup/x' })
+    expect([late.status, late.headers.connection]).toEqual([200, 'close'])
+    open()
+    expect((await answer).isWhole).toEqual(true)
+    expect(await harness.gateway.waitForExit()).toEqual(0)
+  })
+
+  it('should take changed settings, and go on with the old ones when they have findings', async () => {
+    harness.gateway.writeSettings('id = 5')
+    harness.gateway.signal('SIGHUP')
+    await waitFor(() => harness.gateway.getEvents('settings-rejected').length === 1)
+    expect((await harness.call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
+    const moved = new PlatformFixture()
+    await moved.start()
+    try {
+      // No signal: the file is looked at now and then.
+      harness.gateway.writeSettings(harness.gateway.getSettings({ storeAddress: moved.storeAddress }))
+      await waitFor(() => harness.gateway.getEvents('settings-taken').length === 1)
+      const headers = { 'x-program-id': 'p9', 'x-token-budget': '1000', 'x-token-usage': '10,50' }
+      await harness.call({ id: 't1', path: '/turns/kept/a', body: 'x', headers })
+      await waitFor(() => moved.store.rows.getRow({ table: 'turns', part: getPart('t1'), key: 't1/0000' }) !== undefined)
+    } finally {
+      moved.close()
+    }
+  })
+})
