--- a/src/core/budget/GrantPlan.ts
+++ b/src/core/budget/GrantPlan.ts
@@ -1,6 +1,6 @@
 import { getTotalGranted, type BudgetRow } from './BudgetRow.js'
 
-/** Share of what is left that one grant takes: a program may move between many gateways, and most need one grant at each. */
+/** Share of what is left that one grant takes: most programs need one grant at each gateway, and the seventh gateway still finds some. */
 export const GRANT_SHARE = 0.25
 
 /** What a holder asks of a budget. */
--- a/src/core/platform/StoreHealth.ts
+++ b/src/core/platform/StoreHealth.ts
@@ -4,7 +4,7 @@
 /** Seconds after which a caller comes again when a single call got no answer. */
 export const BRIEF_RETRY_SECONDS = 0.3
 
-/** Seconds after which a caller comes again while the store is away; outages last for seconds, and callers try a few times only. */
+/** Seconds after which a caller comes again while the store is away: outages last for seconds, and callers have a few tries only. */
 export const AWAY_RETRY_SECONDS = 2
 
 /** Share by which times to come again differ, so that callers do not return together. */
--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -7,7 +7,7 @@
 /** Milliseconds that each request of this gateway adds to the wait of the next one at a target of one slot. */
 export const LOAD_MS = 100
 
-/** Milliseconds by which a target of another failure domain is worse: its bytes are paid for. */
+/** Milliseconds by which a target of another failure domain is worse: bytes between domains are paid for, and 10 ms left too many there. */
 export const OTHER_DOMAIN_MS = 25
 
 /** Milliseconds by which a target of another region is worse: the round trip and the narrow link. */
--- a/src/io/gateway/StoreAccess.ts
+++ b/src/io/gateway/StoreAccess.ts
@@ -3,7 +3,7 @@
 import { RowStore, StoreError, StoreFailure, StoreHealth, type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction } from '../../core/platform/index.js'
 import type { DecisionLog } from '../process/index.js'
 
-/** Milliseconds for one try of a read or a commit; ten times what a slow store was seen to take in one domain. */
+/** Milliseconds for one try of a read or a commit; a store that is sixty times slower than usual answers within half of it. */
 export const TRY_TIMEOUT_MS = 700
 
 /** Milliseconds before the second try; the pause doubles with each further one. A caller waits meanwhile. */
