--- a/src/core/config/diffDocuments.ts
+++ b/src/core/config/diffDocuments.ts
@@ -6,7 +6,7 @@
 /** One difference between two configurations. */
 export interface Difference {
   readonly kind: DifferenceKind
-  /** Section and name, such as `service ratgeber`. */
+  /** Section and name, such as `service assistant`. */
   readonly item: string
   /** Keys that differ, for a changed item. */
   readonly keys: readonly string[]
--- a/src/io/ctl/fleetCommands.ts
+++ b/src/io/ctl/fleetCommands.ts
@@ -70,7 +70,7 @@
   static override paths = [['drain']]
   static override usage = Command.Usage({
     description: 'Let a target finish its work and give it no more.',
-    examples: [['Drain an instance', 'wisteriactl drain ratgeber-3']]
+    examples: [['Drain an instance', 'wisteriactl drain assistant-3']]
   })
 
   instance = Option.String({ name: 'instance' })
