An outage of some parts of the store is not taken for one of the whole store

Three failures in a row, of which there were several a second, counted as an outage of the whole store: new programs were refused at once (97 refusals for an unreadable budget in seconds 15 to 20), and the ways to the store were given up and found again 20 times a second over all gateways. Ruled out: a cut of some machines (all gateways failed and succeeded within the same 100 ms). Change: an outage needs 250 ms without any answer and failures of three parts. Program, budget and turn limit stand in the line for a dispatch. Test that failed first: StoreHealthTests, 'should not count the store as away while some of its parts answer'. RelayedStoreTests: the cut is now made by calls of three parts, as watches do.

--- a/src/core/platform/RowStore.ts
+++ b/src/core/platform/RowStore.ts
@@ -1,8 +1,12 @@
-/** Names a row. */
-export interface RowKey {
+/** Names a part of a table; parts may fail one by one. */
+export interface StorePart {
   readonly table: string
   /** Rows of one part can be changed together; empty for tables without parts. */
   readonly part: string
+}
+
+/** Names a row. */
+export interface RowKey extends StorePart {
   readonly key: string
 }
 
@@ -36,9 +40,7 @@
   | { readonly type: 'conflict', readonly rows: readonly StoredRow[] }
 
 /** Range of keys, `from` included and `to` excluded. */
-export interface RowRange {
-  readonly table: string
-  readonly part: string
+export interface RowRange extends StorePart {
   readonly from?: string
   readonly to?: string
 }
@@ -99,3 +101,9 @@
     this.failure = failure
   }
 }
+
+/** Gets the part that a transaction changes. */
+export function getPartOf (transaction: RowTransaction): StorePart {
+  const row = transaction.conditions?.[0] ?? transaction.puts?.[0] ?? transaction.removes?.[0]
+  return { table: row?.table ?? '', part: row?.part ?? '' }
+}
--- a/src/core/platform/StoreHealth.ts
+++ b/src/core/platform/StoreHealth.ts
@@ -1,6 +1,14 @@
+import type { StorePart } from './RowStore.js'
+
 /** Failures in a row after which the store counts as away; one or two may be lost packets. */
 export const AWAY_AFTER_FAILURES = 3
 
+/** Parts that must have failed before failures count as an outage; a change that is tried again and again fails in one part only. */
+export const AWAY_AFTER_PARTS = 3
+
+/** Milliseconds without an answer before failures count as an outage; parts of a store that fail alone leave answers in between. */
+export const AWAY_AFTER_SILENCE_MS = 250
+
 /** Seconds after which a caller comes again when a single call got no answer. */
 export const BRIEF_RETRY_SECONDS = 0.3
 
@@ -10,28 +18,41 @@
 /** Share by which times to come again differ, so that callers do not return together. */
 const RETRY_SPREAD = 0.25
 
-/** Follows whether the store answers, from the outcomes of all calls. */
+/**
+ * Follows whether the store answers, from the outcomes of all calls.
+ *
+ * Answers outages of some of its parts: their calls fail in rows of three too, while those of other parts are answered.
+ */
 export class StoreHealth {
   private _failures = 0
+  /** Names of the parts that failed since the latest answer. */
+  private readonly _failedParts = new Set<string>()
   private _answeredAt = -Infinity
+  private _isAway = false
 
   /** Notes an answer; returns true when the store was away. */
   noteAnswer (now: number): boolean {
-    const wasAway = this.isAway()
+    const wasAway = this._isAway
+    this._isAway = false
     this._failures = 0
+    this._failedParts.clear()
     this._answeredAt = now
     return wasAway
   }
 
-  /** Notes a call without an answer; returns true when the store counts as away from now on. */
-  noteFailure (): boolean {
+  /** Notes a call to a part without an answer; returns true when the store counts as away from now on. */
+  noteFailure (now: number, part: StorePart): boolean {
     this._failures++
-    return this._failures === AWAY_AFTER_FAILURES
+    this._failedParts.add(`${part.table}/${part.part}`)
+    if (this._isAway || this._failures < AWAY_AFTER_FAILURES || this._failedParts.size < AWAY_AFTER_PARTS) return false
+    if (now - this._answeredAt < AWAY_AFTER_SILENCE_MS) return false
+    this._isAway = true
+    return true
   }
 
   /** Tells whether the store does not answer. */
   isAway (): boolean {
-    return this._failures >= AWAY_AFTER_FAILURES
+    return this._isAway
   }
 
   /** Gets the seconds after which a caller may find the store back. */
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -98,6 +98,9 @@
       config: configVersion,
       target: state.lifetime,
       send: this._sends,
+      program: call.program?.id,
+      budget: call.program?.tokenBudget,
+      maxOutputTokens: call.maxOutputTokens,
       promptTokens: call.promptTokens,
       ...placement.inputs,
       timeoutMs: Math.round(timeoutMs)
--- a/src/io/gateway/StoreAccess.ts
+++ b/src/io/gateway/StoreAccess.ts
@@ -1,6 +1,9 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
-import { RowStore, StoreError, StoreFailure, StoreHealth, type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction } from '../../core/platform/index.js'
+import {
+  getPartOf, RowStore, StoreError, StoreFailure, StoreHealth,
+  type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction, type StorePart
+} from '../../core/platform/index.js'
 import type { DecisionLog } from '../process/index.js'
 
 /** Milliseconds for one try of a read or a commit; a store that is sixty times slower than usual answers within half of it. */
@@ -33,28 +36,29 @@
 
   /** Reads a range; tries until the deadline. */
   async read (range: RowRange, deadline: number): Promise<RowSnapshot> {
-    return await this._untilAnswered(deadline, async options => await this._options.store.read(range, options))
+    return await this._untilAnswered(deadline, range, async options => await this._options.store.read(range, options))
   }
 
   /** Makes a change whose repetition is harmless; tries until the deadline. */
   async commitRepeatable (transaction: RowTransaction, deadline: number): Promise<RowCommit> {
-    return await this._untilAnswered(deadline, async options => await this._options.store.commit(transaction, options))
+    const part = getPartOf(transaction)
+    return await this._untilAnswered(deadline, part, async options => await this._options.store.commit(transaction, options))
   }
 
   /** Makes a change once. */
   async commitOnce (transaction: RowTransaction, deadline: number): Promise<RowCommit> {
-    return await this._try(deadline, async options => await this._options.store.commit(transaction, options))
+    return await this._try(deadline, getPartOf(transaction), async options => await this._options.store.commit(transaction, options))
   }
 
   /** Waits for changes of a table. */
   async watch (table: string, after: number, waitMs: number, timeoutMs: number): Promise<RowFeed> {
-    return await this._note(async () => await this._options.store.watch(table, after, waitMs, { timeoutMs }))
+    return await this._note({ table, part: '' }, async () => await this._options.store.watch(table, after, waitMs, { timeoutMs }))
   }
 
-  private async _untilAnswered<T> (deadline: number, call: (options: CallOptions) => Promise<T>): Promise<T> {
+  private async _untilAnswered<T> (deadline: number, part: StorePart, call: (options: CallOptions) => Promise<T>): Promise<T> {
     for (let pauseMs = PAUSE_MS; ; pauseMs = Math.min(PAUSE_CAP_MS, 2 * pauseMs)) {
       try {
-        return await this._try(deadline, call)
+        return await this._try(deadline, part, call)
       } catch (err) {
         if (!(err instanceof StoreError) || this._options.clock.now() + pauseMs >= deadline) throw err
         this._options.onRetry(err.failure === StoreFailure.NoAnswer ? 'store-timeout' : 'store-error')
@@ -63,13 +67,13 @@
     }
   }
 
-  private async _try<T> (deadline: number, call: (options: CallOptions) => Promise<T>): Promise<T> {
+  private async _try<T> (deadline: number, part: StorePart, call: (options: CallOptions) => Promise<T>): Promise<T> {
     const timeoutMs = Math.ceil(Math.min(TRY_TIMEOUT_MS, deadline - this._options.clock.now()))
     if (timeoutMs <= 0) throw new StoreError(StoreFailure.Refused, 'There is no time left for a call of the store.')
-    return await this._note(async () => await call({ timeoutMs }))
+    return await this._note(part, async () => await call({ timeoutMs }))
   }
 
-  private async _note<T> (call: () => Promise<T>): Promise<T> {
+  private async _note<T> (part: StorePart, call: () => Promise<T>): Promise<T> {
     const { clock, log, onAway, onBack } = this._options
     const before = this.health.getAnsweredAt()
     try {
@@ -80,7 +84,7 @@
       }
       return answer
     } catch (err) {
-      if (err instanceof StoreError && this.health.noteFailure()) {
+      if (err instanceof StoreError && this.health.noteFailure(clock.now(), part)) {
         log.warn('store-away', { answeredMsAgo: Math.round(clock.now() - this.health.getAnsweredAt()), cause: err.message })
         onAway()
       }
--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -2,8 +2,8 @@
 import type { Clock } from '../../core/clock/index.js'
 import { PEER_TABLE, type Peer, type PeerRanking } from '../../core/peer/index.js'
 import {
-  RowStore, StoreError, StoreFailure, StoreHealth,
-  type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction
+  getPartOf, RowStore, StoreError, StoreFailure, StoreHealth,
+  type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction, type StorePart
 } from '../../core/platform/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { PeerStore } from './PeerStore.js'
@@ -54,15 +54,15 @@
   }
 
   async commit (transaction: RowTransaction, options: CallOptions): Promise<RowCommit> {
-    return await this._call(async store => await store.commit(transaction, options))
+    return await this._call(getPartOf(transaction), async store => await store.commit(transaction, options))
   }
 
   async read (range: RowRange, options: CallOptions): Promise<RowSnapshot> {
-    return await this._call(async store => await store.read(range, options))
+    return await this._call(range, async store => await store.read(range, options))
   }
 
   async watch (table: string, after: number, waitMs: number, options: CallOptions): Promise<RowFeed> {
-    return await this._call(async store => await store.watch(table, after, waitMs, options))
+    return await this._call({ table, part: '' }, async store => await store.watch(table, after, waitMs, options))
   }
 
   /** Tells whether the own way is cut. */
@@ -70,20 +70,20 @@
     return this._health.isAway()
   }
 
-  private async _call<T> (call: (store: RowStore) => Promise<T>): Promise<T> {
-    if (!this.isCut()) return await this._callDirect(call)
+  private async _call<T> (part: StorePart, call: (store: RowStore) => Promise<T>): Promise<T> {
+    if (!this.isCut()) return await this._callDirect(part, call)
     if (this._helper === undefined) throw new StoreError(StoreFailure.Refused, 'Neither this gateway nor a peer reaches the store.')
     return await this._callHelper(this._helper, call)
   }
 
-  private async _callDirect<T> (call: (store: RowStore) => Promise<T>): Promise<T> {
+  private async _callDirect<T> (part: StorePart, call: (store: RowStore) => Promise<T>): Promise<T> {
     const { direct, clock, log } = this._options
     try {
       const answer = await call(direct)
       if (this._health.noteAnswer(clock.now())) log.info('own-way-to-store-back')
       return answer
     } catch (err) {
-      if (this._health.noteFailure()) {
+      if (this._health.noteFailure(clock.now(), part)) {
         log.warn('own-way-to-store-cut', { cause: String(err) })
         void this._findWay()
       }
@@ -115,7 +115,7 @@
       if (this._helper === undefined && !this._isSearching) void this._findHelper(probe)
       await sleep(PROBE_MS)
       // A failed look is counted and logged where the calls of the store are.
-      await this._callDirect(probe).catch(() => {})
+      await this._callDirect(PROBE_RANGE, probe).catch(() => {})
     }
     this._helper = undefined
   }
--- a/tests/core/platform/StoreHealthTests.ts
+++ b/tests/core/platform/StoreHealthTests.ts
@@ -1,22 +1,47 @@
 import { expect } from 'earl'
-import { AWAY_AFTER_FAILURES, AWAY_RETRY_SECONDS, BRIEF_RETRY_SECONDS, StoreHealth } from '../../../src/core/platform/index.js'
+import { AWAY_AFTER_FAILURES, AWAY_AFTER_SILENCE_MS, AWAY_RETRY_SECONDS, BRIEF_RETRY_SECONDS, StoreHealth, type StorePart } from '../../../src/core/platform/index.js'
 
 describe('StoreHealth', () => {
   it('should count the store as away after failures in a row, and as back with the first answer', () => {
     const health = new StoreHealth()
-    for (let at = 1; at < AWAY_AFTER_FAILURES; at++) expect(health.noteFailure()).toEqual(false)
+    for (let at = 1; at < AWAY_AFTER_FAILURES; at++) expect(health.noteFailure(at, getPart(at))).toEqual(false)
     expect(health.isAway()).toEqual(false)
-    expect(health.noteFailure()).toEqual(true)
+    expect(health.noteFailure(9, getPart(9))).toEqual(true)
     expect(health.noteAnswer(10)).toEqual(true)
     expect(health.isAway()).toEqual(false)
   })
 
+  // The load of an outage of two fifths of the store's parts: three calls in a row fail several times a second.
+  it('should not count the store as away while some of its parts answer', () => {
+    const health = new StoreHealth()
+    health.noteAnswer(0)
+    for (let now = 10; now <= 2_000; now += 10) {
+      if (now % 50 === 0) health.noteAnswer(now)
+      else expect(health.noteFailure(now, getPart(now))).toEqual(false)
+    }
+    expect(health.isAway()).toEqual(false)
+    for (let now = 2_010; now < 2_000 + AWAY_AFTER_SILENCE_MS; now += 10) health.noteFailure(now, getPart(now))
+    expect(health.isAway()).toEqual(false)
+    expect(health.noteFailure(2_000 + AWAY_AFTER_SILENCE_MS, getPart(0))).toEqual(true)
+  })
+
+  // The load of a quiet gateway: nothing but one change that is tried again.
+  it('should not count the store as away for one part that fails', () => {
+    const health = new StoreHealth()
+    for (let now = 0; now < 5_000; now += 100) expect(health.noteFailure(now, getPart(1))).toEqual(false)
+    expect(health.isAway()).toEqual(false)
+  })
+
   // The load of an outage: each program has six tries, which are to last longer than the outage.
   it('should send callers away for longer while the store is away', () => {
     const health = new StoreHealth()
     expect(health.getRetrySeconds(() => 0)).toEqual(BRIEF_RETRY_SECONDS)
-    for (let at = 0; at < AWAY_AFTER_FAILURES; at++) health.noteFailure()
+    for (let at = 0; at < AWAY_AFTER_FAILURES; at++) health.noteFailure(at, getPart(at))
     expect(health.getRetrySeconds(() => 0)).toEqual(AWAY_RETRY_SECONDS)
     expect(health.getRetrySeconds(() => 0.99) >= 1.5).toEqual(true)
   })
 })
+
+function getPart (at: number): StorePart {
+  return { table: 'turns', part: String(at) }
+}
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -49,6 +49,7 @@
 
   it('should go through a peer while the own way is cut, and back', async () => {
     own.failure = 'refused'
+    await failAtParts(store)
     await untilDone(async () => { await store.commit(PUT, LIMIT) })
     expect(shared.getRow({ table: 't', part: '', key: 'k' })?.value).toEqual(Buffer.from('v'))
     expect((await store.read({ table: 't', part: '' }, LIMIT)).rows.map(row => row.key)).toEqual(['k'])
@@ -62,6 +63,7 @@
   it('should send nothing to peers that are cut as well', async () => {
     isPeerCut = true
     own.failure = 'refused'
+    await failAtParts(store)
     for (let at = 0; at < 50; at++) await store.commit(PUT, LIMIT).catch(() => {})
     expect(store.isCut()).toEqual(true)
     expect(shared.calls.commit).toEqual(0)
@@ -75,7 +77,7 @@
     const lonely = createStore(['a', 'b'].map(id => ({ id, address: `127.0.0.1:${port}`, failureDomain: 'here' })))
     try {
       own.failure = 'refused'
-      for (let at = 0; at < 3; at++) await lonely.commit(PUT, LIMIT).catch(() => {})
+      await failAtParts(lonely)
       own.failure = undefined
       const before = own.calls.read
       await untilDone(async () => { if (lonely.isCut()) throw new Error('still cut') })
@@ -87,6 +89,11 @@
   })
 })
 
+/** Calls the store at several parts without an answer, as the watches of a gateway do. */
+async function failAtParts (store: RelayedStore): Promise<void> {
+  for (const part of ['1', '2', '3']) await store.read({ table: 't', part }, LIMIT).catch(() => {})
+}
+
 /** Repeats a step until it succeeds. */
 async function untilDone (step: () => Promise<void>): Promise<void> {
   // Half of the time for which one search for a peer may wait.
