A kept turn goes to another part of the store when its own is away

Ruled out: moving turns to a single part (200 transactions a second), asking parts at random (a reader would not know where to look). Change: a turn has three parts in a fixed order. It is saved in the first that answers, the next one being called after a failure or 300 ms; a reader looks in the same order, and a turn is unknown only when all three say so. Parts that failed are called last for a second. Tests that failed first: TurnStoreTests (saved in another part, silent part, unknown only by all).

--- /dev/null
+++ b/src/core/platform/PartHealth.ts
@@ -0,0 +1,23 @@
+/** Milliseconds for which a part that failed is called after all others; outages last for seconds, and a look costs one call. */
+export const PART_PENALTY_MS = 1_000
+
+/** Remembers which parts of a table failed lately. */
+export class PartHealth {
+  private readonly _failedAt = new Map<string, number>()
+
+  /** Notes an answer of a part. */
+  noteAnswer (part: string): void {
+    this._failedAt.delete(part)
+  }
+
+  /** Notes a call of a part without an answer. */
+  noteFailure (part: string, now: number): void {
+    this._failedAt.set(part, now)
+  }
+
+  /** Sorts parts so that those that failed lately come last; others keep their order. */
+  sort (parts: readonly string[], now: number): string[] {
+    const hasFailed = (part: string): number => now - (this._failedAt.get(part) ?? -Infinity) < PART_PENALTY_MS ? 1 : 0
+    return [...parts].sort((a, b) => hasFailed(a) - hasFailed(b))
+  }
+}
--- a/src/core/turn/TurnRows.ts
+++ b/src/core/turn/TurnRows.ts
@@ -7,6 +7,9 @@
 /** Parts over which turns are spread; a part commits one transaction at a time. */
 export const TURN_PARTS = 64
 
+/** Parts that a turn may lie in: the first one unless that is away, so that an outage of some parts keeps few turns out. */
+export const PARTS_OF_TURN = 3
+
 /** Digits of a piece's number in its key, so that keys sort by number. */
 const PIECE_DIGITS = 4
 
@@ -16,19 +19,22 @@
   readonly rowBytes: number
 }
 
-/** Gets the part that a turn lies in. */
-export function getTurnPart (id: string): string {
-  return String(createHash('sha1').update(id).digest().readUInt16BE(0) % TURN_PARTS)
+/** Gets the parts that a turn may lie in, in the order in which they are used. */
+export function getTurnParts (id: string): string[] {
+  const digest = createHash('sha1').update(id).digest()
+  const first = digest.readUInt16BE(0) % TURN_PARTS
+  // An odd step never leads back to a part before all others were visited.
+  const step = 1 + 2 * (digest.readUInt16BE(2) % (TURN_PARTS / 2))
+  return Array.from({ length: PARTS_OF_TURN }, (_, at) => String((first + at * step) % TURN_PARTS))
 }
 
-/** Gets the range that holds every piece of a turn. */
-export function getTurnRange (id: string): RowRange {
-  return { table: TURN_TABLE, part: getTurnPart(id), from: `${id}/`, to: `${id}0` }
+/** Gets the range that holds every piece of a turn in a part. */
+export function getTurnRange (id: string, part: string): RowRange {
+  return { table: TURN_TABLE, part, from: `${id}/`, to: `${id}0` }
 }
 
 /** Cuts a transcript into rows; the first byte of each piece says whether another one follows. */
-export function toTurnRows (id: string, transcript: Buffer, options: TurnRowsOptions): RowPut[] {
-  const part = getTurnPart(id)
+export function toTurnRows (id: string, part: string, transcript: Buffer, options: TurnRowsOptions): RowPut[] {
   const size = options.rowBytes - 1
   const rows: RowPut[] = []
   for (let at = 0; at === 0 || at < transcript.length; at += size) {
--- /dev/null
+++ b/src/io/gateway/PartFallback.ts
@@ -0,0 +1,101 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Clock } from '../../core/clock/index.js'
+import { PartHealth, StoreError } from '../../core/platform/index.js'
+
+/** Milliseconds after which the next part is called as well; a store that is sixty times slower than usual answers within them. */
+export const STAGGER_MS = 300
+
+/** Milliseconds between two rounds over parts that did not answer. */
+const PAUSE_MS = 100
+
+/** Options of {@link PartFallback}. */
+export interface PartFallbackOptions {
+  readonly clock: Clock
+  /** Notes that a part gave no answer and that it or another one is called. */
+  readonly onRetry: (err: StoreError) => void
+}
+
+/** One call of a part; undefined when it answers that it has nothing. */
+export type PartCall<T> = (part: string) => Promise<T | undefined>
+
+interface Round<T> {
+  readonly found: T | undefined
+  /** Parts that gave no answer. */
+  readonly failed: readonly string[]
+  readonly err: StoreError | undefined
+}
+
+/**
+ * Calls the parts that may hold a row, one after the other, until one has it.
+ *
+ * Answers outages of some parts of the store: what would lie in a part that is away goes to another one that all gateways look in.
+ */
+export class PartFallback {
+  private readonly _options: PartFallbackOptions
+  private readonly _health = new PartHealth()
+
+  constructor (options: PartFallbackOptions) {
+    this._options = options
+  }
+
+  /** Gets the first result; undefined when every part has answered that it has none. Rejects when the deadline passes before that. */
+  async call<T> (parts: readonly string[], deadline: number, call: PartCall<T>): Promise<T | undefined> {
+    let left = parts
+    for (;;) {
+      const round = await this._round(this._health.sort(left, this._options.clock.now()), call)
+      if (round.found !== undefined || round.err === undefined) return round.found
+      left = round.failed
+      if (this._options.clock.now() + PAUSE_MS >= deadline) throw round.err
+      await sleep(PAUSE_MS)
+    }
+  }
+
+  /** Calls each part once: the next one when the one before has failed, has nothing, or takes long. */
+  private async _round<T> (parts: readonly string[], call: PartCall<T>): Promise<Round<T>> {
+    return await new Promise((resolve, reject) => {
+      const failed: string[] = []
+      let err: StoreError | undefined
+      let started = 0
+      let ended = 0
+      let timer: NodeJS.Timeout | undefined
+      const finish = (found: T | undefined): void => {
+        clearTimeout(timer)
+        resolve({ found, failed, err })
+      }
+      const startNext = (): void => {
+        clearTimeout(timer)
+        const part = parts[started++]!
+        if (started < parts.length) timer = setTimeout(startNext, STAGGER_MS)
+        this._callPart(part, call).then(found => {
+          ended++
+          if (found !== undefined || ended === parts.length) finish(found)
+          else if (started < parts.length) startNext()
+        }, (reason: unknown) => {
+          if (!(reason instanceof StoreError)) {
+            clearTimeout(timer)
+            reject(reason instanceof Error ? reason : new Error(String(reason)))
+            return
+          }
+          ended++
+          err = reason
+          failed.push(part)
+          this._options.onRetry(reason)
+          if (ended === parts.length) finish(undefined)
+          else if (started < parts.length) startNext()
+        })
+      }
+      startNext()
+    })
+  }
+
+  private async _callPart<T> (part: string, call: PartCall<T>): Promise<T | undefined> {
+    try {
+      const found = await call(part)
+      this._health.noteAnswer(part)
+      return found
+    } catch (err) {
+      this._health.noteFailure(part, this._options.clock.now())
+      throw err
+    }
+  }
+}
--- a/src/io/gateway/StoreAccess.ts
+++ b/src/io/gateway/StoreAccess.ts
@@ -39,6 +39,11 @@
     return await this._untilAnswered(deadline, range, async options => await this._options.store.read(range, options))
   }
 
+  /** Reads a range once. */
+  async readOnce (range: RowRange, deadline: number): Promise<RowSnapshot> {
+    return await this._try(deadline, range, async options => await this._options.store.read(range, options))
+  }
+
   /** Makes a change whose repetition is harmless; tries until the deadline. */
   async commitRepeatable (transaction: RowTransaction, deadline: number): Promise<RowCommit> {
     const part = getPartOf(transaction)
@@ -55,13 +60,18 @@
     return await this._note({ table, part: '' }, async () => await this._options.store.watch(table, after, waitMs, { timeoutMs }))
   }
 
+  /** Counts that a call is made again because of a failure. */
+  noteRetry (err: StoreError): void {
+    this._options.onRetry(err.failure === StoreFailure.NoAnswer ? 'store-timeout' : 'store-error')
+  }
+
   private async _untilAnswered<T> (deadline: number, part: StorePart, call: (options: CallOptions) => Promise<T>): Promise<T> {
     for (let pauseMs = PAUSE_MS; ; pauseMs = Math.min(PAUSE_CAP_MS, 2 * pauseMs)) {
       try {
         return await this._try(deadline, part, call)
       } catch (err) {
         if (!(err instanceof StoreError) || this._options.clock.now() + pauseMs >= deadline) throw err
-        this._options.onRetry(err.failure === StoreFailure.NoAnswer ? 'store-timeout' : 'store-error')
+        this.noteRetry(err)
         await sleep(pauseMs)
       }
     }
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -2,8 +2,9 @@
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
-import { fromTurnRows, getTurnRange, toTurnRows, TurnExpiry } from '../../core/turn/index.js'
+import { fromTurnRows, getTurnParts, getTurnRange, toTurnRows, TurnExpiry } from '../../core/turn/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { PartFallback } from './PartFallback.js'
 import type { StoreAccess } from './StoreAccess.js'
 
 /** Bytes of transcripts that a gateway keeps in memory, so that the next turn of a line needs no read. */
@@ -29,19 +30,23 @@
   private readonly _options: TurnStoreOptions
   private readonly _cache = new Map<string, Buffer>()
   private readonly _expiry = new TurnExpiry()
+  private readonly _parts: PartFallback
   private _cachedBytes = 0
 
   constructor (options: TurnStoreOptions) {
     this._options = options
+    this._parts = new PartFallback({ clock: options.clock, onRetry: err => { options.access.noteRetry(err) } })
   }
 
   /** Gets the transcript up to a turn; a turn is unknown only when the store says so. */
   async load (id: string, deadline: number): Promise<Either<RefusalReason, Buffer>> {
     const cached = this._cache.get(id)
     if (cached !== undefined) return Right(cached)
+    const { access } = this._options
     try {
-      const { rows } = await this._options.access.read(getTurnRange(id), deadline)
-      const transcript = fromTurnRows(rows)
+      const transcript = await this._parts.call(getTurnParts(id), deadline, async part => {
+        return fromTurnRows((await access.readOnce(getTurnRange(id, part), deadline)).rows)
+      })
       if (transcript === undefined) return Left('turn-unknown')
       this._remember(id, transcript)
       return Right(transcript)
@@ -54,16 +59,22 @@
 
   /** Saves the transcript with a finished turn; returns whether it is durable. */
   async save (id: string, transcript: Buffer, retentionMs: number, deadline: number): Promise<boolean> {
-    const puts = toTurnRows(id, transcript, { rowBytes: this._options.rowBytes })
+    const { access, clock, rowBytes } = this._options
+    const tried = new Set<string>()
     try {
-      await this._options.access.commitRepeatable({ puts }, deadline)
+      await this._parts.call(getTurnParts(id), deadline, async part => {
+        const puts = toTurnRows(id, part, transcript, { rowBytes })
+        // A write without an answer may be done all the same, so its rows expire in any case.
+        if (!tried.has(part)) this._expiry.add(puts.map(({ table, key }) => ({ table, part, key })), retentionMs, clock.now())
+        tried.add(part)
+        return await access.commitOnce({ puts }, deadline)
+      })
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       this._options.log.warn('turn-not-saved', { turn: id, bytes: transcript.length, cause: err.message })
       return false
     }
     this._remember(id, transcript)
-    this._expiry.add(puts.map(({ table, part, key }) => ({ table, part, key })), retentionMs, this._options.clock.now())
     return true
   }
 
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl'
-import { EventSplitter, fromTurnRows, getTurnRange, toTurnRows, Transcript } from '../../../src/core/turn/index.js'
+import { EventSplitter, fromTurnRows, getTurnParts, getTurnRange, PARTS_OF_TURN, toTurnRows, Transcript } from '../../../src/core/turn/index.js'
 
 describe('EventSplitter', () => {
   it('should give whole events however the bytes are cut', () => {
@@ -29,7 +29,7 @@
 })
 
 describe('turn rows', () => {
-  const store = (transcript: Buffer, rowBytes: number) => toTurnRows('t1', transcript, { rowBytes }).map(put => ({ ...put, version: 1 }))
+  const store = (transcript: Buffer, rowBytes: number) => toTurnRows('t1', '7', transcript, { rowBytes }).map(put => ({ ...put, version: 1 }))
 
   it('should give back a transcript of any length', () => {
     for (const length of [0, 1, 98, 99, 100, 250]) {
@@ -41,12 +41,16 @@
   })
 
   it('should lie in the range that is read for the turn, and no other turn in it', () => {
-    const { from, to, part } = getTurnRange('t1')
+    const { from, to, part } = getTurnRange('t1', '7')
     const rows = store(Buffer.alloc(500), 100)
     expect(rows.every(row => row.key >= from! && row.key < to! && row.part === part)).toEqual(true)
     expect(from! <= 't10/0000' && to! > 't10/0000').toEqual(false)
   })
 
+  it('should have several parts to lie in, all different', () => {
+    for (let at = 0; at < 500; at++) expect(new Set(getTurnParts(`turn ${at}`)).size).toEqual(PARTS_OF_TURN)
+  })
+
   it('should not take a turn for whole whose last piece is missing', () => {
     const rows = store(Buffer.alloc(250), 100)
     expect(fromTurnRows(rows.slice(0, -1))).toEqual(undefined)
--- /dev/null
+++ b/tests/io/gateway/TurnStoreTests.ts
@@ -0,0 +1,78 @@
+import { expect } from 'earl'
+import { getTurnParts, PARTS_OF_TURN } from '../../../src/core/turn/index.js'
+import { StoreAccess, TurnStore } from '../../../src/io/gateway/index.js'
+import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
+import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
+
+const TRANSCRIPT = Buffer.from('input and output')
+const RETENTION_MS = 60_000
+const [FIRST, SECOND] = getTurnParts('t1')
+
+describe('TurnStore', () => {
+  let rows: MemoryRowStore
+  beforeEach(() => { rows = new MemoryRowStore() })
+
+  it('should save and load a turn with one call each while all parts answer', async () => {
+    await save(createStore(rows))
+    expect(await load(createStore(rows))).toEqual(TRANSCRIPT)
+    expect([rows.calls.commit, rows.calls.read]).toEqual([1, 1])
+  })
+
+  // The load of an outage of some parts: turns of these end at once all the same.
+  it('should save a turn in another part while its own is away, where other gateways find it during and after the outage', async () => {
+    rows.failedParts.set(FIRST!, 'refused')
+    expect(await save(createStore(rows))).toEqual(true)
+    expect(await load(createStore(rows))).toEqual(TRANSCRIPT)
+    rows.failedParts.clear()
+    expect(await load(createStore(rows))).toEqual(TRANSCRIPT)
+  })
+
+  it('should not wait for a part that is silent', async () => {
+    rows.failedParts.set(FIRST!, 'silent')
+    const startedAt = clock.now()
+    expect(await save(createStore(rows))).toEqual(true)
+    // Half of the time in which one call gives up.
+    expect(clock.now() - startedAt < 350).toEqual(true)
+  })
+
+  it('should call a part that failed after the others for a while', async () => {
+    const store = createStore(rows)
+    rows.failedParts.set(FIRST!, 'refused')
+    await save(store)
+    const before = rows.calls.commit
+    await save(store)
+    expect(rows.calls.commit - before).toEqual(1)
+  })
+
+  it('should say that a turn is unknown only when every part says so', async () => {
+    expect(await load(createStore(rows))).toEqual('turn-unknown')
+    expect(rows.calls.read).toEqual(PARTS_OF_TURN)
+    rows.failedParts.set(SECOND!, 'refused')
+    expect(await load(createStore(rows))).toEqual('turn-unreadable')
+  })
+
+  it('should find a turn that lies in a part which comes back within the time', async () => {
+    await save(createStore(rows))
+    rows.failedParts.set(FIRST!, 'refused')
+    const loading = load(createStore(rows))
+    rows.failedParts.clear()
+    expect(await loading).toEqual(TRANSCRIPT)
+  })
+})
+
+const clock = new SteadyClock()
+
+function createStore (rows: MemoryRowStore): TurnStore {
+  const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
+  const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onAway: () => {}, onBack: () => {} })
+  return new TurnStore({ access, clock, log, rowBytes: 1_000 })
+}
+
+async function save (store: TurnStore): Promise<boolean> {
+  return await store.save('t1', TRANSCRIPT, RETENTION_MS, clock.now() + 1_000)
+}
+
+async function load (store: TurnStore): Promise<Buffer | string> {
+  const loaded = await store.load('t1', clock.now() + 400)
+  return loaded.caseOf<Buffer | string>({ Left: reason => reason, Right: transcript => transcript })
+}
--- a/tests/processes/GatewayHarness.ts
+++ b/tests/processes/GatewayHarness.ts
@@ -1,5 +1,5 @@
-import { createHash } from 'node:crypto'
 import { connect } from 'node:net'
+import { getTurnParts } from '../../src/core/turn/index.js'
 import type { EngineBehaviour } from '../../tools/platform/EngineStandin.js'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
 import { callPlatform, type PlatformAnswer, type PlatformCall } from '../../tools/platform/PlatformCaller.js'
@@ -54,9 +54,9 @@
   }
 }
 
-/** Gets the part of the store that a turn lies in. */
+/** Gets the part of the store that a turn lies in while no part is away. */
 export function getPart (id: string): string {
-  return String(createHash('sha1').update(id).digest().readUInt16BE(0) % 64)
+  return getTurnParts(id)[0]!
 }
 
 /** Sends bytes as they are and resolves with what comes back first. */
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -1,6 +1,8 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  RowStore, StoreError, StoreFailure,
-  type RowChange, type RowCommit, type RowFeed, type RowKey, type RowRange, type RowSnapshot, type RowTransaction, type StoredRow
+  getPartOf, RowStore, StoreError, StoreFailure,
+  type CallOptions, type RowChange, type RowCommit, type RowFeed, type RowKey, type RowRange, type RowSnapshot, type RowTransaction,
+  type StoredRow, type StorePart
 } from '../../src/core/platform/index.js'
 
 interface Entry {
@@ -21,18 +23,22 @@
   readonly calls = { commit: 0, read: 0, watch: 0 }
   /** While set, calls fail in this way; after a lost answer the change is made all the same. */
   failure: 'refused' | 'silent' | 'answer-lost' | undefined
+  /** Parts whose calls are refused, or get no answer until the caller gives up. */
+  readonly failedParts = new Map<string, 'refused' | 'silent'>()
 
-  async commit (transaction: RowTransaction): Promise<RowCommit> {
+  async commit (transaction: RowTransaction, options?: CallOptions): Promise<RowCommit> {
     this.calls.commit++
     this._failIfAway()
+    await this._failIfPartIsAway(getPartOf(transaction), options)
     const result = this.apply(transaction)
     if (this.failure === 'answer-lost') throw new StoreError(StoreFailure.NoAnswer, 'The answer was lost.')
     return result
   }
 
-  async read (range: RowRange): Promise<RowSnapshot> {
+  async read (range: RowRange, options?: CallOptions): Promise<RowSnapshot> {
     this.calls.read++
     this._failIfAway()
+    await this._failIfPartIsAway(range, options)
     const rows = [...this._entries.values()].flatMap(entry => isInRange(entry, range) ? [toRow(entry)] : [])
     rows.sort((a, b) => a.key < b.key ? -1 : 1)
     return { rows, version: this._version }
@@ -97,6 +103,14 @@
     })
   }
 
+  private async _failIfPartIsAway (part: StorePart, options?: CallOptions): Promise<void> {
+    const failure = this.failedParts.get(part.part)
+    if (failure === 'refused') throw new StoreError(StoreFailure.Refused, 'The part is away.')
+    if (failure === undefined) return
+    await sleep(options?.timeoutMs ?? 0)
+    throw new StoreError(StoreFailure.NoAnswer, 'The part does not answer.')
+  }
+
   private _failIfAway (): void {
     if (this.failure === 'refused') throw new StoreError(StoreFailure.Refused, 'The store is away.')
     if (this.failure === 'silent') throw new StoreError(StoreFailure.NoAnswer, 'The store does not answer.')
