Programs spend a reserve while the row of their budget is out of reach

Ruled out: a fixed share for each gateway (less than one turn each), a turn without a grant (restarts and retries at other gateways would exceed the budget), agreeing between gateways (a second coordination service). The holder lends the most of a turn and takes back what it did not spend, from memory. A process that was started again lends nothing for 180 s, because nobody knows what was lent before. The row's part is skipped for a second after a failure.

--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -9,6 +9,8 @@
   private _reserved = 0
   private _hasAsked = false
   private _left = Infinity
+  /** Least tokens of a turn that the program's reserve does not cover any more. */
+  private _reserveSpentAt = Infinity
 
   constructor (now: number) {
     this.usedAt = now
@@ -34,6 +36,11 @@
     this._hasAsked = true
   }
 
+  /** Tells whether a grant was asked for; the row may then name one, though no answer said so. */
+  hasAsked (): boolean {
+    return this._hasAsked
+  }
+
   /**
    * Sets the tokens that the store's row grants to this gateway.
    *
@@ -54,6 +61,16 @@
     return turnTokens - this.getAvailable() > this._left
   }
 
+  /** Notes that the program's reserve does not cover a turn, for good. */
+  noteReserveSpent (turnTokens: number): void {
+    this._reserveSpentAt = Math.min(this._reserveSpentAt, turnTokens)
+  }
+
+  /** Tells whether the program's reserve is known not to cover a turn. */
+  isReserveKnownSpent (turnTokens: number): boolean {
+    return turnTokens >= this._reserveSpentAt
+  }
+
   /** Reserves the most that a turn may spend, if it is available. */
   tryReserve (tokens: number): boolean {
     if (this.getAvailable() < tokens) return false
--- a/src/core/platform/PartHealth.ts
+++ b/src/core/platform/PartHealth.ts
@@ -17,7 +17,11 @@
 
   /** Sorts parts so that those that failed lately come last; others keep their order. */
   sort (parts: readonly string[], now: number): string[] {
-    const hasFailed = (part: string): number => now - (this._failedAt.get(part) ?? -Infinity) < PART_PENALTY_MS ? 1 : 0
-    return [...parts].sort((a, b) => hasFailed(a) - hasFailed(b))
+    return [...parts].sort((a, b) => Number(this.hasFailed(a, now)) - Number(this.hasFailed(b, now)))
+  }
+
+  /** Tells whether a part failed lately. */
+  hasFailed (part: string, now: number): boolean {
+    return now - (this._failedAt.get(part) ?? -Infinity) < PART_PENALTY_MS
   }
 }
--- /dev/null
+++ b/src/core/reserve/ReserveLedger.ts
@@ -0,0 +1,93 @@
+import { getReserveTokens } from '../budget/index.js'
+import type { Clock } from '../clock/index.js'
+import { ReserveLender, type Loan, type LoanRequest } from './ReserveLender.js'
+
+/**
+ * Milliseconds after its latest turn for which a program may come again: turns are kept for 60 s, and a program pauses for a few.
+ *
+ * A reserve whose holder started again lends nothing for as long, because nobody knows what was lent before.
+ */
+export const RESERVE_HORIZON_MS = 180_000
+
+/** Accounts above which unused ones are looked for. */
+const ACCOUNTS_BEFORE_SWEEP = 5_000
+
+interface Account {
+  spent: number
+  /** Tokens of loans that are not settled. */
+  lent: number
+  usedAt: number
+}
+
+interface OpenLoan {
+  readonly account: Account
+  readonly tokens: number
+}
+
+/** Options of {@link ReserveLedger}. */
+export interface ReserveLedgerOptions {
+  readonly clock: Clock
+}
+
+/**
+ * Knows what this process has lent from the reserves that it alone holds.
+ *
+ * Answers outages of the store: a program that begins then, or whose part is away, spends its reserve. The ledger lives in one process and
+ * ends with it; a loan that is never settled counts in full.
+ */
+export class ReserveLedger extends ReserveLender {
+  private readonly _options: ReserveLedgerOptions
+  private readonly _accounts = new Map<string, Account>()
+  private readonly _loans = new Map<string, OpenLoan>()
+  private _lendsFrom = Infinity
+  private _count = 0
+
+  constructor (options: ReserveLedgerOptions) {
+    super()
+    this._options = options
+  }
+
+  /** Allows loans, at once if no process held these reserves before, else when all programs of that time have ended. */
+  open (hasPredecessor: boolean): void {
+    this._lendsFrom = hasPredecessor ? this._options.clock.now() + RESERVE_HORIZON_MS : -Infinity
+  }
+
+  lend (req: LoanRequest): Loan {
+    const now = this._options.clock.now()
+    if (now < this._lendsFrom) return { type: 'unavailable' }
+    const account = this._getAccount(req.program, now)
+    account.usedAt = now
+    if (account.spent + account.lent + req.tokens > getReserveTokens(req.limit)) return { type: 'spent', isForGood: account.lent === 0 }
+    account.lent += req.tokens
+    const loan = `${req.program}/${this._count++}`
+    this._loans.set(loan, { account, tokens: req.tokens })
+    return { type: 'lent', loan }
+  }
+
+  settle (loan: string, spent: number): void {
+    const open = this._loans.get(loan)
+    if (open === undefined) return
+    this._loans.delete(loan)
+    open.account.lent -= open.tokens
+    open.account.spent += spent
+    open.account.usedAt = this._options.clock.now()
+  }
+
+  private _getAccount (program: string, now: number): Account {
+    if (this._accounts.size > ACCOUNTS_BEFORE_SWEEP) this._sweep(now)
+    const known = this._accounts.get(program)
+    if (known !== undefined) return known
+    const account = { spent: 0, lent: 0, usedAt: now }
+    this._accounts.set(program, account)
+    return account
+  }
+
+  private _sweep (now: number): void {
+    for (const [program, account] of this._accounts) {
+      if (now - account.usedAt > RESERVE_HORIZON_MS) this._accounts.delete(program)
+    }
+    for (const [loan, { account }] of this._loans) {
+      if (now - account.usedAt > RESERVE_HORIZON_MS) this._loans.delete(loan)
+    }
+  }
+}
--- /dev/null
+++ b/src/core/reserve/ReserveLender.ts
@@ -0,0 +1,23 @@
+/** Asks for tokens of a program's reserve. */
+export interface LoanRequest {
+  readonly program: string
+  /** Tokens that all turns of the program may generate. */
+  readonly limit: number
+  /** Most tokens of the turn. */
+  readonly tokens: number
+}
+
+/** Why a reserve lends nothing, or the name of the loan. */
+export type Loan =
+  | { readonly type: 'lent', readonly loan: string }
+  /** What is left does not cover the turn; for good when no loan is open. */
+  | { readonly type: 'spent', readonly isForGood: boolean }
+  | { readonly type: 'unavailable' }
+
+/** Lends tokens of programs' reserves. */
+export abstract class ReserveLender {
+  /** Lends the most that a turn may spend. */
+  abstract lend (req: LoanRequest): Loan
+  /** Ends a loan with what the turn did spend. */
+  abstract settle (loan: string, spent: number): void
+}
--- /dev/null
+++ b/src/core/reserve/index.ts
@@ -0,0 +1,3 @@
+export * from './ReserveLedger.js'
+export * from './ReserveLender.js'
+export * from './ReserveSlots.js'
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -1,6 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
-import { BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, planGrant, type BudgetRow } from '../../core/budget/index.js'
-import { StoreError, type RowKey, type StoredRow } from '../../core/platform/index.js'
+import {
+  BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, type BudgetRow
+} from '../../core/budget/index.js'
+import { PartHealth, StoreError, type RowKey, type StoredRow } from '../../core/platform/index.js'
+import type { LoanRequest } from '../../core/reserve/index.js'
+import type { BorrowResult, OpenLoan } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { StoreAccess } from './StoreAccess.js'
 
@@ -10,12 +15,27 @@
 /** Accounts above which unused ones are looked for. */
 const ACCOUNTS_BEFORE_SWEEP = 5_000
 
+/** Milliseconds for one try of a grant; a store that is sixty times slower than usual answers within them. */
+const GRANT_TRY_MS = 400
+
+/** Milliseconds between two tries when neither the store nor the reserve answers. */
+const GRANT_PAUSE_MS = 100
+
 /** Whether a turn may spend its tokens. */
-export const Reservation = { Granted: 'granted', Spent: 'spent', Unreadable: 'unreadable' } as const
-export type Reservation = typeof Reservation[keyof typeof Reservation]
+export type Reservation =
+  /** It may, and ends with what it did spend. */
+  | { readonly type: 'granted', readonly settle: (spent: number) => void }
+  | { readonly type: 'spent' }
+  | { readonly type: 'unreadable' }
+
+/** Outcome of asking the store for a grant. */
+const Grant = { Granted: 'granted', Spent: 'spent', Unreadable: 'unreadable' } as const
+type Grant = typeof Grant[keyof typeof Grant]
 
 /** What a turn wants to spend. */
 export interface ReservationRequest {
+  /** Id of the turn's request, for logs. */
+  readonly req: string
   readonly program: string
   /** Tokens that all turns of the program may generate. */
   readonly limit: number
@@ -33,13 +53,21 @@
   readonly log: DecisionLog
   /** Name of this run of the gateway, used by no other one. */
   readonly holder: string
+  /** Borrows from the program's reserve. */
+  readonly borrow: (req: LoanRequest) => Promise<BorrowResult>
+  readonly onLoan: (result: BorrowResult['type']) => void
 }
 
-/** Spends the budgets of programs from grants of the store. */
+/**
+ * Spends the budgets of programs: from grants of the store, and from the program's reserve when the store's row is spent or out of reach.
+ *
+ * What the row grants and what the reserve lends never exceed the budget together.
+ */
 export class BudgetStore {
   private readonly _options: BudgetStoreOptions
   private readonly _accounts = new Map<string, BudgetAccount>()
-  private readonly _granting = new Map<string, Promise<Reservation>>()
+  private readonly _granting = new Map<string, Promise<Grant>>()
+  private readonly _parts = new PartHealth()
 
   constructor (options: BudgetStoreOptions) {
     this._options = options
@@ -47,19 +75,20 @@
 
   /** Reserves the most that a turn may spend. */
   async reserve (req: ReservationRequest): Promise<Reservation> {
+    const { clock, log, access } = this._options
     const account = this._getAccount(req.program)
-    for (;;) {
-      if (account.tryReserve(req.tokens)) return Reservation.Granted
-      if (account.isKnownSpent(req.tokens)) return Reservation.Spent
-      const underWay = this._granting.get(req.program)
-      if (underWay !== undefined) {
-        await underWay
-        continue
+    // The reserve answers at once, while a part that just failed mostly fails again.
+    for (let skipsFailedPart = true; ; skipsFailedPart = false) {
+      const grant = await this._reserveFromGrants(account, req, skipsFailedPart)
+      if (grant === Grant.Granted) return { type: 'granted', settle: spent => { this._settle(account, req.tokens, spent) } }
+      const loan = await this._borrow(account, req)
+      if (loan !== undefined) return { type: 'granted', settle: loan.settle }
+      if (grant === Grant.Spent) return { type: 'spent' }
+      if (access.health.isAway() || clock.now() + GRANT_PAUSE_MS >= req.deadline) {
+        log.warn('budget-unreadable', { req: req.req, program: req.program, isStoreAway: access.health.isAway() })
+        return { type: 'unreadable' }
       }
-      const granting = this._grant(account, req).finally(() => { this._granting.delete(req.program) })
-      this._granting.set(req.program, granting)
-      const result = await granting
-      if (result !== Reservation.Granted) return result
+      await sleep(GRANT_PAUSE_MS)
     }
   }
 
@@ -68,60 +97,83 @@
     return this._accounts.get(program)?.warmTarget
   }
 
-  /** Ends a reservation with what the turn did spend. */
-  settle (program: string, reserved: number, spent: number): void {
-    const account = this._getAccount(program)
+  private _settle (account: BudgetAccount, reserved: number, spent: number): void {
     account.settle(reserved, spent)
     account.usedAt = this._options.clock.now()
   }
 
-  private async _grant (account: BudgetAccount, req: ReservationRequest): Promise<Reservation> {
-    const { clock, log } = this._options
-    const key = getBudgetKey(req.program)
-    // A program that this gateway has not met is most often new: the first try requires that it has no row.
-    let row: StoredRow | undefined
-    let isKnown = account.getGranted() === 0
+  /** Reserves from what the store has granted, asking for more once. */
+  private async _reserveFromGrants (account: BudgetAccount, req: ReservationRequest, skipsFailedPart: boolean): Promise<Grant> {
     for (;;) {
-      try {
-        if (!isKnown) row = await this._readRow(key, req.deadline)
-        const result = await this._tryGrant(account, req, key, row)
-        if (result.type === 'done') return result.reservation
+      if (account.tryReserve(req.tokens)) return Grant.Granted
+      if (account.isKnownSpent(req.tokens)) return Grant.Spent
+      let granting = this._granting.get(req.program)
+      if (granting === undefined) {
+        if (skipsFailedPart && this._parts.hasFailed(getBudgetKey(req.program).part, this._options.clock.now())) return Grant.Unreadable
+        granting = this._grant(account, req).finally(() => { this._granting.delete(req.program) })
+        this._granting.set(req.program, granting)
+      }
+      const grant = await granting
+      if (grant === Grant.Unreadable) return grant
+    }
+  }
+
+  /** Borrows from the program's reserve. */
+  private async _borrow (account: BudgetAccount, req: ReservationRequest): Promise<OpenLoan | undefined> {
+    const { borrow, log, onLoan } = this._options
+    if (account.isReserveKnownSpent(req.tokens)) return undefined
+    const result = await borrow({ program: req.program, limit: req.limit, tokens: req.tokens })
+    onLoan(result.type)
+    log.info('reserve-asked', { req: req.req, program: req.program, tokens: req.tokens, result: result.type })
+    if (result.type === 'lent') return result.loan
+    if (result.type === 'spent' && result.isForGood) account.noteReserveSpent(req.tokens)
+    return undefined
+  }
+
+  private async _grant (account: BudgetAccount, req: ReservationRequest): Promise<Grant> {
+    const { clock, access } = this._options
+    const key = getBudgetKey(req.program)
+    const deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
+    try {
+      // A program that this gateway has not met is most often new: the first try requires that it has no row.
+      let row = account.getGranted() === 0 && !account.hasAsked() ? undefined : await this._readRow(key, deadline)
+      for (;;) {
+        const result = await this._tryGrant(account, req, key, row, deadline)
+        this._parts.noteAnswer(key.part)
+        if (result.type === 'done') return result.grant
         row = result.row
-        isKnown = true
-      } catch (err) {
-        if (!(err instanceof StoreError)) throw err
-        // The change may have been made, so the row is read before the next try.
-        isKnown = false
-        if (clock.now() >= req.deadline || this._options.access.health.isAway()) {
-          log.warn('budget-unreadable', { program: req.program, cause: err.message })
-          return Reservation.Unreadable
-        }
       }
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      access.noteRetry(err)
+      this._parts.noteFailure(key.part, clock.now())
+      return Grant.Unreadable
     }
   }
 
   private async _tryGrant (
-    account: BudgetAccount, req: ReservationRequest, key: RowKey, row: StoredRow | undefined
-  ): Promise<{ type: 'done', reservation: Reservation } | { type: 'changed', row: StoredRow | undefined }> {
+    account: BudgetAccount, req: ReservationRequest, key: RowKey, row: StoredRow | undefined, deadline: number
+  ): Promise<{ type: 'done', grant: Grant } | { type: 'changed', row: StoredRow | undefined }> {
     const { holder, access, log } = this._options
     const budget: BudgetRow = row === undefined ? { granted: {} } : decodeBudgetRow(row)
     account.setGranted(budget.granted[holder] ?? 0)
     account.warmTarget = budget.target ?? account.warmTarget
     const missing = req.tokens - account.getAvailable()
-    if (missing <= 0) return { type: 'done', reservation: Reservation.Granted }
-    const plan = planGrant(budget, { holder, limit: req.limit, missing, target: req.chooseTarget(account.warmTarget) })
+    if (missing <= 0) return { type: 'done', grant: Grant.Granted }
+    const limit = getGrantableTokens(req.limit)
+    const plan = planGrant(budget, { holder, limit, missing, target: req.chooseTarget(account.warmTarget) })
     if (plan.type === 'spent') {
-      account.noteLeft(req.limit - plan.granted)
-      log.info('budget-spent', { program: req.program, limit: req.limit, granted: plan.granted, version: row?.version ?? 0 })
-      return { type: 'done', reservation: Reservation.Spent }
+      account.noteLeft(limit - plan.granted)
+      log.info('budget-spent', { req: req.req, program: req.program, limit: req.limit, grantable: limit, granted: plan.granted, version: row?.version ?? 0 })
+      return { type: 'done', grant: Grant.Spent }
     }
     account.noteAsked()
     const conditions = [{ ...key, version: row?.version ?? 0 }]
-    const result = await access.commitOnce({ conditions, puts: [{ ...key, value: encodeBudgetRow(plan.next) }] }, req.deadline)
+    const result = await access.commitOnce({ conditions, puts: [{ ...key, value: encodeBudgetRow(plan.next) }] }, deadline)
     if (result.type === 'conflict') return { type: 'changed', row: result.rows.find(found => found.key === key.key) }
     account.setGranted(plan.next.granted[holder] ?? 0)
     account.warmTarget = plan.next.target
-    return { type: 'done', reservation: Reservation.Granted }
+    return { type: 'done', grant: Grant.Granted }
   }
 
   private async _readRow (key: RowKey, deadline: number): Promise<StoredRow | undefined> {
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -5,10 +5,11 @@
 import type { CallProtocol } from '../../core/forward/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
+import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
-import { PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
+import { PeerDirectory, PeerServer, RelayedStore, ReserveDirectory } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore } from './BudgetStore.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -87,8 +88,21 @@
     const ranking = new PeerRanking({ ownId: id, ownDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
     const own = { id, address: listen.peers, failureDomain }
-    this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut() })
-    this._directory = new PeerDirectory({ store, clock, log, own, ranking })
+    const ledger = new ReserveLedger({ clock })
+    const reserves = new ReserveDirectory({ store, clock, log, ownId: id, own: ledger })
+    this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut(), reserves: ledger })
+    this._directory = new PeerDirectory({
+      store,
+      clock,
+      log,
+      own,
+      ranking,
+      onRegistered: hasPredecessor => {
+        ledger.open(hasPredecessor)
+        log.info('registered', { hasPredecessor })
+      },
+      onPeers: async (peers, isSettled) => { await reserves.setPeers(peers, isSettled) }
+    })
     const access = new StoreAccess({
       store,
       clock,
@@ -104,7 +118,14 @@
     const streams = new StreamForwarder({
       attempts,
       turns: this._turns,
-      budgets: new BudgetStore({ access, clock, log, holder: incarnation }),
+      budgets: new BudgetStore({
+        access,
+        clock,
+        log,
+        holder: incarnation,
+        borrow: async req => await reserves.borrow(req),
+        onLoan: result => { metrics.loans.inc({ result }) }
+      }),
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -14,6 +14,7 @@
   private readonly _prompt = this._counter('wisteria_prompt_tokens_total', 'Prompt tokens sent to targets, by whether the target probably had them.', ['cached'])
   readonly ejections = this._counter('wisteria_ejections_total', 'Targets that get no work for a while.', [])
   readonly relayedCalls = this._counter('wisteria_store_calls_relayed_total', 'Calls of the store that went through a peer.', [])
+  readonly loans = this._counter('wisteria_reserve_loans_total', 'Turns that asked for tokens of their program\'s reserve, by result.', ['result'])
   readonly droppedLines = this._counter('wisteria_log_lines_dropped_total', 'Log lines dropped because the reader was too slow.', [])
   readonly badRows = this._counter('wisteria_bad_rows_total', 'Rows of the store that could not be decoded, by table.', ['table'])
   readonly configVersion = this._gauge('wisteria_config_version', 'Version of the configuration in force.')
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { EventSplitter, Transcript } from '../../core/turn/index.js'
 import { Attempts, type AnswerFailure, type Attempt, type AttemptContext } from './Attempts.js'
-import { Reservation, type BudgetStore } from './BudgetStore.js'
+import type { BudgetStore } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayWhole } from './PlainForwarder.js'
 import type { TurnStore } from './TurnStore.js'
@@ -54,14 +54,16 @@
   /** Forwards a turn and relays its events. */
   async forward (exchange: Exchange, input: Buffer | undefined): Promise<void> {
     const prompt = await this._getPrompt(exchange, input)
-    if (prompt === undefined || !await this._reserve(exchange)) return
+    if (prompt === undefined) return
+    const settle = await this._reserve(exchange)
+    if (settle === undefined) return
     const progress: StreamProgress = {
       transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
     }
     try {
       await this._relayAttempts(exchange, prompt, progress)
     } finally {
-      this._settle(exchange, progress)
+      settle(progress.tokens)
     }
   }
 
@@ -80,27 +82,23 @@
     })
   }
 
-  private async _reserve (exchange: Exchange): Promise<boolean> {
-    const { program, maxOutputTokens } = exchange.call
-    if (program?.tokenBudget === undefined) return true
+  /** Reserves the tokens of a turn; returns the way to settle them, or undefined after a refusal. */
+  private async _reserve (exchange: Exchange): Promise<((spent: number) => void) | undefined> {
+    const { id, program, maxOutputTokens } = exchange.call
+    if (program?.tokenBudget === undefined) return () => {}
     const { budgets, attempts } = this._options
     const result = await budgets.reserve({
+      req: id,
       program: program.id,
       limit: program.tokenBudget,
       tokens: maxOutputTokens,
       chooseTarget: warmTarget => attempts.placer.place(exchange.call, exchange.route, { warmTarget })?.state.lifetime,
       deadline: this._getPrepareDeadline(exchange)
     })
-    if (result === Reservation.Granted) return true
-    if (result === Reservation.Spent) exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
+    if (result.type === 'granted') return result.settle
+    if (result.type === 'spent') exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
     else exchange.refuse({ reason: 'budget-unreadable', retryAfterSeconds: this._options.getStoreRetrySeconds(), members: { program: program.id } })
-    return false
-  }
-
-  private _settle (exchange: Exchange, progress: StreamProgress): void {
-    const { program, maxOutputTokens } = exchange.call
-    if (program?.tokenBudget === undefined) return
-    this._options.budgets.settle(program.id, maxOutputTokens, progress.tokens)
+    return undefined
   }
 
   private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress): Promise<void> {
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -7,6 +7,9 @@
 /** Milliseconds between two reads of the list; peers change with machines, not with requests. */
 const READ_MS = 10_000
 
+/** Milliseconds after the registration at which the list is read again, so that gateways that start together know each other. */
+const SETTLE_MS = 1_000
+
 /** Milliseconds between two tries while the store does not answer. */
 const RETRY_MS = 500
 
@@ -20,6 +23,10 @@
   readonly log: DecisionLog
   readonly own: Peer
   readonly ranking: PeerRanking
+  /** Notes that this gateway is registered, and whether a process of the same id was before. */
+  readonly onRegistered: (hasPredecessor: boolean) => void
+  /** Takes the list whenever it was read; it is settled when gateways that started together are in it. */
+  readonly onPeers: (peers: readonly Peer[], isSettled: boolean) => Promise<void>
 }
 
 /** Tells peers where this gateway listens, and learns where they do. */
@@ -34,24 +41,31 @@
   /** Registers this gateway, then follows the list for as long as the process runs. */
   async run (): Promise<void> {
     await this._untilDone(async () => { await this._register() })
+    await this._untilDone(async () => { await this._read(false) })
+    await sleep(SETTLE_MS)
     for (;;) {
-      await this._untilDone(async () => { await this._read() })
+      await this._untilDone(async () => { await this._read(true) })
       await sleep(READ_MS)
     }
   }
 
   private async _register (): Promise<void> {
-    const { store, own } = this._options
-    await store.commit({ puts: [{ ...getPeerKey(own.id), value: encodePeer(own) }] }, { timeoutMs: CALL_TIMEOUT_MS })
+    const { store, own, onRegistered } = this._options
+    const key = getPeerKey(own.id)
+    const puts = [{ ...key, value: encodePeer(own) }]
+    const result = await store.commit({ conditions: [{ ...key, version: 0 }], puts }, { timeoutMs: CALL_TIMEOUT_MS })
+    if (result.type === 'conflict') await store.commit({ puts }, { timeoutMs: CALL_TIMEOUT_MS })
+    onRegistered(result.type === 'conflict')
   }
 
-  private async _read (): Promise<void> {
-    const { store, ranking, log } = this._options
+  private async _read (isSettled: boolean): Promise<void> {
+    const { store, ranking, log, onPeers } = this._options
     const { rows } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
     const peers = rows.map(decodePeer)
     ranking.setPeers(peers)
     if (peers.length !== this._known) log.info('peers-known', { peers: peers.map(peer => peer.id) })
     this._known = peers.length
+    await onPeers(peers, isSettled)
   }
 
   private async _untilDone (step: () => Promise<void>): Promise<void> {
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -1,6 +1,7 @@
 import { initTRPC, TRPCError } from '@trpc/server'
 import { z } from 'zod'
 import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
+import type { ReserveLender } from '../../core/reserve/index.js'
 import { decodeTransaction, encodeCommit, encodeFeed, encodeSnapshot } from './rowCodec.js'
 
 const t = initTRPC.create()
@@ -19,15 +20,21 @@
 
 const WATCH = z.object({ table: z.string(), after: z.number(), waitMs: z.number(), ...TIMEOUT })
 
+const LOAN = z.object({ program: z.string(), limit: z.number(), tokens: z.number().positive() })
+
+const SETTLEMENT = z.object({ loan: z.string(), spent: z.number().nonnegative() })
+
 /** Options of {@link createPeerRouter}. */
 export interface PeerRouterOptions {
   /** The store without a detour, so that calls are never passed on twice. */
   readonly direct: RowStore
   /** Tells whether the own way to the store is cut. */
   readonly isCut: () => boolean
+  /** The reserves that this gateway holds. */
+  readonly reserves: ReserveLender
 }
 
-/** Creates the router by which gateways lend each other their way to the store. */
+/** Creates the router by which gateways lend each other their way to the store, and tokens of the reserves that they hold. */
 export function createPeerRouter (options: PeerRouterOptions) {
   const { direct } = options
   // The message of an error is the kind of failure, which decides what the asking gateway may repeat.
@@ -47,6 +54,8 @@
     read: t.procedure.input(READ).mutation(async ({ input }) => {
       return encodeSnapshot(await relay(async () => await direct.read(input, input)))
     }),
+    lend: t.procedure.input(LOAN).mutation(({ input }) => options.reserves.lend(input)),
+    settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
     })
--- a/src/io/peer/PeerServer.ts
+++ b/src/io/peer/PeerServer.ts
@@ -6,7 +6,7 @@
 /** Largest call of a peer: a transaction of the store with its values in base64. */
 const MAX_BODY_BYTES = 2_097_152
 
-/** Lets peers use this gateway's own way to the store. */
+/** Lets peers use this gateway's own way to the store and the reserves that it holds. */
 export class PeerServer {
   private readonly _server: Server
 
--- a/src/io/peer/PeerStore.ts
+++ b/src/io/peer/PeerStore.ts
@@ -1,50 +1,41 @@
-import { createTRPCClient, httpLink, TRPCClientError, type TRPCClient } from '@trpc/client'
-import { Agent, fetch } from 'undici'
+import { TRPCClientError } from '@trpc/client'
 import type { Peer } from '../../core/peer/index.js'
 import {
   RowStore, StoreError, StoreFailure, type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction
 } from '../../core/platform/index.js'
-import type { PeerRouter } from './PeerRouter.js'
+import { PeerClient } from './PeerClient.js'
 import { decodeCommit, decodeFeed, decodeSnapshot, encodeTransaction } from './rowCodec.js'
 
-/** Milliseconds in which a connection to a peer must open. */
-const CONNECT_TIMEOUT_MS = 300
-
 /** Milliseconds beyond the store's time that a peer's answer may take. */
 const RELAY_MARGIN_MS = 150
 
 /** The store as one peer reaches it. */
 export class PeerStore extends RowStore {
-  private readonly _agent = new Agent({ connect: { timeout: CONNECT_TIMEOUT_MS }, headersTimeout: 0, bodyTimeout: 0 })
-  private readonly _client: TRPCClient<PeerRouter>
+  private readonly _client: PeerClient
 
   constructor (peer: Peer) {
     super()
-    this._client = createTRPCClient<PeerRouter>({
-      links: [httpLink({
-        url: `http://${peer.address}`,
-        fetch: async (input, init) => await this._fetch(input as string, init as Parameters<typeof fetch>[1])
-      })]
-    })
+    this._client = new PeerClient(peer)
   }
 
   async commit (transaction: RowTransaction, options: CallOptions): Promise<RowCommit> {
     const input = { ...encodeTransaction(transaction), ...options }
-    return decodeCommit(await this._call(options, async signal => await this._client.commit.mutate(input, { signal })))
+    return decodeCommit(await this._call(options, async signal => await this._client.procedures.commit.mutate(input, { signal })))
   }
 
   async read (range: RowRange, options: CallOptions): Promise<RowSnapshot> {
-    return decodeSnapshot(await this._call(options, async signal => await this._client.read.mutate({ ...range, ...options }, { signal })))
+    const input = { ...range, ...options }
+    return decodeSnapshot(await this._call(options, async signal => await this._client.procedures.read.mutate(input, { signal })))
   }
 
   async watch (table: string, after: number, waitMs: number, options: CallOptions): Promise<RowFeed> {
     const input = { table, after, waitMs, ...options }
-    return decodeFeed(await this._call(options, async signal => await this._client.watch.mutate(input, { signal })))
+    return decodeFeed(await this._call(options, async signal => await this._client.procedures.watch.mutate(input, { signal })))
   }
 
   /** Closes the connections. */
   async close (): Promise<void> {
-    await this._agent.destroy()
+    await this._client.close()
   }
 
   private async _call<T> (options: CallOptions, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
@@ -56,11 +47,6 @@
       throw new StoreError(isRefused ? StoreFailure.Refused : StoreFailure.NoAnswer, `by a peer: ${err instanceof Error ? err.message : String(err)}`)
     }
   }
-
-  private async _fetch (url: string, init: Parameters<typeof fetch>[1]): Promise<Response> {
-    // The types of undici and of the built-in fetch differ in name only.
-    return await fetch(url, { ...init, dispatcher: this._agent }) as unknown as Response
-  }
 }
 
 /** Tells whether the peer accepted no connection, so that nothing was sent. */
--- a/src/io/peer/index.ts
+++ b/src/io/peer/index.ts
@@ -1,5 +1,7 @@
+export * from './PeerClient.js'
 export * from './PeerDirectory.js'
 export * from './PeerRouter.js'
 export * from './PeerServer.js'
 export * from './PeerStore.js'
 export * from './RelayedStore.js'
+export * from './ReserveDirectory.js'
--- /dev/null
+++ b/tests/core/reserve/ReserveLedgerTests.ts
@@ -0,0 +1,78 @@
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { getGrantableTokens, getReserveTokens } from '../../../src/core/budget/index.js'
+import { Clock } from '../../../src/core/clock/index.js'
+import { ReserveLedger, RESERVE_HORIZON_MS } from '../../../src/core/reserve/index.js'
+
+/** Seed of the random cases, so that every run plays the same ones. */
+const SEED = 20261204
+
+const LIMIT = 1_000
+
+class ManualClock extends Clock {
+  time = 0
+
+  now (): number {
+    return this.time
+  }
+}
+
+describe('ReserveLedger', () => {
+  let clock: ManualClock
+  beforeEach(() => { clock = new ManualClock() })
+
+  it('should never lend more than the reserve, whatever is settled when', () => {
+    const spentShare = fc.double({ min: 0, max: 1, noNaN: true })
+    const turn = fc.record({ tokens: fc.integer({ min: 1, max: 200 }), spentShare, isSettled: fc.boolean() })
+    fc.assert(fc.property(fc.integer({ min: 100, max: 6_000 }), fc.array(turn, { maxLength: 80 }), (limit, turns) => {
+      const ledger = open(false)
+      let handedOut = 0
+      for (const { tokens, spentShare, isSettled } of turns) {
+        const loan = ledger.lend({ program: 'p', limit, tokens })
+        if (loan.type !== 'lent') continue
+        const spent = Math.floor(tokens * spentShare)
+        handedOut += isSettled ? spent : tokens
+        if (isSettled) ledger.settle(loan.loan, spent)
+      }
+      expect(handedOut <= getReserveTokens(limit)).toEqual(true)
+      expect(getReserveTokens(limit) + getGrantableTokens(limit)).toEqual(limit)
+    }), { seed: SEED, numRuns: 200 })
+  })
+
+  it('should say that a reserve is spent for good only when no loan is open', () => {
+    const ledger = open(false)
+    const first = ledger.lend({ program: 'p', limit: LIMIT, tokens: 400 })
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 100 })).toEqual({ type: 'spent', isForGood: false })
+    if (first.type === 'lent') ledger.settle(first.loan, 390)
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 100 })).toEqual({ type: 'spent', isForGood: true })
+  })
+
+  it('should not count a settlement twice', () => {
+    const ledger = open(false)
+    const loan = ledger.lend({ program: 'p', limit: LIMIT, tokens: 400 })
+    if (loan.type !== 'lent') throw new Error('refused')
+    ledger.settle(loan.loan, 100)
+    ledger.settle(loan.loan, 0)
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 351 }).type).toEqual('spent')
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 350 }).type).toEqual('lent')
+  })
+
+  // A holder that was killed in an outage has lent tokens that nobody knows of.
+  it('should lend nothing after a restart until the programs from before have ended', () => {
+    const ledger = open(true)
+    clock.time = RESERVE_HORIZON_MS - 1
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
+    clock.time = RESERVE_HORIZON_MS
+    expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 1 }).type).toEqual('lent')
+  })
+
+  it('should lend nothing before this gateway is registered', () => {
+    expect(new ReserveLedger({ clock }).lend({ program: 'p', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
+  })
+
+  const open = (hasPredecessor: boolean): ReserveLedger => {
+    const ledger = new ReserveLedger({ clock })
+    ledger.open(hasPredecessor)
+    return ledger
+  }
+})
