Gateways give back grants that programs left with them, and are asked to before a budget counts as spent

Ruled out: a smaller reserve alone (an outage of 7 s takes most of it), grants without a margin (a write on the way of each turn). Change: an account that is not used for 0.5 s gives back what it holds; a row that is spent makes the gateway ask the holders it names to do so, then look again. What was given back without an answer is not spent before a later change of the row. A spent row is believed for 1 s.

--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -1,3 +1,6 @@
+/** Milliseconds for which a spent row is believed to be so; gateways give back what they do not need. */
+export const SPENT_BELIEF_MS = 1_000
+
 /** What one gateway may spend for a program without asking the store. */
 export class BudgetAccount {
   /** Time at which the account was last used, by the steady clock. */
@@ -9,6 +12,9 @@
   private _reserved = 0
   private _hasAsked = false
   private _left = Infinity
+  private _leftAt = -Infinity
+  /** Tokens that were given back without an answer: the row may still name them. */
+  private _unconfirmed = 0
   /** Least tokens of a turn that the program's reserve does not cover any more. */
   private _reserveSpentAt = Infinity
 
@@ -23,7 +29,7 @@
 
   /** Gets the tokens that are neither spent nor reserved. */
   getAvailable (): number {
-    return this._granted - this._spent - this._reserved
+    return this._granted - this._spent - this._reserved - this._unconfirmed
   }
 
   /** Tells whether turns are under way. */
@@ -51,14 +57,38 @@
     this._granted = tokens
   }
 
-  /** Notes what the store's row has left to grant; grants are not taken back, so it never has more. */
-  noteLeft (tokens: number): void {
-    this._left = Math.min(this._left, tokens)
+  /** Notes what the store's row has left to grant. */
+  noteLeft (tokens: number, now: number): void {
+    this._left = tokens
+    this._leftAt = now
   }
 
   /** Tells whether a turn is known to be covered neither by this account nor by the store's row. */
-  isKnownSpent (turnTokens: number): boolean {
-    return turnTokens - this.getAvailable() > this._left
+  isKnownSpent (turnTokens: number, now: number): boolean {
+    return now - this._leftAt < SPENT_BELIEF_MS && turnTokens - this.getAvailable() > this._left
+  }
+
+  /** Takes what is neither spent nor reserved out of the account, to be given back; returns the tokens. */
+  beginReturn (): number {
+    const tokens = Math.max(0, this.getAvailable())
+    this._unconfirmed += tokens
+    return tokens
+  }
+
+  /** Puts tokens back into the account that the store did not take. */
+  cancelReturn (tokens: number): void {
+    this._unconfirmed -= tokens
+  }
+
+  /** Gets the tokens that are neither spent nor reserved once a change of the row has settled what was given back. */
+  getAvailableOnceConfirmed (): number {
+    return this._granted - this._spent - this._reserved
+  }
+
+  /** Sets what the row grants after a change of the row by this gateway; an earlier one without an answer can no longer be made. */
+  confirmGranted (tokens: number): void {
+    this.setGranted(tokens)
+    this._unconfirmed = 0
   }
 
   /** Notes that the program's reserve does not cover a turn, for good. */
--- a/src/core/budget/GrantPlan.ts
+++ b/src/core/budget/GrantPlan.ts
@@ -34,6 +34,11 @@
   return { type: 'grant', tokens, next: withGrant(row, req, tokens) }
 }
 
+/** Takes tokens of a grant back that its holder does not need. */
+export function planReturn (row: BudgetRow, holder: string, tokens: number): BudgetRow {
+  return { ...row, granted: { ...row.granted, [holder]: Math.max(0, (row.granted[holder] ?? 0) - tokens) } }
+}
+
 function withGrant (row: BudgetRow, req: GrantRequest, tokens: number): BudgetRow {
   const granted = { ...row.granted, [req.holder]: (row.granted[req.holder] ?? 0) + tokens }
   return { granted, target: req.target }
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
 import {
-  BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, type BudgetRow
+  BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, planReturn, type BudgetRow
 } from '../../core/budget/index.js'
 import { PartHealth, StoreError, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import type { LoanRequest } from '../../core/reserve/index.js'
@@ -12,6 +12,18 @@
 /** Milliseconds after its last use for which an account is kept; longer than the store keeps turns. */
 const ACCOUNT_TTL_MS = 120_000
 
+/** Milliseconds after its last use at which an account gives back what it holds; a program that comes again mostly does so before. */
+export const RETURN_AFTER_MS = 500
+
+/** Milliseconds between two looks for accounts that give back. */
+export const RETURN_CHECK_MS = 250
+
+/** Milliseconds for giving back, over all tries. */
+const RETURN_TIMEOUT_MS = 1_000
+
+/** Tries to give back while other gateways change the row. */
+const RETURN_TRIES = 3
+
 /** Accounts above which unused ones are looked for. */
 const ACCOUNTS_BEFORE_SWEEP = 5_000
 
@@ -51,10 +63,12 @@
   readonly access: StoreAccess
   readonly clock: Clock
   readonly log: DecisionLog
-  /** Name of this run of the gateway, used by no other one. */
+  /** Name of this run of the gateway, used by no other one; begins with the gateway's id and a slash. */
   readonly holder: string
   /** Borrows from the program's reserve. */
   readonly borrow: (req: LoanRequest) => Promise<BorrowResult>
+  /** Asks gateways to give back what they do not need of a program's budget. */
+  readonly recall: (program: string, gateways: readonly string[]) => Promise<void>
   readonly onLoan: (result: BorrowResult['type']) => void
 }
 
@@ -97,6 +111,52 @@
     return this._accounts.get(program)?.warmTarget
   }
 
+  /**
+   * Gives back what programs that went on elsewhere left here.
+   *
+   * Answers programs whose turns come through many gateways, and gateways that die: only grants in use are lost with them.
+   */
+  async returnUnused (): Promise<void> {
+    const { access, clock } = this._options
+    if (access.health.isAway()) return
+    const now = clock.now()
+    const unused = [...this._accounts].filter(([, account]) => now - account.usedAt >= RETURN_AFTER_MS)
+    await Promise.all(unused.map(async ([program]) => { await this.returnUnusedOf(program) }))
+  }
+
+  /** Gives back what a program does not need here, unless it has a turn under way. */
+  async returnUnusedOf (program: string): Promise<void> {
+    const account = this._accounts.get(program)
+    if (account === undefined || account.isInUse() || this._granting.has(program) || account.getAvailable() <= 0) return
+    await this._return(program, account)
+  }
+
+  private async _return (program: string, account: BudgetAccount): Promise<void> {
+    const { access, clock, holder, log } = this._options
+    const key = getBudgetKey(program)
+    const deadline = clock.now() + RETURN_TIMEOUT_MS
+    const tokens = account.beginReturn()
+    try {
+      for (let tries = 0; tries < RETURN_TRIES; tries++) {
+        const row = await this._readRow(key, deadline)
+        if (row === undefined) break
+        const next = planReturn(decodeBudgetRow(row), holder, tokens)
+        const result = await access.commitOnce({
+          conditions: [{ ...key, version: row.version }], puts: [{ ...key, value: encodeBudgetRow(next) }]
+        }, deadline)
+        if (result.type === 'conflict') continue
+        account.confirmGranted(next.granted[holder] ?? 0)
+        log.info('budget-returned', { program, tokens, version: result.version })
+        return
+      }
+      account.cancelReturn(tokens)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      // Without an answer the change may still be made, so the tokens are not spent before a later change of the row.
+      log.warn('budget-not-returned', { program, tokens, cause: err.message })
+    }
+  }
+
   private _settle (account: BudgetAccount, reserved: number, spent: number): void {
     account.settle(reserved, spent)
     account.usedAt = this._options.clock.now()
@@ -106,7 +166,7 @@
   private async _reserveFromGrants (account: BudgetAccount, req: ReservationRequest, skipsFailedPart: boolean): Promise<Grant> {
     for (;;) {
       if (account.tryReserve(req.tokens)) return Grant.Granted
-      if (account.isKnownSpent(req.tokens)) return Grant.Spent
+      if (account.isKnownSpent(req.tokens, this._options.clock.now())) return Grant.Spent
       let granting = this._granting.get(req.program)
       if (granting === undefined) {
         if (skipsFailedPart && this._parts.hasFailed(getBudgetKey(req.program).part, this._options.clock.now())) return Grant.Unreadable
@@ -133,15 +193,21 @@
   private async _grant (account: BudgetAccount, req: ReservationRequest): Promise<Grant> {
     const { clock, access } = this._options
     const key = getBudgetKey(req.program)
-    const deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
+    let deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
     try {
       // A program that this gateway has not met is most often new: the first try requires that it has no row.
       let row = account.getGranted() === 0 && !account.hasAsked() ? undefined : await this._readRow(key, deadline)
-      for (;;) {
+      for (let hasRecalled = false; ;) {
         const result = await this._tryGrant(account, req, key, row, deadline)
         this._parts.noteAnswer(key.part)
-        if (result.type === 'done') return result.grant
-        row = result.row
+        if (result.type === 'changed') row = result.row
+        else if (result.grant !== Grant.Spent || row === undefined || hasRecalled) return result.grant
+        else {
+          await this._options.recall(req.program, getGateways(row))
+          hasRecalled = true
+          deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
+          row = await this._readRow(key, deadline)
+        }
       }
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
@@ -158,12 +224,12 @@
     const budget: BudgetRow = row === undefined ? { granted: {} } : decodeBudgetRow(row)
     account.setGranted(budget.granted[holder] ?? 0)
     account.warmTarget = budget.target ?? account.warmTarget
-    const missing = req.tokens - account.getAvailable()
-    if (missing <= 0) return { type: 'done', grant: Grant.Granted }
+    if (account.getAvailable() >= req.tokens) return { type: 'done', grant: Grant.Granted }
+    const missing = Math.max(0, req.tokens - account.getAvailableOnceConfirmed())
     const limit = getGrantableTokens(req.limit)
     const plan = planGrant(budget, { holder, limit, missing, target: req.chooseTarget(account.warmTarget) })
     if (plan.type === 'spent') {
-      account.noteLeft(limit - plan.granted)
+      account.noteLeft(limit - plan.granted, this._options.clock.now())
       log.info('budget-spent', { req: req.req, program: req.program, limit: req.limit, grantable: limit, granted: plan.granted, version: row?.version ?? 0 })
       return { type: 'done', grant: Grant.Spent }
     }
@@ -171,7 +237,7 @@
     const conditions = [{ ...key, version: row?.version ?? 0 }]
     const result = await access.commitOnce({ conditions, puts: [{ ...key, value: encodeBudgetRow(plan.next) }] }, deadline)
     if (result.type === 'conflict') return { type: 'changed', row: result.rows.find(found => found.key === key.key) }
-    account.setGranted(plan.next.granted[holder] ?? 0)
+    account.confirmGranted(plan.next.granted[holder] ?? 0)
     account.warmTarget = plan.next.target
     return { type: 'done', grant: Grant.Granted }
   }
@@ -197,3 +263,9 @@
     }
   }
 }
+
+/** Gets the ids of the gateways that hold grants of a budget. */
+function getGateways (row: StoredRow): string[] {
+  const holders = Object.entries(decodeBudgetRow(row).granted).filter(([, tokens]) => tokens > 0)
+  return [...new Set(holders.map(([holder]) => holder.slice(0, holder.lastIndexOf('/'))))]
+}
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -9,9 +9,9 @@
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
-import { PeerDirectory, PeerServer, RelayedStore, ReserveDirectory } from '../peer/index.js'
+import { BudgetPeers, PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
-import { BudgetStore } from './BudgetStore.js'
+import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
 import { Placer } from './Placer.js'
@@ -72,6 +72,7 @@
   private readonly _server: GatewayServer
   private readonly _status: StatusServer
   private readonly _turns: TurnStore
+  private readonly _budgets: BudgetStore
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _configWatch: TableWatch
@@ -89,8 +90,9 @@
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
     const own = { id, address: listen.peers, failureDomain }
     const ledger = new ReserveLedger({ clock })
-    const reserves = new ReserveDirectory({ store, clock, log, ownId: id, own: ledger })
-    this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut(), reserves: ledger })
+    const budgetPeers = new BudgetPeers({ store, clock, log, ownId: id, own: ledger })
+    const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
+    this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut(), reserves: ledger, returnUnused })
     this._directory = new PeerDirectory({
       store,
       clock,
@@ -101,7 +103,7 @@
         ledger.open(hasPredecessor)
         log.info('registered', { hasPredecessor })
       },
-      onPeers: async (peers, isSettled) => { await reserves.setPeers(peers, isSettled) }
+      onPeers: async (peers, isSettled) => { await budgetPeers.setPeers(peers, isSettled) }
     })
     const access = new StoreAccess({
       store,
@@ -115,17 +117,19 @@
     const suspects = new SuspectStore({ access, clock, log })
     const attempts = { clock, log, metrics, placer, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD) })
+    this._budgets = new BudgetStore({
+      access,
+      clock,
+      log,
+      holder: incarnation,
+      borrow: async req => await budgetPeers.borrow(req),
+      recall: async (program, gateways) => { await budgetPeers.recall(program, gateways) },
+      onLoan: result => { metrics.loans.inc({ result }) }
+    })
     const streams = new StreamForwarder({
       attempts,
       turns: this._turns,
-      budgets: new BudgetStore({
-        access,
-        clock,
-        log,
-        holder: incarnation,
-        borrow: async req => await reserves.borrow(req),
-        onLoan: result => { metrics.loans.inc({ result }) }
-      }),
+      budgets: this._budgets,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
@@ -168,6 +172,7 @@
     void this._suspectWatch.run()
     void this._directory.run()
     void periodic(EXPIRY_CHECK_MS).observe(() => { void this._turns.removeExpired() })
+    void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
     await this._status.listenForReadiness(...toHostPort(listen.readiness))
     await this._status.listenForMetrics(...toHostPort(listen.metrics))
     await this._peers.listen(...toHostPort(listen.peers))
--- a/src/io/peer/ReserveDirectory.ts
+++ b/src/io/peer/BudgetPeers.ts
@@ -11,14 +11,14 @@
 /** Milliseconds for one call of the store. */
 const STORE_TIMEOUT_MS = 1_000
 
-/** Milliseconds for one call of a holder; a round trip between regions and a busy peer. */
-const HOLDER_TIMEOUT_MS = 400
+/** Milliseconds for one call of a peer; a round trip between regions and a busy peer. */
+const PEER_TIMEOUT_MS = 400
 
-/** Milliseconds for which a holder that did not answer is not asked. */
-const HOLDER_PENALTY_MS = 2_000
+/** Milliseconds for which a peer that did not answer is not asked. */
+const PEER_PENALTY_MS = 2_000
 
-/** Options of {@link ReserveDirectory}. */
-export interface ReserveDirectoryOptions {
+/** Options of {@link BudgetPeers}. */
+export interface BudgetPeersOptions {
   readonly store: RowStore
   readonly clock: Clock
   readonly log: DecisionLog
@@ -27,7 +27,7 @@
   readonly own: ReserveLender
 }
 
-interface Holder {
+interface KnownPeer {
   readonly peer: Peer
   readonly client: PeerClient
   failedAt: number
@@ -39,22 +39,22 @@
   readonly settle: (spent: number) => void
 }
 
-/** Outcome of {@link ReserveDirectory.borrow}. */
+/** Outcome of {@link BudgetPeers.borrow}. */
 export type BorrowResult = { readonly type: 'lent', readonly loan: OpenLoan } | Exclude<Loan, { readonly type: 'lent' }>
 
-/** Finds the gateway that holds a program's reserve, and borrows from it. */
-export class ReserveDirectory {
-  private readonly _options: ReserveDirectoryOptions
+/** Asks other gateways for tokens: of the reserves that they hold, and of grants that they do not need. */
+export class BudgetPeers {
+  private readonly _options: BudgetPeersOptions
   private _slots: SlotHolders = new Map()
-  private readonly _holders = new Map<string, Holder>()
+  private readonly _peers = new Map<string, KnownPeer>()
 
-  constructor (options: ReserveDirectoryOptions) {
+  constructor (options: BudgetPeersOptions) {
     this._options = options
   }
 
   /** Takes the gateways that are known; claims and reads slots until each has its holder. */
   async setPeers (peers: readonly Peer[], isSettled: boolean): Promise<void> {
-    for (const peer of peers) this._setHolder(peer)
+    for (const peer of peers) this._setPeer(peer)
     if (this._slots.size === RESERVE_SLOTS) return
     await this._readSlots()
     if (!isSettled || this._slots.size === RESERVE_SLOTS) return
@@ -72,43 +72,62 @@
     const holderId = this._slots.get(getReserveSlot(req.program))
     if (holderId === undefined) return { type: 'unavailable' }
     if (holderId === ownId) return toResult(own.lend(req), (loan, spent) => { own.settle(loan, spent) })
-    const holder = this._holders.get(holderId)
-    if (holder === undefined) return { type: 'unavailable' }
+    const holder = this._peers.get(holderId)
+    if (holder === undefined || this._isPenalized(holder)) return { type: 'unavailable' }
     return await this._borrowFrom(holder, req)
   }
 
-  private async _borrowFrom (holder: Holder, req: LoanRequest): Promise<BorrowResult> {
-    const { clock, log } = this._options
-    if (clock.now() - holder.failedAt < HOLDER_PENALTY_MS) return { type: 'unavailable' }
+  /** Asks gateways to give back to the store what they do not need of a program's budget; resolves when they have answered. */
+  async recall (program: string, gateways: readonly string[]): Promise<void> {
+    await Promise.all(gateways.map(async id => {
+      const known = this._peers.get(id)
+      if (known === undefined || id === this._options.ownId || this._isPenalized(known)) return
+      try {
+        await known.client.procedures.returnUnused.mutate({ program }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+      } catch (err) {
+        this._notePeerLost(known, program, err)
+      }
+    }))
+  }
+
+  private async _borrowFrom (known: KnownPeer, req: LoanRequest): Promise<BorrowResult> {
     try {
-      const answer = await holder.client.procedures.lend.mutate(req, { signal: AbortSignal.timeout(HOLDER_TIMEOUT_MS) })
-      return toResult(answer, (loan, spent) => { void this._settle(holder, loan, spent) })
+      const answer = await known.client.procedures.lend.mutate(req, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+      return toResult(answer, (loan, spent) => { void this._settle(known, loan, spent) })
     } catch (err) {
-      holder.failedAt = clock.now()
-      log.warn('reserve-holder-lost', { holder: holder.peer.id, program: req.program, cause: String(err) })
+      this._notePeerLost(known, req.program, err)
       return { type: 'unavailable' }
     }
   }
 
-  private async _settle (holder: Holder, loan: string, spent: number): Promise<void> {
+  private async _settle (known: KnownPeer, loan: string, spent: number): Promise<void> {
     try {
-      await holder.client.procedures.settle.mutate({ loan, spent }, { signal: AbortSignal.timeout(HOLDER_TIMEOUT_MS) })
+      await known.client.procedures.settle.mutate({ loan, spent }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
     } catch (err) {
       // The holder counts the loan in full.
-      this._options.log.warn('loan-not-settled', { holder: holder.peer.id, loan, cause: String(err) })
+      this._options.log.warn('loan-not-settled', { holder: known.peer.id, loan, cause: String(err) })
     }
   }
 
+  private _isPenalized (known: KnownPeer): boolean {
+    return this._options.clock.now() - known.failedAt < PEER_PENALTY_MS
+  }
+
+  private _notePeerLost (known: KnownPeer, program: string, err: unknown): void {
+    known.failedAt = this._options.clock.now()
+    this._options.log.warn('budget-peer-lost', { peer: known.peer.id, program, cause: String(err) })
+  }
+
   private async _readSlots (): Promise<void> {
     const { rows } = await this._options.store.read({ table: RESERVE_TABLE, part: '' }, { timeoutMs: STORE_TIMEOUT_MS })
     this._slots = decodeHolders(rows)
   }
 
-  private _setHolder (peer: Peer): void {
-    const known = this._holders.get(peer.id)
+  private _setPeer (peer: Peer): void {
+    const known = this._peers.get(peer.id)
     if (known?.peer.address === peer.address) return
     void known?.client.close()
-    this._holders.set(peer.id, { peer, client: new PeerClient(peer), failedAt: -Infinity })
+    this._peers.set(peer.id, { peer, client: new PeerClient(peer), failedAt: -Infinity })
   }
 }
 
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -22,6 +22,8 @@
 
 const LOAN = z.object({ program: z.string(), limit: z.number(), tokens: z.number().positive() })
 
+const PROGRAM = z.object({ program: z.string() })
+
 const SETTLEMENT = z.object({ loan: z.string(), spent: z.number().nonnegative() })
 
 /** Options of {@link createPeerRouter}. */
@@ -32,6 +34,8 @@
   readonly isCut: () => boolean
   /** The reserves that this gateway holds. */
   readonly reserves: ReserveLender
+  /** Gives back to the store what this gateway does not need of a program's budget. */
+  readonly returnUnused: (program: string) => Promise<void>
 }
 
 /** Creates the router by which gateways lend each other their way to the store, and tokens of the reserves that they hold. */
@@ -56,6 +60,7 @@
     }),
     lend: t.procedure.input(LOAN).mutation(({ input }) => options.reserves.lend(input)),
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
+    returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
     })
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -1,7 +1,8 @@
 import { expect } from 'earl'
 import { decodeBudgetRow, getBudgetKey, getGrantableTokens, getTotalGranted } from '../../../src/core/budget/index.js'
+import { Clock } from '../../../src/core/clock/index.js'
 import { ReserveLedger, type LoanRequest } from '../../../src/core/reserve/index.js'
-import { BudgetStore, StoreAccess, type Reservation } from '../../../src/io/gateway/index.js'
+import { BudgetStore, RETURN_AFTER_MS, StoreAccess, type Reservation } from '../../../src/io/gateway/index.js'
 import type { BorrowResult } from '../../../src/io/peer/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
@@ -86,6 +87,55 @@
     }
   })
 
+  // The load of lines that come in through other gateways, and of gateways that die: tokens left behind are not lost.
+  it('should give back what a program left at a gateway, and serve it at every gateway it comes to', async () => {
+    for (let at = 0; at < 10; at++) {
+      const manual = new ShiftedClock()
+      const gateway = createStore(rows, `gateway ${at}`, noReserve, manual)
+      const reservation = await ask(gateway, 300, manual)
+      expect(reservation.type).toEqual('granted')
+      if (reservation.type === 'granted') reservation.settle(30)
+      await gateway.returnUnused()
+      expect(getTotalGranted(decodeBudgetRow(rows.getRow(getBudgetKey('program'))!)) > 30 * (at + 1)).toEqual(true)
+      manual.shiftMs += RETURN_AFTER_MS
+      await gateway.returnUnused()
+      expect(getTotalGranted(decodeBudgetRow(rows.getRow(getBudgetKey('program'))!))).toEqual(30 * (at + 1))
+    }
+  })
+
+  it('should call back what other gateways do not need before it says that a budget is spent', async () => {
+    const gateways = new Map<string, BudgetStore>()
+    const recall: Recall = async (program, ids) => { for (const id of ids) await gateways.get(id)?.returnUnusedOf(program) }
+    for (const id of ['a', 'b', 'c', 'd', 'e']) gateways.set(id, createStore(rows, `${id}/1`, noReserve, clock, recall))
+    for (const gateway of gateways.values()) {
+      const reservation = await ask(gateway)
+      expect(reservation.type).toEqual('granted')
+      if (reservation.type === 'granted') reservation.settle(30)
+    }
+  })
+
+  it('should never hand out more than the row grants, with lost answers and returns that come late', async () => {
+    const manual = new ShiftedClock()
+    const gateways = ['a', 'b', 'c'].map(holder => createStore(rows, holder, noReserve, manual))
+    let handedOut = 0
+    for (let turn = 0; turn < 60; turn++) {
+      const reservation = await ask(gateways[turn % 3]!, 300, manual)
+      const spent = turn % 7 * 5
+      if (reservation.type === 'granted') {
+        handedOut += spent
+        reservation.settle(spent)
+      }
+      if (turn % 4 === 1) {
+        manual.shiftMs += RETURN_AFTER_MS
+        if (turn % 8 === 1) rows.failure = 'answer-lost'
+        await Promise.all(gateways.map(async gateway => { await gateway.returnUnused() }))
+        rows.failure = undefined
+      }
+    }
+    expect(handedOut <= getGrantableTokens(LIMIT)).toEqual(true)
+    expect(handedOut > getGrantableTokens(LIMIT) - TURN - 3 * 30).toEqual(true)
+  })
+
   it('should borrow at once while the part of the budget is silent', async () => {
     const gateway = createStore(rows, 'a', createReserve())
     rows.failedParts.set(getBudgetKey('program').part, 'silent')
@@ -106,8 +156,19 @@
 
 const clock = new SteadyClock()
 
+/** The steady clock, ahead by a time that tests choose. */
+class ShiftedClock extends Clock {
+  shiftMs = 0
+
+  now (): number {
+    return clock.now() + this.shiftMs
+  }
+}
+
 type Borrow = (req: LoanRequest) => Promise<BorrowResult>
 
+type Recall = (program: string, gateways: readonly string[]) => Promise<void>
+
 const noReserve: Borrow = async () => ({ type: 'unavailable' })
 
 function createReserve (): Borrow {
@@ -119,18 +180,22 @@
   }
 }
 
-function createStore (rows: MemoryRowStore, holder: string, borrow: Borrow = noReserve): BudgetStore {
+const recallNothing: Recall = async () => {}
+
+function createStore (
+  rows: MemoryRowStore, holder: string, borrow: Borrow = noReserve, now: Clock = clock, recall = recallNothing
+): BudgetStore {
   const log = new DecisionLog({ process: 'test', id: holder, isSilent: true })
-  const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onAway: () => {}, onBack: () => {} })
-  return new BudgetStore({ access, clock, log, holder, borrow, onLoan: () => {} })
+  const access = new StoreAccess({ store: rows, clock: now, log, onRetry: () => {}, onAway: () => {}, onBack: () => {} })
+  return new BudgetStore({ access, clock: now, log, holder, borrow, recall, onLoan: () => {} })
 }
 
 async function reserve (store: BudgetStore, waitMs = 300): Promise<Reservation['type']> {
   return (await ask(store, waitMs)).type
 }
 
-async function ask (store: BudgetStore, waitMs = 300): Promise<Reservation> {
+async function ask (store: BudgetStore, waitMs = 300, now: Clock = clock): Promise<Reservation> {
   return await store.reserve({
-    req: 'r1', program: 'program', limit: LIMIT, tokens: TURN, chooseTarget: () => undefined, deadline: clock.now() + waitMs
+    req: 'r1', program: 'program', limit: LIMIT, tokens: TURN, chooseTarget: () => undefined, deadline: now.now() + waitMs
   })
 }
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -20,7 +20,8 @@
     own = new MemoryRowStore()
     shared = new MemoryRowStore()
     isPeerCut = false
-    server = new PeerServer({ direct: shared, isCut: () => isPeerCut, reserves: new ReserveLedger({ clock: new SteadyClock() }) })
+    const reserves = new ReserveLedger({ clock: new SteadyClock() })
+    server = new PeerServer({ direct: shared, isCut: () => isPeerCut, reserves, returnUnused: async () => {} })
     const port = await server.listen('127.0.0.1', 0)
     store = createStore([
       // Nothing listens at the discard port; a search must get past it.
