A spent row takes over the rest of the reserve; held turns settle at their last event; unreadable turns are refused at once in an outage

Change: before a budget counts as spent, the reserve is closed by its holder and the row grants the rest; settlement at the last event; reading gives up when the store is away. A peer that does not answer is asked after pauses that double from 1 to 30 s (a machine that was replaced cost 400 ms each 2 s). Tests that failed first: BudgetStoreTests (whole budget), GatewayStateTests (two-turn budgets, held turns, unreadable at once).

--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -89,6 +89,7 @@
   confirmGranted (tokens: number): void {
     this.setGranted(tokens)
     this._unconfirmed = 0
+    this._leftAt = -Infinity
   }
 
   /** Notes that the program's reserve does not cover a turn, for good. */
--- a/src/core/budget/BudgetRow.ts
+++ b/src/core/budget/BudgetRow.ts
@@ -13,6 +13,8 @@
   readonly granted: Readonly<Record<string, number>>
   /** Lifetime of the target that ran the program's turns when the row was written; it probably has their prompts cached. */
   readonly target?: string | undefined
+  /** Tokens that were spent of the program's reserve; set when the reserve was closed and the row grants the rest of it. */
+  readonly reserveSpent?: number | undefined
 }
 
 /** Gets the key of a program's budget. */
--- a/src/core/budget/BudgetSplit.ts
+++ b/src/core/budget/BudgetSplit.ts
@@ -1,3 +1,5 @@
+import type { BudgetRow } from './BudgetRow.js'
+
 /** Share of a budget that the store's row never grants; both halves of the smallest budgets still cover a turn. */
 export const RESERVE_SHARE = 0.45
 
@@ -6,7 +8,7 @@
   return Math.floor(limit * RESERVE_SHARE)
 }
 
-/** Gets the tokens of a budget that the store's row grants. */
-export function getGrantableTokens (limit: number): number {
-  return limit - getReserveTokens(limit)
+/** Gets the tokens of a budget that the store's row grants: all but the reserve, or but what was spent of it once it is closed. */
+export function getGrantableTokens (limit: number, row: Pick<BudgetRow, 'reserveSpent'> = {}): number {
+  return limit - (row.reserveSpent ?? getReserveTokens(limit))
 }
--- a/src/core/budget/GrantPlan.ts
+++ b/src/core/budget/GrantPlan.ts
@@ -6,7 +6,7 @@
 /** What a holder asks of a budget. */
 export interface GrantRequest {
   readonly holder: string
-  /** Tokens that all turns of the program may generate. */
+  /** Tokens that the row may grant. */
   readonly limit: number
   /** Tokens that the next turn needs beyond what the holder has. */
   readonly missing: number
@@ -34,6 +34,11 @@
   return { type: 'grant', tokens, next: withGrant(row, req, tokens) }
 }
 
+/** Lets the row grant what is left of a reserve that lends nothing any more. */
+export function planReserveClosing (row: BudgetRow, spent: number): BudgetRow {
+  return { ...row, reserveSpent: row.reserveSpent ?? spent }
+}
+
 /** Takes tokens of a grant back that its holder does not need. */
 export function planReturn (row: BudgetRow, holder: string, tokens: number): BudgetRow {
   return { ...row, granted: { ...row.granted, [holder]: Math.max(0, (row.granted[holder] ?? 0) - tokens) } }
@@ -41,5 +46,5 @@
 
 function withGrant (row: BudgetRow, req: GrantRequest, tokens: number): BudgetRow {
   const granted = { ...row.granted, [req.holder]: (row.granted[req.holder] ?? 0) + tokens }
-  return { granted, target: req.target }
+  return { ...row, granted, target: req.target }
 }
--- a/src/core/reserve/ReserveLedger.ts
+++ b/src/core/reserve/ReserveLedger.ts
@@ -1,6 +1,6 @@
 import { getReserveTokens } from '../budget/index.js'
 import type { Clock } from '../clock/index.js'
-import { ReserveLender, type Loan, type LoanRequest } from './ReserveLender.js'
+import { ReserveLender, type Closing, type Loan, type LoanRequest } from './ReserveLender.js'
 
 /**
  * Milliseconds after its latest turn for which a program may come again: turns are kept for 60 s, and a program pauses for a few.
@@ -16,6 +16,7 @@
   spent: number
   /** Tokens of loans that are not settled. */
   lent: number
+  isClosed: boolean
   usedAt: number
 }
 
@@ -57,6 +58,7 @@
     if (now < this._lendsFrom) return { type: 'unavailable' }
     const account = this._getAccount(req.program, now)
     account.usedAt = now
+    if (account.isClosed) return { type: 'spent', isForGood: true }
     if (account.spent + account.lent + req.tokens > getReserveTokens(req.limit)) return { type: 'spent', isForGood: account.lent === 0 }
     account.lent += req.tokens
     const loan = `${req.program}/${this._count++}`
@@ -73,11 +75,20 @@
     open.account.usedAt = this._options.clock.now()
   }
 
+  close (program: string): Closing {
+    const now = this._options.clock.now()
+    if (now < this._lendsFrom) return { type: 'unavailable' }
+    const account = this._getAccount(program, now)
+    account.isClosed = true
+    account.usedAt = now
+    return { type: 'closed', spent: account.spent + account.lent }
+  }
+
   private _getAccount (program: string, now: number): Account {
     if (this._accounts.size > ACCOUNTS_BEFORE_SWEEP) this._sweep(now)
     const known = this._accounts.get(program)
     if (known !== undefined) return known
-    const account = { spent: 0, lent: 0, usedAt: now }
+    const account = { spent: 0, lent: 0, isClosed: false, usedAt: now }
     this._accounts.set(program, account)
     return account
   }
--- a/src/core/reserve/ReserveLender.ts
+++ b/src/core/reserve/ReserveLender.ts
@@ -14,10 +14,15 @@
   | { readonly type: 'spent', readonly isForGood: boolean }
   | { readonly type: 'unavailable' }
 
+/** What was spent of a reserve that lends nothing any more. */
+export type Closing = { readonly type: 'closed', readonly spent: number } | { readonly type: 'unavailable' }
+
 /** Lends tokens of programs' reserves. */
 export abstract class ReserveLender {
   /** Lends the most that a turn may spend. */
   abstract lend (req: LoanRequest): Loan
   /** Ends a loan with what the turn did spend. */
   abstract settle (loan: string, spent: number): void
+  /** Lends nothing of a program's reserve any more, so that the store's row may grant the rest; open loans count in full. */
+  abstract close (program: string): Closing
 }
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -1,11 +1,11 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
 import {
-  BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, planReturn, type BudgetRow
+  BudgetAccount, decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, planReserveClosing, planReturn,
+  type BudgetRow
 } from '../../core/budget/index.js'
 import { PartHealth, StoreError, type RowKey, type StoredRow } from '../../core/platform/index.js'
-import type { LoanRequest } from '../../core/reserve/index.js'
-import type { BorrowResult, OpenLoan } from '../peer/index.js'
+import type { BorrowResult, BudgetPeers, OpenLoan } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { StoreAccess } from './StoreAccess.js'
 
@@ -24,6 +24,9 @@
 /** Tries to give back while other gateways change the row. */
 const RETURN_TRIES = 3
 
+/** Tries to note a closed reserve while other gateways change the row. */
+const COLLECT_TRIES = 3
+
 /** Accounts above which unused ones are looked for. */
 const ACCOUNTS_BEFORE_SWEEP = 5_000
 
@@ -65,17 +68,16 @@
   readonly log: DecisionLog
   /** Name of this run of the gateway, used by no other one; begins with the gateway's id and a slash. */
   readonly holder: string
-  /** Borrows from the program's reserve. */
-  readonly borrow: (req: LoanRequest) => Promise<BorrowResult>
-  /** Asks gateways to give back what they do not need of a program's budget. */
-  readonly recall: (program: string, gateways: readonly string[]) => Promise<void>
+  /** Other gateways, which hold reserves and grants. */
+  readonly peers: Pick<BudgetPeers, 'borrow' | 'closeReserve' | 'recall'>
   readonly onLoan: (result: BorrowResult['type']) => void
 }
 
 /**
- * Spends the budgets of programs: from grants of the store, and from the program's reserve when the store's row is spent or out of reach.
+ * Spends the budgets of programs: from grants of the store, or from the program's reserve while the store's row is out of reach.
  *
- * What the row grants and what the reserve lends never exceed the budget together.
+ * What the row grants and what the reserve lends never exceed the budget together. Before a budget counts as spent, other gateways are
+ * asked to give back what they do not need, and the reserve is closed, so that the row grants the rest of it.
  */
 export class BudgetStore {
   private readonly _options: BudgetStoreOptions
@@ -95,9 +97,9 @@
     for (let skipsFailedPart = true; ; skipsFailedPart = false) {
       const grant = await this._reserveFromGrants(account, req, skipsFailedPart)
       if (grant === Grant.Granted) return { type: 'granted', settle: spent => { this._settle(account, req.tokens, spent) } }
+      if (grant === Grant.Spent) return { type: 'spent' }
       const loan = await this._borrow(account, req)
       if (loan !== undefined) return { type: 'granted', settle: loan.settle }
-      if (grant === Grant.Spent) return { type: 'spent' }
       if (access.health.isAway() || clock.now() + GRANT_PAUSE_MS >= req.deadline) {
         log.warn('budget-unreadable', { req: req.req, program: req.program, isStoreAway: access.health.isAway() })
         return { type: 'unreadable' }
@@ -180,9 +182,9 @@
 
   /** Borrows from the program's reserve. */
   private async _borrow (account: BudgetAccount, req: ReservationRequest): Promise<OpenLoan | undefined> {
-    const { borrow, log, onLoan } = this._options
+    const { peers, log, onLoan } = this._options
     if (account.isReserveKnownSpent(req.tokens)) return undefined
-    const result = await borrow({ program: req.program, limit: req.limit, tokens: req.tokens })
+    const result = await peers.borrow({ program: req.program, limit: req.limit, tokens: req.tokens })
     onLoan(result.type)
     log.info('reserve-asked', { req: req.req, program: req.program, tokens: req.tokens, result: result.type })
     if (result.type === 'lent') return result.loan
@@ -197,14 +199,14 @@
     try {
       // A program that this gateway has not met is most often new: the first try requires that it has no row.
       let row = account.getGranted() === 0 && !account.hasAsked() ? undefined : await this._readRow(key, deadline)
-      for (let hasRecalled = false; ;) {
+      for (let hasCollected = false; ;) {
         const result = await this._tryGrant(account, req, key, row, deadline)
         this._parts.noteAnswer(key.part)
         if (result.type === 'changed') row = result.row
-        else if (result.grant !== Grant.Spent || row === undefined || hasRecalled) return result.grant
+        else if (result.grant !== Grant.Spent || row === undefined || hasCollected) return result.grant
         else {
-          await this._options.recall(req.program, getGateways(row))
-          hasRecalled = true
+          await this._collect(req, row)
+          hasCollected = true
           deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
           row = await this._readRow(key, deadline)
         }
@@ -217,6 +219,29 @@
     }
   }
 
+  /** Collects tokens for a row that is spent: what other gateways do not need, then the rest of the reserve. */
+  private async _collect (req: ReservationRequest, row: StoredRow): Promise<void> {
+    const { peers, clock, access, log } = this._options
+    await peers.recall(req.program, getGateways(row))
+    const closing = await peers.closeReserve(req.program)
+    const reserveSpent = closing.type === 'closed' ? closing.spent : undefined
+    log.info('budget-collected', { req: req.req, program: req.program, version: row.version, reserveSpent })
+    if (reserveSpent === undefined) return
+    const key = getBudgetKey(req.program)
+    const deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
+    for (let tries = 0; tries < COLLECT_TRIES; tries++) {
+      const current = await this._readRow(key, deadline)
+      if (current === undefined) return
+      const budget = decodeBudgetRow(current)
+      if (budget.reserveSpent !== undefined) return
+      const result = await access.commitOnce({
+        conditions: [{ ...key, version: current.version }],
+        puts: [{ ...key, value: encodeBudgetRow(planReserveClosing(budget, reserveSpent)) }]
+      }, deadline)
+      if (result.type === 'committed') return
+    }
+  }
+
   private async _tryGrant (
     account: BudgetAccount, req: ReservationRequest, key: RowKey, row: StoredRow | undefined, deadline: number
   ): Promise<{ type: 'done', grant: Grant } | { type: 'changed', row: StoredRow | undefined }> {
@@ -226,11 +251,12 @@
     account.warmTarget = budget.target ?? account.warmTarget
     if (account.getAvailable() >= req.tokens) return { type: 'done', grant: Grant.Granted }
     const missing = Math.max(0, req.tokens - account.getAvailableOnceConfirmed())
-    const limit = getGrantableTokens(req.limit)
+    const limit = getGrantableTokens(req.limit, budget)
     const plan = planGrant(budget, { holder, limit, missing, target: req.chooseTarget(account.warmTarget) })
     if (plan.type === 'spent') {
       account.noteLeft(limit - plan.granted, this._options.clock.now())
-      log.info('budget-spent', { req: req.req, program: req.program, limit: req.limit, grantable: limit, granted: plan.granted, version: row?.version ?? 0 })
+      const { req: id, program } = req
+      log.info('budget-spent', { req: id, program, limit: req.limit, grantable: limit, granted: plan.granted, version: row?.version ?? 0 })
       return { type: 'done', grant: Grant.Spent }
     }
     account.noteAsked()
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -122,8 +122,7 @@
       clock,
       log,
       holder: incarnation,
-      borrow: async req => await budgetPeers.borrow(req),
-      recall: async (program, gateways) => { await budgetPeers.recall(program, gateways) },
+      peers: budgetPeers,
       onLoan: result => { metrics.loans.inc({ result }) }
     })
     const streams = new StreamForwarder({
--- a/src/io/gateway/PartFallback.ts
+++ b/src/io/gateway/PartFallback.ts
@@ -15,6 +15,13 @@
   readonly onRetry: (err: StoreError) => void
 }
 
+/** How long parts are called again. */
+export interface PartCallOptions {
+  readonly deadline: number
+  /** Tells whether a further round is known to fail. */
+  readonly isHopeless?: () => boolean
+}
+
 /** One call of a part; undefined when it answers that it has nothing. */
 export type PartCall<T> = (part: string) => Promise<T | undefined>
 
@@ -38,14 +45,19 @@
     this._options = options
   }
 
-  /** Gets the first result; undefined when every part has answered that it has none. Rejects when the deadline passes before that. */
-  async call<T> (parts: readonly string[], deadline: number, call: PartCall<T>): Promise<T | undefined> {
+  /**
+   * Gets the first result; undefined when every part has answered that it has none.
+   *
+   * @remarks Rejects when the deadline passes, or another round is not worth while, before that.
+   */
+  async call<T> (parts: readonly string[], options: PartCallOptions, call: PartCall<T>): Promise<T | undefined> {
+    const { deadline, isHopeless = () => false } = options
     let left = parts
     for (;;) {
       const round = await this._round(this._health.sort(left, this._options.clock.now()), call)
       if (round.found !== undefined || round.err === undefined) return round.found
       left = round.failed
-      if (this._options.clock.now() + PAUSE_MS >= deadline) throw round.err
+      if (isHopeless() || this._options.clock.now() + PAUSE_MS >= deadline) throw round.err
       await sleep(PAUSE_MS)
     }
   }
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -60,10 +60,15 @@
     const progress: StreamProgress = {
       transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
     }
+    let isSettled = false
+    const settleOnce = (): void => {
+      if (!isSettled) settle(progress.tokens)
+      isSettled = true
+    }
     try {
-      await this._relayAttempts(exchange, prompt, progress)
+      await this._relayAttempts(exchange, prompt, progress, settleOnce)
     } finally {
-      settle(progress.tokens)
+      settleOnce()
     }
   }
 
@@ -101,16 +106,23 @@
     return undefined
   }
 
-  private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress): Promise<void> {
+  private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress, onAllEvents: () => void): Promise<void> {
     const { program } = exchange.call
     const warmTarget = program === undefined ? undefined : this._options.budgets.getWarmTarget(program.id)
     const attempts = new Attempts(this._options.attempts, exchange, warmTarget)
     for (;;) {
       const attempt = await attempts.next(prompt, progress.lastEventId)
       if (attempt === undefined) return
-      const failure = await this._relay(exchange, attempt, progress)
+      const isStream = attempt.reply.head.status === 200 || exchange.hasStarted()
+      const failure = isStream ? await this._relay(exchange, attempt, progress) : await relayWhole(exchange, attempt)
       attempt.finish()
-      if (failure === undefined) return
+      if (failure === undefined && !isStream) return
+      if (failure === undefined) {
+        // No event follows, so what was not spent is free while the end waits for the store.
+        onAllEvents()
+        await this._finish(exchange, progress)
+        return
+      }
       if (!attempts.mayRetryBroken(attempt, failure)) return
       if (progress.events > 0) this._options.attempts.metrics.addRetry('stream-resumed')
     }
@@ -119,7 +131,6 @@
   /** Relays one target's events; returns why it could not be finished, or undefined. */
   private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<AnswerFailure | undefined> {
     const { head, body } = attempt.reply
-    if (head.status !== 200 && !exchange.hasStarted()) return await relayWhole(exchange, attempt)
     const failure = head.status === 200 ? getHeadFailure(attempt) : `status ${head.status} when the stream was to go on`
     if (failure !== undefined) {
       attempt.reply.discard()
@@ -144,7 +155,6 @@
       return { cause: err instanceof Error ? err.message : String(err), isBrokenOff: true }
     }
     if (splitter.getRest().length > 0 || progress.events === 0) return { cause: 'the stream ended within an event', isBrokenOff: true }
-    await this._finish(exchange, progress)
     return undefined
   }
 
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -44,7 +44,9 @@
     if (cached !== undefined) return Right(cached)
     const { access } = this._options
     try {
-      const transcript = await this._parts.call(getTurnParts(id), deadline, async part => {
+      // A caller that is told at once may come back when the store does.
+      const options = { deadline, isHopeless: () => access.health.isAway() }
+      const transcript = await this._parts.call(getTurnParts(id), options, async part => {
         return fromTurnRows((await access.readOnce(getTurnRange(id, part), deadline)).rows)
       })
       if (transcript === undefined) return Left('turn-unknown')
@@ -62,7 +64,7 @@
     const { access, clock, rowBytes } = this._options
     const tried = new Set<string>()
     try {
-      await this._parts.call(getTurnParts(id), deadline, async part => {
+      await this._parts.call(getTurnParts(id), { deadline }, async part => {
         const puts = toTurnRows(id, part, transcript, { rowBytes })
         // A write without an answer may be done all the same, so its rows expire in any case.
         if (!tried.has(part)) this._expiry.add(puts.map(({ table, key }) => ({ table, part, key })), retentionMs, clock.now())
--- a/src/io/peer/BudgetPeers.ts
+++ b/src/io/peer/BudgetPeers.ts
@@ -3,7 +3,7 @@
 import type { RowStore } from '../../core/platform/index.js'
 import {
   decodeHolders, getReserveSlot, planClaims, RESERVE_SLOTS, RESERVE_TABLE,
-  type Loan, type LoanRequest, type ReserveLender, type SlotHolders
+  type Closing, type Loan, type LoanRequest, type ReserveLender, type SlotHolders
 } from '../../core/reserve/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { PeerClient } from './PeerClient.js'
@@ -14,8 +14,11 @@
 /** Milliseconds for one call of a peer; a round trip between regions and a busy peer. */
 const PEER_TIMEOUT_MS = 400
 
-/** Milliseconds for which a peer that did not answer is not asked. */
-const PEER_PENALTY_MS = 2_000
+/** Milliseconds for which a peer that did not answer is not asked; they double with each further failure. */
+const PEER_PENALTY_MS = 1_000
+
+/** Longest time for which it is not asked, in milliseconds; a machine may be gone for good. */
+const PEER_PENALTY_CAP_MS = 30_000
 
 /** Options of {@link BudgetPeers}. */
 export interface BudgetPeersOptions {
@@ -30,7 +33,8 @@
 interface KnownPeer {
   readonly peer: Peer
   readonly client: PeerClient
-  failedAt: number
+  penaltyMs: number
+  penalizedUntil: number
 }
 
 /** A loan with the way to settle it. */
@@ -77,6 +81,21 @@
     return await this._borrowFrom(holder, req)
   }
 
+  /** Makes the holder of a program's reserve lend nothing any more. */
+  async closeReserve (program: string): Promise<Closing> {
+    const { ownId, own } = this._options
+    const holderId = this._slots.get(getReserveSlot(program))
+    if (holderId === ownId) return own.close(program)
+    const holder = this._peers.get(holderId ?? '')
+    if (holder === undefined || this._isPenalized(holder)) return { type: 'unavailable' }
+    try {
+      return await holder.client.procedures.closeReserve.mutate({ program }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+    } catch (err) {
+      this._notePeerLost(holder, program, err)
+      return { type: 'unavailable' }
+    }
+  }
+
   /** Asks gateways to give back to the store what they do not need of a program's budget; resolves when they have answered. */
   async recall (program: string, gateways: readonly string[]): Promise<void> {
     await Promise.all(gateways.map(async id => {
@@ -110,24 +129,30 @@
   }
 
   private _isPenalized (known: KnownPeer): boolean {
-    return this._options.clock.now() - known.failedAt < PEER_PENALTY_MS
+    return this._options.clock.now() < known.penalizedUntil
   }
 
   private _notePeerLost (known: KnownPeer, program: string, err: unknown): void {
-    known.failedAt = this._options.clock.now()
+    const now = this._options.clock.now()
+    // Calls that were under way together count as one failure.
+    if (now >= known.penalizedUntil) {
+      known.penalizedUntil = now + known.penaltyMs
+      known.penaltyMs = Math.min(PEER_PENALTY_CAP_MS, 2 * known.penaltyMs)
+    }
     this._options.log.warn('budget-peer-lost', { peer: known.peer.id, program, cause: String(err) })
   }
 
   private async _readSlots (): Promise<void> {
     const { rows } = await this._options.store.read({ table: RESERVE_TABLE, part: '' }, { timeoutMs: STORE_TIMEOUT_MS })
     this._slots = decodeHolders(rows)
+    this._options.log.info('reserves-known', { slots: this._slots.size })
   }
 
   private _setPeer (peer: Peer): void {
     const known = this._peers.get(peer.id)
     if (known?.peer.address === peer.address) return
     void known?.client.close()
-    this._peers.set(peer.id, { peer, client: new PeerClient(peer), failedAt: -Infinity })
+    this._peers.set(peer.id, { peer, client: new PeerClient(peer), penaltyMs: PEER_PENALTY_MS, penalizedUntil: -Infinity })
   }
 }
 
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -1,9 +1,8 @@
 import { expect } from 'earl'
 import { decodeBudgetRow, getBudgetKey, getGrantableTokens, getTotalGranted } from '../../../src/core/budget/index.js'
 import { Clock } from '../../../src/core/clock/index.js'
-import { ReserveLedger, type LoanRequest } from '../../../src/core/reserve/index.js'
-import { BudgetStore, RETURN_AFTER_MS, StoreAccess, type Reservation } from '../../../src/io/gateway/index.js'
-import type { BorrowResult } from '../../../src/io/peer/index.js'
+import { ReserveLedger } from '../../../src/core/reserve/index.js'
+import { BudgetStore, RETURN_AFTER_MS, StoreAccess, type BudgetStoreOptions, type Reservation } from '../../../src/io/gateway/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
 
@@ -63,9 +62,16 @@
   })
 
   // The load of an outage of the whole store: programs begin that no gateway was granted tokens for.
+  it('should grant the whole budget while the store answers, the reserve included', async () => {
+    const gateway = createStore(rows, 'a', createReserve())
+    let granted = 0
+    while (await reserve(gateway) === 'granted') granted += TURN
+    expect(granted).toEqual(Math.floor(LIMIT / TURN) * TURN)
+  })
+
   it('should serve programs that begin in an outage from their reserve, and never hand out more than the budget', async () => {
-    const borrow = createReserve()
-    const gateways = ['a', 'b'].map(holder => createStore(rows, holder, borrow))
+    const peers = createReserve()
+    const gateways = ['a', 'b'].map(holder => createStore(rows, holder, peers))
     rows.failure = 'refused'
     let handedOut = 0
     for (let turn = 0; turn < 12; turn++) {
@@ -91,7 +97,7 @@
   it('should give back what a program left at a gateway, and serve it at every gateway it comes to', async () => {
     for (let at = 0; at < 10; at++) {
       const manual = new ShiftedClock()
-      const gateway = createStore(rows, `gateway ${at}`, noReserve, manual)
+      const gateway = createStore(rows, `gateway ${at}`, NO_PEERS, manual)
       const reservation = await ask(gateway, 300, manual)
       expect(reservation.type).toEqual('granted')
       if (reservation.type === 'granted') reservation.settle(30)
@@ -105,8 +111,8 @@
 
   it('should call back what other gateways do not need before it says that a budget is spent', async () => {
     const gateways = new Map<string, BudgetStore>()
-    const recall: Recall = async (program, ids) => { for (const id of ids) await gateways.get(id)?.returnUnusedOf(program) }
-    for (const id of ['a', 'b', 'c', 'd', 'e']) gateways.set(id, createStore(rows, `${id}/1`, noReserve, clock, recall))
+    const recall: Peers['recall'] = async (program, ids) => { for (const id of ids) await gateways.get(id)?.returnUnusedOf(program) }
+    for (const id of ['a', 'b', 'c', 'd', 'e']) gateways.set(id, createStore(rows, `${id}/1`, { ...NO_PEERS, recall }))
     for (const gateway of gateways.values()) {
       const reservation = await ask(gateway)
       expect(reservation.type).toEqual('granted')
@@ -116,7 +122,7 @@
 
   it('should never hand out more than the row grants, with lost answers and returns that come late', async () => {
     const manual = new ShiftedClock()
-    const gateways = ['a', 'b', 'c'].map(holder => createStore(rows, holder, noReserve, manual))
+    const gateways = ['a', 'b', 'c'].map(holder => createStore(rows, holder, NO_PEERS, manual))
     let handedOut = 0
     for (let turn = 0; turn < 60; turn++) {
       const reservation = await ask(gateways[turn % 3]!, 300, manual)
@@ -165,29 +171,31 @@
   }
 }
 
-type Borrow = (req: LoanRequest) => Promise<BorrowResult>
+type Peers = BudgetStoreOptions['peers']
 
-type Recall = (program: string, gateways: readonly string[]) => Promise<void>
-
-const noReserve: Borrow = async () => ({ type: 'unavailable' })
+const NO_PEERS: Peers = {
+  borrow: async () => ({ type: 'unavailable' }),
+  closeReserve: async () => ({ type: 'unavailable' }),
+  recall: async () => {}
+}
 
-function createReserve (): Borrow {
+function createReserve (): Peers {
   const ledger = new ReserveLedger({ clock })
   ledger.open(false)
-  return async req => {
-    const loan = ledger.lend(req)
-    return loan.type === 'lent' ? { type: 'lent', loan: { settle: spent => { ledger.settle(loan.loan, spent) } } } : loan
+  return {
+    ...NO_PEERS,
+    borrow: async req => {
+      const loan = ledger.lend(req)
+      return loan.type === 'lent' ? { type: 'lent', loan: { settle: spent => { ledger.settle(loan.loan, spent) } } } : loan
+    },
+    closeReserve: async program => ledger.close(program)
   }
 }
 
-const recallNothing: Recall = async () => {}
-
-function createStore (
-  rows: MemoryRowStore, holder: string, borrow: Borrow = noReserve, now: Clock = clock, recall = recallNothing
-): BudgetStore {
+function createStore (rows: MemoryRowStore, holder: string, peers: Peers = NO_PEERS, now: Clock = clock): BudgetStore {
   const log = new DecisionLog({ process: 'test', id: holder, isSilent: true })
   const access = new StoreAccess({ store: rows, clock: now, log, onRetry: () => {}, onAway: () => {}, onBack: () => {} })
-  return new BudgetStore({ access, clock: now, log, holder, borrow, recall, onLoan: () => {} })
+  return new BudgetStore({ access, clock: now, log, holder, peers, onLoan: () => {} })
 }
 
 async function reserve (store: BudgetStore, waitMs = 300): Promise<Reservation['type']> {
--- a/tests/processes/GatewayStateTests.ts
+++ b/tests/processes/GatewayStateTests.ts
@@ -28,6 +28,11 @@
     harness.fixture.store.rows.failure = 'silent'
     expect((await harness.turn('t2', { 'x-previous-turn': 'nobody' }, 'x')).status).toEqual(503)
     expect(harness.getRuns('t2')).toEqual([])
+    await waitFor(() => harness.gateway.getEvents('store-away').length === 1)
+    const startedAt = performance.now()
+    expect((await harness.turn('t3', { 'x-previous-turn': 'nobody' }, 'x')).status).toEqual(503)
+    // Nothing is waited for that is known to be away; a third of the time that a turn may wait.
+    expect(performance.now() - startedAt < 333).toEqual(true)
   })
 
   it('should end a turn\'s answer only when the turn is in the store', async () => {
@@ -53,9 +58,26 @@
     expect(answer.isWhole).toEqual(false)
   })
 
+  it('should serve a program from its reserve while the store is away, and count only what its held turns made', async () => {
+    await waitFor(() => harness.gateway.getEvents('reserves-claimed').length > 0)
+    harness.fixture.store.rows.failure = 'refused'
+    await waitFor(() => harness.gateway.getEvents('store-away').length === 1)
+    // 45 tokens are in reserve; a turn may make 20 and makes 12, so the fourth finds 9.
+    const headers = { 'x-program-id': 'p5', 'x-token-budget': '100', 'x-token-usage': '10,20' }
+    const seen = new Map<string, string>()
+    for (const id of ['h1', 'h2', 'h3']) {
+      void harness.call({ id, path: '/turns/kept/a', body: id, headers, onData: text => { seen.set(id, `${seen.get(id) ?? ''}${text}`) } })
+      await waitFor(() => seen.get(id) === STREAM)
+    }
+    const refused = await harness.call({ id: 'h4', path: '/turns/kept/a', body: 'x', headers })
+    expect([refused.status, harness.getRuns('h4')]).toEqual([503, []])
+  })
+
   it('should refuse a turn when the budget is spent, at every gateway, and not run it', async () => {
+    await waitFor(() => harness.gateway.getEvents('reserves-claimed').length > 0)
     const other = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
     try {
+      await waitFor(() => other.getEvents('reserves-known').length > 0)
       const headers = { 'x-program-id': 'p2', 'x-token-budget': '24', 'x-token-usage': '10,12', 'x-timeout-ms': '3000' }
       let handedOut = 0
       let refused = 0
@@ -73,6 +95,7 @@
   })
 
   it('should count the tokens of the service that ran the turn, on a route with several', async () => {
+    await waitFor(() => harness.gateway.getEvents('reserves-claimed').length > 0)
     let handedOut = 0
     for (let at = 0; at < 8; at++) {
       const headers = { 'x-program-id': 'p3', 'x-token-budget': '24', 'x-token-usage': '10,12' }
