In an outage, turns that have to be saved run only when their caller cannot come again

Cause: a kept turn cannot end while the store is away. Change: a caller that can come again with as much time is refused at once with Retry-After, its last try runs and its end waits. Test that replays the load: OutageAdmissionTests (longest outage that a turn comes through).

--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -88,6 +88,7 @@
   'headers-too-large': notRun(431, 'The headers are larger than the limit.', 'Raise the header limit of the configuration if the size is legitimate.'),
   'turn-unknown': notRun(404, 'No such turn is kept.', 'The caller starts a new line of turns; look for the turn in the log of the gateway that served it.'),
   'turn-unreadable': notRun(503, 'The earlier turn cannot be read at the moment.', 'Check the store; the log line `turn-unreadable` names the cause.'),
+  'turn-not-savable': notRun(503, 'The turn could not be saved at the moment, so it was not run.', 'Check the store; the log line `store-away` names the cause.'),
   'budget-spent': notRun(402, 'The token budget of the program is spent.', 'Look for a loop: the log line `budget-spent` says how much was granted.'),
   'budget-unreadable': notRun(503, 'The budget of the program cannot be read at the moment.', 'Check the store; the log line `budget-unreadable` names the cause.'),
   'crashes-targets': notRun(503, 'This request crashed several targets and is not run again.', 'Read the request; its digest is in the log line `suspect-confirmed`.'),
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../../core/clock/index.js'
-import { EventSplitter, Transcript } from '../../core/turn/index.js'
+import type { Route } from '../../core/route/index.js'
+import { EventSplitter, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, type AnswerFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
@@ -29,6 +30,8 @@
   readonly clock: Clock
   /** Gets the tokens that each event of a service's streams stands for. */
   readonly getTokensPerEvent: (service: string) => number
+  /** Tells whether the store does not answer. */
+  readonly isStoreAway: () => boolean
   /** Gets the seconds after which the store may answer again. */
   readonly getStoreRetrySeconds: () => number
 }
@@ -55,6 +58,12 @@
   async forward (exchange: Exchange, input: Buffer | undefined): Promise<void> {
     const prompt = await this._getPrompt(exchange, input)
     if (prompt === undefined) return
+    const { isStoreAway, getStoreRetrySeconds } = this._options
+    const arrival = { isStoreAway: isStoreAway(), remainingMs: exchange.getRemainingMs(), patienceMs: getPatienceMs(exchange.route) }
+    if (exchange.route.isRetained && !shouldRunTurn(arrival)) {
+      exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
+      return
+    }
     const settle = await this._reserve(exchange)
     if (settle === undefined) return
     const progress: StreamProgress = {
@@ -162,8 +171,7 @@
   private async _finish (exchange: Exchange, progress: StreamProgress): Promise<void> {
     const { route, call } = exchange
     if (route.isRetained) {
-      const patienceMs = Math.max(CALLER_PATIENCE_MS, PATIENCE_OBJECTIVES * route.objectiveMs, PATIENCE_GAPS * route.maxGapMs)
-      const deadline = Math.min(exchange.deadline, progress.lastEventAt + patienceMs - HOLD_MARGIN_MS)
+      const deadline = Math.min(exchange.deadline, progress.lastEventAt + getPatienceMs(route) - HOLD_MARGIN_MS)
       if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.breakOff('the turn could not be saved')
         return
@@ -176,3 +184,8 @@
     return Math.min(exchange.deadline, exchange.startedAt + PREPARE_MS)
   }
 }
+
+/** Gets the milliseconds for which callers wait for the next event of a stream, or for its end. */
+function getPatienceMs (route: Route): number {
+  return Math.max(CALLER_PATIENCE_MS, PATIENCE_OBJECTIVES * route.objectiveMs, PATIENCE_GAPS * route.maxGapMs)
+}
--- /dev/null
+++ b/tests/core/turn/OutageAdmissionTests.ts
@@ -0,0 +1,51 @@
+import { expect } from 'earl'
+import { shouldRunTurn } from '../../../src/core/turn/index.js'
+
+/** Milliseconds that callers of the replayed load wait for an end, and that one of their tries may take. */
+const PATIENCE_MS = 2_400
+const TRY_MS = 4_000
+
+/** Milliseconds between a failed turn and its next sending, and the times that it is sent again. */
+const RESEND_PAUSE_MS = 100
+const RESENDS = 2
+
+describe('shouldRunTurn', () => {
+  it('should run every turn while the store answers', () => {
+    expect(shouldRunTurn({ isStoreAway: false, remainingMs: TRY_MS, patienceMs: PATIENCE_MS })).toEqual(true)
+  })
+
+  it('should send a caller away while it can come again with as much time, and run its last try', () => {
+    expect(shouldRunTurn({ isStoreAway: true, remainingMs: TRY_MS, patienceMs: PATIENCE_MS })).toEqual(false)
+    expect(shouldRunTurn({ isStoreAway: true, remainingMs: TRY_MS * 2 / 3, patienceMs: PATIENCE_MS })).toEqual(true)
+  })
+
+  it('should run the turn of a caller that has no time to come again', () => {
+    expect(shouldRunTurn({ isStoreAway: true, remainingMs: 1_000, patienceMs: PATIENCE_MS })).toEqual(true)
+  })
+
+  // The load of an outage of the whole store: a turn is tried twice, and sent from its start twice more.
+  it('should bring a turn through a longer outage than running it at once or never does', () => {
+    const run = getLongestOutage(() => true)
+    const refuse = getLongestOutage(() => false)
+    const decide = getLongestOutage(remainingMs => shouldRunTurn({ isStoreAway: true, remainingMs, patienceMs: PATIENCE_MS }))
+    expect([refuse < run, run < decide]).toEqual([true, true])
+  })
+})
+
+/** Gets the milliseconds from the beginning of an outage until a turn that came then has used up its tries. */
+function getLongestOutage (shouldRun: (remainingMs: number) => boolean): number {
+  let time = 0
+  for (let sending = 0; sending <= RESENDS; sending++) {
+    const deadline = time + TRY_MS
+    for (let tries = 0; tries < 2; tries++) {
+      if (shouldRun(deadline - time)) {
+        time = Math.min(deadline, time + PATIENCE_MS)
+        break
+      }
+      // A caller comes again after a third of its time at most; after its second try it does not.
+      if (tries === 0) time += (deadline - time) / 3
+    }
+    time += RESEND_PAUSE_MS
+  }
+  return time
+}
