After a restart, gateways ask targets once which prompts they have cached

Ruled out: budgets' rows as a source (they name one target a program, as of its latest grant), lists for every start (a first run finds nothing). Change: a process that follows another one of its id asks the models of its region once for their list of cached parts (30 calls that cost as probes).

--- a/src/core/route/RouteConfig.ts
+++ b/src/core/route/RouteConfig.ts
@@ -5,6 +5,8 @@
   readonly name: string
   /** Connections that one target accepts from all callers together. */
   readonly maxConnections: number
+  /** True for models, which cache the prompts that they read. */
+  readonly isModel: boolean
   /** Tokens that each event of a stream stands for; 1 for plain services. */
   readonly tokensPerEvent: number
 }
--- a/src/core/target/index.ts
+++ b/src/core/target/index.ts
@@ -1,4 +1,5 @@
 export * from './baselines.js'
+export * from './CacheSource.js'
 export * from './CostPlacement.js'
 export * from './PlacementPolicy.js'
 export * from './PrefixMemory.js'
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -8,10 +8,11 @@
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
-import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type PlacementPolicy, type Target } from '../../core/target/index.js'
+import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
 import { BudgetPeers, PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
+import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
 import { Placer } from './Placer.js'
@@ -44,6 +45,7 @@
   readonly store: RowStore
   readonly protocol: CallProtocol
   readonly tables: PlatformTables
+  readonly caches: CacheSource
   /** Name of this run of the process, used by no other one. */
   readonly incarnation: string
   readonly random: () => number
@@ -71,6 +73,7 @@
   private readonly _registry = new TargetRegistry()
   private readonly _server: GatewayServer
   private readonly _status: StatusServer
+  private readonly _caches: CacheLearner
   private readonly _turns: TurnStore
   private readonly _budgets: BudgetStore
   private readonly _peers: PeerServer
@@ -93,6 +96,7 @@
     const budgetPeers = new BudgetPeers({ store, clock, log, ownId: id, own: ledger })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({ direct: options.store, isCut: () => store.isCut(), reserves: ledger, returnUnused })
+    this._caches = new CacheLearner({ source: options.caches, log, getTargets: () => this._getModelsOfRegion() })
     this._directory = new PeerDirectory({
       store,
       clock,
@@ -102,6 +106,8 @@
       onRegistered: hasPredecessor => {
         ledger.open(hasPredecessor)
         log.info('registered', { hasPredecessor })
+        // Before the first run nobody has sent a prompt.
+        if (hasPredecessor) void this._caches.learn()
       },
       onPeers: async (peers, isSettled) => { await budgetPeers.setPeers(peers, isSettled) }
     })
@@ -258,6 +264,16 @@
     return target
   }
 
+  /** Gets the models of this gateway's region; undefined until configuration and targets are known. */
+  private _getModelsOfRegion (): readonly TargetState[] | undefined {
+    const config = this._configs.get()?.config
+    if (config === undefined || !this._targetWatch.isRead()) return undefined
+    const { failureDomain, regions } = this._options.settings
+    const models = [...config.services.values()].filter(service => service.isModel)
+    const serving = models.flatMap(service => this._registry.getServing(service.name, this._options.clock.now()))
+    return serving.filter(state => regions[state.target.failureDomain] === regions[failureDomain])
+  }
+
   private _noteTargets (): void {
     this._options.metrics.targets.set(this._registry.getSize())
   }
--- a/src/io/gateway/index.ts
+++ b/src/io/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from './Attempts.js'
+export * from './CacheLearner.js'
 export * from './BudgetStore.js'
 export * from './Exchange.js'
 export * from './GatewayMetrics.js'
