A session's own part of a prompt is known by its length, also at gateways that it did not come through

Cause: found by logging the parts of prompts (trial): the part of a session keeps its id and grows with every turn. The gateway took it for cached as a whole where it had sent it, and for new as a whole at the target that the budget's row names; two programs of five come through several gateways. Ruled out: sharing what gateways sent (calls and bytes between failure domains), following cache events (each poll at this rate is priced as a probe). Change: the memory of a target holds the tokens of each part; at the program's target seven tenths of the session's part count as cached. Test that failed first: CostPlacementTests, 'should go where a session grew through other gateways'.

--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -13,6 +13,9 @@
 /** Milliseconds by which a target of another region is worse: the round trip and the narrow link. */
 export const OTHER_REGION_MS = 60
 
+/** Share of a session's own part that is new at a target that ran the turns before; it grows by some hundred tokens a turn. */
+const NEW_SHARE_OF_OWN_PART = 0.3
+
 /** Options of {@link CostPlacement}. */
 export interface CostPlacementOptions {
   readonly failureDomain: string
@@ -71,7 +74,7 @@
 function getCachedTokens (state: TargetState, work: Work): number {
   const sent = state.cached.getCachedTokens(work.promptParts)
   if (state.lifetime !== work.warmTarget) return sent
-  // The last part is new in each turn.
-  const earlier = work.promptParts.slice(0, -1).reduce((sum, part) => sum + part.tokens, 0)
-  return Math.max(sent, earlier)
+  const total = work.promptParts.reduce((sum, part) => sum + part.tokens, 0)
+  const own = work.promptParts.at(-1)?.tokens ?? 0
+  return Math.max(sent, total - Math.ceil(own * NEW_SHARE_OF_OWN_PART))
 }
--- a/src/core/target/PrefixMemory.ts
+++ b/src/core/target/PrefixMemory.ts
@@ -3,29 +3,32 @@
 /** Parts remembered for one target; the least recently used ones yield, as at the target itself. */
 export const MAX_REMEMBERED_PARTS = 2_000
 
-/** Remembers which prompt parts this gateway sent to a target. */
+/** Remembers which prompt parts a target has, and how much of each: the part of a session grows with every turn. */
 export class PrefixMemory {
-  private readonly _parts = new Set<string>()
+  /** Tokens by part id. */
+  private readonly _tokens = new Map<string, number>()
 
   /** Notes that a prompt was read by the target. */
   add (parts: readonly PromptPart[]): void {
-    for (const part of parts) {
-      this._parts.delete(part.id)
-      this._parts.add(part.id)
+    for (const { id, tokens } of parts) {
+      const known = this._tokens.get(id) ?? 0
+      this._tokens.delete(id)
+      this._tokens.set(id, Math.max(known, tokens))
     }
-    while (this._parts.size > MAX_REMEMBERED_PARTS) {
-      const [oldest] = this._parts
-      this._parts.delete(oldest!)
+    while (this._tokens.size > MAX_REMEMBERED_PARTS) {
+      const [oldest] = this._tokens.keys()
+      this._tokens.delete(oldest!)
     }
   }
 
   /** Gets the tokens at the beginning of a prompt that the target probably still has. */
   getCachedTokens (parts: readonly PromptPart[]): number {
-    let tokens = 0
-    for (const part of parts) {
-      if (!this._parts.has(part.id)) break
-      tokens += part.tokens
+    let cached = 0
+    for (const { id, tokens } of parts) {
+      const known = Math.min(tokens, this._tokens.get(id) ?? 0)
+      cached += known
+      if (known < tokens) break
     }
-    return tokens
+    return cached
   }
 }
--- a/tests/core/target/CostPlacementTests.ts
+++ b/tests/core/target/CostPlacementTests.ts
@@ -13,6 +13,16 @@
     expect(place(createPolicy(), states, parts)?.state.target.id).toEqual('b')
   })
 
+  // The load of a session whose turns come through several gateways: its own part has one id and grows with every turn.
+  it('should go where a session grew through other gateways, and count what is new of its part', () => {
+    const grown: PromptPart[] = [{ id: 'shared', tokens: 2_500 }, { id: 'session', tokens: 4_000 }]
+    const states = [toState('a', 'here'), toState('b', 'near')]
+    for (const state of states) state.cached.add(grown.slice(0, 1))
+    expect(place(createPolicy(), states, grown, 0, states[1]!.lifetime)?.state.target.id).toEqual('b')
+    states[1]!.cached.add([grown[0]!, { id: 'session', tokens: 3_600 }])
+    expect(place(createPolicy(), states, grown)?.inputs.cached).toEqual(6_100)
+  })
+
   it('should stay in its failure domain without a reason to leave it', () => {
     const states = [toState('a', 'far'), toState('b', 'near'), toState('c', 'here')]
     expect(place(createPolicy(), states, [])?.state.target.id).toEqual('c')
