A gateway makes one change of a program's budget row at a time

Cause, found by reading: while an account gave back what it held, a turn could be granted tokens; the giving back then met a conflict, read the row again and gave back tokens that the turn had just reserved, so that the row named less than was handed out and the budget could be exceeded by a turn's rest. Change: changes of one program's row wait for each other within a gateway.

--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -18,8 +18,8 @@
 /** Milliseconds between two looks for accounts that give back. */
 export const RETURN_CHECK_MS = 250
 
-/** Milliseconds for giving back, over all tries. */
-const RETURN_TIMEOUT_MS = 1_000
+/** Milliseconds for giving back, over all tries; a turn that comes meanwhile waits. */
+const RETURN_TIMEOUT_MS = 400
 
 /** Tries to give back while other gateways change the row. */
 const RETURN_TRIES = 3
@@ -82,7 +82,8 @@
 export class BudgetStore {
   private readonly _options: BudgetStoreOptions
   private readonly _accounts = new Map<string, BudgetAccount>()
-  private readonly _granting = new Map<string, Promise<Grant>>()
+  /** Changes of rows under way, by program; a gateway makes one at a time, so that none builds on what another is about to change. */
+  private readonly _changing = new Map<string, Promise<Grant | undefined>>()
   private readonly _parts = new PartHealth()
 
   constructor (options: BudgetStoreOptions) {
@@ -129,8 +130,18 @@
   /** Gives back what a program does not need here, unless it has a turn under way. */
   async returnUnusedOf (program: string): Promise<void> {
     const account = this._accounts.get(program)
-    if (account === undefined || account.isInUse() || this._granting.has(program) || account.getAvailable() <= 0) return
-    await this._return(program, account)
+    if (account === undefined || account.isInUse() || this._changing.has(program) || account.getAvailable() <= 0) return
+    await this._change(program, async () => {
+      await this._return(program, account)
+      return undefined
+    })
+  }
+
+  /** Makes a change of a program's row; others wait for it. */
+  private _change (program: string, change: () => Promise<Grant | undefined>): Promise<Grant | undefined> {
+    const changing = change().finally(() => { this._changing.delete(program) })
+    this._changing.set(program, changing)
+    return changing
   }
 
   private async _return (program: string, account: BudgetAccount): Promise<void> {
@@ -169,13 +180,12 @@
     for (;;) {
       if (account.tryReserve(req.tokens)) return Grant.Granted
       if (account.isKnownSpent(req.tokens, this._options.clock.now())) return Grant.Spent
-      let granting = this._granting.get(req.program)
-      if (granting === undefined) {
+      let changing = this._changing.get(req.program)
+      if (changing === undefined) {
         if (skipsFailedPart && this._parts.hasFailed(getBudgetKey(req.program).part, this._options.clock.now())) return Grant.Unreadable
-        granting = this._grant(account, req).finally(() => { this._granting.delete(req.program) })
-        this._granting.set(req.program, granting)
+        changing = this._change(req.program, async () => await this._grant(account, req))
       }
-      const grant = await granting
+      const grant = await changing
       if (grant === Grant.Unreadable) return grant
     }
   }
