--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -1,12 +1,19 @@
+import type { StoredRow } from '../platform/index.js'
+
 /** Milliseconds for which a spent row is believed to be so; gateways give back what they do not need. */
 export const SPENT_BELIEF_MS = 1_000
 
+/** What is known of a program's row; a program that was not met before most often has none. */
+export type KnownRow = { readonly isKnown: true, readonly row: StoredRow | undefined } | { readonly isKnown: false }
+
 /** What one gateway may spend for a program without asking the store. */
 export class BudgetAccount {
   /** Time at which the account was last used, by the steady clock. */
   usedAt: number
   /** Lifetime of the target that ran the program's earlier turns, as the store's row says. */
   warmTarget: string | undefined
+  /** The program's row as of this gateway's latest look or change, if nothing is known to have changed it without an answer. */
+  row: KnownRow = { isKnown: true, row: undefined }
   private _granted = 0
   private _spent = 0
   private _reserved = 0
@@ -42,11 +49,6 @@
     this._hasAsked = true
   }
 
-  /** Tells whether a grant was asked for; the row may then name one, though no answer said so. */
-  hasAsked (): boolean {
-    return this._hasAsked
-  }
-
   /**
    * Sets the tokens that the store's row grants to this gateway.
    *
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -151,13 +151,16 @@
     const tokens = account.beginReturn()
     try {
       for (let tries = 0; tries < RETURN_TRIES; tries++) {
-        const row = await this._readRow(key, deadline)
+        const row: StoredRow | undefined = account.row.isKnown ? account.row.row : await this._readRow(key, deadline)
         if (row === undefined) break
         const next = planReturn(decodeBudgetRow(row), holder, tokens)
-        const result = await access.commitOnce({
-          conditions: [{ ...key, version: row.version }], puts: [{ ...key, value: encodeBudgetRow(next) }]
-        }, deadline)
-        if (result.type === 'conflict') continue
+        const value = encodeBudgetRow(next)
+        const result = await access.commitOnce({ conditions: [{ ...key, version: row.version }], puts: [{ ...key, value }] }, deadline)
+        if (result.type === 'conflict') {
+          account.row = { isKnown: true, row: result.rows.find(found => found.key === key.key) }
+          continue
+        }
+        account.row = { isKnown: true, row: { ...key, value, version: result.version } }
         account.confirmGranted(next.granted[holder] ?? 0)
         log.info('budget-returned', { program, tokens, version: result.version })
         return
@@ -165,6 +168,7 @@
       account.cancelReturn(tokens)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
+      account.row = { isKnown: false }
       // Without an answer the change may still be made, so the tokens are not spent before a later change of the row.
       log.warn('budget-not-returned', { program, tokens, cause: err.message })
     }
@@ -207,22 +211,28 @@
     const key = getBudgetKey(req.program)
     let deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
     try {
-      // A program that this gateway has not met is most often new: the first try requires that it has no row.
-      let row = account.getGranted() === 0 && !account.hasAsked() ? undefined : await this._readRow(key, deadline)
+      let isFresh = !account.row.isKnown
+      let row = account.row.isKnown ? account.row.row : await this._readRow(key, deadline)
       for (let hasCollected = false; ;) {
         const result = await this._tryGrant(account, req, key, row, deadline)
         this._parts.noteAnswer(key.part)
-        if (result.type === 'changed') row = result.row
-        else if (result.grant !== Grant.Spent || row === undefined || hasCollected) return result.grant
-        else {
+        if (result.type === 'changed') {
+          row = result.row
+          isFresh = true
+          continue
+        }
+        if (result.grant !== Grant.Spent || hasCollected) return result.grant
+        if (isFresh) {
           await this._collect(req, row)
           hasCollected = true
           deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
-          row = await this._readRow(key, deadline)
         }
+        row = await this._readRow(key, deadline)
+        isFresh = true
       }
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
+      account.row = { isKnown: false }
       access.noteRetry(err)
       this._parts.noteFailure(key.part, clock.now())
       return Grant.Unreadable
@@ -230,22 +240,21 @@
   }
 
   /** Collects tokens for a row that is spent: what other gateways do not need, then the rest of the reserve. */
-  private async _collect (req: ReservationRequest, row: StoredRow): Promise<void> {
+  private async _collect (req: ReservationRequest, row: StoredRow | undefined): Promise<void> {
     const { peers, clock, access, log } = this._options
-    await peers.recall(req.program, getGateways(row))
+    await peers.recall(req.program, getGateways(decodeRow(row)))
     const closing = await peers.closeReserve(req.program)
     const reserveSpent = closing.type === 'closed' ? closing.spent : undefined
-    log.info('budget-collected', { req: req.req, program: req.program, version: row.version, reserveSpent })
+    log.info('budget-collected', { req: req.req, program: req.program, version: row?.version ?? 0, reserveSpent })
     if (reserveSpent === undefined) return
     const key = getBudgetKey(req.program)
     const deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
     for (let tries = 0; tries < COLLECT_TRIES; tries++) {
       const current = await this._readRow(key, deadline)
-      if (current === undefined) return
-      const budget = decodeBudgetRow(current)
+      const budget = decodeRow(current)
       if (budget.reserveSpent !== undefined) return
       const result = await access.commitOnce({
-        conditions: [{ ...key, version: current.version }],
+        conditions: [{ ...key, version: current?.version ?? 0 }],
         puts: [{ ...key, value: encodeBudgetRow(planReserveClosing(budget, reserveSpent)) }]
       }, deadline)
       if (result.type === 'committed') return
@@ -256,7 +265,7 @@
     account: BudgetAccount, req: ReservationRequest, key: RowKey, row: StoredRow | undefined, deadline: number
   ): Promise<{ type: 'done', grant: Grant } | { type: 'changed', row: StoredRow | undefined }> {
     const { holder, access, log } = this._options
-    const budget: BudgetRow = row === undefined ? { granted: {} } : decodeBudgetRow(row)
+    const budget = decodeRow(row)
     account.setGranted(budget.granted[holder] ?? 0)
     account.warmTarget = budget.target ?? account.warmTarget
     if (account.getAvailable() >= req.tokens) return { type: 'done', grant: Grant.Granted }
@@ -271,8 +280,10 @@
     }
     account.noteAsked()
     const conditions = [{ ...key, version: row?.version ?? 0 }]
-    const result = await access.commitOnce({ conditions, puts: [{ ...key, value: encodeBudgetRow(plan.next) }] }, deadline)
+    const value = encodeBudgetRow(plan.next)
+    const result = await access.commitOnce({ conditions, puts: [{ ...key, value }] }, deadline)
     if (result.type === 'conflict') return { type: 'changed', row: result.rows.find(found => found.key === key.key) }
+    account.row = { isKnown: true, row: { ...key, value, version: result.version } }
     account.confirmGranted(plan.next.granted[holder] ?? 0)
     account.warmTarget = plan.next.target
     return { type: 'done', grant: Grant.Granted }
@@ -300,8 +311,13 @@
   }
 }
 
+/** Decodes the row of a program; one that has no row was granted nothing. */
+function decodeRow (row: StoredRow | undefined): BudgetRow {
+  return row === undefined ? { granted: {} } : decodeBudgetRow(row)
+}
+
 /** Gets the ids of the gateways that hold grants of a budget. */
-function getGateways (row: StoredRow): string[] {
-  const holders = Object.entries(decodeBudgetRow(row).granted).filter(([, tokens]) => tokens > 0)
+function getGateways (budget: BudgetRow): string[] {
+  const holders = Object.entries(budget.granted).filter(([, tokens]) => tokens > 0)
   return [...new Set(holders.map(([holder]) => holder.slice(0, holder.lastIndexOf('/'))))]
 }
