--- a/src/io/gateway/index.ts
+++ b/src/io/gateway/index.ts
@@ -1,5 +1,6 @@
 export * from './Attempts.js'
 export * from './CacheLearner.js'
+export * from './BudgetRows.js'
 export * from './BudgetStore.js'
 export * from './Exchange.js'
 export * from './GatewayMetrics.js'
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -144,6 +144,15 @@
     expect(getTotalGranted(decodeBudgetRow(slow.getRow(getBudgetKey('program'))!)) >= 30 + TURN).toEqual(true)
   })
 
+  it('should keep what the store refused to take back', async () => {
+    const gateway = createStore(rows, 'a')
+    const first = await ask(gateway)
+    if (first.type === 'granted') first.settle(0)
+    rows.failure = 'refused'
+    await gateway.returnUnusedOf('program')
+    expect(await reserve(gateway)).toEqual('granted')
+  })
+
   it('should call back what other gateways do not need before it says that a budget is spent', async () => {
     const gateways = new Map<string, BudgetStore>()
     const recall: Peers['recall'] = async (program, ids) => { for (const id of ids) await gateways.get(id)?.returnUnusedOf(program) }
