A gateway looks for its way to the store in one part after the other

Cause, found by reading: a way that counted as cut was looked for by reading one and the same part; with that part away, the way stayed cut although the others answered. Change: looks go to 16 parts in turn. Test that failed first: RelayedStoreTests, 'should see the own way return although some parts stay away' (it did not end on the old code).

--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -17,8 +17,8 @@
 /** Peers asked in one look. */
 const PROBED_PEERS = 2
 
-/** A read that costs next to nothing. */
-const PROBE_RANGE: RowRange = { table: PEER_TABLE, part: '', from: '', to: '\u0001' }
+/** Parts that looks go to in turn: some may be away while the way to the others is open. */
+const PROBED_PARTS = 16
 
 /** Options of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
@@ -47,6 +47,7 @@
   private readonly _stores = new Map<string, Helper>()
   private _helper: Helper | undefined
   private _isSearching = false
+  private _probes = 0
 
   constructor (options: RelayedStoreOptions) {
     super()
@@ -109,13 +110,15 @@
 
   /** Looks for a peer that reaches the store, and for the return of the own way, until it is back. */
   private async _findWay (): Promise<void> {
-    const probe = async (store: RowStore): Promise<RowSnapshot> => await store.read(PROBE_RANGE, { timeoutMs: PROBE_TIMEOUT_MS })
+    const probe = async (store: RowStore): Promise<RowSnapshot> => {
+      return await store.read(getProbeRange(++this._probes), { timeoutMs: PROBE_TIMEOUT_MS })
+    }
     while (this.isCut()) {
       // Peers that do not answer must not delay the look at the own way.
       if (this._helper === undefined && !this._isSearching) void this._findHelper(probe)
       await sleep(PROBE_MS)
       // A failed look is counted and logged where the calls of the store are.
-      await this._callDirect(PROBE_RANGE, probe).catch(() => {})
+      await this._callDirect(getProbeRange(this._probes), probe).catch(() => {})
     }
     this._helper = undefined
   }
@@ -149,3 +152,8 @@
     return helper
   }
 }
+
+/** Gets a range without rows, which costs next to nothing to read. */
+function getProbeRange (number: number): RowRange {
+  return { table: PEER_TABLE, part: String(number % PROBED_PARTS), from: '', to: '\u0001' }
+}
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -71,6 +71,16 @@
     expect(shared.calls.commit).toEqual(0)
   })
 
+  // The load of an outage that ends for all parts but one.
+  it('should see the own way return although some parts stay away', async () => {
+    own.failure = 'refused'
+    await failAtParts(store)
+    own.failedParts.set('', 'refused')
+    own.failure = undefined
+    await untilDone(async () => { if (store.isCut()) throw new Error('still cut') })
+    own.failedParts.clear()
+  })
+
   it('should see the own way return within two looks although peers do not answer', async () => {
     const sockets: Socket[] = []
     const silent = createServer(socket => { sockets.push(socket.on('error', () => {})) })
