Reserve: a turn may begin while any of its program's reserve remains

A turn of this deployment may generate 286 tokens and generates 73 on average; the reserve of a budget of 900 is 315, so after one turn it no longer covered the maximum of a second, and the reserve of a budget of 500 covered none.

Change: the reserve lends while any of it remains, so that the last loan may exceed it.

--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -27,8 +27,7 @@
   private _remainingReadAt = -Infinity
   /** Tokens whose return is not confirmed by a response: the row may or may not grant them still, so they are not spent. */
   private _unconfirmed = 0
-  /** Tokens of the smallest turn that was recorded as not covered by the program's reserve; Infinity if there is none. */
-  private _minUncoveredTokens = Infinity
+  private _isReserveSpent = false
 
   constructor (now: number) {
     this.usedAt = now
@@ -100,14 +99,14 @@
     this._remainingReadAt = -Infinity
   }
 
-  /** Records that the program's reserve permanently cannot cover a turn of this size. */
-  recordReserveSpent (turnTokens: number): void {
-    this._minUncoveredTokens = Math.min(this._minUncoveredTokens, turnTokens)
+  /** Records that the program's reserve is permanently spent. */
+  recordReserveSpent (): void {
+    this._isReserveSpent = true
   }
 
-  /** Checks whether the program's reserve was recorded as unable to cover a turn of this size. */
-  isReserveSpent (turnTokens: number): boolean {
-    return turnTokens >= this._minUncoveredTokens
+  /** Checks whether the program's reserve was recorded as spent. */
+  isReserveSpent (): boolean {
+    return this._isReserveSpent
   }
 
   /** Reserves the maximum tokens of a turn if they are available; returns whether they were. */
--- a/src/core/reserve/ReserveLedger.ts
+++ b/src/core/reserve/ReserveLedger.ts
@@ -35,7 +35,9 @@
  * Tracks the loans from the reserves that this process holds exclusively.
  *
  * Needed during outages of the store: a program that starts then, or whose partition is unavailable, cannot get a grant and spends its
- * reserve instead. The ledger is kept in the memory of one process and is lost with it; a loan that is never settled counts in full.
+ * reserve instead. A turn may begin while any of the reserve remains, and may then exceed it: most turns generate a fraction of their maximum,
+ * so a reserve that had to cover the maximum would refuse the second turn of a small budget. All turns of a program thus stay within its budget
+ * and the maximum of one turn. The ledger is kept in the memory of one process and is lost with it; a loan that is never settled counts in full.
  */
 export class ReserveLedger extends ReserveLender {
   private readonly _options: ReserveLedgerOptions
@@ -60,7 +62,7 @@
     const account = this._getAccount(req.program, now)
     account.usedAt = now
     if (account.isClosed) return { type: 'spent', isForGood: true }
-    if (account.spent + account.lent + req.tokens > getReserveTokens(req.limit)) return { type: 'spent', isForGood: account.lent === 0 }
+    if (account.spent + account.lent >= getReserveTokens(req.limit)) return { type: 'spent', isForGood: account.lent === 0 }
     account.lent += req.tokens
     const loan = `${req.program}/${this._loanCount++}`
     this._loans.set(loan, { account, tokens: req.tokens })
--- a/src/core/reserve/ReserveLender.ts
+++ b/src/core/reserve/ReserveLender.ts
@@ -10,7 +10,7 @@
 /** Result of a loan request: the id of the loan, or why nothing was lent. */
 export type LoanResult =
   | { readonly type: 'lent', readonly loan: string }
-  /** The remaining tokens do not cover the turn; permanently so if no open loan can return any. */
+  /** No tokens remain; permanently so if no open loan can return any. */
   | { readonly type: 'spent', readonly isForGood: boolean }
   | { readonly type: 'unavailable' }
 
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -155,12 +155,12 @@
   /** Borrows from the program's reserve. */
   private async _borrow (account: BudgetAccount, req: ReservationRequest): Promise<OpenLoan | undefined> {
     const { peers, log, onLoan } = this._options
-    if (account.isReserveSpent(req.tokens)) return undefined
+    if (account.isReserveSpent()) return undefined
     const result = await peers.borrow({ program: req.program, limit: req.limit, tokens: req.tokens })
     onLoan(result.type)
     log.info('reserve-asked', { req: req.req, program: req.program, tokens: req.tokens, result: result.type })
     if (result.type === 'lent') return result.loan
-    if (result.type === 'spent' && result.isForGood) account.recordReserveSpent(req.tokens)
+    if (result.type === 'spent' && result.isForGood) account.recordReserveSpent()
     return undefined
   }
 
--- a/tests/processes/GatewayHarness.ts
+++ b/tests/processes/GatewayHarness.ts
@@ -1,4 +1,5 @@
 import { connect } from 'node:net'
+import { RESERVE_SLOTS } from '../../src/core/reserve/index.js'
 import { getTurnPartitions } from '../../src/core/turn/index.js'
 import type { EngineBehaviour } from '../../tools/platform/EngineStandin.js'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
@@ -24,6 +25,11 @@
     this.gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: this.fixture.storeAddress })
   }
 
+  /** Waits until the gateway has read that every reserve slot has a holder; slots are claimed in several transactions. */
+  async waitForReserves (): Promise<void> {
+    await waitFor(() => this.gateway.getEvents('reserves-known').some(event => event.slots === RESERVE_SLOTS))
+  }
+
   /** Stops the gateway and the stand-ins. */
   async stop (): Promise<void> {
     await this.gateway.kill()
