--- a/src/core/reserve/ReserveLedger.ts
+++ b/src/core/reserve/ReserveLedger.ts
@@ -35,9 +35,11 @@
  * Tracks the loans from the reserves that this process holds exclusively.
  *
  * Needed during outages of the store: a program that starts then, or whose partition is unavailable, cannot get a grant and spends its
- * reserve instead. A turn may begin while any of the reserve remains, and may then exceed it: most turns generate a fraction of their maximum,
- * so a reserve that had to cover the maximum would refuse the second turn of a small budget. All turns of a program thus stay within its budget
- * and the maximum of one turn. The ledger is kept in the memory of one process and is lost with it; a loan that is never settled counts in full.
+ * reserve instead. A turn may begin while any of the reserve remains, and may then exceed it: most turns generate a fraction of their
+ * maximum, so a reserve that had to cover the maximum would refuse the second turn of a small budget. All turns of a program thus stay
+ * within its budget and the maximum of one turn.
+ *
+ * The ledger is kept in the memory of one process and is lost with it; a loan that is never settled counts in full.
  */
 export class ReserveLedger extends ReserveLender {
   private readonly _options: ReserveLedgerOptions
