--- a/src/core/sidecar/HoldTable.ts
+++ b/src/core/sidecar/HoldTable.ts
@@ -7,6 +7,9 @@
 /** Fraction of the engine's capacity above which idle holds are released before their leases expire. */
 export const MEMORY_HIGH_WATER = 0.9
 
+/** Expiry of a lease whose session was closed while a call used the hold. */
+const ENDED = 0
+
 /** KV cache that the engine holds for a session, as reported by the engine. */
 export interface EngineHold {
   readonly key: string
@@ -34,7 +37,7 @@
   addUse (key: string): void {
     if (key === '') return
     const lease = this._leases.get(key) ?? { expiresAt: Infinity, uses: 0 }
-    this._leases.set(key, { expiresAt: Infinity, uses: lease.uses + 1 })
+    this._leases.set(key, { expiresAt: lease.expiresAt === ENDED ? ENDED : Infinity, uses: lease.uses + 1 })
   }
 
   /** Records that a call of the session has ended; the hold is kept while a tool call may follow. */
@@ -42,23 +45,24 @@
     const lease = this._leases.get(key)
     if (lease === undefined) return
     lease.uses--
-    if (lease.uses <= 0) lease.expiresAt = now + HOLD_LEASE_MS
+    if (lease.uses <= 0 && lease.expiresAt !== ENDED) lease.expiresAt = now + HOLD_LEASE_MS
   }
 
   /** Ends the lease of a closed session; returns false if the hold must be kept because a call still uses it. */
   endLease (key: string): boolean {
     const lease = this._leases.get(key)
     if (lease === undefined || lease.uses > 0) {
-      if (lease !== undefined) lease.expiresAt = 0
+      if (lease !== undefined) lease.expiresAt = ENDED
       return lease === undefined
     }
     this._leases.delete(key)
     return true
   }
 
-  /** Checks whether the lease was ended while the hold was in use. */
+  /** Checks whether the lease was ended while the hold was in use, and no call uses it any more. */
   isReleasePending (key: string): boolean {
-    return this._leases.get(key)?.expiresAt === 0
+    const lease = this._leases.get(key)
+    return lease?.expiresAt === ENDED && lease.uses <= 0
   }
 
   /** Removes the expired leases and returns their keys. */
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -51,6 +51,9 @@
   readonly random: () => number
 }
 
+/** Addresses of a gateway's servers, each as `host:port`. */
+export type ListenAddresses = GatewaySettings['listen']
+
 /** Bytes of payload in a byte of base64. */
 const BASE64_PAYLOAD_RATIO = 0.75
 
@@ -88,10 +91,9 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
-    const { id, failureDomain, regions, listen } = settings
+    const { id, failureDomain, regions } = settings
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
-    const localPeer = { id, address: listen.peers, failureDomain }
     const ledger = new ReserveLedger({ clock })
     const budgetPeers = new BudgetPeers({ store, clock, log, localId: id, reserves: ledger })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
@@ -103,7 +105,6 @@
       store,
       clock,
       log,
-      localPeer,
       ranking,
       onRegistered: hasPredecessor => {
         ledger.open(hasPredecessor)
@@ -172,19 +173,22 @@
     })
   }
 
-  /** Starts the servers and follows the tables of the store. */
-  async start (): Promise<void> {
-    const { listen } = this._options.settings
+  /** Starts the servers and follows the tables of the store; returns the addresses of the servers. */
+  async start (): Promise<ListenAddresses> {
+    const { id, failureDomain, listen } = this._options.settings
     void this._configWatch.run()
     void this._targetWatch.run()
     void this._suspectWatch.run()
-    void this._directory.run()
     void periodic(EXPIRY_CHECK_MS).observe(() => { void this._turns.removeExpired() })
     void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
-    await this._status.listenForReadiness(...toHostPort(listen.readiness))
-    await this._status.listenForMetrics(...toHostPort(listen.metrics))
-    await this._peers.listen(...toHostPort(listen.peers))
-    await this._server.listen(...toHostPort(listen.callers))
+    const peers = await this._peers.listen(listen.peers)
+    void this._directory.run({ id, address: peers, failureDomain })
+    return {
+      peers,
+      readiness: await this._status.listenForReadiness(listen.readiness),
+      metrics: await this._status.listenForMetrics(listen.metrics),
+      callers: await this._server.listen(listen.callers)
+    }
   }
 
   /** Applies changed settings; a change of the listening addresses, the gateway's location or the placement policy needs a restart. */
@@ -288,11 +292,6 @@
   return new CostPlacement({ failureDomain, regions, random: options.random })
 }
 
-function toHostPort (address: string): [string, number] {
-  const [host, port] = address.split(':')
-  return [host!, Number(port)]
-}
-
 async function waitUntil (isDone: () => boolean): Promise<void> {
   await new Promise<void>(resolve => {
     const timer = setInterval(() => {
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -3,7 +3,7 @@
 import type { Refusal } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
-import { readBody } from '../http/index.js'
+import { listen, readBody } from '../http/index.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
 import type { StreamForwarder } from './StreamForwarder.js'
@@ -11,6 +11,9 @@
 /** Largest header block that the parser accepts; the configuration's limit is checked afterwards. */
 const MAX_HEADER_BYTES = 65_536
 
+/** Maximum number of connections that wait to be accepted: callers that come at once after a restart. */
+const LISTEN_BACKLOG = 4_096
+
 /** Milliseconds between two checks for callers that take too long to send a request. */
 const SLOW_CALLER_CHECK_MS = 500
 
@@ -51,12 +54,9 @@
     this._server.on('clientError', (err: NodeJS.ErrnoException, socket) => { this._handleClientError(err, socket as Socket) })
   }
 
-  /** Starts to listen. */
-  async listen (host: string, port: number): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, 4_096, resolve)
-    })
+  /** Starts to listen; returns the address. */
+  async listen (address: string): Promise<string> {
+    return await listen(this._server, address, { backlog: LISTEN_BACKLOG })
   }
 
   /** Applies the time-outs of a configuration; its size limits are checked for each request. */
--- a/src/io/gateway/StatusServer.ts
+++ b/src/io/gateway/StatusServer.ts
@@ -1,5 +1,6 @@
 import { createServer, type Server } from 'node:http'
 import type { Registry } from 'prom-client'
+import { listen } from '../http/index.js'
 
 /** Options of {@link StatusServer}. */
 export interface StatusServerOptions {
@@ -18,18 +19,18 @@
     this._options = options
   }
 
-  /** Starts the server for readiness checks. */
-  async listenForReadiness (host: string, port: number): Promise<void> {
+  /** Starts the server for readiness checks; returns its address. */
+  async listenForReadiness (address: string): Promise<string> {
     const { readinessPath, isReady } = this._options
-    await this._listen(host, port, createServer((req, res) => {
+    return await this._listen(address, createServer((req, res) => {
       res.writeHead(req.url !== readinessPath ? 404 : isReady() ? 200 : 503, { 'content-length': 0 }).end()
     }))
   }
 
-  /** Starts the server for metrics. */
-  async listenForMetrics (host: string, port: number): Promise<void> {
+  /** Starts the server for metrics; returns its address. */
+  async listenForMetrics (address: string): Promise<string> {
     const { registry } = this._options
-    await this._listen(host, port, createServer((req, res) => {
+    return await this._listen(address, createServer((req, res) => {
       void registry.metrics().then(text => {
         res.writeHead(200, { 'content-type': registry.contentType }).end(text)
       })
@@ -44,11 +45,8 @@
     }
   }
 
-  private async _listen (host: string, port: number, server: Server): Promise<void> {
+  private async _listen (address: string, server: Server): Promise<string> {
     this._servers.push(server)
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject)
-      server.listen(port, host, resolve)
-    })
+    return await listen(server, address)
   }
 }
--- a/src/io/http/index.ts
+++ b/src/io/http/index.ts
@@ -1,1 +1,2 @@
 export * from './httpServer.js'
+export * from './listen.js'
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -21,7 +21,6 @@
   readonly store: RowStore
   readonly clock: Clock
   readonly log: DecisionLog
-  readonly localPeer: Peer
   readonly ranking: PeerRanking
   /** Called after registration; `hasPredecessor` is true if a gateway with the same id had registered before. */
   readonly onRegistered: (hasPredecessor: boolean) => void
@@ -39,8 +38,8 @@
   }
 
   /** Registers this gateway, then polls the list for as long as the process runs. */
-  async run (): Promise<void> {
-    await this._retryUntilDone(async () => { await this._register() })
+  async run (localPeer: Peer): Promise<void> {
+    await this._retryUntilDone(async () => { await this._register(localPeer) })
     await this._retryUntilDone(async () => { await this._read(false) })
     await sleep(SETTLE_DELAY_MS)
     for (;;) {
@@ -49,8 +48,8 @@
     }
   }
 
-  private async _register (): Promise<void> {
-    const { store, localPeer, onRegistered } = this._options
+  private async _register (localPeer: Peer): Promise<void> {
+    const { store, onRegistered } = this._options
     const key = getPeerKey(localPeer.id)
     const puts = [{ ...key, value: encodePeer(localPeer) }]
     const result = await store.commit({ conditions: [{ ...key, version: 0 }], puts }, { timeoutMs: CALL_TIMEOUT_MS })
--- a/src/io/peer/PeerServer.ts
+++ b/src/io/peer/PeerServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
 import { createHTTPHandler } from '@trpc/server/adapters/standalone'
+import { listen } from '../http/index.js'
 import { createPeerRouter, type PeerRouterOptions } from './PeerRouter.js'
 
 /** Largest request body of a peer, in bytes: a transaction of the store with its values in base64. */
@@ -14,13 +14,9 @@
     this._server = createServer(createHTTPHandler({ router: createPeerRouter(options), maxBodySize: MAX_BODY_BYTES }))
   }
 
-  /** Starts to listen and returns the port; for port 0, the operating system chooses a free one. */
-  async listen (host: string, port: number): Promise<number> {
-    await new Promise<void>((resolve, reject) => {
-      this._server.once('error', reject)
-      this._server.listen(port, host, resolve)
-    })
-    return (this._server.address() as AddressInfo).port
+  /** Starts to listen; returns the address. */
+  async listen (address: string): Promise<string> {
+    return await listen(this._server, address)
   }
 
   /** Closes the server and its open connections. */
--- a/src/io/process/SettingsFollower.ts
+++ b/src/io/process/SettingsFollower.ts
@@ -1,4 +1,5 @@
 import { readFile } from 'node:fs/promises'
+import { isDeepStrictEqual } from 'node:util'
 import { periodic } from 'most'
 import type { z } from 'zod'
 import { formatFinding, parseToml } from '../../core/config/index.js'
@@ -11,6 +12,8 @@
 /** Options of {@link SettingsFollower}. */
 export interface SettingsFollowerOptions<T> {
   readonly file: string
+  /** Settings that the process started with. */
+  readonly initial: T
   readonly schema: z.ZodType<T>
   readonly log: Pick<DecisionLog, 'warn'>
   /** Called with settings that differ from the previous ones. */
@@ -22,14 +25,17 @@
 /** Reloads a settings file when it changes, by polling and on a signal. Settings with findings are reported and not applied. */
 export class SettingsFollower<T> {
   private readonly _options: SettingsFollowerOptions<T>
+  /** Text of the latest read. */
   private _text: string | undefined
+  private _settings: T
   private _isReading = false
 
   constructor (options: SettingsFollowerOptions<T>) {
     this._options = options
+    this._settings = options.initial
   }
 
-  /** Starts to poll; the first check reads the settings that the process started with. */
+  /** Starts to poll. */
   start (): void {
     void periodic(CHECK_INTERVAL_MS).observe(() => { void this.check() })
   }
@@ -42,9 +48,8 @@
     this._isReading = false
     // An empty file is still being written; the next check reads it completely.
     if (text === undefined || text === '' || text === this._text) return
-    const isFirst = this._text === undefined
     this._text = text
-    if (!isFirst) this._apply(text)
+    this._apply(text)
   }
 
   private async _read (): Promise<string | undefined> {
@@ -61,7 +66,11 @@
     const { file, schema, log, onChange } = this._options
     parseToml(file, text, schema).caseOf({
       Left: findings => { log.warn('settings-rejected', { file, findings: findings.map(formatFinding) }) },
-      Right: onChange
+      Right: settings => {
+        if (isDeepStrictEqual(settings, this._settings)) return
+        this._settings = settings
+        onChange(settings)
+      }
     })
   }
 }
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -22,11 +22,11 @@
     isPeerUnavailable = false
     const reserves = new ReserveLedger({ clock: new SteadyClock() })
     server = new PeerServer({ direct: peerStore, isDirectUnavailable: () => isPeerUnavailable, reserves, returnUnused: async () => {} })
-    const port = await server.listen('127.0.0.1', 0)
+    const address = await server.listen('127.0.0.1:0')
     store = createStore([
       // Nothing listens on the discard port; the search must continue with the next peer.
       { id: 'gone', address: '127.0.0.1:9', failureDomain: 'here' },
-      { id: 'alive', address: `127.0.0.1:${port}`, failureDomain: 'far' }
+      { id: 'alive', address, failureDomain: 'far' }
     ])
   })
 
--- a/tests/io/process/SettingsFollowerTests.ts
+++ b/tests/io/process/SettingsFollowerTests.ts
@@ -8,6 +8,7 @@
     const warned: string[] = []
     const follower = new SettingsFollower({
       file: 'settings.toml',
+      initial: { size: 1 },
       schema: z.object({ size: z.number() }),
       log: { warn: event => { warned.push(event) } },
       onChange: settings => { applied.push(settings) },
@@ -21,6 +22,16 @@
     expect(await runChecks(['size = 1', 'size = 1', 'size = 2'])).toEqual({ applied: [{ size: 2 }], warned: [] })
   })
 
+  // The file may be written between the read at the start of the process and the first check.
+  it('should apply settings that changed before the first check', async () => {
+    expect(await runChecks(['size = 2'])).toEqual({ applied: [{ size: 2 }], warned: [] })
+    expect(await runChecks(['size = "x"'])).toEqual({ applied: [], warned: ['settings-rejected'] })
+  })
+
+  it('should not apply settings whose text changed but not their values', async () => {
+    expect(await runChecks(['size = 1', 'size = 1 # comment'])).toEqual({ applied: [], warned: [] })
+  })
+
   it('should ignore an empty file and run one check at a time', async () => {
     expect(await runChecks(['size = 1', '', 'size = 1'])).toEqual({ applied: [], warned: [] })
   })
--- a/tests/processes/GatewayHarness.ts
+++ b/tests/processes/GatewayHarness.ts
@@ -13,6 +13,7 @@
 export class GatewayHarness {
   readonly fixture = new PlatformFixture()
   gateway!: GatewayProcess
+  private _isStarted = false
 
   /** Starts the stand-ins and the gateway. */
   async start (): Promise<void> {
@@ -22,7 +23,9 @@
 
   /** Starts a gateway that replaces the previous one. */
   async startGateway (): Promise<void> {
+    this._isStarted = false
     this.gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: this.fixture.storeAddress })
+    this._isStarted = true
   }
 
   /** Waits until the gateway has read that every reserve slot has a holder; slots are claimed in several transactions. */
@@ -32,7 +35,7 @@
 
   /** Stops the gateway and the stand-ins. */
   async stop (): Promise<void> {
-    await this.gateway.kill()
+    if (this._isStarted) await this.gateway.kill()
     this.fixture.close()
   }
 
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -1,8 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createInterface } from 'node:readline'
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
-import { createServer } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -24,26 +22,17 @@
 
 /** Runs a gateway in a child process. */
 export class GatewayProcess {
-  /** Host and port for callers. */
-  readonly callerAddress: string
-  readonly readinessUrl: string
-  readonly metricsUrl: string
   readonly lines: string[] = []
   private readonly _child: ChildProcess
   private readonly _folder: string
   private readonly _exited: Promise<number | null>
 
   private readonly _options: GatewayProcessOptions
-  private readonly _ports: readonly number[]
 
-  private constructor (child: ChildProcess, folder: string, options: GatewayProcessOptions, ports: readonly number[]) {
+  private constructor (child: ChildProcess, folder: string, options: GatewayProcessOptions) {
     this._child = child
     this._folder = folder
     this._options = options
-    this._ports = ports
-    this.callerAddress = `127.0.0.1:${ports[0]}`
-    this.readinessUrl = `http://127.0.0.1:${ports[1]}/v1/ready`
-    this.metricsUrl = `http://127.0.0.1:${ports[2]}/metrics`
     createInterface({ input: child.stdout! }).on('line', line => { this.lines.push(line) })
     createInterface({ input: child.stderr! }).on('line', line => { this.lines.push(line) })
     this._exited = new Promise(resolve => { child.once('exit', code => { resolve(code) }) })
@@ -56,14 +45,30 @@
     return gateway
   }
 
-  /** Starts a gateway without waiting until it is ready. */
+  /** Starts a gateway and waits until it listens, but not until it is ready. */
   static async launch (options: GatewayProcessOptions): Promise<GatewayProcess> {
-    const ports = await getFreePorts(4)
     const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
     const file = join(folder, SETTINGS_FILE)
-    writeFileSync(file, createSettings(options, ports))
+    writeFileSync(file, createSettings(options))
     const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
-    return new GatewayProcess(child, folder, options, ports)
+    const gateway = new GatewayProcess(child, folder, options)
+    await gateway._waitUntilListening()
+    return gateway
+  }
+
+  /** Gets the host and port for callers. */
+  get callerAddress (): string {
+    return this._getAddress('callers')
+  }
+
+  /** Gets the URL of the readiness check. */
+  get readinessUrl (): string {
+    return `http://${this._getAddress('readiness')}/v1/ready`
+  }
+
+  /** Gets the URL of the metrics. */
+  get metricsUrl (): string {
+    return `http://${this._getAddress('metrics')}/metrics`
   }
 
   /** Waits until the readiness check passes. */
@@ -92,7 +97,7 @@
 
   /** Gets the settings that the gateway was started with, with some options replaced. */
   getSettings (changes: Partial<GatewayProcessOptions>): string {
-    return createSettings({ ...this._options, ...changes }, this._ports)
+    return createSettings({ ...this._options, ...changes })
   }
 
   /** Overwrites the settings file. */
@@ -116,25 +121,28 @@
     await this._exited
     rmSync(this._folder, { recursive: true, force: true })
   }
+
+  private async _waitUntilListening (): Promise<void> {
+    const deadline = Date.now() + START_TIMEOUT_MS
+    while (this.getEvents('listening').length === 0) {
+      if (this._child.exitCode !== null || Date.now() > deadline) {
+        await this.kill()
+        throw new Error(`Gateway "${this._options.id}" does not listen:\n${this.lines.join('\n')}`)
+      }
+      await new Promise(resolve => { setTimeout(resolve, POLL_INTERVAL_MS) })
+    }
+  }
+
+  private _getAddress (server: string): string {
+    return String(this.getEvents('listening')[0]![server])
+  }
 }
 
-function createSettings (options: GatewayProcessOptions, ports: readonly number[]): string {
-  const [callers, readiness, metrics, peers] = ports.map(port => `"127.0.0.1:${port}"`)
+/** Creates a settings file; the operating system chooses the ports, so that no other process can take them before the gateway listens. */
+function createSettings (options: GatewayProcessOptions): string {
+  const listen = ['callers', 'readiness', 'metrics', 'peers'].map(server => `${server} = "127.0.0.1:0"`)
   return [
-    `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', `callers = ${callers}`, `readiness = ${readiness}`,
-    `metrics = ${metrics}`, `peers = ${peers}`, '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]',
-    `grace_ms = ${options.graceMs ?? 8_000}`
+    `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', ...listen,
+    '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', `grace_ms = ${options.graceMs ?? 8_000}`
   ].join('\n')
 }
-
-/** Gets free ports; all of them are bound at the same time, because the operating system could otherwise assign one twice. */
-async function getFreePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    return server
-  }))
-  const ports = servers.map(server => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(async server => { await new Promise(resolve => server.close(resolve)) }))
-  return ports
-}
