Hand the reserves of a gateway over at planned restarts

Change: a gateway that stops ends lending and leaves the state of its ledger in a row (table reserve-handovers); the next process with its id marks the row as taken and lends at once. Every process marks the row before it lends, so that a late write of an earlier one conflicts. The write is repeated until shortly before the process is killed. Without the row (crash, outage until the end of the grace period, more programs than a row holds) the rule of 180 s stays. ReserveLedger.close is now closeReserve, for a program; close ends the ledger.

--- a/src/core/reserve/ReserveLedger.ts
+++ b/src/core/reserve/ReserveLedger.ts
@@ -1,5 +1,6 @@
 import { getReserveTokens } from '../budget/index.js'
 import type { Clock } from '../clock/index.js'
+import type { LedgerState } from './HandoverRow.js'
 import { ReserveLender, type ClosingResult, type LoanResult, type LoanRequest } from './ReserveLender.js'
 
 /**
@@ -53,9 +54,29 @@
     this._options = options
   }
 
-  /** Starts lending: at once if no earlier process held these reserves, otherwise when all programs that it may have lent to have ended. */
-  open (hasPredecessor: boolean): void {
-    this._lendingStartsAt = hasPredecessor ? this._options.clock.now() + RESERVE_RETENTION_MS : -Infinity
+  /**
+   * Starts lending.
+   *
+   * @param previous - State that the previous process left; empty if there was no such process, undefined if its loans are not known.
+   * In that case, lending starts when all programs that it may have lent to have ended.
+   */
+  open (previous: LedgerState | undefined): void {
+    const now = this._options.clock.now()
+    this._lendingStartsAt = previous === undefined ? now + RESERVE_RETENTION_MS : -Infinity
+    for (const [program, { spent, isClosed }] of Object.entries(previous ?? {})) {
+      this._accounts.set(program, { spent, isClosed, lent: 0, usedAt: now })
+    }
+  }
+
+  /** Stops lending and returns the state for the next process; undefined if the loans of the previous process are not known. */
+  close (): LedgerState | undefined {
+    const now = this._options.clock.now()
+    const isComplete = now >= this._lendingStartsAt
+    this._lendingStartsAt = Infinity
+    if (!isComplete) return undefined
+    this._sweep(now)
+    const states = [...this._accounts].map(([program, { spent, lent, isClosed }]) => [program, { spent: spent + lent, isClosed }] as const)
+    return Object.fromEntries(states)
   }
 
   lend (req: LoanRequest): LoanResult {
@@ -80,7 +101,7 @@
     openLoan.account.usedAt = this._options.clock.now()
   }
 
-  close (program: string): ClosingResult {
+  closeReserve (program: string): ClosingResult {
     const now = this._options.clock.now()
     if (now < this._lendingStartsAt) return { type: 'unavailable' }
     const account = this._getAccount(program, now)
--- a/src/core/reserve/ReserveLender.ts
+++ b/src/core/reserve/ReserveLender.ts
@@ -24,5 +24,5 @@
   /** Ends a loan and records the tokens that the turn spent. */
   abstract settle (loan: string, spent: number): void
   /** Closes a program's reserve, which then lends nothing, so that the store's row may grant the rest; open loans count in full. */
-  abstract close (program: string): ClosingResult
+  abstract closeReserve (program: string): ClosingResult
 }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -9,7 +9,7 @@
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
-import { BudgetPeers, PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
+import { BudgetPeers, LedgerHandover, PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
@@ -60,8 +60,11 @@
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
 
-/** Milliseconds before the end of the grace period, when the process is killed, at which it stops in any case. */
-const STOP_MARGIN_MS = 500
+/** Milliseconds before the end of the grace period at which requests that are still in progress are ended. */
+const STOP_MARGIN_MS = 1_000
+
+/** Milliseconds before the end of the grace period, when the process is killed, at which it exits in any case. */
+const EXIT_MARGIN_MS = 300
 
 /** Milliseconds for which the store may delay the response to a watch for crashes; they are rare, and a change is reported at once. */
 const SUSPECT_WATCH_MS = 4_000
@@ -81,6 +84,8 @@
   private readonly _budgets: BudgetStore
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
+  private readonly _ledger: ReserveLedger
+  private readonly _handover: LedgerHandover
   private readonly _configWatch: TableWatch
   private readonly _targetWatch: TableWatch
   private readonly _suspectWatch: TableWatch
@@ -92,9 +97,12 @@
     this._options = options
     this._graceMs = settings.graceMs
     const { id, failureDomain, regions } = settings
+    const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
     const ledger = new ReserveLedger({ clock })
+    this._ledger = ledger
+    this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
     const budgetPeers = new BudgetPeers({ store, clock, log, localId: id, reserves: ledger })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({
@@ -106,9 +114,10 @@
       clock,
       log,
       ranking,
-      onRegistered: hasPredecessor => {
-        ledger.open(hasPredecessor)
-        log.info('registered', { hasPredecessor })
+      onRegistered: async hasPredecessor => {
+        const previous = hasPredecessor ? await this._handover.take() : {}
+        ledger.open(previous)
+        log.info('registered', { hasPredecessor, lendsAtOnce: previous !== undefined })
         // On the first run no target has cached a prompt yet.
         if (hasPredecessor) void this._cacheLearner.learn()
       },
@@ -125,7 +134,7 @@
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const suspects = new SuspectStore({ access, clock, log })
     const attempts = { clock, log, metrics, placer, suspects, client: new TargetClient(protocol) }
-    this._turns = new TurnStore({ access, clock, log, rowBytes: Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO) })
+    this._turns = new TurnStore({ access, clock, log, rowBytes })
     this._budgets = new BudgetStore({
       access,
       clock,
@@ -216,6 +225,8 @@
     this._server.stopListening()
     const deadline = startedAt + this._graceMs - STOP_MARGIN_MS
     await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= deadline)
+    const ledgerState = this._ledger.close()
+    if (ledgerState !== undefined) await this._handover.leave(ledgerState, startedAt + this._graceMs - EXIT_MARGIN_MS)
     this._configWatch.close()
     this._targetWatch.close()
     this._suspectWatch.close()
--- a/src/io/peer/BudgetPeers.ts
+++ b/src/io/peer/BudgetPeers.ts
@@ -85,7 +85,7 @@
   async closeReserve (program: string): Promise<ClosingResult> {
     const { localId, reserves } = this._options
     const holderId = this._slots.get(getReserveSlot(program))
-    if (holderId === localId) return reserves.close(program)
+    if (holderId === localId) return reserves.closeReserve(program)
     const holder = this._peers.get(holderId ?? '')
     if (holder === undefined || this._isBackingOff(holder)) return { type: 'unavailable' }
     try {
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -22,8 +22,11 @@
   readonly clock: Clock
   readonly log: DecisionLog
   readonly ranking: PeerRanking
-  /** Called after registration; `hasPredecessor` is true if a gateway with the same id had registered before. */
-  readonly onRegistered: (hasPredecessor: boolean) => void
+  /**
+   * Called after registration; `hasPredecessor` is true if a gateway with the same id had registered before. It is called again if it
+   * rejects with a {@link StoreError}.
+   */
+  readonly onRegistered: (hasPredecessor: boolean) => Promise<void>
   /** Called with the list after each read; `isSettled` is true once gateways that started at the same time are in it. */
   readonly onPeers: (peers: readonly Peer[], isSettled: boolean) => Promise<void>
 }
@@ -39,7 +42,9 @@
 
   /** Registers this gateway, then polls the list for as long as the process runs. */
   async run (localPeer: Peer): Promise<void> {
-    await this._retryUntilDone(async () => { await this._register(localPeer) })
+    let hasPredecessor = false
+    await this._retryUntilDone(async () => { hasPredecessor = await this._register(localPeer) })
+    await this._retryUntilDone(async () => { await this._options.onRegistered(hasPredecessor) })
     await this._retryUntilDone(async () => { await this._read(false) })
     await sleep(SETTLE_DELAY_MS)
     for (;;) {
@@ -48,13 +53,14 @@
     }
   }
 
-  private async _register (localPeer: Peer): Promise<void> {
-    const { store, onRegistered } = this._options
+  /** Writes the address; returns whether a gateway with the same id had registered before. */
+  private async _register (localPeer: Peer): Promise<boolean> {
+    const { store } = this._options
     const key = getPeerKey(localPeer.id)
     const puts = [{ ...key, value: encodePeer(localPeer) }]
     const result = await store.commit({ conditions: [{ ...key, version: 0 }], puts }, { timeoutMs: CALL_TIMEOUT_MS })
     if (result.type === 'conflict') await store.commit({ puts }, { timeoutMs: CALL_TIMEOUT_MS })
-    onRegistered(result.type === 'conflict')
+    return result.type === 'conflict'
   }
 
   private async _read (isSettled: boolean): Promise<void> {
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -60,7 +60,7 @@
     }),
     lend: t.procedure.input(LOAN).mutation(({ input }) => options.reserves.lend(input)),
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
-    closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.close(input.program)),
+    closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.closeReserve(input.program)),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
--- a/src/io/peer/index.ts
+++ b/src/io/peer/index.ts
@@ -1,4 +1,5 @@
 export * from './BudgetPeers.js'
+export * from './LedgerHandover.js'
 export * from './PeerClient.js'
 export * from './PeerDirectory.js'
 export * from './PeerRouter.js'
--- a/tests/core/reserve/ReserveLedgerTests.ts
+++ b/tests/core/reserve/ReserveLedgerTests.ts
@@ -80,13 +80,33 @@
     expect(ledger.lend({ program: 'p', limit: LIMIT, tokens: 1 }).type).toEqual('lent')
   })
 
+  it('should continue from the state that the previous process left, and count its open loans in full', () => {
+    const first = open(false)
+    const settled = first.lend({ program: 'p', limit: LIMIT, tokens: 100 })
+    if (settled.type === 'lent') first.settle(settled.loan, 30)
+    first.lend({ program: 'p', limit: LIMIT, tokens: 400 })
+    first.closeReserve('q')
+    const state = first.close()
+    expect(first.lend({ program: 'r', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
+    const second = new ReserveLedger({ clock })
+    second.open(state)
+    expect(second.closeReserve('p')).toEqual({ type: 'closed', spent: 430 })
+    expect(second.lend({ program: 'q', limit: LIMIT, tokens: 1 })).toEqual({ type: 'spent', isForGood: true })
+    expect(second.lend({ program: 'r', limit: LIMIT, tokens: 1 }).type).toEqual('lent')
+  })
+
+  it('should leave no state while the loans of the previous process are not known', () => {
+    expect(open(true).close()).toEqual(undefined)
+    expect(new ReserveLedger({ clock }).close()).toEqual(undefined)
+  })
+
   it('should lend nothing before this gateway is registered', () => {
     expect(new ReserveLedger({ clock }).lend({ program: 'p', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
   })
 
   const open = (hasPredecessor: boolean): ReserveLedger => {
     const ledger = new ReserveLedger({ clock })
-    ledger.open(hasPredecessor)
+    ledger.open(hasPredecessor ? undefined : {})
     return ledger
   }
 })
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -243,14 +243,14 @@
 
 function createReserve (): Peers {
   const ledger = new ReserveLedger({ clock })
-  ledger.open(false)
+  ledger.open({})
   return {
     ...NO_PEERS,
     borrow: async req => {
       const loan = ledger.lend(req)
       return loan.type === 'lent' ? { type: 'lent', loan: { settle: spent => { ledger.settle(loan.loan, spent) } } } : loan
     },
-    closeReserve: async program => ledger.close(program)
+    closeReserve: async program => ledger.closeReserve(program)
   }
 }
 
--- a/tests/processes/GatewayStateTests.ts
+++ b/tests/processes/GatewayStateTests.ts
@@ -73,6 +73,20 @@
     expect([refused.status, harness.getRuns('h4')]).toEqual([503, []])
   })
 
+  it('should lend from its reserve after a planned restart', async () => {
+    await harness.waitForReserves()
+    harness.gateway.signal('SIGTERM')
+    expect(await harness.gateway.waitForExit()).toEqual(0)
+    await harness.startGateway()
+    await harness.waitForReserves()
+    harness.fixture.store.rows.failure = 'refused'
+    await waitFor(() => harness.gateway.getEvents('store-away').length === 1)
+    const headers = { 'x-program-id': 'p5', 'x-token-budget': '103', 'x-token-usage': '10,20' }
+    let receivedText = ''
+    void harness.call({ id: 'h1', path: '/turns/kept/a', body: 'x', headers, onData: text => { receivedText += text } })
+    await waitFor(() => receivedText === STREAM_BODY)
+  })
+
   it('should refuse a turn at every gateway when the budget is spent, and not run it', async () => {
     await harness.waitForReserves()
     const otherGateway = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
