Reuse connections to targets for the idle time that the target announces

All responses announce an idle time-out of 10 s, but connections were kept for 4 s, and for 0.7 s for requests that run at most once, in a pool of their own.

Change: one pool for all requests; a connection is reused for the announced time less 0.7 s, and for 0.7 s without an announcement.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -114,9 +114,7 @@
     const timeoutSignal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
     const signal = isDetached ? timeoutSignal : AbortSignal.any([timeoutSignal, this._exchange.callerDisconnected])
     try {
-      const response = await client.send({
-        call, body, signal, isRepeatable: isRepeatable(route), dispatch: { target: state.target, timeoutMs, lastEventId }
-      })
+      const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
       if (response.head.requestId !== undefined && response.head.requestId !== call.id) {
         response.discard()
         progress.finish()
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -5,11 +5,11 @@
 /** Milliseconds in which a connection to a target must open; enough for a round trip between regions to a busy target. */
 export const CONNECT_TIMEOUT_MS = 500
 
-/** Milliseconds for which an idle connection is reused for requests that may be repeated. */
-const KEEP_ALIVE_MS = 4_000
+/** Longest time in milliseconds for which an idle connection is reused, also when the target announces a longer one. */
+const MAX_KEEP_ALIVE_MS = 30_000
 
-/** Milliseconds for which an idle connection is reused for requests that run at most once, which a stale connection would lose. */
-const AT_MOST_ONCE_KEEP_ALIVE_MS = 700
+/** Milliseconds for which an idle connection is reused when the target announces no idle time-out; it may close the connection any time. */
+const UNANNOUNCED_KEEP_ALIVE_MS = 700
 
 /** Milliseconds before a target's announced idle time-out at which a connection is closed. */
 const KEEP_ALIVE_MARGIN_MS = 700
@@ -42,16 +42,21 @@
   readonly call: CallRequest
   readonly dispatch: DispatchOptions
   readonly body: Buffer | undefined
-  /** True when the request may run again after the connection was lost. */
-  readonly isRepeatable: boolean
   readonly signal: AbortSignal
 }
 
 /** Sends requests to targets, one at a time on a connection. */
 export class TargetClient {
   private readonly _protocol: CallProtocol
-  private readonly _repeatable = createAgent(KEEP_ALIVE_MS)
-  private readonly _atMostOnce = createAgent(AT_MOST_ONCE_KEEP_ALIVE_MS)
+  private readonly _agent = new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: UNANNOUNCED_KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 1
+  })
 
   constructor (protocol: CallProtocol) {
     this._protocol = protocol
@@ -60,11 +65,10 @@
   /** Sends a request and resolves when the head of the response has arrived; rejects with a {@link TargetError}. */
   async send (request: TargetRequest): Promise<TargetResponse> {
     const { call, dispatch, body, signal } = request
-    const agent = request.isRepeatable ? this._repeatable : this._atMostOnce
     const handler = new ResponseHandler(signal)
     try {
       // The agent sends the path unchanged; a URL object would normalize it.
-      agent.dispatch({
+      this._agent.dispatch({
         origin: `http://${dispatch.target.address}`,
         path: call.requestTarget,
         method: call.method as Dispatcher.HttpMethod,
@@ -80,22 +84,10 @@
 
   /** Closes all connections. */
   async close (): Promise<void> {
-    await Promise.all([this._repeatable.destroy(), this._atMostOnce.destroy()])
+    await this._agent.destroy()
   }
 }
 
-function createAgent (keepAliveMs: number): Dispatcher {
-  return new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    keepAliveTimeout: keepAliveMs,
-    keepAliveMaxTimeout: keepAliveMs,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 1
-  })
-}
-
 function isConnectError (err: unknown): boolean {
   const code = (err as { code?: string } | undefined)?.code
   return err instanceof errors.ConnectTimeoutError || code === 'ECONNREFUSED' || code === 'EHOSTUNREACH'
