Log callers that disconnect, and the program in the last line of a request

Cause: the path from a failed program to its cause was too long. A request whose caller had left had no last line, and the lines refused and answer-broken-off named the request only, so its program had to be looked up in another line.

Change: caller-disconnected (with a counter) is the last line of such a request; refused and answer-broken-off name the program.

--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -42,6 +42,8 @@
   private readonly _context: ExchangeContext
   private readonly _res: ServerResponse
   private readonly _callerDisconnected = new AbortController()
+  /** True once this gateway has closed the connection of an incomplete response. */
+  private _isAborted = false
 
   constructor (options: ExchangeOptions) {
     const { context, call, route, res } = options
@@ -52,7 +54,7 @@
     this.configVersion = options.configVersion
     this.startedAt = context.clock.now()
     this.deadline = this.startedAt + Math.min(call.timeoutMs ?? Infinity, route.timeoutMs)
-    res.on('close', () => { if (!res.writableEnded || !res.writableFinished) this._callerDisconnected.abort() })
+    res.on('close', () => { if (!res.writableEnded || !res.writableFinished) this._onDisconnected() })
   }
 
   /** Gets a signal that is aborted when the caller closes its connection before the response is complete. */
@@ -108,7 +110,9 @@
   abort (cause: string): void {
     const { log, metrics, clock } = this._context
     metrics.addRefusal('answer-interrupted')
-    log.warn('answer-broken-off', { req: this.call.id, route: this.route.name, cause, tookMs: Math.round(clock.now() - this.startedAt) })
+    const tookMs = Math.round(clock.now() - this.startedAt)
+    log.warn('answer-broken-off', { req: this.call.id, program: this.call.program?.id, route: this.route.name, cause, tookMs })
+    this._isAborted = true
     this._res.destroy()
   }
 
@@ -118,10 +122,20 @@
     metrics.addRefusal(refusal.reason)
     const tookMs = Math.round(clock.now() - this.startedAt)
     const { reason, detail, members } = refusal
-    log.info('refused', { req: this.call.id, route: this.route.name, config: this.configVersion, reason, detail, ...members, tookMs })
+    const { call, route, configVersion } = this
+    log.info('refused', { req: call.id, program: call.program?.id, route: route.name, config: configVersion, reason, detail, ...members, tookMs })
     sendProblem(this._context, this._res, this.call.id, refusal)
   }
 
+  private _onDisconnected (): void {
+    this._callerDisconnected.abort()
+    if (this._isAborted) return
+    const { log, metrics, clock } = this._context
+    metrics.callerDisconnects.inc({ kind: this.route.kind })
+    const tookMs = Math.round(clock.now() - this.startedAt)
+    log.info('caller-disconnected', { req: this.call.id, program: this.call.program?.id, hasStarted: this.hasStarted(), tookMs })
+  }
+
   private _isClosed (): boolean {
     return this._res.destroyed || this._res.writableEnded
   }
