Fetch turns from the memory of other gateways while the store cannot be read

Callers retry at another gateway, which has not cached the turn that the request continues from; in an outage each such try ended at once, so that the caller's tries were used up in 4.8 s, while the outages last 6 and 7 s.

Change: a gateway that cannot read a turn asks up to 24 peers, those of its region first, and uses the transcript of the first that has it (turn-fetched). Only turns that are stored are cached, so no turn is continued that could be lost. The clients of peers and their back-off moved from BudgetPeers to PeerPool; failed calls are logged as peer-call-failed (before: budget-peer-lost, loan-not-settled).

Tests: TurnStoreTests "should get a turn from the memory of another gateway while the store is unavailable", GatewayStateTests "should continue from a turn of another gateway while the store is unavailable"; both fail without the change.

--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -9,7 +9,7 @@
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
-import { BudgetPeers, LedgerHandover, PeerDirectory, PeerServer, RelayedStore } from '../peer/index.js'
+import { BudgetPeers, LedgerHandover, PeerDirectory, PeerPool, PeerServer, RelayedStore, TurnPeers } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
@@ -103,10 +103,15 @@
     const ledger = new ReserveLedger({ clock })
     this._ledger = ledger
     this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
-    const budgetPeers = new BudgetPeers({ store, clock, log, localId: id, reserves: ledger })
+    const pool = new PeerPool({ clock, log })
+    const budgetPeers = new BudgetPeers({ store, pool, log, localId: id, reserves: ledger })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({
-      direct: options.store, isDirectUnavailable: () => store.isDirectUnavailable(), reserves: ledger, returnUnused
+      direct: options.store,
+      isDirectUnavailable: () => store.isDirectUnavailable(),
+      reserves: ledger,
+      returnUnused,
+      getCachedTurn: turn => this._turns.getCached(turn)
     })
     this._cacheLearner = new CacheLearner({ source: options.caches, log, getTargets: () => this._getLocalModels() })
     this._directory = new PeerDirectory({
@@ -134,7 +139,7 @@
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const suspects = new SuspectStore({ access, clock, log })
     const attempts = { clock, log, metrics, placer, suspects, client: new TargetClient(protocol) }
-    this._turns = new TurnStore({ access, clock, log, rowBytes })
+    this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
     this._budgets = new BudgetStore({
       access,
       clock,
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -4,6 +4,7 @@
 import type { RefusalReason } from '../../core/reason/index.js'
 import { fromTurnRows, getTurnPartitions, getTurnRange, toTurnRows, TurnExpiry } from '../../core/turn/index.js'
 import type { DecisionLog } from '../process/index.js'
+import type { TurnPeers } from '../peer/index.js'
 import { PartitionFallback } from './PartitionFallback.js'
 import type { StoreAccess } from './StoreAccess.js'
 
@@ -21,6 +22,8 @@
   readonly access: StoreAccess
   readonly clock: Clock
   readonly log: DecisionLog
+  /** Other gateways, which may have cached a turn that cannot be read. */
+  readonly peers: Pick<TurnPeers, 'fetch'>
   /** Largest payload of a row, in bytes. */
   readonly rowBytes: number
 }
@@ -38,7 +41,10 @@
     this._fallback = new PartitionFallback({ clock: options.clock, onRetry: err => { options.access.recordRetry(err) } })
   }
 
-  /** Gets the transcript up to a turn; a turn counts as unknown only when every partition has responded without it. */
+  /**
+   * Gets the transcript up to a turn, from the memory of another gateway if the store cannot be read; a turn counts as unknown only when
+   * every partition has responded without it.
+   */
   async load (id: string, deadline: number): Promise<Either<RefusalReason, Buffer>> {
     const cached = this._cache.get(id)
     if (cached !== undefined) return Right(cached)
@@ -54,11 +60,15 @@
       return Right(transcript)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      this._options.log.warn('turn-unreadable', { turn: id, cause: err.message })
-      return Left('turn-unreadable')
+      return await this._fetchFromPeers(id, err)
     }
   }
 
+  /** Gets the transcript up to a turn if it is cached. */
+  getCached (id: string): Buffer | undefined {
+    return this._cache.get(id)
+  }
+
   /** Saves the transcript with a finished turn; returns whether it is durable. */
   async save (id: string, transcript: Buffer, retentionMs: number, deadline: number): Promise<boolean> {
     const { access, clock, rowBytes } = this._options
@@ -96,6 +106,18 @@
     }
   }
 
+  private async _fetchFromPeers (id: string, err: StoreError): Promise<Either<RefusalReason, Buffer>> {
+    const { peers, log } = this._options
+    const transcript = await peers.fetch(id)
+    if (transcript === undefined) {
+      log.warn('turn-unreadable', { turn: id, cause: err.message })
+      return Left('turn-unreadable')
+    }
+    log.info('turn-fetched', { turn: id, bytes: transcript.length, cause: err.message })
+    this._addToCache(id, transcript)
+    return Right(transcript)
+  }
+
   private _addToCache (id: string, transcript: Buffer): void {
     if (this._cache.has(id)) return
     this._cache.set(id, transcript)
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -24,6 +24,8 @@
 
 const PROGRAM = z.object({ program: z.string() })
 
+const TURN = z.object({ turn: z.string() })
+
 const SETTLEMENT = z.object({ loan: z.string(), spent: z.number().nonnegative() })
 
 /** Options of {@link createPeerRouter}. */
@@ -36,9 +38,11 @@
   readonly reserves: ReserveLender
   /** Returns this gateway's unused grants of a program's budget to the store. */
   readonly returnUnused: (program: string) => Promise<void>
+  /** Gets the transcript up to a stored turn if this gateway has cached it. */
+  readonly getCachedTurn: (turn: string) => Buffer | undefined
 }
 
-/** Creates the router through which peers call the store and borrow tokens from the reserves of this gateway. */
+/** Creates the router through which peers call the store, borrow tokens from the reserves of this gateway and read its cached turns. */
 export function createPeerRouter (options: PeerRouterOptions) {
   const { direct } = options
   // The error message is the kind of failure; the calling gateway decides by it which calls it may retry.
@@ -62,6 +66,7 @@
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
     closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.closeReserve(input.program)),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
+    getTurn: t.procedure.input(TURN).query(({ input }) => ({ transcript: options.getCachedTurn(input.turn)?.toString('base64') ?? null })),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
     })
--- a/tests/io/gateway/TurnStoreTests.ts
+++ b/tests/io/gateway/TurnStoreTests.ts
@@ -1,6 +1,6 @@
 import { expect } from 'earl'
 import { getTurnPartitions, PARTITIONS_PER_TURN } from '../../../src/core/turn/index.js'
-import { StoreAccess, TurnStore } from '../../../src/io/gateway/index.js'
+import { StoreAccess, TurnStore, type TurnStoreOptions } from '../../../src/io/gateway/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
 
@@ -35,6 +35,21 @@
     expect(clock.now() - startedAt < 350).toEqual(true)
   })
 
+  // Callers retry at another gateway, which has not cached the turn that the request continues from.
+  it('should get a turn from the memory of another gateway while the store is unavailable', async () => {
+    const first = createStore(rows)
+    await save(first)
+    rows.failure = 'refused'
+    const second = createStore(rows, { fetch: async id => first.getCached(id) })
+    expect(await load(second)).toEqual(TRANSCRIPT)
+    expect(second.getCached('t1')).toEqual(TRANSCRIPT)
+  })
+
+  it('should not ask other gateways for a turn that the store can read', async () => {
+    await save(createStore(rows))
+    expect(await load(createStore(rows, { fetch: async () => { throw new Error('asked') } }))).toEqual(TRANSCRIPT)
+  })
+
   it('should call a partition that failed recently after the others', async () => {
     const store = createStore(rows)
     rows.failedPartitions.set(FIRST!, 'refused')
@@ -62,10 +77,10 @@
 
 const clock = new SteadyClock()
 
-function createStore (rows: MemoryRowStore): TurnStore {
+function createStore (rows: MemoryRowStore, peers: TurnStoreOptions['peers'] = { fetch: async () => undefined }): TurnStore {
   const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
   const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-  return new TurnStore({ access, clock, log, rowBytes: 1_000 })
+  return new TurnStore({ access, clock, log, peers, rowBytes: 1_000 })
 }
 
 async function save (store: TurnStore): Promise<boolean> {
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -21,7 +21,13 @@
     peerStore = new MemoryRowStore()
     isPeerUnavailable = false
     const reserves = new ReserveLedger({ clock: new SteadyClock() })
-    server = new PeerServer({ direct: peerStore, isDirectUnavailable: () => isPeerUnavailable, reserves, returnUnused: async () => {} })
+    server = new PeerServer({
+      direct: peerStore,
+      isDirectUnavailable: () => isPeerUnavailable,
+      reserves,
+      returnUnused: async () => {},
+      getCachedTurn: () => undefined
+    })
     const address = await server.listen('127.0.0.1:0')
     store = createStore([
       // Nothing listens on the discard port; the search must continue with the next peer.
--- a/tests/processes/GatewayStateTests.ts
+++ b/tests/processes/GatewayStateTests.ts
@@ -87,6 +87,21 @@
     await waitFor(() => receivedText === STREAM_BODY)
   })
 
+  it('should continue from a turn of another gateway while the store is unavailable', async () => {
+    const otherGateway = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
+    try {
+      await waitFor(() => otherGateway.getEvents('peers-known').some(event => (event.peers as string[]).length === 2))
+      await harness.sendTurn('t1', {}, 'one,')
+      harness.fixture.store.rows.failure = 'refused'
+      await waitFor(() => otherGateway.getEvents('store-away').length === 1)
+      // The turn ends without its end, since it cannot be stored; no budget is needed.
+      await callPlatform(otherGateway.callerAddress, { id: 't2', path: '/turns/kept/a', body: 'two,', headers: { 'x-previous-turn': 't1' } })
+      expect(harness.getRuns('t2')).toEqual(['one,first\nsecond\nthird\ntwo,'])
+    } finally {
+      await otherGateway.kill()
+    }
+  })
+
   it('should refuse a turn at every gateway when the budget is spent, and not run it', async () => {
     await harness.waitForReserves()
     const otherGateway = await GatewayProcess.start({ id: 'gateway-2', storeAddress: harness.fixture.storeAddress })
