Bound what a target can send without end

Cause (reading, then tests): EventSplitter kept an event that never ends and scanned all of it again with each chunk; a target that sends interim responses without end kept its connection until the route's time limit; a plain body had no bound.

Beyond that, the connection is closed, the target counts as failing and another one is tried where the route allows it. A head without end and bytes that are no head were already bounded by the parser.

--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -4,6 +4,9 @@
 /** Bytes of a response that are buffered before the first is relayed, so that the request can be retried when the connection is lost. */
 export const RESPONSE_BUFFER_BYTES = 262_144
 
+/** Largest number of bytes of a response; a target that sends more sends no answer, and is not read on. */
+export const MAX_RESPONSE_BYTES = 67_108_864
+
 /** Forwards requests whose response is not a stream of events. */
 export class PlainForwarder {
   private readonly _context: AttemptContext
@@ -40,6 +43,10 @@
   try {
     for await (const chunk of body) {
       size += chunk.length
+      if (size > MAX_RESPONSE_BYTES) {
+        discard()
+        return { cause: `the body exceeds ${MAX_RESPONSE_BYTES} bytes`, isConnectionLost: false }
+      }
       if (exchange.hasStarted()) {
         await exchange.write(chunk)
         continue
--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -3,6 +3,9 @@
 /** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
 const MAX_BUFFERED_BYTES = 65_536
 
+/** Interim responses (status 1xx) that are accepted before the response. */
+const MAX_INTERIM_RESPONSES = 16
+
 /** A response as received, with its body as a stream. */
 export interface RawResponse {
   readonly status: number
@@ -20,6 +23,7 @@
   private _resolve: (response: RawResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
   private _controller: Dispatcher.DispatchController | undefined
+  private _interimResponses = 0
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
   private _isComplete = false
@@ -49,7 +53,11 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
-    if (status < 200) return
+    if (status < 200) {
+      this._interimResponses++
+      if (this._interimResponses > MAX_INTERIM_RESPONSES) this._abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`))
+      return
+    }
     const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
     const headers = rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
     this._resolve({ status, headers, body: this._read(), abort: () => { this._abort(new Error('The response was discarded.')) } })
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { Route } from '../../core/route/index.js'
-import { EventSplitter, shouldRunTurn, Transcript } from '../../core/turn/index.js'
+import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
@@ -161,6 +161,10 @@
           progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
         }
+        if (splitter.isTooLong()) {
+          attempt.response.discard()
+          return { cause: `an event exceeds ${MAX_EVENT_BYTES} bytes`, isConnectionLost: false }
+        }
       }
     } catch (err) {
       return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true }
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -1,5 +1,7 @@
 import { expect } from 'earl'
-import { EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, PARTITIONS_PER_TURN, toTurnRows, Transcript } from '../../../src/core/turn/index.js'
+import {
+  EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, PARTITIONS_PER_TURN, toTurnRows, Transcript
+} from '../../../src/core/turn/index.js'
 
 describe('EventSplitter', () => {
   it('should return complete events wherever the bytes are split', () => {
@@ -13,6 +15,30 @@
     }
   })
 
+  it('should scan bytes that are no event once and keep a bounded number of them', () => {
+    for (const chunkBytes of [1, 65_536]) {
+      const splitter = new EventSplitter()
+      const chunk = Buffer.alloc(chunkBytes, 'x\n')
+      const startedAt = performance.now()
+      let received = 0
+      let events = 0
+      while (!splitter.isTooLong()) {
+        events += splitter.add(chunk).length
+        received += chunkBytes
+      }
+      // A scan of all kept bytes for each chunk takes minutes for single bytes.
+      expect([events, received <= MAX_EVENT_BYTES + chunkBytes, performance.now() - startedAt < 2_000]).toEqual([0, true, true])
+      splitter.add(chunk)
+      expect(splitter.getRemainder().length).toEqual(0)
+    }
+  })
+
+  it('should return the events before one that is too long, and none after it', () => {
+    const splitter = new EventSplitter({ maxEventBytes: 20 })
+    expect(splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: too long for it\n\nid: 3\n\n')).map(event => event.id)).toEqual(['1'])
+    expect([splitter.isTooLong(), splitter.add(Buffer.from('id: 4\n\n'))]).toEqual([true, []])
+  })
+
   it('should hold back an incomplete event', () => {
     const splitter = new EventSplitter()
     expect(splitter.add(Buffer.from('id: 1\ndata: a\n')).length).toEqual(0)
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -56,6 +56,11 @@
     return gateway
   }
 
+  /** Gets the id of the process. */
+  get pid (): number {
+    return this._child.pid!
+  }
+
   /** Gets the host and port for callers. */
   get callerAddress (): string {
     return this._getAddress('callers')
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -64,6 +64,14 @@
     for (const desk of this.desks) this._register(desk, 'desk')
   }
 
+  /** Registers the model engines at another address, as after a restart on another machine. */
+  replaceEngines (address: string): void {
+    for (const engine of this.engines) {
+      this._addresses.set(engine.id, address)
+      this._register(engine, 'model')
+    }
+  }
+
   /** Stops all stand-ins. */
   close (): void {
     for (const standin of [...this.engines, ...this.desks]) standin.close()
