Relay only responses that state the id of their request

A copy that states the id of its own request was already recognized. With a header "not run" such a copy could also make a request that had run count as not run.

Change: a response without the id of its request is treated like one of another request: the connection is closed, and the request may have run. Targets of the platform echo the id in every response (PROTOCOL.md).

--- a/src/core/forward/CallProtocol.ts
+++ b/src/core/forward/CallProtocol.ts
@@ -27,7 +27,7 @@
   readonly status: number
   /** Headers to forward to the caller, names and values in alternation. */
   readonly headers: readonly string[]
-  /** Id of the request, as stated in the response. */
+  /** Id of the request, as stated in the response; a response without the id of its request is not relayed. */
   readonly requestId: string | undefined
   /** True when the response has the signature of a target. */
   readonly isSigned: boolean
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -115,10 +115,12 @@
     const signal = isDetached ? timeoutSignal : AbortSignal.any([timeoutSignal, this._exchange.callerDisconnected])
     try {
       const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
-      if (response.head.requestId !== undefined && response.head.requestId !== call.id) {
+      // Without its id, a response may be a late copy of an earlier one on the same connection.
+      if (response.head.requestId !== call.id) {
         response.discard()
         progress.finish()
-        this._recordRun(state, `the response has the id of another request: ${response.head.requestId}`)
+        const { requestId, status } = response.head
+        this._recordRun(state, `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`)
         return undefined
       }
       if (response.head.isNotRun) {
--- a/tests/processes/EndlessAnswerTests.ts
+++ b/tests/processes/EndlessAnswerTests.ts
@@ -1,8 +1,8 @@
-import { createServer, type Server, type Socket } from 'node:net'
-import type { AddressInfo } from 'node:net'
 import { readFileSync } from 'node:fs'
+import type { Socket } from 'node:net'
 import { expect } from 'earl'
 import { GatewayHarness, waitFor } from './GatewayHarness.js'
+import { RawTarget, type RawRequest } from './RawTarget.js'
 
 /** Number of requests whose target answers without end at the same time. */
 const ENDLESS_ANSWERS = 50
@@ -21,23 +21,23 @@
 
 describe('a gateway whose targets answer without end', () => {
   let harness: GatewayHarness
-  let flood: FloodingTarget
+  let target: RawTarget
 
   beforeEach(async () => {
     harness = new GatewayHarness()
     await harness.start()
-    flood = new FloodingTarget()
+    target = new RawTarget()
   })
 
   afterEach(async () => {
-    flood.close()
+    target.close()
     await harness.stop()
   })
 
   for (const [name, head] of Object.entries(HEADS)) {
     it(`should close the connections, keep its memory bounded and serve others: ${name}`, async () => {
-      await flood.start(head)
-      harness.fixture.replaceEngines(flood.address)
+      await target.start((socket, request) => { flood(socket, request, head, CHUNK) })
+      harness.fixture.replaceEngines(target.address)
       await waitFor(() => harness.gateway.getEvents('target-changed').length > 0)
       await harness.call({ id: 'warm', path: '/lookup/x' })
       const before = getResidentBytes(harness.gateway.pid)
@@ -47,52 +47,26 @@
       expect(lookup.status).toEqual(200)
       for (const response of await Promise.all(responses)) expect(response?.status === 200 && response.isComplete).toEqual(false)
       expect(getResidentBytes(harness.gateway.pid) - before < MAX_GROWTH_BYTES).toEqual(true)
-      await waitFor(() => flood.openConnections === 0)
+      await waitFor(() => target.openConnections === 0)
     })
   }
 
   it('should stop after a bounded number of interim responses', async () => {
-    await flood.start('', Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100)))
-    harness.fixture.replaceEngines(flood.address)
+    const hints = Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100))
+    await target.start((socket, request) => { flood(socket, request, '', hints) })
+    harness.fixture.replaceEngines(target.address)
     await waitFor(() => harness.gateway.getEvents('target-changed').length > 0)
     expect((await harness.sendTurn('t1', {}, 'x')).status).toEqual(502)
-    await waitFor(() => flood.openConnections === 0)
+    await waitFor(() => target.openConnections === 0)
   })
 })
 
-/** Server that sends the start of an answer and then the same bytes until the caller closes. */
-class FloodingTarget {
-  address = ''
-  openConnections = 0
-  private _server: Server | undefined
-  private readonly _sockets = new Set<Socket>()
-
-  /** Starts to listen; `ID` in the head stands for the id of the request. */
-  async start (head: string, chunk = CHUNK): Promise<void> {
-    this._server = createServer(socket => {
-      this.openConnections++
-      this._sockets.add(socket)
-      socket.on('error', () => {})
-      socket.on('close', () => {
-        this.openConnections--
-        this._sockets.delete(socket)
-      })
-      socket.once('data', data => {
-        const id = /x-request-id: (\S+)/i.exec(data.toString())?.[1] ?? ''
-        socket.write(head.replace('ID', id))
-        const send = (): void => { while (!socket.destroyed && socket.write(chunk)); }
-        socket.on('drain', send)
-        send()
-      })
-    })
-    await new Promise<void>(resolve => this._server!.listen(0, '127.0.0.1', resolve))
-    this.address = `127.0.0.1:${(this._server.address() as AddressInfo).port}`
-  }
-
-  close (): void {
-    for (const socket of this._sockets) socket.destroy()
-    this._server?.close()
-  }
+/** Sends the start of an answer and then the same bytes until the caller closes; `ID` in the head stands for the id of the request. */
+function flood (socket: Socket, request: RawRequest, head: string, chunk: Buffer): void {
+  socket.write(head.replace('ID', request.id))
+  const send = (): void => { while (!socket.destroyed && socket.write(chunk)); }
+  socket.on('drain', send)
+  send()
 }
 
 function getResidentBytes (pid: number): number {
--- /dev/null
+++ b/tests/processes/RawTarget.ts
@@ -0,0 +1,44 @@
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+
+/** A request as received on a connection. */
+export interface RawRequest {
+  readonly id: string
+  /** Number of the request on its connection, from 0. */
+  readonly index: number
+}
+
+/** Server whose answers are written by the test, byte by byte, so that they may break the protocol. Requests arrive in one piece. */
+export class RawTarget {
+  address = ''
+  openConnections = 0
+  private _server: Server | undefined
+  private readonly _sockets = new Set<Socket>()
+
+  /** Starts to listen. */
+  async start (onRequest: (socket: Socket, request: RawRequest) => void): Promise<void> {
+    this._server = createServer(socket => { this._accept(socket, onRequest) })
+    await new Promise<void>(resolve => this._server!.listen(0, '127.0.0.1', resolve))
+    this.address = `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+  }
+
+  /** Stops the server and closes its connections. */
+  close (): void {
+    for (const socket of this._sockets) socket.destroy()
+    this._server?.close()
+  }
+
+  private _accept (socket: Socket, onRequest: (socket: Socket, request: RawRequest) => void): void {
+    this.openConnections++
+    this._sockets.add(socket)
+    socket.on('error', () => {})
+    socket.on('close', () => {
+      this.openConnections--
+      this._sockets.delete(socket)
+    })
+    let index = 0
+    socket.on('data', data => {
+      const id = /x-request-id: (\S+)/i.exec(data.toString())?.[1]
+      if (id !== undefined) onRequest(socket, { id, index: index++ })
+    })
+  }
+}
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -49,12 +49,12 @@
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
     const id = String(req.headers['x-request-id'])
     if (req.headers['x-target-instance'] !== this.id) {
-      res.writeHead(421, { 'x-instance-id': this.id }).end()
+      res.writeHead(421, { 'x-instance-id': this.id, 'x-request-id': id }).end()
       return
     }
     const behaviour = this.nextBehaviours.shift() ?? 'answer'
     if (behaviour === 'not-run') {
-      res.writeHead(503, { 'x-not-executed': '1' }).end()
+      res.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id }).end()
       return
     }
     const body = Buffer.concat(chunks).toString()
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -72,6 +72,14 @@
     }
   }
 
+  /** Registers the plain services at another address. */
+  replaceDesks (address: string): void {
+    for (const desk of this.desks) {
+      this._addresses.set(desk.id, address)
+      this._register(desk, 'desk')
+    }
+  }
+
   /** Stops all stand-ins. */
   close (): void {
     for (const standin of [...this.engines, ...this.desks]) standin.close()
