Request the transcript and the budget of a turn at the same time

Change: both are requested at the same time; a turn that lacks one of them gives the other back and is refused as before. In an outage, a turn that could not be saved is refused before either is requested.

--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,8 +1,10 @@
+import { Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
+import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import type { Route } from '../../core/route/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
-import type { BudgetStore } from './BudgetStore.js'
+import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import type { TurnStore } from './TurnStore.js'
@@ -56,8 +58,6 @@
 
   /** Forwards a turn and relays its events. */
   async forward (exchange: Exchange, input: Buffer | undefined): Promise<void> {
-    const prompt = await this._getPrompt(exchange, input)
-    if (prompt === undefined) return
     const { isStoreUnavailable, getStoreRetrySeconds } = this._options
     const arrival = {
       isStoreUnavailable: isStoreUnavailable(), remainingMs: exchange.getRemainingMs(), maxWaitMs: getMaxWaitMs(exchange.route)
@@ -66,8 +66,16 @@
       exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
       return
     }
-    const settle = await this._reserve(exchange)
-    if (settle === undefined) return
+    // Both may need the store in another region, so they are requested at the same time.
+    const [loaded, reservation] = await Promise.all([this._loadPrompt(exchange, input), this._reserve(exchange)])
+    const refusal = this._getRefusal(exchange, loaded, reservation)
+    if (refusal !== undefined || reservation.type !== 'granted') {
+      if (reservation.type === 'granted') reservation.settle(0)
+      if (refusal !== undefined) exchange.refuse(refusal)
+      return
+    }
+    const { settle } = reservation
+    const prompt = loaded.unsafeCoerce()
     const progress: StreamProgress = {
       transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
     }
@@ -83,27 +91,21 @@
     }
   }
 
-  private async _getPrompt (exchange: Exchange, input: Buffer | undefined): Promise<Buffer | undefined> {
+  /** Loads the transcript of the earlier turns and appends the new input. */
+  private async _loadPrompt (exchange: Exchange, input: Buffer | undefined): Promise<Either<RefusalReason, Buffer>> {
     const newInput = input ?? Buffer.alloc(0)
     const { previousTurn } = exchange.call
-    if (!exchange.route.isRetained || previousTurn === undefined) return newInput
+    if (!exchange.route.isRetained || previousTurn === undefined) return Right(newInput)
     const loaded = await this._options.turns.load(previousTurn, this._getPrepareDeadline(exchange))
-    return loaded.caseOf({
-      Right: transcript => Buffer.concat([transcript, newInput]),
-      Left: reason => {
-        const retryAfterSeconds = reason === 'turn-unreadable' ? this._options.getStoreRetrySeconds() : undefined
-        exchange.refuse({ reason, retryAfterSeconds, members: { turn: previousTurn } })
-        return undefined
-      }
-    })
+    return loaded.map(transcript => Buffer.concat([transcript, newInput]))
   }
 
-  /** Reserves the tokens of a turn; returns the function that settles them, or undefined after a refusal. */
-  private async _reserve (exchange: Exchange): Promise<((spent: number) => void) | undefined> {
+  /** Reserves the tokens of a turn. */
+  private async _reserve (exchange: Exchange): Promise<Reservation> {
     const { id, program, maxOutputTokens } = exchange.call
-    if (program?.tokenBudget === undefined) return () => {}
+    if (program?.tokenBudget === undefined) return { type: 'granted', settle: () => {} }
     const { budgets, attempts } = this._options
-    const result = await budgets.reserve({
+    return await budgets.reserve({
       req: id,
       program: program.id,
       limit: program.tokenBudget,
@@ -111,9 +113,18 @@
       chooseTarget: warmTarget => attempts.placer.place(exchange.call, exchange.route, { warmTarget })?.state.incarnation,
       deadline: this._getPrepareDeadline(exchange)
     })
-    if (result.type === 'granted') return result.settle
-    if (result.type === 'spent') exchange.refuse({ reason: 'budget-spent', members: { program: program.id } })
-    else exchange.refuse({ reason: 'budget-unreadable', retryAfterSeconds: this._options.getStoreRetrySeconds(), members: { program: program.id } })
+  }
+
+  /** Gets the refusal of a turn that lacks its earlier turns or its tokens; undefined if it has both. */
+  private _getRefusal (exchange: Exchange, loaded: Either<RefusalReason, Buffer>, reservation: Reservation): Refusal | undefined {
+    const { previousTurn, program } = exchange.call
+    const retryAfterSeconds = this._options.getStoreRetrySeconds()
+    if (loaded.isLeft()) {
+      const reason = loaded.extract() as RefusalReason
+      return { reason, retryAfterSeconds: reason === 'turn-unreadable' ? retryAfterSeconds : undefined, members: { turn: previousTurn! } }
+    }
+    if (reservation.type === 'spent') return { reason: 'budget-spent', members: { program: program!.id } }
+    if (reservation.type === 'unreadable') return { reason: 'budget-unreadable', retryAfterSeconds, members: { program: program!.id } }
     return undefined
   }
 
