Resume streams that send bytes but no events at another target

Cause (report of operators: stalled streams that send a byte now and then never end; by reading, then a test): a stalled stream ended at the time limit of its route only, after its caller had left, even where the route allows it to be resumed.

Change: on resumable routes, a stream without an event for half of the time that its callers wait (at least 1 s) is closed and continues at another target. Only events with data are progress; time in which the caller does not read is not counted. Other streams are left alone, since closing them does not serve the caller.

Tests: GatewayTests "should resume a stream at another target when its own sends bytes but no events" (failed before: incomplete after 2 s, the route's limit) and "should not resume a stream that is slow but sends events within the time that its caller waits" (gaps of 0.9 s).

--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,12 +1,13 @@
 import { Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
-import type { Route } from '../../core/route/index.js'
+import { isRepeatable, type Route } from '../../core/route/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
+import { StallTimer } from './StallTimer.js'
 import type { TurnStore } from './TurnStore.js'
 
 /** Shortest time in milliseconds without an event after which callers close a stream. */
@@ -24,6 +25,13 @@
 /** Milliseconds for which a turn waits for its budget and for the transcript of its earlier turns. */
 const PREPARE_TIMEOUT_MS = 1_000
 
+/**
+ * Share of the callers' maximum wait for an event after which a stream that may be resumed continues at another target.
+ *
+ * The rest of the time is for that target's first event. The longest gap of a stream that is on time is at most a quarter of this share.
+ */
+const STALL_SHARE = 0.5
+
 /** Options of {@link StreamForwarder}. */
 export interface StreamForwarderOptions {
   readonly attempts: AttemptContext
@@ -160,9 +168,13 @@
     }
     const splitter = new EventSplitter()
     const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
+    const stallMs = getMaxWaitMs(exchange.route) * STALL_SHARE
+    const stallTimer = new StallTimer({ limitMs: stallMs, onStall: attempt.response.discard })
     try {
       for await (const chunk of body) {
         for (const event of splitter.add(chunk)) {
+          const hasData = event.data !== undefined
+          if (hasData) stallTimer.stop()
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.recordFirstChunk()
           progress.events++
@@ -171,6 +183,7 @@
           if (event.id !== '') progress.lastEventId = event.id
           progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
+          if (hasData && isRepeatable(exchange.route)) stallTimer.start()
         }
         if (splitter.isTooLong()) {
           attempt.response.discard()
@@ -178,7 +191,10 @@
         }
       }
     } catch (err) {
+      if (stallTimer.hasStalled()) return { cause: `no event for ${stallMs} ms`, isConnectionLost: false }
       return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true }
+    } finally {
+      stallTimer.stop()
     }
     if (splitter.getRemainder().length > 0 || progress.events === 0) return { cause: 'the stream ended within an event', isConnectionLost: true }
     return undefined
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -59,6 +59,22 @@
     expect(responses.map(response => response.body)).toEqual(ids.map(() => STREAM_BODY))
   })
 
+  // Callers of this route wait 2.4 s for an event.
+  it('should resume a stream at another target when its own sends bytes but no events', async () => {
+    harness.setNextBehaviour('trickle')
+    harness.fixture.engines[1]!.nextBehaviours.length = 0
+    const ids = ['s1', 's2', 's3', 's4']
+    const responses = await Promise.all(ids.map(async id => await harness.sendTurn(id, {}, 'x', '/turns/resumable/a')))
+    expect(responses.map(response => response.body)).toEqual(ids.map(() => STREAM_BODY))
+    expect(ids.filter(id => harness.getRuns(id).length === 2).length).toEqual(1)
+  })
+
+  it('should not resume a stream that is slow but sends events within the time that its caller waits', async () => {
+    for (const engine of harness.fixture.engines) engine.gate = new Promise(resolve => { setTimeout(resolve, 900) })
+    const response = await harness.sendTurn('s1', {}, 'x', '/turns/resumable/a')
+    expect([response.body, harness.getRuns('s1').length]).toEqual([STREAM_BODY, 1])
+  })
+
   it('should not write the error of a second target into a stream that has started', async () => {
     // The first target is chosen at random; only runs in which the stream has started matter here.
     const startedResponses: PlatformCallResponse[] = []
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -1,8 +1,11 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 
+/** Milliseconds between two bytes of a stream that trickles. */
+const TRICKLE_INTERVAL_MS = 50
+
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle'
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -88,6 +91,12 @@
     for (let index = lastEventId; index < this.events.length; index++) {
       if (index === lastEventId + 1) await this.gate
       res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
+      if (behaviour === 'trickle' && index === lastEventId) {
+        // Sends bytes that complete no event, until the caller closes.
+        const timer = setInterval(() => { res.write(':') }, TRICKLE_INTERVAL_MS)
+        res.on('close', () => { clearInterval(timer) })
+        return
+      }
       if (behaviour === 'break-off' && index === lastEventId) {
         // Sends a fragment of the next event before the connection is lost: a caller must not receive incomplete events.
         res.write('id: 9\nda', () => { res.destroy() })
