Tests: one harness for targets whose answers the test writes

Cause: EndlessAnswerTests and LateCopyTests set their gateway and target up with the same lines (found by duplicates). RawTargetHarness does it.

--- a/tests/processes/EndlessAnswerTests.ts
+++ b/tests/processes/EndlessAnswerTests.ts
@@ -1,8 +1,8 @@
 import { readFileSync } from 'node:fs'
 import type { Socket } from 'node:net'
 import { expect } from 'earl'
-import { GatewayHarness, waitFor } from './GatewayHarness.js'
-import { RawTarget, type RawRequest } from './RawTarget.js'
+import { waitFor } from './GatewayHarness.js'
+import { RawTargetHarness, type RawRequest } from './RawTarget.js'
 
 /** Number of requests whose target answers without end at the same time. */
 const ENDLESS_ANSWERS = 50
@@ -20,24 +20,19 @@
 } as const
 
 describe('a gateway whose targets answer without end', () => {
-  let harness: GatewayHarness
-  let target: RawTarget
+  let harness: RawTargetHarness
 
   beforeEach(async () => {
-    harness = new GatewayHarness()
+    harness = new RawTargetHarness()
     await harness.start()
-    target = new RawTarget()
   })
 
-  afterEach(async () => {
-    target.close()
-    await harness.stop()
-  })
+  afterEach(async () => { await harness.stop() })
 
   for (const [name, head] of Object.entries(HEADS)) {
     it(`should close the connections, keep its memory bounded and serve others: ${name}`, async () => {
-      await target.start((socket, request) => { flood(socket, request, head, CHUNK) })
-      harness.fixture.replaceEngines(target.address)
+      await harness.target.start((socket, request) => { flood(socket, request, head, CHUNK) })
+      harness.fixture.replaceEngines(harness.target.address)
       await waitFor(() => harness.gateway.getEvents('target-changed').length > 0)
       await harness.call({ id: 'warm', path: '/lookup/x' })
       const before = getResidentBytes(harness.gateway.pid)
@@ -47,17 +42,17 @@
       expect(lookup.status).toEqual(200)
       for (const response of await Promise.all(responses)) expect(response?.status === 200 && response.isComplete).toEqual(false)
       expect(getResidentBytes(harness.gateway.pid) - before < MAX_GROWTH_BYTES).toEqual(true)
-      await waitFor(() => target.openConnections === 0)
+      await waitFor(() => harness.target.openConnections === 0)
     })
   }
 
   it('should stop after a bounded number of interim responses', async () => {
     const hints = Buffer.from('HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100))
-    await target.start((socket, request) => { flood(socket, request, '', hints) })
-    harness.fixture.replaceEngines(target.address)
+    await harness.target.start((socket, request) => { flood(socket, request, '', hints) })
+    harness.fixture.replaceEngines(harness.target.address)
     await waitFor(() => harness.gateway.getEvents('target-changed').length > 0)
     expect((await harness.sendTurn('t1', {}, 'x')).status).toEqual(502)
-    await waitFor(() => target.openConnections === 0)
+    await waitFor(() => harness.target.openConnections === 0)
   })
 })
 
--- a/tests/processes/LateCopyTests.ts
+++ b/tests/processes/LateCopyTests.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net'
 import { expect } from 'earl'
-import { GatewayHarness, waitFor } from './GatewayHarness.js'
-import { RawTarget } from './RawTarget.js'
+import { waitFor } from './GatewayHarness.js'
+import { RawTargetHarness } from './RawTarget.js'
 
 /** Milliseconds after an answer at which its second copy is sent. */
 const COPY_DELAYS_MS = [0, 5, 30]
@@ -11,24 +11,19 @@
 
 // A server sends a second copy of an answer, late, on a connection that is in use again.
 describe('a gateway whose targets answer twice', () => {
-  let harness: GatewayHarness
-  let target: RawTarget
+  let harness: RawTargetHarness
 
   beforeEach(async () => {
-    harness = new GatewayHarness()
+    harness = new RawTargetHarness()
     await harness.start()
-    target = new RawTarget()
   })
 
-  afterEach(async () => {
-    target.close()
-    await harness.stop()
-  })
+  afterEach(async () => { await harness.stop() })
 
   for (const hasId of [true, false]) {
     it(`should never give an answer to another request, ${hasId ? 'with' : 'without'} an id in the copy`, async () => {
       let copyDelayMs = 0
-      await target.start((socket, { id }) => {
+      await harness.target.start((socket, { id }) => {
         const body = `answer to ${id}`
         socket.write(toResponse(id, body))
         // The copy has another length, so that the lengths do not hide which answer it is.
@@ -36,7 +31,7 @@
         if (copyDelayMs === 0) socket.write(copy)
         else setTimeout(() => { writeIfOpen(socket, copy) }, copyDelayMs)
       })
-      harness.fixture.replaceDesks(target.address)
+      harness.fixture.replaceDesks(harness.target.address)
       await waitFor(() => harness.gateway.getEvents('target-changed').length > 0)
       let served = 0
       for (copyDelayMs of COPY_DELAYS_MS) {
--- a/tests/processes/RawTarget.ts
+++ b/tests/processes/RawTarget.ts
@@ -1,4 +1,5 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
+import { GatewayHarness } from './GatewayHarness.js'
 
 /** A request as received on a connection. */
 export interface RawRequest {
@@ -42,3 +43,13 @@
     })
   }
 }
+
+/** Runs a gateway with a target whose answers the test writes. */
+export class RawTargetHarness extends GatewayHarness {
+  readonly target = new RawTarget()
+
+  override async stop (): Promise<void> {
+    this.target.close()
+    await super.stop()
+  }
+}
