PeerPool: reset the back-off after a success, and always send settlements

Cause (reading the diff): with the move of the peers' clients to PeerPool, the settlement of a loan was skipped while its holder was backing off, so the loan would have counted in full; and, as before the move, the back-off of a peer never fell, so that a few single failures over hours made every later one cost 30 s without that peer.

Change: settlements ignore the back-off, as before the move; a success resets it. The time-out of a call is an option of the call. EventSplitter: the check for an event that was too long stands once, at the start of add.

--- a/src/core/turn/EventSplitter.ts
+++ b/src/core/turn/EventSplitter.ts
@@ -43,9 +43,10 @@
 
   /** Adds received bytes and returns the events that they complete; none after an event that is too long. */
   add (chunk: Buffer): StreamEvent[] {
+    if (this._isTooLong) return []
     const events: StreamEvent[] = []
     let start = 0
-    for (let end = this._findEventEnd(chunk, 0); end >= 0 && !this._isTooLong; end = this._findEventEnd(chunk, end)) {
+    for (let end = this._findEventEnd(chunk, 0); end >= 0; end = this._findEventEnd(chunk, end)) {
       this._keep(chunk.subarray(start, end))
       if (this._isTooLong) return events
       events.push(parseEvent(this.getRemainder()))
@@ -68,7 +69,7 @@
   }
 
   private _keep (bytes: Buffer): void {
-    if (this._isTooLong || bytes.length === 0) return
+    if (bytes.length === 0) return
     this._length += bytes.length
     this._isTooLong = this._length > this._maxEventBytes
     if (this._isTooLong) this._chunks = []
--- a/src/io/peer/BudgetPeers.ts
+++ b/src/io/peer/BudgetPeers.ts
@@ -10,9 +10,6 @@
 /** Time-out of one call to the store, in milliseconds. */
 const STORE_TIMEOUT_MS = 1_000
 
-/** Time-out of one call to a peer, in milliseconds; allows for a round trip between regions and a busy peer. */
-const PEER_TIMEOUT_MS = 400
-
 /** Options of {@link BudgetPeers}. */
 export interface BudgetPeersOptions {
   readonly store: RowStore
@@ -70,8 +67,8 @@
     const { localId, reserves, pool } = this._options
     const holderId = this._slots.get(getReserveSlot(program))
     if (holderId === localId) return reserves.closeReserve(program)
-    const result = await pool.call(holderId ?? '', program, async procedures => {
-      return await procedures.closeReserve.mutate({ program }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+    const result = await pool.call(holderId ?? '', { subject: program }, async (procedures, options) => {
+      return await procedures.closeReserve.mutate({ program }, options)
     })
     return result ?? { type: 'unavailable' }
   }
@@ -80,15 +77,15 @@
   async recall (program: string, gateways: readonly string[]): Promise<void> {
     const { pool, localId } = this._options
     await Promise.all(gateways.filter(id => id !== localId).map(async id => {
-      await pool.call(id, program, async procedures => {
-        await procedures.returnUnused.mutate({ program }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+      await pool.call(id, { subject: program }, async (procedures, options) => {
+        await procedures.returnUnused.mutate({ program }, options)
       })
     }))
   }
 
   private async _borrowFrom (holderId: string, req: LoanRequest): Promise<BorrowResult> {
-    const result = await this._options.pool.call(holderId, req.program, async procedures => {
-      return await procedures.lend.mutate(req, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+    const result = await this._options.pool.call(holderId, { subject: req.program }, async (procedures, options) => {
+      return await procedures.lend.mutate(req, options)
     })
     if (result === undefined) return { type: 'unavailable' }
     return toResult(result, (loan, spent) => { void this._settle(holderId, loan, spent) })
@@ -96,8 +93,8 @@
 
   private async _settle (holderId: string, loan: string, spent: number): Promise<void> {
     // The holder counts a loan without settlement as spent in full.
-    await this._options.pool.call(holderId, loan, async procedures => {
-      await procedures.settle.mutate({ loan, spent }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+    await this._options.pool.call(holderId, { subject: loan, ignoresBackoff: true }, async (procedures, options) => {
+      await procedures.settle.mutate({ loan, spent }, options)
     })
   }
 
--- a/src/io/peer/PeerPool.ts
+++ b/src/io/peer/PeerPool.ts
@@ -3,7 +3,10 @@
 import type { DecisionLog } from '../process/index.js'
 import { PeerClient } from './PeerClient.js'
 
-/** Milliseconds without calls to a peer after a failed call; they double with each further failure. */
+/** Time-out of one call to a peer by default, in milliseconds; allows for a round trip between regions and a busy peer. */
+const PEER_TIMEOUT_MS = 400
+
+/** Milliseconds without calls to a peer after a failed call; they double with each further failure until a call succeeds. */
 const PEER_BACKOFF_MS = 1_000
 
 /** Longest back-off, in milliseconds; the peer's machine may have been removed permanently. */
@@ -15,6 +18,15 @@
   readonly log: DecisionLog
 }
 
+/** Options of {@link PeerPool.call}. */
+export interface PeerCallOptions {
+  /** Program, loan or turn that the call is about, for the log. */
+  readonly subject: string
+  readonly timeoutMs?: number
+  /** True if the peer is called although it failed recently. */
+  readonly ignoresBackoff?: boolean
+}
+
 interface PeerState {
   readonly peer: Peer
   readonly client: PeerClient
@@ -22,6 +34,9 @@
   backoffUntil: number
 }
 
+/** A call of a procedure; the options are passed on to it. */
+export type PeerCall<T> = (procedures: PeerClient['procedures'], options: { readonly signal: AbortSignal }) => Promise<T>
+
 /** Keeps a client of each peer, and calls none that failed recently. */
 export class PeerPool {
   private readonly _options: PeerPoolOptions
@@ -41,17 +56,16 @@
     }
   }
 
-  /**
-   * Calls a peer; returns undefined if it is not known, failed recently or fails now.
-   *
-   * @param subject - Program, loan or turn that the call is about, for the log.
-   */
-  async call<T> (id: string, subject: string, call: (procedures: PeerClient['procedures']) => Promise<T>): Promise<T | undefined> {
+  /** Calls a peer; returns undefined if it is not known, failed recently or fails now. */
+  async call<T> (id: string, options: PeerCallOptions, call: PeerCall<T>): Promise<T | undefined> {
     const { clock, log } = this._options
+    const { subject, timeoutMs = PEER_TIMEOUT_MS, ignoresBackoff = false } = options
     const state = this._peers.get(id)
-    if (state === undefined || clock.now() < state.backoffUntil) return undefined
+    if (state === undefined || (!ignoresBackoff && clock.now() < state.backoffUntil)) return undefined
     try {
-      return await call(state.client.procedures)
+      const result = await call(state.client.procedures, { signal: AbortSignal.timeout(timeoutMs) })
+      state.backoffMs = PEER_BACKOFF_MS
+      return result
     } catch (err) {
       const now = clock.now()
       // Concurrent calls that fail together count as one failure.
--- a/src/io/peer/TurnPeers.ts
+++ b/src/io/peer/TurnPeers.ts
@@ -33,8 +33,8 @@
     const { pool, ranking, clock } = this._options
     const candidates = ranking.getCandidates(MAX_ASKED_PEERS, clock.now())
     const calls = candidates.map(async ({ id }) => {
-      const found = await pool.call(id, turn, async procedures => {
-        return await procedures.getTurn.query({ turn }, { signal: AbortSignal.timeout(PEER_TIMEOUT_MS) })
+      const found = await pool.call(id, { subject: turn, timeoutMs: PEER_TIMEOUT_MS }, async (procedures, options) => {
+        return await procedures.getTurn.query({ turn }, options)
       })
       // A rejection makes Promise.any wait for the other peers.
       if (found === undefined || found.transcript === null) throw new Error(`Peer ${id} has not cached turn ${turn}.`)
