--- a/tests/core/reserve/ReserveLedgerTests.ts
+++ b/tests/core/reserve/ReserveLedgerTests.ts
@@ -41,7 +41,7 @@
     }), { seed: SEED, numRuns: 200 })
   })
 
-  // Turns of the deployment further: at most 286 tokens, 73 on average, budgets of 500 tokens for a turn and 900 for two or three.
+  // Turns of at most 286 tokens that generate 73 on average, with budgets of 500 tokens for a turn and 900 for two or three.
   it('should serve the turns of a program with a small budget throughout an outage', () => {
     for (const { limit, turns } of [{ limit: 500, turns: 1 }, { limit: 900, turns: 3 }]) {
       const ledger = open(false)
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -77,7 +77,7 @@
     expect((await gateway.reserve({ ...req, deadline: clock.now() + 300 })).type).toEqual('spent')
   })
 
-  // Budgets and turns of the deployment further: a kill of all gateways loses the tokens of the turn in progress and the reserve.
+  // A kill of all gateways loses the tokens of the turn in progress and the reserve; budgets of two to four turns have to survive both.
   it('should grant the next turn of a program whose gateway died with a turn in progress, while its reserve is unavailable', async () => {
     for (const limit of [900, 1_300, 1_800]) {
       const req = { req: 'r1', program: `p${limit}`, limit, tokens: 286, chooseTarget: () => undefined }
