Log the request rates that targets state, and the one known at each dispatch

A response's Server-Limit is decoded, stored per incarnation and logged on change; dispatched lines have the limit known. Nothing obeys it yet.

--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -1,5 +1,6 @@
 import { getIncarnationKey, type Target } from './Target.js'
 import { PrefixCacheTracker } from './PrefixCacheTracker.js'
+import { RequestLimit } from './RequestLimit.js'
 
 /** Consecutive failures after which a target is ejected. */
 export const EJECT_AFTER_FAILURES = 3
@@ -20,6 +21,7 @@
 export class TargetState {
   readonly incarnation: string
   readonly prefixCache = new PrefixCacheTracker()
+  readonly limit = new RequestLimit()
   target: Target
   private _inFlight = 0
   private _pendingPrefillMs = 0
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry } from '../../core/forward/index.js'
+import { decideRetry, type ResponseHead } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
@@ -103,9 +103,11 @@
       maxOutputTokens: call.maxOutputTokens,
       promptTokens: call.promptTokens,
       ...placement.inputs,
+      limitPerSecond: state.limit.getPerSecond(),
       timeoutMs: Math.round(timeoutMs)
     })
     const cached = state.prefixCache.getCachedTokens(call.promptSegments)
+    if (state.limit.getPerSecond() !== undefined) metrics.limitedSends.inc()
     metrics.recordPrompt(cached, Math.max(0, call.promptTokens - cached))
     state.prefixCache.add(call.promptSegments)
     const progress = this._track(placement, sentAt)
@@ -123,6 +125,7 @@
         this._recordRun(state, `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`)
         return undefined
       }
+      this._recordLimit(state, response.head, sentAt)
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
@@ -142,6 +145,15 @@
     }
   }
 
+  /** Records the request rate that the target stated; a response that denies the request does not end a limit. */
+  private _recordLimit (state: TargetState, head: ResponseHead, sentAt: number): void {
+    const { clock, log } = this._context
+    const { requestsPerSecond } = head
+    if (head.isMisdirected || (requestsPerSecond === undefined && head.isNotRun)) return
+    if (!state.limit.record(requestsPerSecond, sentAt, clock.now())) return
+    log.info('target-limit-changed', { req: this._exchange.call.id, target: state.incarnation, perSecond: requestsPerSecond ?? null })
+  }
+
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
   private _track (placement: Placement, sentAt: number): { recordFirstChunk: () => void, finish: () => void } {
     const { clock } = this._context
--- a/tests/platform/PlatformProtocolTests.ts
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -59,4 +59,11 @@
     expect(protocol.decodeResponse(503, []).isNotRun).toEqual(false)
     expect(protocol.decodeResponse(200, ['Content-Encoding', 'gzip']).isEncoded).toEqual(true)
   })
+
+  it('should read the request rate that a target states, and no other value', () => {
+    const rates = ['2.5', '0', '', 'many', '-1'].map(value => protocol.decodeResponse(200, ['Server-Limit', value]).requestsPerSecond)
+    expect(rates).toEqual([2.5, 0, undefined, undefined, undefined])
+    expect(protocol.decodeResponse(200, []).requestsPerSecond).toEqual(undefined)
+    expect(protocol.decodeResponse(421, []).isMisdirected).toEqual(true)
+  })
 })
