--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -22,6 +22,10 @@
 export class EngineStandin {
   readonly id: string
   readonly runs: EngineRun[] = []
+  /** Times of all requests that named this target, by the steady clock, in milliseconds. */
+  readonly arrivals: number[] = []
+  /** Request rate that the responses state; undefined for none. */
+  requestsPerSecond: number | undefined
   /** Behaviours of the next requests, in order of arrival; requests after the last one get a complete response. */
   readonly nextBehaviours: EngineBehaviour[] = []
   /** Data of the events that each stream sends. */
@@ -55,6 +59,8 @@
       res.writeHead(421, { 'x-instance-id': this.id, 'x-request-id': id }).end()
       return
     }
+    this.arrivals.push(performance.now())
+    if (this.requestsPerSecond !== undefined) res.setHeader('server-limit', String(this.requestsPerSecond))
     const behaviour = this.nextBehaviours.shift() ?? 'answer'
     if (behaviour === 'not-run') {
       res.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id }).end()
