Keep to the request rates that targets state, over all gateways together

Change: a gateway that sends to a limited target first gets a permit from the target's lender, a gateway chosen by rendezvous hashing over the list of gateways (target's failure domain first). Permits follow the generic cell rate algorithm; a request states how long it may wait, turns of programs in progress longer than first turns, and is refused at once with the wait as Retry-After if all targets together have none. The second in rank lends half the limit while the first one is not reached, as does a new first one until all can know it: both stay within 1.5 times the limit. A change of a limit is reported to the lender, which notifies all gateways once; ages, not times, are passed on.

--- a/src/core/budget/BudgetAccount.ts
+++ b/src/core/budget/BudgetAccount.ts
@@ -12,6 +12,8 @@
   usedAt: number
   /** Incarnation of the target that ran the program's earlier turns, according to the store's row. */
   warmTarget: string | undefined
+  /** True if turns of the program have spent tokens, as far as this gateway knows. */
+  hasEarlierTurns = false
   /**
    * The program's row after this gateway's latest read or commit; unknown after a call without a response, which may have changed it.
    *
@@ -120,5 +122,6 @@
   settle (reserved: number, spent: number): void {
     this._reserved -= reserved
     this._spent += spent
+    if (spent > 0) this.hasEarlierTurns = true
   }
 }
--- a/src/core/limits/index.ts
+++ b/src/core/limits/index.ts
@@ -1,3 +1,6 @@
 export * from './CircuitBreaker.js'
+export * from './LenderRanking.js'
+export * from './PermitLedger.js'
+export * from './PermitWait.js'
 export * from './RetryBudget.js'
 export * from './WorkspaceShares.js'
--- a/src/core/route/index.ts
+++ b/src/core/route/index.ts
@@ -1,3 +1,4 @@
+export * from './CallerWait.js'
 export * from './ConfigHolder.js'
 export * from './Route.js'
 export * from './RouteConfig.js'
--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -26,7 +26,8 @@
 }
 
 /**
- * Places requests by predicted time to the first byte: prefill of the uncached prompt, load, network distance and recent delay.
+ * Places requests by predicted time to the first byte: prefill of the uncached prompt, load, network distance, recent delay and the wait
+ * for a permit of a target that limits its request rate.
  *
  * Handles conversations whose prompts grow with every turn: a target that has the earlier turns cached prefills only the new tokens.
  * The recent delay accounts for targets that are slowed by neighbouring workloads, which the gateway cannot observe.
@@ -56,11 +57,19 @@
     const loadMs = state.getInFlight() * WAIT_MS_PER_REQUEST / state.target.slots + state.getPendingPrefillMs()
     const distanceMs = this._getDistanceMs(state.target.failureDomain)
     const excessMs = state.getExcessMs(now)
+    const permitWaitMs = state.getPermitWaitMs(now)
     return {
       state,
-      predictedMs: prefillMs + loadMs + distanceMs + excessMs,
+      predictedMs: prefillMs + loadMs + distanceMs + excessMs + permitWaitMs,
       prefillMs,
-      inputs: { cached, inFlight: state.getInFlight(), loadMs: Math.round(loadMs), distanceMs, excessMs: Math.round(excessMs) }
+      inputs: {
+        cached,
+        inFlight: state.getInFlight(),
+        loadMs: Math.round(loadMs),
+        distanceMs,
+        excessMs: Math.round(excessMs),
+        ...(permitWaitMs > 0 && { permitWaitMs: Math.round(permitWaitMs) })
+      }
     }
   }
 
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -63,6 +63,12 @@
     return [...this._states.values()].filter(state => state.target.service === service && !state.target.isLeaving)
   }
 
+  /** Gets a target by the key of its incarnation; undefined if that incarnation is not listed. */
+  find (incarnation: string): TargetState | undefined {
+    const state = this._states.get(incarnation.slice(0, incarnation.lastIndexOf('@')))
+    return state?.incarnation === incarnation ? state : undefined
+  }
+
   /** Gets the number of targets. */
   getSize (): number {
     return this._states.size
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -30,6 +30,7 @@
   private _ejectedUntil = -Infinity
   private _excessMs = 0
   private _observedAt = -Infinity
+  private _permitAt = -Infinity
 
   constructor (target: Target) {
     this.target = target
@@ -56,6 +57,16 @@
     return this._pendingPrefillMs
   }
 
+  /** Gets the milliseconds until a permit for the target is probably available; 0 if it has no limit. */
+  getPermitWaitMs (now: number): number {
+    return this.limit.getPerSecond() === undefined ? 0 : Math.max(0, this._permitAt - now)
+  }
+
+  /** Records the milliseconds after which a permit may be available, as its lender stated. */
+  recordPermitWait (waitMs: number, now: number): void {
+    this._permitAt = now + waitMs
+  }
+
   /** Records that a request is sent to the target. */
   recordStart (prefillMs: number): void {
     this._inFlight++
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,13 +1,16 @@
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry, type ResponseHead } from '../../core/forward/index.js'
+import { decideRetry } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
-import { isRepeatable, RouteKind } from '../../core/route/index.js'
+import { getMaxPermitWaitMs } from '../../core/limits/index.js'
+import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
 import type { Placer } from './Placer.js'
 import type { SuspectStore } from './SuspectStore.js'
+import type { TargetLimits } from './TargetLimits.js'
 import { TargetError, type TargetClient, type TargetResponse } from './TargetClient.js'
 
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
@@ -19,6 +22,10 @@
   readonly log: DecisionLog
   readonly metrics: GatewayMetrics
   readonly placer: Placer
+  readonly limitedPlacer: LimitedPlacer
+  readonly limits: TargetLimits
+  /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
+  readonly random: () => number
   readonly client: TargetClient
   readonly suspects: SuspectStore
 }
@@ -40,19 +47,27 @@
   readonly finish: () => void
 }
 
+/** Options of {@link Attempts}. */
+export interface AttemptsOptions {
+  /** Key of the target incarnation that ran the program's earlier turns. */
+  readonly warmTarget?: string | undefined
+  /** True if the request belongs to a program that targets have already worked for. */
+  readonly isInProgress?: boolean
+}
+
 /** Sends one request to targets, one after the other, until one responds or no further attempt is allowed. */
 export class Attempts {
   private readonly _context: AttemptContext
   private readonly _exchange: Exchange
   private readonly _excluded = new Set<string>()
-  private readonly _warmTarget: string | undefined
+  private readonly _options: AttemptsOptions
   private _dispatches = 0
   private _runs = 0
 
-  constructor (context: AttemptContext, exchange: Exchange, warmTarget?: string) {
+  constructor (context: AttemptContext, exchange: Exchange, options: AttemptsOptions = {}) {
     this._context = context
     this._exchange = exchange
-    this._warmTarget = warmTarget
+    this._options = options
   }
 
   /** Gets the response of the next attempt; undefined when the request was refused or its caller has disconnected. */
@@ -64,12 +79,19 @@
         this._refuse(this._runs > 0 ? 'attempts-failed' : 'crashes-targets')
         return undefined
       }
-      const placement = this._context.placer.place(call, route, { excluded: this._excluded, warmTarget: this._warmTarget })
-      if (placement === undefined) {
-        this._refuse(this._runs > 0 ? 'attempts-failed' : this._dispatches > 0 ? 'retries-exhausted' : 'no-target')
+      const placed = await this._context.limitedPlacer.place({
+        call,
+        route,
+        excluded: this._excluded,
+        warmTarget: this._options.warmTarget,
+        maxWaitMs: getMaxPermitWait(this._exchange, this._options.isInProgress ?? false)
+      })
+      if (callerDisconnected.aborted) return undefined
+      if (placed.type !== 'placed') {
+        this._refuseUnplaced(placed)
         return undefined
       }
-      const attempt = await this._send(placement, body, lastEventId)
+      const attempt = await this._send(placed.placement, body, lastEventId)
       if (attempt !== undefined) return attempt
       if (!this._canRetry()) return undefined
     }
@@ -125,7 +147,7 @@
         this._recordRun(state, `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`)
         return undefined
       }
-      this._recordLimit(state, response.head, sentAt)
+      this._context.limits.recordResponse(state, response.head, sentAt, call.id)
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
@@ -145,15 +167,6 @@
     }
   }
 
-  /** Records the request rate that the target stated; a response that denies the request does not end a limit. */
-  private _recordLimit (state: TargetState, head: ResponseHead, sentAt: number): void {
-    const { clock, log } = this._context
-    const { requestsPerSecond } = head
-    if (head.isMisdirected || (requestsPerSecond === undefined && head.isNotRun)) return
-    if (!state.limit.record(requestsPerSecond, sentAt, clock.now())) return
-    log.info('target-limit-changed', { req: this._exchange.call.id, target: state.incarnation, perSecond: requestsPerSecond ?? null })
-  }
-
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
   private _track (placement: Placement, sentAt: number): { recordFirstChunk: () => void, finish: () => void } {
     const { clock } = this._context
@@ -220,12 +233,33 @@
     return false
   }
 
-  private _refuse (reason: RefusalReason): void {
+  private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>): void {
+    if (this._runs > 0) this._refuse('attempts-failed')
+    else if (placed.type === 'limited') this._refuse('targets-limited', getLimitedRetrySeconds(placed.waitMs, this._context.random))
+    else this._refuse(this._dispatches > 0 ? 'retries-exhausted' : 'no-target')
+  }
+
+  private _refuse (reason: RefusalReason, retryAfterSeconds = RETRY_AFTER_SECONDS): void {
     if (this._exchange.hasStarted()) {
       this._exchange.abort(reason)
       return
     }
     const members = { sends: this._dispatches, runs: this._runs }
-    this._exchange.refuse({ reason, members, retryAfterSeconds: this._runs > 0 ? undefined : RETRY_AFTER_SECONDS })
+    this._exchange.refuse({ reason, members, retryAfterSeconds: this._runs > 0 ? undefined : retryAfterSeconds })
   }
 }
+
+/** Gets the longest time in milliseconds for which a request may wait for a permit of a target that limits its rate. */
+export function getMaxPermitWait (exchange: Exchange, isInProgress: boolean): number {
+  const { call, route } = exchange
+  const programMs = call.program?.remainingMs ?? Infinity
+  const responseMs = route.kind === RouteKind.Streaming ? getCallerWaitMs(route) : Infinity
+  // The call of a tool belongs to a turn that has run; a stream that has begun has its next event due.
+  const hasEarlierWork = isInProgress || call.previousTurn !== undefined || exchange.hasStarted() || route.kind !== RouteKind.Streaming
+  return getMaxPermitWaitMs({ isInProgress: hasEarlierWork, remainingMs: Math.min(exchange.getRemainingMs(), programMs, responseMs) })
+}
+
+/** Gets the seconds after which a refused caller may retry; spread over twice the wait, so that callers do not return together. */
+export function getLimitedRetrySeconds (waitMs: number, random: () => number): number {
+  return Math.max(RETRY_AFTER_SECONDS, waitMs / 1_000) * (1 + random())
+}
--- a/src/io/gateway/BudgetRows.ts
+++ b/src/io/gateway/BudgetRows.ts
@@ -109,6 +109,8 @@
     const budget = decodeRow(row)
     account.setGranted(budget.granted[holder] ?? 0)
     account.warmTarget = budget.target ?? account.warmTarget
+    // A gateway returns the grant of a turn that has not run, so tokens that others keep granted are spent or in use.
+    if (Object.entries(budget.granted).some(([other, tokens]) => other !== holder && tokens > 0)) account.hasEarlierTurns = true
     if (account.getAvailable() >= req.tokens) return { type: 'done', grant: Grant.Granted }
     const missing = Math.max(0, req.tokens - account.getAvailableOnceConfirmed())
     const limit = getGrantableTokens(req.limit, budget)
--- a/src/io/gateway/BudgetStore.ts
+++ b/src/io/gateway/BudgetStore.ts
@@ -98,6 +98,11 @@
     return this._accounts.get(program)?.warmTarget
   }
 
+  /** Checks whether turns of the program have spent tokens, at this gateway or, according to the store's row, at others. */
+  hasEarlierTurns (program: string): boolean {
+    return this._accounts.get(program)?.hasEarlierTurns === true
+  }
+
   /**
    * Returns the unused grants of programs that have no recent turn at this gateway.
    *
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -3,18 +3,22 @@
 import type { Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
+import { LenderRanking, PermitLedger } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
-import { BudgetPeers, LedgerHandover, PeerDirectory, PeerPool, PeerServer, RelayedStore, TurnPeers } from '../peer/index.js'
+import {
+  BudgetPeers, LedgerHandover, LimitPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore, TurnPeers
+} from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
+import { LimitedPlacer } from './LimitedPlacer.js'
 import { Placer } from './Placer.js'
 import { PlainForwarder } from './PlainForwarder.js'
 import { StatusServer } from './StatusServer.js'
@@ -23,6 +27,7 @@
 import { SuspectStore } from './SuspectStore.js'
 import { TableWatch } from './TableWatch.js'
 import { TargetClient } from './TargetClient.js'
+import { TargetLimits } from './TargetLimits.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
 
 /** Tables of the platform that a gateway follows, with the decoders of their rows. */
@@ -105,11 +110,22 @@
     this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
     const pool = new PeerPool({ clock, log })
     const budgetPeers = new BudgetPeers({ store, pool, log, localId: id, reserves: ledger })
+    const lenders = new LenderRanking({ clock, localId: id, regions })
+    const limits = new TargetLimits({
+      registry: this._registry, clock, log, publish: (target, statement) => { void limitPeers.publish(target, statement) }
+    })
+    const applyStatement: TargetLimits['apply'] = (target, statement) => limits.apply(target, statement)
+    const limitPeers = new LimitPeers({ pool, clock, localId: id, ranking: lenders, applyStatement })
+    const permits = new PermitPeers({
+      pool, clock, localId: id, ranking: lenders, ledger: new PermitLedger(clock), getLimit: target => limits.get(target), applyStatement
+    })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({
       direct: options.store,
       isDirectUnavailable: () => store.isDirectUnavailable(),
       reserves: ledger,
+      permits,
+      limits: limitPeers,
       returnUnused,
       getCachedTurn: turn => this._turns.getCached(turn)
     })
@@ -126,7 +142,10 @@
         // On the first run no target has cached a prompt yet.
         if (hasPredecessor) void this._cacheLearner.learn()
       },
-      onPeers: async (peers, isSettled) => { await budgetPeers.setPeers(peers, isSettled) }
+      onPeers: async (peers, isSettled, hasPredecessor) => {
+        lenders.setPeers(peers, !hasPredecessor)
+        await budgetPeers.setPeers(peers, isSettled)
+      }
     })
     const access = new StoreAccess({
       store,
@@ -138,7 +157,9 @@
     })
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const suspects = new SuspectStore({ access, clock, log })
-    const attempts = { clock, log, metrics, placer, suspects, client: new TargetClient(protocol) }
+    const limitedPlacer = new LimitedPlacer({ placer, permits, clock, log, metrics })
+    const { random } = options
+    const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
     this._budgets = new BudgetStore({
       access,
--- /dev/null
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -0,0 +1,128 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import type { Clock } from '../../core/clock/index.js'
+import type { CallRequest } from '../../core/forward/index.js'
+import type { Route } from '../../core/route/index.js'
+import type { Placement, TargetState } from '../../core/target/index.js'
+import type { PermitAnswer, PermitPeers } from '../peer/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { Placer } from './Placer.js'
+import { toLimitedTarget } from './TargetLimits.js'
+
+/** Targets whose lenders are asked for one request; each costs a round trip while the request waits. */
+const MAX_ASKED_TARGETS = 3
+
+/** Milliseconds after its time for which a permit may be used; a process that was paused for longer asks again. */
+const PERMIT_TTL_MS = 300
+
+/** Milliseconds for which a target is not asked for after none of its lenders was reached. */
+const NO_LENDER_WAIT_MS = 500
+
+/** Options of {@link LimitedPlacer}. */
+export interface LimitedPlacerOptions {
+  readonly placer: Placer
+  readonly permits: Pick<PermitPeers, 'request'>
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly metrics: GatewayMetrics
+}
+
+/** Request for a target and, if the target limits its rate, a permit. */
+export interface LimitedPlaceRequest {
+  readonly call: CallRequest
+  readonly route: Route
+  /** Keys of the target incarnations to which the request was already sent. */
+  readonly excluded: ReadonlySet<string>
+  readonly warmTarget: string | undefined
+  /** Longest time in milliseconds for which the request may wait for a permit. */
+  readonly maxWaitMs: number
+}
+
+/** Result of {@link LimitedPlacer.place}. */
+export type LimitedPlacement =
+  | { readonly type: 'placed', readonly placement: Placement }
+  | { readonly type: 'no-target' }
+  /** All targets limit their rate, and none has a permit within the wait; `waitMs` is the shortest wait known. */
+  | { readonly type: 'limited', readonly waitMs: number }
+
+/** Chooses the target of a request, and waits for a permit where the target limits its request rate. */
+export class LimitedPlacer {
+  private readonly _options: LimitedPlacerOptions
+
+  constructor (options: LimitedPlacerOptions) {
+    this._options = options
+  }
+
+  /** Gets the wait for a permit if all targets limit their rate and none is known to have one within `maxWaitMs`; undefined otherwise. */
+  getKnownWait (call: CallRequest, route: Route, maxWaitMs: number): number | undefined {
+    const now = this._options.clock.now()
+    const waits = this._options.placer.getCandidates(call, route).map(state => isLimited(state) ? state.getPermitWaitMs(now) : 0)
+    const shortest = Math.min(...waits)
+    return waits.length > 0 && shortest > maxWaitMs ? shortest : undefined
+  }
+
+  /** Chooses a target; a permit that was granted is used by the caller's next request to it. */
+  async place (req: LimitedPlaceRequest): Promise<LimitedPlacement> {
+    const { placer, clock, permits } = this._options
+    const { call, route, warmTarget } = req
+    const candidates = placer.getCandidates(call, route).filter(state => !req.excluded.has(state.incarnation))
+    const limited = candidates.filter(isLimited)
+    const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget })
+    const alternative = place(new Set([...req.excluded, ...limited.map(state => state.incarnation)]))
+    const now = clock.now()
+    const tooLate = limited.filter(state => state.getPermitWaitMs(now) > req.maxWaitMs)
+    const refused = new Set([...req.excluded, ...tooLate.map(state => state.incarnation)])
+    for (let asked = 0; asked < MAX_ASKED_TARGETS; asked++) {
+      const placement = place(refused)
+      if (placement === undefined) break
+      const { state } = placement
+      if (!isLimited(state)) return { type: 'placed', placement }
+      const maxWaitMs = Math.min(req.maxWaitMs, getTolerance(placement, alternative, clock.now()))
+      const askedAt = clock.now()
+      const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
+      if (await this._isUsable(state, answer, askedAt, call.id)) return { type: 'placed', placement }
+      refused.add(state.incarnation)
+    }
+    if (alternative !== undefined) return { type: 'placed', placement: alternative }
+    if (candidates.length === 0) return { type: 'no-target' }
+    return { type: 'limited', waitMs: Math.min(...limited.map(state => state.getPermitWaitMs(clock.now()))) }
+  }
+
+  /** Applies a lender's answer and waits for the time of a permit; returns whether the request may be sent to the target now. */
+  private async _isUsable (state: TargetState, answer: PermitAnswer, askedAt: number, req: string): Promise<boolean> {
+    const { clock, log, metrics } = this._options
+    metrics.permits.inc({ result: answer.type })
+    const now = clock.now()
+    if (answer.type === 'unlimited') {
+      const endedAt = now - answer.endedAgoMs
+      if (state.limit.record({ perSecond: undefined, sentAt: endedAt, statedAt: endedAt })) {
+        log.info('target-limit-changed', { target: state.incarnation, perSecond: null, ageMs: Math.round(answer.endedAgoMs) })
+      }
+      return true
+    }
+    if (answer.type !== 'granted') {
+      const waitMs = answer.type === 'unavailable' ? NO_LENDER_WAIT_MS : answer.waitMs
+      state.recordPermitWait(waitMs, now)
+      log.info('permit-refused', { req, target: state.incarnation, result: answer.type, waitMs: Math.round(waitMs) })
+      return false
+    }
+    if (answer.waitMs > 0) {
+      log.info('permit-awaited', { req, target: state.incarnation, waitMs: Math.round(answer.waitMs) })
+      await sleep(answer.waitMs)
+    }
+    const lateMs = clock.now() - askedAt - answer.waitMs
+    if (lateMs <= PERMIT_TTL_MS) return true
+    log.warn('permit-expired', { req, target: state.incarnation, lateMs: Math.round(lateMs) })
+    return false
+  }
+}
+
+function isLimited (state: TargetState): boolean {
+  return state.limit.getPerSecond() !== undefined
+}
+
+/** Gets the longest wait for a permit that still makes the target cheaper than the best one without a limit, in milliseconds. */
+function getTolerance (placement: Placement, alternative: Placement | undefined, now: number): number {
+  if (alternative === undefined) return Infinity
+  return Math.max(0, alternative.predictedMs - placement.predictedMs + placement.state.getPermitWaitMs(now))
+}
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallRequest } from '../../core/forward/index.js'
 import type { Backend, Route } from '../../core/route/index.js'
-import type { Placement, PlacementPolicy, TargetRegistry } from '../../core/target/index.js'
+import type { Placement, PlacementPolicy, TargetRegistry, TargetState } from '../../core/target/index.js'
 
 /** Options of {@link Placer}. */
 export interface PlacerOptions {
@@ -31,13 +31,17 @@
 
   /** Chooses a target; undefined when none accepts requests. */
   place (call: CallRequest, route: Route, options: PlaceOptions = {}): Placement | undefined {
-    const { registry, policy, clock } = this._options
-    const now = clock.now()
-    const service = chooseBackend(route.backends, call.program?.session ?? call.affinityKey ?? call.id)
-    if (service === undefined) return undefined
+    const { policy, clock } = this._options
     const { excluded = NONE, warmTarget } = options
     const work = { promptTokens: call.promptTokens, promptSegments: call.promptSegments, excluded, warmTarget }
-    return policy.select(registry.getServing(service, now), work, now)
+    return policy.select(this.getCandidates(call, route), work, clock.now())
+  }
+
+  /** Gets the targets of the backend to which a request belongs that are not draining. */
+  getCandidates (call: CallRequest, route: Route): TargetState[] {
+    const { registry, clock } = this._options
+    const service = chooseBackend(route.backends, call.program?.session ?? call.affinityKey ?? call.id)
+    return service === undefined ? [] : registry.getServing(service, clock.now())
   }
 }
 
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,24 +1,15 @@
 import { Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
-import { isRepeatable, type Route } from '../../core/route/index.js'
+import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
-import { Attempts, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
+import { Attempts, getLimitedRetrySeconds, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import { StallTimer } from './StallTimer.js'
 import type { TurnStore } from './TurnStore.js'
 
-/** Shortest time in milliseconds without an event after which callers close a stream. */
-const MIN_CALLER_WAIT_MS = 2_000
-
-/** Callers' maximum wait for an event, as a multiple of the route's latency objective. */
-const WAIT_OBJECTIVE_FACTOR = 4
-
-/** Callers' maximum wait for an event, as a multiple of the route's longest gap between events. */
-const WAIT_GAP_FACTOR = 8
-
 /** Milliseconds before the caller's maximum wait is over at which saving a turn is abandoned. */
 const SAVE_MARGIN_MS = 150
 
@@ -68,12 +59,19 @@
   async forward (exchange: Exchange, input: Buffer | undefined): Promise<void> {
     const { isStoreUnavailable, getStoreRetrySeconds } = this._options
     const arrival = {
-      isStoreUnavailable: isStoreUnavailable(), remainingMs: exchange.getRemainingMs(), maxWaitMs: getMaxWaitMs(exchange.route)
+      isStoreUnavailable: isStoreUnavailable(), remainingMs: exchange.getRemainingMs(), maxWaitMs: getCallerWaitMs(exchange.route)
     }
     if (exchange.route.isRetained && !shouldRunTurn(arrival)) {
       exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
       return
     }
+    // Without a permit in time the turn will be refused, so it does not load the store with its transcript and budget.
+    const { limitedPlacer, random } = this._options.attempts
+    const permitWaitMs = limitedPlacer.getKnownWait(exchange.call, exchange.route, getMaxPermitWait(exchange, true))
+    if (permitWaitMs !== undefined) {
+      exchange.refuse({ reason: 'targets-limited', retryAfterSeconds: getLimitedRetrySeconds(permitWaitMs, random) })
+      return
+    }
     // Both may need the store in another region, so they are requested at the same time.
     const [loaded, reservation] = await Promise.all([this._loadPrompt(exchange, input), this._reserve(exchange)])
     const refusal = this._getRefusal(exchange, loaded, reservation)
@@ -138,8 +136,11 @@
 
   private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress, onEventsRelayed: () => void): Promise<void> {
     const { program } = exchange.call
-    const warmTarget = program === undefined ? undefined : this._options.budgets.getWarmTarget(program.id)
-    const attempts = new Attempts(this._options.attempts, exchange, warmTarget)
+    const { budgets } = this._options
+    const attempts = new Attempts(this._options.attempts, exchange, {
+      warmTarget: program === undefined ? undefined : budgets.getWarmTarget(program.id),
+      isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id)
+    })
     for (;;) {
       const attempt = await attempts.next(prompt, progress.lastEventId)
       if (attempt === undefined) return
@@ -168,7 +169,7 @@
     }
     const splitter = new EventSplitter()
     const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
-    const stallMs = getMaxWaitMs(exchange.route) * STALL_SHARE
+    const stallMs = getCallerWaitMs(exchange.route) * STALL_SHARE
     const stallTimer = new StallTimer({ limitMs: stallMs, onStall: attempt.response.discard })
     try {
       for await (const chunk of body) {
@@ -204,7 +205,7 @@
   private async _finish (exchange: Exchange, progress: StreamProgress): Promise<void> {
     const { route, call } = exchange
     if (route.isRetained) {
-      const deadline = Math.min(exchange.deadline, progress.lastEventAt + getMaxWaitMs(route) - SAVE_MARGIN_MS)
+      const deadline = Math.min(exchange.deadline, progress.lastEventAt + getCallerWaitMs(route) - SAVE_MARGIN_MS)
       if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.abort('the turn could not be saved in time')
         return
@@ -217,8 +218,3 @@
     return Math.min(exchange.deadline, exchange.startedAt + PREPARE_TIMEOUT_MS)
   }
 }
-
-/** Gets the milliseconds for which callers wait for the next event of a stream or for its end. */
-function getMaxWaitMs (route: Route): number {
-  return Math.max(MIN_CALLER_WAIT_MS, WAIT_OBJECTIVE_FACTOR * route.objectiveMs, WAIT_GAP_FACTOR * route.maxGapMs)
-}
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -27,8 +27,11 @@
    * rejects with a {@link StoreError}.
    */
   readonly onRegistered: (hasPredecessor: boolean) => Promise<void>
-  /** Called with the list after each read; `isSettled` is true once gateways that started at the same time are in it. */
-  readonly onPeers: (peers: readonly Peer[], isSettled: boolean) => Promise<void>
+  /**
+   * Called with the list after each read; `isSettled` is true once gateways that started at the same time are in it, and `hasPredecessor`
+   * if others may already have this gateway in their list.
+   */
+  readonly onPeers: (peers: readonly Peer[], isSettled: boolean, hasPredecessor: boolean) => Promise<void>
 }
 
 /** Registers the address of this gateway in the store and reads the addresses of its peers. */
@@ -45,10 +48,10 @@
     let hasPredecessor = false
     await this._retryUntilDone(async () => { hasPredecessor = await this._register(localPeer) })
     await this._retryUntilDone(async () => { await this._options.onRegistered(hasPredecessor) })
-    await this._retryUntilDone(async () => { await this._read(false) })
+    await this._retryUntilDone(async () => { await this._read(false, hasPredecessor) })
     await sleep(SETTLE_DELAY_MS)
     for (;;) {
-      await this._retryUntilDone(async () => { await this._read(true) })
+      await this._retryUntilDone(async () => { await this._read(true, hasPredecessor) })
       await sleep(READ_INTERVAL_MS)
     }
   }
@@ -63,14 +66,14 @@
     return result.type === 'conflict'
   }
 
-  private async _read (isSettled: boolean): Promise<void> {
+  private async _read (isSettled: boolean, hasPredecessor: boolean): Promise<void> {
     const { store, ranking, log, onPeers } = this._options
     const { rows } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
     const peers = rows.map(decodePeer)
     ranking.setPeers(peers)
     if (peers.length !== this._peerCount) log.info('peers-known', { peers: peers.map(peer => peer.id) })
     this._peerCount = peers.length
-    await onPeers(peers, isSettled)
+    await onPeers(peers, isSettled, hasPredecessor)
   }
 
   private async _retryUntilDone (step: () => Promise<void>): Promise<void> {
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -2,6 +2,8 @@
 import { z } from 'zod'
 import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
 import type { ReserveLender } from '../../core/reserve/index.js'
+import type { LimitPeers } from './LimitPeers.js'
+import type { PermitPeers } from './PermitPeers.js'
 import { decodeTransaction, encodeCommit, encodeFeed, encodeSnapshot } from './rowCodec.js'
 
 const t = initTRPC.create()
@@ -26,6 +28,19 @@
 
 const TURN = z.object({ turn: z.string() })
 
+const LIMITED_TARGET = z.object({ key: z.string(), failureDomain: z.string() })
+
+const PERMIT = z.object({
+  target: LIMITED_TARGET, perSecond: z.number().nonnegative(), statedAgoMs: z.number().nonnegative(), maxWaitMs: z.number().nonnegative()
+})
+
+const LIMIT_NOTICE = z.object({
+  target: LIMITED_TARGET,
+  perSecond: z.number().nonnegative().nullable(),
+  sentAgoMs: z.number().nonnegative(),
+  statedAgoMs: z.number().nonnegative()
+})
+
 const SETTLEMENT = z.object({ loan: z.string(), spent: z.number().nonnegative() })
 
 /** Options of {@link createPeerRouter}. */
@@ -36,6 +51,10 @@
   readonly isDirectUnavailable: () => boolean
   /** The reserves that this gateway holds. */
   readonly reserves: ReserveLender
+  /** Lends permits for targets that limit their request rate. */
+  readonly permits: Pick<PermitPeers, 'lend'>
+  /** Receives changes of the limits that targets state. */
+  readonly limits: Pick<LimitPeers, 'receiveReport' | 'receiveNotice'>
   /** Returns this gateway's unused grants of a program's budget to the store. */
   readonly returnUnused: (program: string) => Promise<void>
   /** Gets the transcript up to a stored turn if this gateway has cached it. */
@@ -65,6 +84,9 @@
     lend: t.procedure.input(LOAN).mutation(({ input }) => options.reserves.lend(input)),
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
     closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.closeReserve(input.program)),
+    lendPermit: t.procedure.input(PERMIT).mutation(({ input }) => options.permits.lend(input)),
+    reportLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveReport(input) }),
+    notifyLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveNotice(input) }),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     getTurn: t.procedure.input(TURN).query(({ input }) => ({ transcript: options.getCachedTurn(input.turn)?.toString('base64') ?? null })),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
--- /dev/null
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -0,0 +1,146 @@
+import { expect } from 'earl'
+import { ManualClock } from '../../../src/core/clock/index.js'
+import type { CallRequest } from '../../../src/core/forward/index.js'
+import { RouteKind, type Route } from '../../../src/core/route/index.js'
+import { CostPlacement, TargetRegistry, type TargetState } from '../../../src/core/target/index.js'
+import { GatewayMetrics, LimitedPlacer, Placer, type LimitedPlacement } from '../../../src/io/gateway/index.js'
+import type { PermitAnswer } from '../../../src/io/peer/index.js'
+import { DecisionLog } from '../../../src/io/process/index.js'
+
+const CALL: CallRequest = {
+  id: 'r',
+  method: 'POST',
+  requestTarget: '/',
+  path: '/',
+  host: 'h',
+  headers: [],
+  timeoutMs: undefined,
+  affinityKey: undefined,
+  program: undefined,
+  promptTokens: 0,
+  maxOutputTokens: 0,
+  promptSegments: [],
+  previousTurn: undefined,
+  lastEventId: undefined
+}
+
+const ROUTE: Route = {
+  name: 'r',
+  host: 'h',
+  pathPrefix: '/',
+  kind: RouteKind.Streaming,
+  backends: [{ service: 's', weight: 1 }],
+  timeoutMs: 5_000,
+  objectiveMs: 300,
+  priority: 0,
+  maxAttempts: 1,
+  isRetained: false,
+  retentionMs: 0,
+  isResumable: false,
+  maxGapMs: 300
+}
+
+describe('LimitedPlacer', () => {
+  let clock: ManualClock
+  let registry: TargetRegistry
+  let answers: PermitAnswer[]
+  let asked: Array<{ target: string, maxWaitMs: number }>
+  /** Milliseconds that pass while a lender is asked. */
+  let askMs: number
+
+  beforeEach(() => {
+    clock = new ManualClock(1_000)
+    registry = new TargetRegistry()
+    for (const [id, failureDomain] of [['near', 'a'], ['far', 'b']] as const) {
+      registry.set({ id, bornAt: 1, service: 's', address: `${id}:1`, failureDomain, isLeaving: false, slots: 8 })
+    }
+    answers = []
+    asked = []
+    askMs = 0
+  })
+
+  const getState = (id: string): TargetState => registry.find(`${id}@1`)!
+  const limit = (id: string): void => { getState(id).limit.record({ perSecond: 1, sentAt: clock.now(), statedAt: clock.now() }) }
+
+  const createPlacer = (): LimitedPlacer => {
+    const policy = new CostPlacement({ failureDomain: 'a', regions: { a: 'r', b: 'r' }, random: () => 0 })
+    const permits = {
+      request: async (target: { key: string }, _limit: unknown, maxWaitMs: number): Promise<PermitAnswer> => {
+        asked.push({ target: target.key, maxWaitMs })
+        clock.advanceTo(clock.now() + askMs)
+        return answers.shift() ?? { type: 'unavailable' }
+      }
+    }
+    const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
+    return new LimitedPlacer({ placer: new Placer({ registry, policy, clock }), permits, clock, log, metrics: new GatewayMetrics() })
+  }
+
+  const place = async (maxWaitMs = 100): Promise<LimitedPlacement> => {
+    return await createPlacer().place({ call: CALL, route: ROUTE, excluded: new Set(), warmTarget: undefined, maxWaitMs })
+  }
+
+  const getTarget = (placed: LimitedPlacement): string => placed.type === 'placed' ? placed.placement.state.target.id : placed.type
+
+  it('should ask for no permit while no target limits its rate', async () => {
+    expect(getTarget(await place())).toEqual('near')
+    expect(asked).toEqual([])
+  })
+
+  it('should use a limited target with a permit, and wait no longer for one than the best other target costs', async () => {
+    limit('near')
+    answers = [{ type: 'granted', waitMs: 0 }]
+    expect(getTarget(await place())).toEqual('near')
+    // The other target is in another failure domain, which costs 25 ms.
+    expect(asked).toEqual([{ target: 'near@1', maxWaitMs: 25 }])
+  })
+
+  it('should use a target without a limit when no permit is available, and not ask again before one may be', async () => {
+    limit('near')
+    answers = [{ type: 'refused', waitMs: 400 }]
+    expect(getTarget(await place())).toEqual('far')
+    expect(getTarget(await place())).toEqual('far')
+    expect(asked.length).toEqual(1)
+    clock.advanceTo(clock.now() + 400)
+    answers = [{ type: 'granted', waitMs: 0 }]
+    expect(getTarget(await place())).toEqual('near')
+  })
+
+  it('should state the shortest wait when all targets are limited and have no permit in time', async () => {
+    limit('near')
+    limit('far')
+    answers = [{ type: 'refused', waitMs: 900 }, { type: 'refused', waitMs: 700 }]
+    expect(await place()).toEqual({ type: 'limited', waitMs: 700 })
+    expect(asked.map(({ maxWaitMs }) => maxWaitMs)).toEqual([100, 100])
+    expect(createPlacer().getKnownWait(CALL, ROUTE, 100)).toEqual(700)
+    expect(createPlacer().getKnownWait(CALL, ROUTE, 800)).toEqual(undefined)
+  })
+
+  it('should send nothing to a limited target without an answer of a lender', async () => {
+    limit('near')
+    limit('far')
+    expect((await place()).type).toEqual('limited')
+  })
+
+  it('should use a target whose lender states that its limit has ended', async () => {
+    limit('near')
+    clock.advanceTo(clock.now() + 500)
+    answers = [{ type: 'unlimited', endedAgoMs: 100 }]
+    expect(getTarget(await place())).toEqual('near')
+    expect(getState('near').limit.getPerSecond()).toEqual(undefined)
+  })
+
+  // A process that was paused for some seconds acted on a permission that had run out meanwhile.
+  it('should not use a permit that arrived or was used too late, because the process was paused', async () => {
+    limit('near')
+    limit('far')
+    askMs = 3_000
+    answers = [{ type: 'granted', waitMs: 0 }, { type: 'granted', waitMs: 0 }]
+    expect((await place()).type).toEqual('limited')
+  })
+
+  it('should find no target when all were tried', async () => {
+    const excluded = new Set(['near@1', 'far@1'])
+    const placed = await createPlacer().place({ call: CALL, route: ROUTE, excluded, warmTarget: undefined, maxWaitMs: 100 })
+    expect(placed).toEqual({ type: 'no-target' })
+  })
+})
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -25,6 +25,8 @@
       direct: peerStore,
       isDirectUnavailable: () => isPeerUnavailable,
       reserves,
+      permits: { lend: () => ({ type: 'refused', waitMs: 0 }) },
+      limits: { receiveReport: () => {}, receiveNotice: () => false },
       returnUnused: async () => {},
       getCachedTurn: () => undefined
     })
