Begin no program at overloaded targets while others limit their rate

Cause: all programs were admitted, whatever the capacity. The pace of streams (gaps between events) shows the overload; the time to the first event hardly does. Change: while a target of the service has a limit, a first turn is refused at once (503 overloaded, Retry-After of 1 to 2 s) when the best other target is five times slower than the best pace of its service, or later than twice the objective. Turns of programs in progress are admitted.

--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -1,4 +1,5 @@
 import { getIncarnationKey, type Target } from './Target.js'
+import { BestPace } from './StreamPace.js'
 import { TargetState } from './TargetState.js'
 
 /**
@@ -11,6 +12,7 @@
 /** Keeps the targets that the store lists, with the state that this gateway tracks for each. */
 export class TargetRegistry {
   private readonly _states = new Map<string, TargetState>()
+  private readonly _bestPaces = new Map<string, BestPace>()
   /** Ids that the store no longer lists since an outage, and that may be registered again. */
   private readonly _missing = new Set<string>()
   private _isStoreUnavailable = false
@@ -21,7 +23,7 @@
     this._missing.delete(target.id)
     const existing = this._states.get(target.id)
     if (existing?.incarnation !== getIncarnationKey(target) || existing.target.address !== target.address) {
-      this._states.set(target.id, new TargetState(target))
+      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service)))
       return true
     }
     const isChanged = existing.target.isLeaving !== target.isLeaving
@@ -74,6 +76,14 @@
     return this._states.size
   }
 
+  private _getBestPace (service: string): BestPace {
+    const existing = this._bestPaces.get(service)
+    if (existing !== undefined) return existing
+    const bestPace = new BestPace()
+    this._bestPaces.set(service, bestPace)
+    return bestPace
+  }
+
   private _removeMissing (): void {
     for (const id of this._missing) this._states.delete(id)
     this._missing.clear()
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -1,6 +1,7 @@
 import { getIncarnationKey, type Target } from './Target.js'
 import { PrefixCacheTracker } from './PrefixCacheTracker.js'
 import { RequestLimit } from './RequestLimit.js'
+import { BestPace, StreamPace } from './StreamPace.js'
 
 /** Consecutive failures after which a target is ejected. */
 export const EJECT_AFTER_FAILURES = 3
@@ -22,6 +23,7 @@
   readonly incarnation: string
   readonly prefixCache = new PrefixCacheTracker()
   readonly limit = new RequestLimit()
+  readonly pace: StreamPace
   target: Target
   private _inFlight = 0
   private _pendingPrefillMs = 0
@@ -32,8 +34,10 @@
   private _observedAt = -Infinity
   private _permitAt = -Infinity
 
-  constructor (target: Target) {
+  /** @param bestPace - Best pace of the target's service. */
+  constructor (target: Target, bestPace = new BestPace()) {
     this.target = target
+    this.pace = new StreamPace(bestPace)
     this.incarnation = getIncarnationKey(target)
   }
 
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -84,7 +84,8 @@
         route,
         excluded: this._excluded,
         warmTarget: this._options.warmTarget,
-        maxWaitMs: getMaxPermitWait(this._exchange, this._options.isInProgress ?? false)
+        maxWaitMs: getMaxPermitWait(this._exchange, this._options.isInProgress ?? false),
+        isInProgress: hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
       })
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
@@ -126,6 +127,7 @@
       promptTokens: call.promptTokens,
       ...placement.inputs,
       limitPerSecond: state.limit.getPerSecond(),
+      slowdown: Number(state.pace.getSlowdown(sentAt).toFixed(1)),
       timeoutMs: Math.round(timeoutMs)
     })
     const cached = state.prefixCache.getCachedTokens(call.promptSegments)
@@ -236,6 +238,7 @@
   private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>): void {
     if (this._runs > 0) this._refuse('attempts-failed')
     else if (placed.type === 'limited') this._refuse('targets-limited', getLimitedRetrySeconds(placed.waitMs, this._context.random))
+    else if (placed.type === 'overloaded') this._refuse('overloaded', getLimitedRetrySeconds(placed.waitMs, this._context.random))
     else this._refuse(this._dispatches > 0 ? 'retries-exhausted' : 'no-target')
   }
 
@@ -254,9 +257,15 @@
   const { call, route } = exchange
   const programMs = call.program?.remainingMs ?? Infinity
   const responseMs = route.kind === RouteKind.Streaming ? getCallerWaitMs(route) : Infinity
-  // The call of a tool belongs to a turn that has run; a stream that has begun has its next event due.
-  const hasEarlierWork = isInProgress || call.previousTurn !== undefined || exchange.hasStarted() || route.kind !== RouteKind.Streaming
-  return getMaxPermitWaitMs({ isInProgress: hasEarlierWork, remainingMs: Math.min(exchange.getRemainingMs(), programMs, responseMs) })
+  const remainingMs = Math.min(exchange.getRemainingMs(), programMs, responseMs)
+  return getMaxPermitWaitMs({ isInProgress: hasEarlierWork(exchange, isInProgress), remainingMs })
+}
+
+/** Checks whether earlier work would be lost with a request: the call of a tool belongs to a turn that has run. */
+function hasEarlierWork (exchange: Exchange, isInProgress: boolean): boolean {
+  const { call, route } = exchange
+  const isFirstTurn = route.kind === RouteKind.Streaming && call.program !== undefined && call.previousTurn === undefined
+  return isInProgress || exchange.hasStarted() || !isFirstTurn
 }
 
 /** Gets the seconds after which a refused caller may retry; spread over twice the wait, so that callers do not return together. */
--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
 import type { CallRequest } from '../../core/forward/index.js'
+import { getAdmissionWaitMs } from '../../core/limits/index.js'
 import type { Route } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { PermitAnswer, PermitPeers } from '../peer/index.js'
@@ -36,12 +37,16 @@
   readonly warmTarget: string | undefined
   /** Longest time in milliseconds for which the request may wait for a permit. */
   readonly maxWaitMs: number
+  /** True if the request belongs to a program that targets have already worked for. */
+  readonly isInProgress: boolean
 }
 
 /** Result of {@link LimitedPlacer.place}. */
 export type LimitedPlacement =
   | { readonly type: 'placed', readonly placement: Placement }
   | { readonly type: 'no-target' }
+  /** The targets without a limit are so late that the program should not begin; `waitMs` is the time until it may. */
+  | { readonly type: 'overloaded', readonly waitMs: number }
   /** All targets limit their rate, and none has a permit within the wait; `waitMs` is the shortest wait known. */
   | { readonly type: 'limited', readonly waitMs: number }
 
@@ -67,6 +72,7 @@
     const { call, route, warmTarget } = req
     const candidates = placer.getCandidates(call, route).filter(state => !req.excluded.has(state.incarnation))
     const limited = candidates.filter(isLimited)
+    const isScarce = limited.length > 0
     const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget })
     const alternative = place(new Set([...req.excluded, ...limited.map(state => state.incarnation)]))
     const now = clock.now()
@@ -76,18 +82,26 @@
       const placement = place(refused)
       if (placement === undefined) break
       const { state } = placement
-      if (!isLimited(state)) return { type: 'placed', placement }
+      if (!isLimited(state)) return this._admit(req, placement, isScarce)
       const maxWaitMs = Math.min(req.maxWaitMs, getTolerance(placement, alternative, clock.now()))
       const askedAt = clock.now()
       const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
       if (await this._isUsable(state, answer, askedAt, call.id)) return { type: 'placed', placement }
       refused.add(state.incarnation)
     }
-    if (alternative !== undefined) return { type: 'placed', placement: alternative }
+    if (alternative !== undefined) return this._admit(req, alternative, isScarce)
     if (candidates.length === 0) return { type: 'no-target' }
     return { type: 'limited', waitMs: Math.min(...limited.map(state => state.getPermitWaitMs(clock.now()))) }
   }
 
+  /** Admits a request to a target without a limit, unless it begins a program for which the capacity is missing. */
+  private _admit ({ isInProgress, route }: LimitedPlaceRequest, placement: Placement, isScarce: boolean): LimitedPlacement {
+    const { predictedMs, state } = placement
+    const slowdown = state.pace.getSlowdown(this._options.clock.now())
+    const waitMs = getAdmissionWaitMs({ isInProgress, isScarce, objectiveMs: route.objectiveMs, predictedMs, slowdown })
+    return waitMs === undefined ? { type: 'placed', placement } : { type: 'overloaded', waitMs }
+  }
+
   /** Applies a lender's answer and waits for the time of a permit; returns whether the request may be sent to the target now. */
   private async _isUsable (state: TargetState, answer: PermitAnswer, askedAt: number, req: string): Promise<boolean> {
     const { clock, log, metrics } = this._options
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -168,6 +168,7 @@
       return { cause: failure, isConnectionLost: false }
     }
     const splitter = new EventSplitter()
+    let isFirst = true
     const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
     const stallMs = getCallerWaitMs(exchange.route) * STALL_SHARE
     const stallTimer = new StallTimer({ limitMs: stallMs, onStall: attempt.response.discard })
@@ -180,7 +181,10 @@
           attempt.recordFirstChunk()
           progress.events++
           progress.tokens += tokensPerEvent
-          progress.lastEventAt = this._options.clock.now()
+          const now = this._options.clock.now()
+          if (isFirst) isFirst = false
+          else attempt.state.pace.recordGap(now - progress.lastEventAt, now)
+          progress.lastEventAt = now
           if (event.id !== '') progress.lastEventId = event.id
           progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -3,7 +3,7 @@
 import type { CallRequest } from '../../../src/core/forward/index.js'
 import { RouteKind, type Route } from '../../../src/core/route/index.js'
 import { CostPlacement, TargetRegistry, type TargetState } from '../../../src/core/target/index.js'
-import { GatewayMetrics, LimitedPlacer, Placer, type LimitedPlacement } from '../../../src/io/gateway/index.js'
+import { GatewayMetrics, LimitedPlacer, Placer, type LimitedPlacement, type LimitedPlaceRequest } from '../../../src/io/gateway/index.js'
 import type { PermitAnswer } from '../../../src/io/peer/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 
@@ -75,8 +75,10 @@
     return new LimitedPlacer({ placer: new Placer({ registry, policy, clock }), permits, clock, log, metrics: new GatewayMetrics() })
   }
 
-  const place = async (maxWaitMs = 100): Promise<LimitedPlacement> => {
-    return await createPlacer().place({ call: CALL, route: ROUTE, excluded: new Set(), warmTarget: undefined, maxWaitMs })
+  const place = async (options: Partial<LimitedPlaceRequest> = {}): Promise<LimitedPlacement> => {
+    return await createPlacer().place({
+      call: CALL, route: ROUTE, excluded: new Set(), warmTarget: undefined, maxWaitMs: 100, isInProgress: true, ...options
+    })
   }
 
   const getTarget = (placed: LimitedPlacement): string => placed.type === 'placed' ? placed.placement.state.target.id : placed.type
@@ -138,9 +140,17 @@
     expect((await place()).type).toEqual('limited')
   })
 
+  // All programs of a service moved to the one target without a limit: each was answered promptly, but so slowly that nearly all were late.
+  it('should begin no program at a target that is slow already, while programs in progress go on there', async () => {
+    limit('near')
+    for (let at = 0; at < 40; at++) getState('far').pace.recordGap(10, clock.now())
+    for (let at = 0; at < 100; at++) getState('far').pace.recordGap(80, clock.now())
+    answers = [{ type: 'refused', waitMs: 400 }]
+    expect(await place({ isInProgress: false })).toEqual({ type: 'overloaded', waitMs: 1_000 })
+    expect(getTarget(await place())).toEqual('far')
+  })
+
   it('should find no target when all were tried', async () => {
-    const excluded = new Set(['near@1', 'far@1'])
-    const placed = await createPlacer().place({ call: CALL, route: ROUTE, excluded, warmTarget: undefined, maxWaitMs: 100 })
-    expect(placed).toEqual({ type: 'no-target' })
+    expect(await place({ excluded: new Set(['near@1', 'far@1']) })).toEqual({ type: 'no-target' })
   })
 })
