Check after the wait for a permit that the target still accepts work

A request may wait for a permit for up to half of its remaining time, 3 s on routes with 6 s, longer than a target may still get requests after its row says draining (2.5 s). The target was chosen before the wait and not checked again. Found by reading; the new case of LimitedPlacerTests fails on the code before ('near' instead of 'far') and passes.

--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -86,7 +86,9 @@
       const maxWaitMs = Math.min(req.maxWaitMs, getTolerance(placement, alternative, clock.now()))
       const askedAt = clock.now()
       const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
-      if (await this._isUsable(state, answer, askedAt, call.id)) return { type: 'placed', placement }
+      // The target may have begun to drain while the request waited.
+      const isUsable = await this._isUsable(state, answer, askedAt, call.id) && placer.getCandidates(call, route).includes(state)
+      if (isUsable) return { type: 'placed', placement }
       refused.add(state.incarnation)
     }
     if (alternative !== undefined) return this._admit(req, alternative, isScarce)
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -47,6 +47,7 @@
   let asked: Array<{ target: string, maxWaitMs: number }>
   /** Milliseconds that pass while a lender is asked. */
   let askMs: number
+  let onAsk: () => void
 
   beforeEach(() => {
     clock = new ManualClock(1_000)
@@ -57,6 +58,7 @@
     answers = []
     asked = []
     askMs = 0
+    onAsk = () => {}
   })
 
   const getState = (id: string): TargetState => registry.find(`${id}@1`)!
@@ -68,6 +70,7 @@
       request: async (target: { key: string }, _limit: unknown, maxWaitMs: number): Promise<PermitAnswer> => {
         asked.push({ target: target.key, maxWaitMs })
         clock.advanceTo(clock.now() + askMs)
+        onAsk()
         return answers.shift() ?? { type: 'unavailable' }
       }
     }
@@ -131,6 +134,13 @@
     expect(getState('near').limit.getPerSecond()).toEqual(undefined)
   })
 
+  it('should not use a permit for a target that has begun to drain while the request waited for it', async () => {
+    limit('near')
+    onAsk = () => { registry.set({ ...getState('near').target, isLeaving: true }) }
+    answers = [{ type: 'granted', waitMs: 0 }]
+    expect(getTarget(await place())).toEqual('far')
+  })
+
   // A process that was paused for some seconds acted on a permission that had run out meanwhile.
   it('should not use a permit that arrived or was used too late, because the process was paused', async () => {
     limit('near')
