Keep the times to retry and the news of limits in one place each

Read as a newcomer: the time to retry was a decision inside the I/O layer, and an answer of a lender changed a limit beside TargetLimits, with a log line of its own. No change of behaviour.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { decideRetry } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
-import { getMaxPermitWaitMs } from '../../core/limits/index.js'
+import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -237,8 +237,8 @@
 
   private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>): void {
     if (this._runs > 0) this._refuse('attempts-failed')
-    else if (placed.type === 'limited') this._refuse('targets-limited', getLimitedRetrySeconds(placed.waitMs, this._context.random))
-    else if (placed.type === 'overloaded') this._refuse('overloaded', getLimitedRetrySeconds(placed.waitMs, this._context.random))
+    else if (placed.type === 'limited') this._refuse('targets-limited', getRetrySeconds(placed.waitMs, this._context.random))
+    else if (placed.type === 'overloaded') this._refuse('overloaded', getRetrySeconds(placed.waitMs, this._context.random))
     else this._refuse(this._dispatches > 0 ? 'retries-exhausted' : 'no-target')
   }
 
@@ -267,8 +267,3 @@
   const isFirstTurn = route.kind === RouteKind.Streaming && call.program !== undefined && call.previousTurn === undefined
   return isInProgress || exchange.hasStarted() || !isFirstTurn
 }
-
-/** Gets the seconds after which a refused caller may retry; spread over twice the wait, so that callers do not return together. */
-export function getLimitedRetrySeconds (waitMs: number, random: () => number): number {
-  return Math.max(RETRY_AFTER_SECONDS, waitMs / 1_000) * (1 + random())
-}
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -157,7 +157,7 @@
     })
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const suspects = new SuspectStore({ access, clock, log })
-    const limitedPlacer = new LimitedPlacer({ placer, permits, clock, log, metrics })
+    const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
     const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -8,7 +8,7 @@
 import type { DecisionLog } from '../process/index.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { Placer } from './Placer.js'
-import { toLimitedTarget } from './TargetLimits.js'
+import { toLimitedTarget, type TargetLimits } from './TargetLimits.js'
 
 /** Targets whose lenders are asked for one request; each costs a round trip while the request waits. */
 const MAX_ASKED_TARGETS = 3
@@ -23,6 +23,7 @@
 export interface LimitedPlacerOptions {
   readonly placer: Placer
   readonly permits: Pick<PermitPeers, 'request'>
+  readonly limits: Pick<TargetLimits, 'apply'>
   readonly clock: Clock
   readonly log: DecisionLog
   readonly metrics: GatewayMetrics
@@ -106,14 +107,12 @@
 
   /** Applies a lender's answer and waits for the time of a permit; returns whether the request may be sent to the target now. */
   private async _isUsable (state: TargetState, answer: PermitAnswer, askedAt: number, req: string): Promise<boolean> {
-    const { clock, log, metrics } = this._options
+    const { clock, log, metrics, limits } = this._options
     metrics.permits.inc({ result: answer.type })
     const now = clock.now()
     if (answer.type === 'unlimited') {
       const endedAt = now - answer.endedAgoMs
-      if (state.limit.record({ perSecond: undefined, sentAt: endedAt, statedAt: endedAt })) {
-        log.info('target-limit-changed', { target: state.incarnation, perSecond: null, ageMs: Math.round(answer.endedAgoMs) })
-      }
+      limits.apply(state.incarnation, { perSecond: undefined, sentAt: endedAt, statedAt: endedAt })
       return true
     }
     if (answer.type !== 'granted') {
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,9 +1,10 @@
 import { Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
+import { getRetrySeconds } from '../../core/limits/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
-import { Attempts, getLimitedRetrySeconds, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
+import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
@@ -69,7 +70,7 @@
     const { limitedPlacer, random } = this._options.attempts
     const permitWaitMs = limitedPlacer.getKnownWait(exchange.call, exchange.route, getMaxPermitWait(exchange, true))
     if (permitWaitMs !== undefined) {
-      exchange.refuse({ reason: 'targets-limited', retryAfterSeconds: getLimitedRetrySeconds(permitWaitMs, random) })
+      exchange.refuse({ reason: 'targets-limited', retryAfterSeconds: getRetrySeconds(permitWaitMs, random) })
       return
     }
     // Both may need the store in another region, so they are requested at the same time.
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -2,7 +2,7 @@
 import { ManualClock } from '../../../src/core/clock/index.js'
 import type { CallRequest } from '../../../src/core/forward/index.js'
 import { RouteKind, type Route } from '../../../src/core/route/index.js'
-import { CostPlacement, TargetRegistry, type TargetState } from '../../../src/core/target/index.js'
+import { CostPlacement, TargetRegistry, type LimitStatement, type TargetState } from '../../../src/core/target/index.js'
 import { GatewayMetrics, LimitedPlacer, Placer, type LimitedPlacement, type LimitedPlaceRequest } from '../../../src/io/gateway/index.js'
 import type { PermitAnswer } from '../../../src/io/peer/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
@@ -75,7 +75,9 @@
       }
     }
     const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
-    return new LimitedPlacer({ placer: new Placer({ registry, policy, clock }), permits, clock, log, metrics: new GatewayMetrics() })
+    const limits = { apply: (target: string, statement: LimitStatement) => registry.find(target)!.limit.record(statement) }
+    const placer = new Placer({ registry, policy, clock })
+    return new LimitedPlacer({ placer, permits, limits, clock, log, metrics: new GatewayMetrics() })
   }
 
   const place = async (options: Partial<LimitedPlaceRequest> = {}): Promise<LimitedPlacement> => {
