--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -73,8 +73,11 @@
     const { call, route, warmTarget } = req
     const candidates = placer.getCandidates(call, route).filter(state => !req.excluded.has(state.incarnation))
     const limited = candidates.filter(isLimited)
-    const isScarce = limited.length > 0
     const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget })
+    if (limited.length === 0) {
+      const placement = place(req.excluded)
+      return placement === undefined ? { type: 'no-target' } : { type: 'placed', placement }
+    }
     const alternative = place(new Set([...req.excluded, ...limited.map(state => state.incarnation)]))
     const now = clock.now()
     const tooLate = limited.filter(state => state.getPermitWaitMs(now) > req.maxWaitMs)
@@ -83,7 +86,7 @@
       const placement = place(refused)
       if (placement === undefined) break
       const { state } = placement
-      if (!isLimited(state)) return this._admit(req, placement, isScarce)
+      if (!isLimited(state)) return this._admit(req, placement)
       const maxWaitMs = Math.min(req.maxWaitMs, getTolerance(placement, alternative, clock.now()))
       const askedAt = clock.now()
       const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
@@ -92,16 +95,15 @@
       if (isUsable) return { type: 'placed', placement }
       refused.add(state.incarnation)
     }
-    if (alternative !== undefined) return this._admit(req, alternative, isScarce)
-    if (candidates.length === 0) return { type: 'no-target' }
+    if (alternative !== undefined) return this._admit(req, alternative)
     return { type: 'limited', waitMs: Math.min(...limited.map(state => state.getPermitWaitMs(clock.now()))) }
   }
 
-  /** Admits a request to a target without a limit, unless it begins a program for which the capacity is missing. */
-  private _admit ({ isInProgress, route }: LimitedPlaceRequest, placement: Placement, isScarce: boolean): LimitedPlacement {
+  /** Admits a request to a target without a limit while others have one, unless it begins a program for which the capacity is missing. */
+  private _admit ({ isInProgress, route }: LimitedPlaceRequest, placement: Placement): LimitedPlacement {
     const { predictedMs, state } = placement
     const slowdown = state.pace.getSlowdown(this._options.clock.now())
-    const waitMs = getAdmissionWaitMs({ isInProgress, isScarce, objectiveMs: route.objectiveMs, predictedMs, slowdown })
+    const waitMs = getAdmissionWaitMs({ isInProgress, isScarce: true, objectiveMs: route.objectiveMs, predictedMs, slowdown })
     return waitMs === undefined ? { type: 'placed', placement } : { type: 'overloaded', waitMs }
   }
 
