--- a/src/core/forward/CallRequest.ts
+++ b/src/core/forward/CallRequest.ts
@@ -42,4 +42,6 @@
   readonly previousTurn: string | undefined
   /** Id of the last event that the caller received. */
   readonly lastEventId: string | undefined
+  /** Id of the attempt that received the first event of the stream to be continued; undefined for a new stream. */
+  readonly resumedStream: string | undefined
 }
--- a/src/core/target/Target.ts
+++ b/src/core/target/Target.ts
@@ -5,6 +5,8 @@
   /** Start time of this incarnation, in Unix milliseconds; 0 when unknown. */
   readonly bornAt: number
   readonly service: string
+  /** Version of the target's software; versions have no order, and what two of them generate must not be joined in one stream. */
+  readonly softwareVersion: string
   /** Host and port. */
   readonly address: string
   readonly failureDomain: string
--- a/tests/core/target/CostPlacementTests.ts
+++ b/tests/core/target/CostPlacementTests.ts
@@ -77,7 +77,7 @@
 }
 
 function toState (id: string, failureDomain: string): TargetState {
-  const target: Target = { id, bornAt: 1, service: 'model', address: '10.0.0.1:80', failureDomain, isLeaving: false, slots: 48 }
+  const target: Target = { id, bornAt: 1, service: 'model', softwareVersion: 'v1', address: '10.0.0.1:80', failureDomain, isLeaving: false, slots: 48 }
   return new TargetState(target)
 }
 
--- a/tests/core/target/TargetRegistryTests.ts
+++ b/tests/core/target/TargetRegistryTests.ts
@@ -2,7 +2,7 @@
 import { REREGISTER_MS, TargetRegistry, type Target } from '../../../src/core/target/index.js'
 
 describe('TargetRegistry', () => {
-  const target: Target = { id: 'i-1', bornAt: 5, service: 'model', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: false, slots: 8 }
+  const target: Target = { id: 'i-1', bornAt: 5, service: 'model', softwareVersion: 'v1', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: false, slots: 8 }
   const getIds = (registry: TargetRegistry, now: number): string[] => registry.getServing('model', now).map(state => state.target.id)
 
   it('should not return a target that is draining', () => {
--- a/tests/io/gateway/CacheLearnerTests.ts
+++ b/tests/io/gateway/CacheLearnerTests.ts
@@ -30,5 +30,5 @@
 })
 
 function createState (id: string): TargetState {
-  return new TargetState({ id, bornAt: 1, service: 'model', address: '127.0.0.1:9', failureDomain: 'here', isLeaving: false, slots: 8 })
+  return new TargetState({ id, bornAt: 1, service: 'model', softwareVersion: 'v1', address: '127.0.0.1:9', failureDomain: 'here', isLeaving: false, slots: 8 })
 }
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -21,7 +21,8 @@
   maxOutputTokens: 0,
   promptSegments: [],
   previousTurn: undefined,
-  lastEventId: undefined
+  lastEventId: undefined,
+  resumedStream: undefined
 }
 
 const ROUTE: Route = {
@@ -53,7 +54,7 @@
     clock = new ManualClock(1_000)
     registry = new TargetRegistry()
     for (const [id, failureDomain] of [['near', 'a'], ['far', 'b']] as const) {
-      registry.set({ id, bornAt: 1, service: 's', address: `${id}:1`, failureDomain, isLeaving: false, slots: 8 })
+      registry.set({ id, bornAt: 1, service: 's', softwareVersion: 'v1', address: `${id}:1`, failureDomain, isLeaving: false, slots: 8 })
     }
     answers = []
     asked = []
--- a/tests/platform/PlatformProtocolTests.ts
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -9,7 +9,7 @@
   it('should decode the headers that the gateway uses', () => {
     const call = decode([
       ...minimal, 'X-Timeout-Ms', '4000', 'X-Token-Usage', '1460,80', 'X-Prompt-Prefix', '5c:800,91:410', 'X-Program-Id', 'p', 'X-Session-Id', 's',
-      'X-Program-Deadline-Ms', '5200', 'X-Token-Budget', '1088', 'X-Previous-Turn', 't0', 'X-Custom', 'x'
+      'X-Program-Deadline-Ms', '5200', 'X-Token-Budget', '1088', 'X-Previous-Turn', 't0', 'Last-Event-Id', '7', 'Resumes', 'r0', 'X-Custom', 'x'
     ]).unsafeCoerce()
     expect(call).toEqual({
       id: 'r1',
@@ -25,7 +25,8 @@
       maxOutputTokens: 80,
       promptSegments: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }],
       previousTurn: 't0',
-      lastEventId: undefined
+      lastEventId: '7',
+      resumedStream: 'r0'
     })
   })
 
@@ -47,7 +48,7 @@
 
   it('should send the id of the only target that may run the request and the remaining time', () => {
     const call = decode([...minimal, 'X-Timeout-Ms', '4000']).unsafeCoerce()
-    const target = { id: 'i-1', bornAt: 1, service: 's', address: '10.0.0.1:1', failureDomain: 'z', isLeaving: false, slots: 1 }
+    const target = { id: 'i-1', bornAt: 1, service: 's', softwareVersion: 'v1', address: '10.0.0.1:1', failureDomain: 'z', isLeaving: false, slots: 1 }
     expect(protocol.getTargetHeaders(call, { target, timeoutMs: 1_234.9, lastEventId: '7' })).toEqual([
       ...minimal, 'x-timeout-ms', '1234', 'x-target-instance', 'i-1', 'last-event-id', '7'
     ])
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -10,12 +10,12 @@
 
   it('should decode the registration of a target', () => {
     expect(decode({ ...registration, state: 'draining', surprise: true })).toEqual({
-      id: 'i-1', bornAt: 5, service: 'model', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: true, slots: 8
+      id: 'i-1', bornAt: 5, service: 'model', softwareVersion: 'v1', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: true, slots: 8
     })
   })
 
   it('should skip rows that are not valid registrations', () => {
-    const changes = [{ slots: '8' }, { state: 'sleeping' }, { address: 'elsewhere' }, { service: undefined }, { born: 'today' }]
+    const changes = [{ slots: '8' }, { state: 'sleeping' }, { address: 'elsewhere' }, { service: undefined }, { born: 'today' }, { version: undefined }, { version: 2 }]
     const broken = ['no JSON', '[]', {}, ...changes.map(change => ({ ...registration, ...change }))]
     for (const value of broken) expect(decode(value)).toEqual(undefined)
   })
