--- /dev/null
+++ b/tests/processes/VersionsJoinedTests.ts
@@ -0,0 +1,185 @@
+import { expect } from 'earl'
+import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
+import { callPlatform, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
+import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
+import { waitFor } from './GatewayHarness.js'
+
+/** Number of streams that each test begins; the rule on lost streams applies from 12 on. */
+const STREAMS = 24
+
+/** Gateways that run. */
+const GATEWAYS = 3
+
+/** A stream whose first event a caller has received. */
+interface BegunStream {
+  readonly id: string
+  /** Software version that the first event states. */
+  readonly version: string
+  /** Resolves when the response has ended or was broken off. */
+  readonly response: Promise<PlatformCallResponse>
+}
+
+/** What became of streams that callers took up again. */
+interface TakeUpCounts {
+  /** Streams that were completed at the version that had begun them. */
+  readonly wentOn: number
+  /** Streams that got events of another version. */
+  readonly joined: number
+  /** Streams that were refused and have not run. */
+  readonly refused: number
+}
+
+// Streams held events of two software versions: gateways continued a stream at any target, whatever version had begun it.
+describe('gateways before targets of two software versions', () => {
+  let fixture: PlatformFixture
+  let gateways: GatewayProcess[]
+  let releaseTargets: () => void
+
+  beforeEach(async () => {
+    fixture = new PlatformFixture()
+    await fixture.start({ engines: 4 })
+    for (const engine of fixture.engines.slice(2)) fixture.setEngineVersion(engine, 'v2')
+    for (const engine of fixture.engines.slice(0, 2)) fixture.setEngineVersion(engine, 'v1')
+    gateways = await Promise.all(Array.from({ length: GATEWAYS }, async (_, at) => await startGateway(at)))
+    await Promise.all(gateways.map(waitForPeers))
+    const gate = new Promise<void>(resolve => { releaseTargets = resolve })
+    for (const engine of fixture.engines) engine.gate = gate
+  })
+
+  afterEach(async () => {
+    releaseTargets()
+    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
+    fixture.close()
+  })
+
+  it('should continue a stream that a target breaks off at a target of the same version', async () => {
+    releaseTargets()
+    const responses = await Promise.all(Array.from({ length: STREAMS }, async (_, at) => {
+      const engine = fixture.engines[at % 4]!
+      engine.nextBehaviours.push('break-off')
+      return await callPlatform(gateways[at % GATEWAYS]!.callerAddress, { id: `r-${at}`, path: '/turns/resumable/a', body: 'in' })
+    }))
+    expect(responses.map(response => getVersions(response.body).length)).toEqual(responses.map(() => 1))
+    expect(responses.filter(response => response.isComplete).length >= STREAMS / 2).toEqual(true)
+    expect(getResumedRuns().length > 0).toEqual(true)
+  })
+
+  it('should break a stream off, not complete it elsewhere, when no other target of its version serves', async () => {
+    for (const engine of fixture.engines.slice(1, 3)) fixture.unregister(engine)
+    await waitForTargets(2)
+    releaseTargets()
+    for (const engine of fixture.engines) engine.nextBehaviours.push('break-off')
+    const response = await callPlatform(gateways[0]!.callerAddress, { id: 'r', path: '/turns/resumable/a', body: 'in' })
+    expect([response.status, response.isComplete, getVersions(response.body).length]).toEqual([200, false, 1])
+  })
+
+  it('should continue the streams of a gateway that was killed at their versions, at the other gateways', async () => {
+    const streams = await beginStreams([gateways[0]!])
+    await waitForOrigins()
+    await gateways[0]!.kill()
+    releaseTargets()
+    expect(await takeUp(streams, gateways.slice(1))).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+  })
+
+  it('should continue the streams of all gateways at their versions after all were killed at once', async () => {
+    const streams = await beginStreams(gateways)
+    await waitForOrigins()
+    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
+    gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
+    releaseTargets()
+    expect(await takeUp(streams, gateways)).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+  })
+
+  it('should continue streams at their versions while the store is away', async () => {
+    const streams = await beginStreams(gateways)
+    fixture.store.rows.failure = 'refused'
+    releaseTargets()
+    const [first, ...others] = gateways
+    const rotated = [...others, first!]
+    // A caller's next try arrives at another gateway than its first one.
+    expect(await takeUp(streams, rotated)).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+  })
+
+  it('should refuse, as not run, a stream whose version no longer serves', async () => {
+    const streams = await beginStreams(gateways)
+    await waitForOrigins()
+    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
+    for (const engine of fixture.engines.slice(0, 2)) fixture.unregister(engine)
+    gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
+    releaseTargets()
+    const leftBehind = streams.filter(stream => stream.version === 'v1').length
+    expect(leftBehind > 0).toEqual(true)
+    expect(await takeUp(streams, gateways)).toEqual({ wentOn: STREAMS - leftBehind, joined: 0, refused: leftBehind })
+  })
+
+  it('should refuse, as not run, a stream that no gateway and no row knows', async () => {
+    releaseTargets()
+    const unknown = ['r-1', 'r-2'].map(id => ({ id, version: 'v1', response: Promise.resolve(undefined as never) }))
+    expect(await takeUp(unknown, gateways)).toEqual({ wentOn: 0, joined: 0, refused: 2 })
+  })
+
+  /** Begins streams, in rotation over gateways, and waits for the first event of each. */
+  async function beginStreams (at: readonly GatewayProcess[]): Promise<BegunStream[]> {
+    return await Promise.all(Array.from({ length: STREAMS }, async (_, index) => await new Promise<BegunStream>((resolve, reject) => {
+      const id = `r-${index}`
+      let text = ''
+      const response = callPlatform(at[index % at.length]!.callerAddress, {
+        id,
+        path: '/turns/resumable/a',
+        body: 'in',
+        onData: chunk => {
+          text += chunk
+          const [version] = getVersions(text)
+          if (version !== undefined) resolve({ id, version, response })
+        }
+      })
+      void response.then(() => { reject(new Error(`The stream ${id} ended without an event.`)) })
+    })))
+  }
+
+  /** Sends the next try for each stream, in rotation over gateways, and counts what became of the streams. */
+  async function takeUp (streams: readonly BegunStream[], at: readonly GatewayProcess[]): Promise<TakeUpCounts> {
+    const responses = await Promise.all(streams.map(async ({ id, version }, index) => {
+      const response = await callPlatform(at[index % at.length]!.callerAddress, {
+        id: `${id}-again`, path: '/turns/resumable/a', body: 'in', headers: { 'last-event-id': '1', resumes: id }
+      })
+      const hasRun = fixture.engines.some(engine => engine.runs.some(run => run.id === `${id}-again`))
+      return { ...response, isSameVersion: getVersions(response.body).every(other => other === version), hasRun }
+    }))
+    return {
+      wentOn: responses.filter(response => response.status === 200 && response.isComplete && response.isSameVersion).length,
+      joined: responses.filter(response => !response.isSameVersion).length,
+      refused: responses.filter(response => response.status === 503 && !response.hasRun).length
+    }
+  }
+
+  function getResumedRuns (): string[] {
+    return fixture.engines.flatMap(engine => engine.runs.filter(run => run.headers['last-event-id'] !== undefined).map(run => run.id))
+  }
+
+  async function startGateway (at: number): Promise<GatewayProcess> {
+    return await GatewayProcess.start({ id: `gateway-${at}`, storeAddress: fixture.storeAddress })
+  }
+
+  async function waitForTargets (count: number): Promise<void> {
+    const removed = fixture.engines.length - count
+    await waitFor(() => gateways.every(gateway => gateway.getEvents('target-removed').length === removed))
+  }
+
+  /** Waits until the store holds the origin of each stream. */
+  async function waitForOrigins (): Promise<void> {
+    const deadline = performance.now() + 1_000
+    while (fixture.store.rows.getTableSize('stream-origins') < STREAMS && performance.now() < deadline) {
+      await new Promise(resolve => { setTimeout(resolve, 10) })
+    }
+  }
+})
+
+/** Gets the different software versions that the events of a stream state. */
+function getVersions (body: string): string[] {
+  return [...new Set([...body.matchAll(/^data: (v[0-9]+) /gm)].map(match => match[1]!))]
+}
+
+async function waitForPeers (gateway: GatewayProcess): Promise<void> {
+  await waitFor(() => gateway.getEvents('peers-known').some(event => (event.peers as string[]).length === GATEWAYS))
+}
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -72,6 +72,11 @@
     return entry?.value === undefined ? undefined : toRow(entry)
   }
 
+  /** Gets the number of rows of a table, in all partitions. */
+  getTableSize (table: string): number {
+    return [...this._entries.values()].filter(entry => entry.key.table === table && entry.value !== undefined).length
+  }
+
   /** Removes the history of changes: watches from an earlier version get a gap. */
   truncateHistory (): void {
     this._historyStart = ++this._version
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -25,6 +25,7 @@
   readonly desks: EngineStandin[] = []
   storeAddress = ''
   private readonly _addresses = new Map<string, string>()
+  private readonly _versions = new Map<string, string>()
   private _version = FIRST_VERSION
   private _nextStartedAt = FIRST_STARTED_AT
 
@@ -72,6 +73,18 @@
     }
   }
 
+  /** Registers a model engine with another software version; its events state the version. */
+  setEngineVersion (engine: EngineStandin, version: string): void {
+    this._versions.set(engine.id, version)
+    engine.events = ['first', 'second', 'third'].map(data => `${version} ${data}`)
+    this._register(engine, 'model')
+  }
+
+  /** Removes the registration of a target, as when it has left. */
+  unregister (standin: EngineStandin): void {
+    this.store.rows.apply({ removes: [{ table: 'servers', part: '', key: standin.id }] })
+  }
+
   /** Registers the plain services at another address. */
   replaceDesks (address: string): void {
     for (const desk of this.desks) {
@@ -95,7 +108,7 @@
 
   private _register (standin: EngineStandin, service: string): void {
     this.store.put('servers', standin.id, {
-      service, address: this._addresses.get(standin.id), zone: 'here', version: 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: this._nextStartedAt++
+      service, address: this._addresses.get(standin.id), zone: 'here', version: this._versions.get(standin.id) ?? 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: this._nextStartedAt++
     })
   }
 }
