--- a/src/core/turn/index.ts
+++ b/src/core/turn/index.ts
@@ -1,5 +1,4 @@
 export * from './EventSplitter.js'
 export * from './Transcript.js'
 export * from './TurnRows.js'
-export * from './TurnExpiry.js'
 export * from './OutageAdmission.js'
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -1,8 +1,8 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
-import { StoreError } from '../../core/platform/index.js'
+import { RowExpiry, StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
-import { fromTurnRows, getTurnPartitions, getTurnRange, toTurnRows, TurnExpiry } from '../../core/turn/index.js'
+import { fromTurnRows, getTurnPartitions, getTurnRange, toTurnRows } from '../../core/turn/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { TurnPeers } from '../peer/index.js'
 import { PartitionFallback } from './PartitionFallback.js'
@@ -32,7 +32,7 @@
 export class TurnStore {
   private readonly _options: TurnStoreOptions
   private readonly _cache = new Map<string, Buffer>()
-  private readonly _expiry = new TurnExpiry()
+  private readonly _expiry = new RowExpiry()
   private readonly _fallback: PartitionFallback
   private _cachedBytes = 0
 
