Continue a stream only at the software version that began it

Cause: placement took all targets of a service for equal. The version of a registration was not decoded, Resumes was not read, and which target had begun a stream was known only to the gateway that relayed it, and nowhere used. Both places that decide where a stream goes on were concerned: the attempts within a response and the callers' next tries.

Change: one decision, canContinue, restricts the candidates of both to the service and version of the stream's first event. The gateway that relays the first event records this origin: in memory, which peers may ask, and in a row (stream-origins) that is written while the stream is relayed. A next try finds it in memory, by one read, or from a peer; without an origin, or without a target of its version, it is refused as not run. The row never changes, so a late or repeated write is harmless, and a missing one only costs a refusal. Rows are batched within a quarter of the store's stated writes.

One case sent requests with the same body, which count as one request that crashes its targets; the bodies now differ, the check is the same.

--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -3,6 +3,9 @@
 const address = z.string().regex(/^[^:]+:[0-9]+$/, 'host:port')
 const name = z.string().min(1)
 
+/** Transactions per second that a store accepts if the settings state no rate: the lowest rate of the platform's sheets, rounded down. */
+export const DEFAULT_WRITES_PER_SECOND = 500
+
 /** Placement policies; all except `cost` serve as baselines for measurements. */
 export const PlacementKind = { Cost: 'cost', LeastOutstanding: 'least-outstanding', RoundRobin: 'round-robin' } as const
 export type PlacementKind = typeof PlacementKind[keyof typeof PlacementKind]
@@ -17,7 +20,9 @@
   store: z.strictObject({
     address,
     /** Maximum size of a row value, in bytes of base64. */
-    row_bytes: z.int().min(1_024)
+    row_bytes: z.int().min(1_024),
+    /** Transactions per second that the store accepts from all gateways together. */
+    writes_per_second: z.number().positive().default(DEFAULT_WRITES_PER_SECOND)
   }),
   stop: z.strictObject({
     /** Milliseconds after the stop signal at which the process is killed. */
@@ -29,7 +34,7 @@
   failureDomain: raw.failure_domain,
   regions: raw.regions,
   listen: raw.listen,
-  store: { address: raw.store.address, rowBytes: raw.store.row_bytes },
+  store: { address: raw.store.address, rowBytes: raw.store.row_bytes, writesPerSecond: raw.store.writes_per_second },
   graceMs: raw.stop.grace_ms,
   placement: raw.placement
 }))
--- /dev/null
+++ b/src/core/origin/OriginRows.ts
@@ -0,0 +1,36 @@
+import { createHash } from 'node:crypto'
+import type { RowKey, RowPut, RowRange, StoredRow } from '../platform/index.js'
+import type { StreamOrigin } from './StreamOrigin.js'
+
+/** Table of the origins of streams. */
+export const ORIGIN_TABLE = 'stream-origins'
+
+/** Number of partitions over which origins are distributed; few, so that one transaction writes many of them. */
+export const ORIGIN_PARTITIONS = 2
+
+/** Longest key that the store accepts, in bytes; longer request ids are hashed. */
+const MAX_KEY_BYTES = 200
+
+/** Gets the key of a stream's row; the stream is identified by the caller's attempt that received its first event. */
+export function getOriginKey (stream: string): RowKey {
+  const digest = createHash('sha1').update(stream).digest()
+  const key = Buffer.byteLength(stream) <= MAX_KEY_BYTES ? stream : digest.toString('hex')
+  return { table: ORIGIN_TABLE, part: String(digest[0]! % ORIGIN_PARTITIONS), key }
+}
+
+/** Gets the range of keys that contains the row of a stream only. */
+export function getOriginRange (stream: string): RowRange {
+  const { key, ...partition } = getOriginKey(stream)
+  return { ...partition, from: key, to: `${key}\u0000` }
+}
+
+/** Encodes the origin of a stream; it never changes, so writing the row twice has no further effect. */
+export function toOriginRow (stream: string, { service, softwareVersion }: StreamOrigin): RowPut {
+  return { ...getOriginKey(stream), value: Buffer.from(JSON.stringify([service, softwareVersion])) }
+}
+
+/** Decodes the origin of a stream. */
+export function fromOriginRow (row: StoredRow): StreamOrigin {
+  const [service, softwareVersion] = JSON.parse(Buffer.from(row.value).toString('utf8')) as [string, string]
+  return { service, softwareVersion }
+}
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -2,6 +2,7 @@
 import { decideRetry } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
+import type { BegunStream } from '../../core/origin/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -47,6 +48,15 @@
   readonly finish: () => void
 }
 
+/** What the next attempt sends. */
+export interface AttemptRequest {
+  readonly body: Buffer | undefined
+  /** Id of the event after which a stream continues. */
+  readonly lastEventId?: string | undefined
+  /** The stream to be continued; undefined for a new one. */
+  readonly stream?: BegunStream | undefined
+}
+
 /** Options of {@link Attempts}. */
 export interface AttemptsOptions {
   /** Key of the target incarnation that ran the program's earlier turns. */
@@ -71,7 +81,7 @@
   }
 
   /** Gets the response of the next attempt; undefined when the request was refused or its caller has disconnected. */
-  async next (body: Buffer | undefined, lastEventId?: string): Promise<Attempt | undefined> {
+  async next ({ body, lastEventId, stream }: AttemptRequest): Promise<Attempt | undefined> {
     const { call, route, callerDisconnected } = this._exchange
     for (;;) {
       if (callerDisconnected.aborted) return undefined
@@ -84,12 +94,13 @@
         route,
         excluded: this._excluded,
         warmTarget: this._options.warmTarget,
+        stream,
         maxWaitMs: getMaxPermitWait(this._exchange, this._options.isInProgress ?? false),
         isInProgress: hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
       })
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
-        this._refuseUnplaced(placed)
+        this._refuseUnplaced(placed, stream)
         return undefined
       }
       const attempt = await this._send(placed.placement, body, lastEventId)
@@ -238,20 +249,22 @@
     return false
   }
 
-  private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>): void {
+  private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>, stream: BegunStream | undefined): void {
     if (this._runs > 0) this._refuse('attempts-failed')
     else if (placed.type === 'limited') this._refuse('targets-limited', getRetrySeconds(placed.waitMs, this._context.random))
     else if (placed.type === 'overloaded') this._refuse('overloaded', getRetrySeconds(placed.waitMs, this._context.random))
-    else this._refuse(this._dispatches > 0 ? 'retries-exhausted' : 'no-target')
+    else if (this._dispatches > 0) this._refuse('retries-exhausted')
+    else if (stream !== undefined) this._refuse('version-gone', null)
+    else this._refuse('no-target')
   }
 
-  private _refuse (reason: RefusalReason, retryAfterSeconds = RETRY_AFTER_SECONDS): void {
+  private _refuse (reason: RefusalReason, retryAfterSeconds: number | null = RETRY_AFTER_SECONDS): void {
     if (this._exchange.hasStarted()) {
       this._exchange.abort(reason)
       return
     }
     const members = { sends: this._dispatches, runs: this._runs }
-    this._exchange.refuse({ reason, members, retryAfterSeconds: this._runs > 0 ? undefined : retryAfterSeconds })
+    this._exchange.refuse({ reason, members, retryAfterSeconds: this._runs > 0 ? undefined : retryAfterSeconds ?? undefined })
   }
 }
 
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -11,7 +11,7 @@
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
 import {
-  BudgetPeers, LedgerHandover, LimitPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore, TurnPeers
+  BudgetPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore, TurnPeers
 } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
@@ -19,6 +19,7 @@
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
 import { LimitedPlacer } from './LimitedPlacer.js'
+import { OriginStore } from './OriginStore.js'
 import { Placer } from './Placer.js'
 import { PlainForwarder } from './PlainForwarder.js'
 import { StatusServer } from './StatusServer.js'
@@ -87,6 +88,7 @@
   private readonly _cacheLearner: CacheLearner
   private readonly _turns: TurnStore
   private readonly _budgets: BudgetStore
+  private readonly _origins: OriginStore
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _ledger: ReserveLedger
@@ -127,7 +129,8 @@
       permits,
       limits: limitPeers,
       returnUnused,
-      getCachedTurn: turn => this._turns.getCached(turn)
+      getCachedTurn: turn => this._turns.getCached(turn),
+      getOrigin: stream => this._origins.getRemembered(stream)
     })
     this._cacheLearner = new CacheLearner({ source: options.caches, log, getTargets: () => this._getLocalModels() })
     this._directory = new PeerDirectory({
@@ -144,6 +147,7 @@
       },
       onPeers: async (peers, isSettled, hasPredecessor) => {
         lenders.setPeers(peers, !hasPredecessor)
+        this._origins.setGateways(peers.length)
         await budgetPeers.setPeers(peers, isSettled)
       }
     })
@@ -161,6 +165,9 @@
     const { random } = options
     const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
+    this._origins = new OriginStore({
+      access, clock, log, peers: new OriginPeers({ pool, ranking, clock }), writesPerSecond: settings.store.writesPerSecond
+    })
     this._budgets = new BudgetStore({
       access,
       clock,
@@ -173,6 +180,7 @@
       attempts,
       turns: this._turns,
       budgets: this._budgets,
+      origins: this._origins,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       isStoreUnavailable: () => access.health.isUnavailable(),
@@ -214,7 +222,10 @@
     void this._configWatch.run()
     void this._targetWatch.run()
     void this._suspectWatch.run()
-    void periodic(EXPIRY_CHECK_MS).observe(() => { void this._turns.removeExpired() })
+    void periodic(EXPIRY_CHECK_MS).observe(() => {
+      void this._turns.removeExpired()
+      void this._origins.removeExpired()
+    })
     void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
     const peers = await this._peers.listen(listen.peers)
     void this._directory.run({ id, address: peers, failureDomain })
--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -2,6 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallRequest } from '../../core/forward/index.js'
 import { getAdmissionWaitMs } from '../../core/limits/index.js'
+import type { BegunStream } from '../../core/origin/index.js'
 import type { Route } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { PermitAnswer, PermitPeers } from '../peer/index.js'
@@ -36,6 +37,8 @@
   /** Keys of the target incarnations to which the request was already sent. */
   readonly excluded: ReadonlySet<string>
   readonly warmTarget: string | undefined
+  /** The stream to be continued; undefined for a new one. */
+  readonly stream?: BegunStream | undefined
   /** Longest time in milliseconds for which the request may wait for a permit. */
   readonly maxWaitMs: number
   /** True if the request belongs to a program that targets have already worked for. */
@@ -60,9 +63,9 @@
   }
 
   /** Gets the wait for a permit if all targets limit their rate and none is known to have one within `maxWaitMs`; undefined otherwise. */
-  getKnownWait (call: CallRequest, route: Route, maxWaitMs: number): number | undefined {
+  getKnownWait (call: CallRequest, route: Route, maxWaitMs: number, stream?: BegunStream): number | undefined {
     const now = this._options.clock.now()
-    const waits = this._options.placer.getCandidates(call, route).map(state => isLimited(state) ? state.getPermitWaitMs(now) : 0)
+    const waits = this._options.placer.getCandidates(call, route, stream).map(state => isLimited(state) ? state.getPermitWaitMs(now) : 0)
     const shortest = Math.min(...waits)
     return waits.length > 0 && shortest > maxWaitMs ? shortest : undefined
   }
@@ -70,10 +73,10 @@
   /** Chooses a target; a permit that was granted is used by the caller's next request to it. */
   async place (req: LimitedPlaceRequest): Promise<LimitedPlacement> {
     const { placer, clock, permits } = this._options
-    const { call, route, warmTarget } = req
-    const candidates = placer.getCandidates(call, route).filter(state => !req.excluded.has(state.incarnation))
+    const { call, route, warmTarget, stream } = req
+    const candidates = placer.getCandidates(call, route, stream).filter(state => !req.excluded.has(state.incarnation))
     const limited = candidates.filter(isLimited)
-    const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget })
+    const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget, stream })
     if (limited.length === 0) {
       const placement = place(req.excluded)
       return placement === undefined ? { type: 'no-target' } : { type: 'placed', placement }
@@ -91,7 +94,7 @@
       const askedAt = clock.now()
       const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
       // The target may have begun to drain while the request waited.
-      const isUsable = await this._isUsable(state, answer, askedAt, call.id) && placer.getCandidates(call, route).includes(state)
+      const isUsable = await this._isUsable(state, answer, askedAt, call.id) && placer.getCandidates(call, route, stream).includes(state)
       if (isUsable) return { type: 'placed', placement }
       refused.add(state.incarnation)
     }
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto'
 import type { Clock } from '../../core/clock/index.js'
 import type { CallRequest } from '../../core/forward/index.js'
+import { canContinue, type BegunStream } from '../../core/origin/index.js'
 import type { Backend, Route } from '../../core/route/index.js'
 import type { Placement, PlacementPolicy, TargetRegistry, TargetState } from '../../core/target/index.js'
 
@@ -17,6 +18,8 @@
   readonly excluded?: ReadonlySet<string>
   /** Key of the target incarnation that ran the program's earlier turns. */
   readonly warmTarget?: string | undefined
+  /** The stream to be continued; undefined for a new one. */
+  readonly stream?: BegunStream | undefined
 }
 
 const NONE: ReadonlySet<string> = new Set()
@@ -32,16 +35,19 @@
   /** Chooses a target; undefined when none accepts requests. */
   place (call: CallRequest, route: Route, options: PlaceOptions = {}): Placement | undefined {
     const { policy, clock } = this._options
-    const { excluded = NONE, warmTarget } = options
+    const { excluded = NONE, warmTarget, stream } = options
     const work = { promptTokens: call.promptTokens, promptSegments: call.promptSegments, excluded, warmTarget }
-    return policy.select(this.getCandidates(call, route), work, clock.now())
+    return policy.select(this.getCandidates(call, route, stream), work, clock.now())
   }
 
-  /** Gets the targets of the backend to which a request belongs that are not draining. */
-  getCandidates (call: CallRequest, route: Route): TargetState[] {
+  /** Gets the targets of the backend to which a request belongs that are not draining and may continue its stream. */
+  getCandidates (call: CallRequest, route: Route, stream?: BegunStream): TargetState[] {
     const { registry, clock } = this._options
-    const service = chooseBackend(route.backends, call.program?.session ?? call.affinityKey ?? call.id)
-    return service === undefined ? [] : registry.getServing(service, clock.now())
+    const isOrigin = (backend: Backend): boolean => backend.service === stream?.origin?.service
+    const hashKey = call.program?.session ?? call.affinityKey ?? call.id
+    const service = route.backends.find(isOrigin)?.service ?? chooseBackend(route.backends, hashKey)
+    if (service === undefined) return []
+    return registry.getServing(service, clock.now()).filter(({ target }) => canContinue(target, stream))
   }
 }
 
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -19,7 +19,7 @@
   async forward (exchange: Exchange, body: Buffer | undefined): Promise<void> {
     const attempts = new Attempts(this._context, exchange)
     for (;;) {
-      const attempt = await attempts.next(body)
+      const attempt = await attempts.next({ body })
       if (attempt === undefined) return
       const failure = await relayBody(exchange, attempt)
       attempt.finish()
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,12 +1,15 @@
-import { Right, type Either } from 'purify-ts'
+import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import { getRetrySeconds } from '../../core/limits/index.js'
+import { getOrigin, type BegunStream } from '../../core/origin/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
+import type { Target } from '../../core/target/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
+import type { OriginStore } from './OriginStore.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import { StallTimer } from './StallTimer.js'
 import type { TurnStore } from './TurnStore.js'
@@ -24,11 +27,15 @@
  */
 const STALL_SHARE = 0.5
 
+/** Milliseconds for which the origin of a stream is kept beyond the time that its caller has. */
+const ORIGIN_MARGIN_MS = 5_000
+
 /** Options of {@link StreamForwarder}. */
 export interface StreamForwarderOptions {
   readonly attempts: AttemptContext
   readonly turns: TurnStore
   readonly budgets: BudgetStore
+  readonly origins: OriginStore
   readonly clock: Clock
   /** Gets the tokens that one event of a service's streams counts for. */
   readonly getTokensPerEvent: (service: string) => number
@@ -46,6 +53,8 @@
   tokens: number
   lastEventId: string | undefined
   lastEventAt: number
+  /** The stream as its caller has it; undefined before the first event. */
+  stream: BegunStream | undefined
 }
 
 /** Forwards requests whose response is a stream of events: the turns of programs. */
@@ -66,9 +75,15 @@
       exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
       return
     }
+    const found = await this._findStream(exchange)
+    if (found.isLeft()) {
+      exchange.refuse(found.extract() as Refusal)
+      return
+    }
+    const stream = found.unsafeCoerce()
     // Without a permit in time the turn will be refused, so it does not load the store with its transcript and budget.
     const { limitedPlacer, random } = this._options.attempts
-    const permitWaitMs = limitedPlacer.getKnownWait(exchange.call, exchange.route, getMaxPermitWait(exchange, true))
+    const permitWaitMs = limitedPlacer.getKnownWait(exchange.call, exchange.route, getMaxPermitWait(exchange, true), stream)
     if (permitWaitMs !== undefined) {
       exchange.refuse({ reason: 'targets-limited', retryAfterSeconds: getRetrySeconds(permitWaitMs, random) })
       return
@@ -83,8 +98,9 @@
     }
     const { settle } = reservation
     const prompt = loaded.unsafeCoerce()
+    const { lastEventId } = exchange.call
     const progress: StreamProgress = {
-      transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId: exchange.call.lastEventId, lastEventAt: exchange.startedAt
+      transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId, lastEventAt: exchange.startedAt, stream
     }
     let isSettled = false
     const settleOnce = (): void => {
@@ -98,6 +114,30 @@
     }
   }
 
+  /** Finds the stream that a request continues; undefined for a new stream. */
+  private async _findStream (exchange: Exchange): Promise<Either<Refusal, BegunStream | undefined>> {
+    const { call, route } = exchange
+    if (call.resumedStream === undefined && call.lastEventId === undefined) return Right(undefined)
+    const members = { stream: call.resumedStream ?? null }
+    if (call.resumedStream === undefined) return Left({ reason: 'origin-unknown', members })
+    const { origins, getStoreRetrySeconds, attempts } = this._options
+    const found = await origins.find(call.resumedStream, getOriginRetentionMs(exchange), this._getPrepareDeadline(exchange))
+    if (found.isLeft()) {
+      const reason = found.extract() as RefusalReason
+      return Left({ reason, members, retryAfterSeconds: reason === 'origin-unreadable' ? getStoreRetrySeconds() : undefined })
+    }
+    const origin = found.unsafeCoerce()
+    if (attempts.placer.getCandidates(call, route, { origin }).length > 0) return Right({ origin })
+    return Left({ reason: 'version-gone', members: { ...members, ...origin } })
+  }
+
+  /** Records the target that sends the first event of a new stream. */
+  private _begin (exchange: Exchange, target: Target): BegunStream {
+    const origin = getOrigin(target)
+    if (exchange.route.isResumable) this._options.origins.record(exchange.call.id, origin, getOriginRetentionMs(exchange))
+    return { origin }
+  }
+
   /** Loads the transcript of the earlier turns and appends the new input. */
   private async _loadPrompt (exchange: Exchange, input: Buffer | undefined): Promise<Either<RefusalReason, Buffer>> {
     const newInput = input ?? Buffer.alloc(0)
@@ -143,7 +183,7 @@
       isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id)
     })
     for (;;) {
-      const attempt = await attempts.next(prompt, progress.lastEventId)
+      const attempt = await attempts.next({ body: prompt, lastEventId: progress.lastEventId, stream: progress.stream })
       if (attempt === undefined) return
       const isStream = attempt.response.head.status === 200 || exchange.hasStarted()
       const failure = isStream ? await this._relay(exchange, attempt, progress) : await relayBody(exchange, attempt)
@@ -180,6 +220,7 @@
           if (hasData) stallTimer.stop()
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.recordFirstChunk()
+          progress.stream ??= this._begin(exchange, attempt.state.target)
           progress.events++
           progress.tokens += tokensPerEvent
           const now = this._options.clock.now()
@@ -223,3 +264,8 @@
     return Math.min(exchange.deadline, exchange.startedAt + PREPARE_TIMEOUT_MS)
   }
 }
+
+/** Gets the milliseconds for which a caller may take up its stream. */
+function getOriginRetentionMs ({ call, route }: Exchange): number {
+  return Math.max(call.timeoutMs ?? 0, route.timeoutMs) + ORIGIN_MARGIN_MS
+}
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -1,5 +1,6 @@
 import { initTRPC, TRPCError } from '@trpc/server'
 import { z } from 'zod'
+import type { StreamOrigin } from '../../core/origin/index.js'
 import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
 import type { ReserveLender } from '../../core/reserve/index.js'
 import type { LimitPeers } from './LimitPeers.js'
@@ -28,6 +29,8 @@
 
 const TURN = z.object({ turn: z.string() })
 
+const STREAM = z.object({ stream: z.string() })
+
 const LIMITED_TARGET = z.object({ key: z.string(), failureDomain: z.string() })
 
 const PERMIT = z.object({
@@ -59,9 +62,11 @@
   readonly returnUnused: (program: string) => Promise<void>
   /** Gets the transcript up to a stored turn if this gateway has cached it. */
   readonly getCachedTurn: (turn: string) => Buffer | undefined
+  /** Gets where a stream began if this gateway remembers it. */
+  readonly getOrigin: (stream: string) => StreamOrigin | undefined
 }
 
-/** Creates the router through which peers call the store, borrow tokens from the reserves of this gateway and read its cached turns. */
+/** Creates the router through which peers call the store, borrow tokens from the reserves of this gateway and read what it remembers. */
 export function createPeerRouter (options: PeerRouterOptions) {
   const { direct } = options
   // The error message is the kind of failure; the calling gateway decides by it which calls it may retry.
@@ -89,6 +94,7 @@
     notifyLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveNotice(input) }),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     getTurn: t.procedure.input(TURN).query(({ input }) => ({ transcript: options.getCachedTurn(input.turn)?.toString('base64') ?? null })),
+    getOrigin: t.procedure.input(STREAM).query(({ input }) => ({ origin: options.getOrigin(input.stream) ?? null })),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
     })
--- a/src/io/peer/index.ts
+++ b/src/io/peer/index.ts
@@ -1,6 +1,7 @@
 export * from './BudgetPeers.js'
 export * from './LedgerHandover.js'
 export * from './LimitPeers.js'
+export * from './OriginPeers.js'
 export * from './PeerClient.js'
 export * from './PeerDirectory.js'
 export * from './PeerPool.js'
--- /dev/null
+++ b/tests/core/origin/OriginQueueTests.ts
@@ -0,0 +1,76 @@
+import { expect } from 'earl'
+import { MAX_WAITING_ROWS, OriginQueue, ROWS_PER_TRANSACTION, toOriginRow, WRITE_SHARE } from '../../../src/core/origin/index.js'
+
+const toRow = (at: number) => toOriginRow(`r-${at}`, { service: 'model', softwareVersion: 'v1' })
+
+/** Deployments of the users' sheets: gateways, and transactions per second of the store. */
+const DEPLOYMENTS = [
+  { gateways: 8, writesPerSecond: 800 }, { gateways: 34, writesPerSecond: 1_500 }, { gateways: 84, writesPerSecond: 3_200 }
+]
+
+/** Duration of the shortest streams of the users' sheets: eight events of 20 ms and more, after the first one's objective. */
+const SHORTEST_STREAM_MS = 460
+
+describe('OriginQueue', () => {
+  it('should write a row at once when the queue was idle', () => {
+    const queue = new OriginQueue({ clock: { now: () => 0 }, partitions: 2, writesPerSecond: 800 })
+    expect(queue.getDelayMs()).toEqual(undefined)
+    queue.add(toRow(0))
+    expect(queue.getDelayMs()).toEqual(0)
+    expect(queue.take()).toEqual([toRow(0)])
+  })
+
+  it('should take the oldest rows, as many as fit in a transaction, and drop the oldest when too many wait', () => {
+    const queue = new OriginQueue({ clock: { now: () => 0 }, partitions: 2, writesPerSecond: 800 })
+    const dropped = Array.from({ length: MAX_WAITING_ROWS + 1 }, (_, at) => queue.add(toRow(at))).filter(Boolean)
+    expect(dropped.length).toEqual(1)
+    const rows = queue.take()
+    expect([rows.length, rows[0]]).toEqual([ROWS_PER_TRANSACTION, toRow(1)])
+  })
+
+  // Load: 18,000 requests a second begin streams; 10 s of one gateway are replayed.
+  for (const { gateways, writesPerSecond } of [...DEPLOYMENTS, { gateways: 420, writesPerSecond: 1_500 }]) {
+    it(`should keep ${gateways} gateways within their share of the store's writes when 18,000 streams a second begin`, () => {
+      const { transactions } = replay({ gateways, writesPerSecond, streamsPerSecond: 18_000 })
+      expect(transactions <= 10 * writesPerSecond * WRITE_SHARE + gateways * 2).toEqual(true)
+    })
+  }
+
+  // Load: a row that is written after its stream has ended is of no use.
+  for (const { gateways, writesPerSecond } of DEPLOYMENTS) {
+    it(`should write the rows of ${gateways} gateways while their streams run when 400 streams a second begin`, () => {
+      const { latestMs } = replay({ gateways, writesPerSecond, streamsPerSecond: 400 })
+      expect(latestMs <= SHORTEST_STREAM_MS).toEqual(true)
+    })
+  }
+})
+
+interface Load {
+  readonly gateways: number
+  readonly writesPerSecond: number
+  /** Streams that begin at all gateways together. */
+  readonly streamsPerSecond: number
+}
+
+/** Replays 10 s of one gateway's streams; returns the transactions of all gateways and the longest wait of a row. */
+function replay ({ gateways, writesPerSecond, streamsPerSecond }: Load): { transactions: number, latestMs: number } {
+  let now = 0
+  const queues = [0, 1].map(() => new OriginQueue({ clock: { now: () => now }, partitions: 2, writesPerSecond }))
+  for (const queue of queues) queue.setGateways(gateways)
+  const addedAt = new Map<string, number>()
+  let transactions = 0
+  let latestMs = 0
+  let begun = 0
+  for (; now < 10_000; now++) {
+    for (; begun < now * streamsPerSecond / gateways / 1_000; begun++) {
+      queues[begun % 2]!.add(toRow(begun))
+      addedAt.set(toRow(begun).key, now)
+    }
+    for (const queue of queues) {
+      if (queue.getDelayMs() !== 0) continue
+      transactions++
+      for (const { key } of queue.take()) latestMs = Math.max(latestMs, now - addedAt.get(key)!)
+    }
+  }
+  return { transactions: transactions * gateways, latestMs }
+}
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -28,7 +28,8 @@
       permits: { lend: () => ({ type: 'refused', waitMs: 0 }) },
       limits: { receiveReport: () => {}, receiveNotice: () => false },
       returnUnused: async () => {},
-      getCachedTurn: () => undefined
+      getCachedTurn: () => undefined,
+      getOrigin: () => undefined
     })
     const address = await server.listen('127.0.0.1:0')
     store = createStore([
--- a/tests/processes/VersionsJoinedTests.ts
+++ b/tests/processes/VersionsJoinedTests.ts
@@ -57,7 +57,9 @@
     const responses = await Promise.all(Array.from({ length: STREAMS }, async (_, at) => {
       const engine = fixture.engines[at % 4]!
       engine.nextBehaviours.push('break-off')
-      return await callPlatform(gateways[at % GATEWAYS]!.callerAddress, { id: `r-${at}`, path: '/turns/resumable/a', body: 'in' })
+      // Requests with the same body count as one that crashes its targets.
+      const call = { id: `r-${at}`, path: '/turns/resumable/a', body: `in-${at}` }
+      return await callPlatform(gateways[at % GATEWAYS]!.callerAddress, call)
     }))
     expect(responses.map(response => getVersions(response.body).length)).toEqual(responses.map(() => 1))
     expect(responses.filter(response => response.isComplete).length >= STREAMS / 2).toEqual(true)
