Ignore delays within the noise of timers when targets are compared

Both targets were idle with a recent delay of 1 ms; fractions of a millisecond decided each choice, so two of three gateways sent all their requests to the other target.

Change: CostPlacement counts only the part of a delay above 5 ms. Its new test fails before (all requests to one of two targets) and passes now.

--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -13,6 +13,9 @@
 /** Cost in milliseconds of a target in another region: the round trip and the low bandwidth of the link. */
 export const OTHER_REGION_PENALTY_MS = 60
 
+/** Observed delays in milliseconds up to which targets count as equally fast: the noise of timers and of a busy event loop. */
+export const EXCESS_NOISE_MS = 5
+
 /** Share of the last segment, which belongs to the session, that a warm target has not cached: each turn adds some hundred tokens to it. */
 const NEW_SHARE_OF_SESSION_SEGMENT = 0.3
 
@@ -56,7 +59,7 @@
     const prefillMs = Math.max(0, req.promptTokens - cached) * PREFILL_MS_PER_TOKEN
     const loadMs = state.getInFlight() * WAIT_MS_PER_REQUEST / state.target.slots + state.getPendingPrefillMs()
     const distanceMs = this._getDistanceMs(state.target.failureDomain)
-    const excessMs = state.getExcessMs(now)
+    const excessMs = Math.max(0, state.getExcessMs(now) - EXCESS_NOISE_MS)
     const permitWaitMs = state.getPermitWaitMs(now)
     return {
       state,
--- a/tests/core/target/CostPlacementTests.ts
+++ b/tests/core/target/CostPlacementTests.ts
@@ -51,6 +51,19 @@
     expect(place(createPolicy(), states, [], 20_000)?.state.target.id).toEqual('a')
   })
 
+  // All requests of a gateway went to the same one of two idle targets, because its delay was measured a fraction of a millisecond shorter.
+  it('should spread requests over equal targets whose observed delays differ by the noise of timers', () => {
+    let calls = 0
+    const policy = new CostPlacement({ failureDomain: 'here', regions, random: () => calls++ % 10 / 10 })
+    const states = [toState('a', 'here'), toState('b', 'here')]
+    const chosen = Array.from({ length: 100 }, (_, at) => {
+      const { state } = place(policy, states, [], at)!
+      state.recordResponse(state === states[0] ? 1.2 : 0.4, at)
+      return state
+    })
+    expect(states.map(state => chosen.filter(other => other === state).length >= 40)).toEqual([true, true])
+  })
+
   // After a power failure of all gateways, programs continue at gateways whose prefix cache trackers are empty.
   // Without the warm target from the store, their prompts would be prefilled again at other targets.
   it('should prefill at most a tenth of the prompt tokens again after a restart, when the store names the warm target of each program', () => {
