--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -166,7 +166,12 @@
     const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
     this._origins = new OriginStore({
-      access, clock, log, peers: new OriginPeers({ pool, ranking, clock }), writesPerSecond: settings.store.writesPerSecond
+      access,
+      clock,
+      log,
+      peers: new OriginPeers({ pool, ranking, clock }),
+      writesPerSecond: settings.store.writesPerSecond,
+      onLookup: source => { metrics.originLookups.inc({ source }) }
     })
     this._budgets = new BudgetStore({
       access,
--- a/src/io/gateway/OriginStore.ts
+++ b/src/io/gateway/OriginStore.ts
@@ -19,6 +19,9 @@
 /** Milliseconds for one removal of the rows of ended streams. */
 const REMOVE_TIMEOUT_MS = 2_000
 
+/** Where the origin of a stream was found. */
+export type OriginSource = 'memory' | 'row' | 'peer' | 'none'
+
 /** Options of {@link OriginStore}. */
 export interface OriginStoreOptions {
   readonly access: StoreAccess
@@ -28,6 +31,8 @@
   readonly peers: Pick<OriginPeers, 'fetch'>
   /** Transactions per second that the store accepts from all gateways together. */
   readonly writesPerSecond: number
+  /** Called with each lookup. */
+  readonly onLookup: (source: OriginSource) => void
 }
 
 /**
@@ -73,19 +78,22 @@
 
   /** Gets the origin of a stream from memory, the store or a peer. */
   async find (stream: string, retentionMs: number, deadline: number): Promise<Either<RefusalReason, StreamOrigin>> {
-    const { peers, log, access, clock } = this._options
+    const { peers, log, access, clock, onLookup } = this._options
     const remembered = this._ledger.get(stream)
-    if (remembered !== undefined) return Right(remembered)
-    let stored = await this._read(stream, Math.min(deadline, clock.now() + FIRST_READ_MS))
-    let origin = stored.orDefault(undefined) ?? await peers.fetch(stream)
-    if (origin === undefined && stored.isLeft() && !access.health.isUnavailable()) {
-      stored = await this._read(stream, deadline)
-      origin = stored.orDefault(undefined)
+    if (remembered !== undefined) {
+      onLookup('memory')
+      return Right(remembered)
     }
+    let stored = await this._read(stream, Math.min(deadline, clock.now() + FIRST_READ_MS))
+    const atPeer = stored.orDefault(undefined) === undefined ? await peers.fetch(stream) : undefined
+    if (atPeer === undefined && stored.isLeft() && !access.health.isUnavailable()) stored = await this._read(stream, deadline)
+    const origin = atPeer ?? stored.orDefault(undefined)
     if (origin !== undefined) {
+      onLookup(atPeer === undefined ? 'row' : 'peer')
       this._ledger.add(stream, origin, retentionMs)
       return Right(origin)
     }
+    onLookup('none')
     log.warn('origin-unknown', { stream, cause: stored.swap().map(err => err.message).orDefault('no gateway and no row knows the stream') })
     return Left(stored.isLeft() ? 'origin-unreadable' : 'origin-unknown')
   }
--- a/tests/io/gateway/OriginStoreTests.ts
+++ b/tests/io/gateway/OriginStoreTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { EXPIRY_MARGIN_MS } from '../../../src/core/platform/index.js'
 import { getOriginKey, ORIGIN_PARTITIONS, type StreamOrigin } from '../../../src/core/origin/index.js'
-import { OriginStore, StoreAccess } from '../../../src/io/gateway/index.js'
+import { OriginStore, StoreAccess, type OriginSource } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
 
@@ -12,17 +12,19 @@
 describe('OriginStore', () => {
   let rows: MemoryRowStore
   let skippedMs: number
+  let sources: OriginSource[]
   const clock = { now: () => performance.now() + skippedMs }
 
   beforeEach(() => {
     rows = new MemoryRowStore()
     skippedMs = 0
+    sources = []
   })
 
   it('should find a stream that another gateway began in the store', async () => {
     await record(createStore(), 'r')
     expect((await find(createStore(), 'r')).extract()).toEqual(ORIGIN)
-    expect([rows.calls.commit, rows.calls.read]).toEqual([1, 1])
+    expect([rows.calls.commit, rows.calls.read, ...sources]).toEqual([1, 1, 'row'])
   })
 
   it('should find a stream that it began itself, or has found before, without a call', async () => {
@@ -33,7 +35,7 @@
     const reads = rows.calls.read
     expect((await find(first, 'r')).extract()).toEqual(ORIGIN)
     expect((await find(second, 'r')).extract()).toEqual(ORIGIN)
-    expect(rows.calls.read).toEqual(reads)
+    expect([rows.calls.read, ...sources]).toEqual([reads, 'row', 'memory', 'memory'])
   })
 
   it('should write the rows of streams that begin during a call together', async () => {
@@ -86,7 +88,7 @@
   function createStore (peers: { fetch: (stream: string) => Promise<StreamOrigin | undefined> } = NOBODY): OriginStore {
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true })
     const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-    return new OriginStore({ access, clock, log, peers, writesPerSecond: 1_000 })
+    return new OriginStore({ access, clock, log, peers, writesPerSecond: 1_000, onLookup: source => { sources.push(source) } })
   }
 
   async function record (store: OriginStore, stream: string): Promise<void> {
