Ask each peer once for all streams whose callers return together

Cause, by the logs of those runs: each take-up first retried its read for 300 ms and then called every peer by itself; eight callers at each gateway made 16 calls at once, which ran into their time-out of 300 ms, and the back-off that followed kept the only gateway that knew a stream from being asked. The class of fault is work for each caller of a mass return, which is largest when the peers are slowest.

OriginPeersTests replays 500 callers: one call to each peer.

OriginStoreFaultTests: random faults never make a look-up find another origin than the stream's.

--- a/src/io/gateway/OriginStore.ts
+++ b/src/io/gateway/OriginStore.ts
@@ -13,8 +13,11 @@
 /** Milliseconds for which writing origins is retried; most streams have ended by then. */
 const WRITE_TIMEOUT_MS = 3_000
 
-/** Milliseconds for reading an origin before the peers are asked: ten times what the store usually takes from another region. */
-const FIRST_READ_MS = 300
+/** Milliseconds for one read of an origin before the peers are asked: ten times what the store usually takes from another region. */
+const READ_TIMEOUT_MS = 300
+
+/** Milliseconds between two look-ups of an origin that could not be read. */
+const RETRY_PAUSE_MS = 50
 
 /** Milliseconds for one removal of the rows of ended streams. */
 const REMOVE_TIMEOUT_MS = 2_000
@@ -78,24 +81,29 @@
 
   /** Gets the origin of a stream from memory, the store or a peer. */
   async find (stream: string, retentionMs: number, deadline: number): Promise<Either<RefusalReason, StreamOrigin>> {
-    const { peers, log, access, clock, onLookup } = this._options
+    const { peers, log, clock, onLookup } = this._options
     const remembered = this._ledger.get(stream)
     if (remembered !== undefined) {
       onLookup('memory')
       return Right(remembered)
     }
-    let stored = await this._read(stream, Math.min(deadline, clock.now() + FIRST_READ_MS))
-    const atPeer = stored.orDefault(undefined) === undefined ? await peers.fetch(stream) : undefined
-    if (atPeer === undefined && stored.isLeft() && !access.health.isUnavailable()) stored = await this._read(stream, deadline)
-    const origin = atPeer ?? stored.orDefault(undefined)
-    if (origin !== undefined) {
-      onLookup(atPeer === undefined ? 'row' : 'peer')
-      this._ledger.add(stream, origin, retentionMs)
-      return Right(origin)
+    for (;;) {
+      const stored = await this._read(stream, deadline)
+      const atPeer = stored.orDefault(undefined) === undefined ? await peers.fetch(stream) : undefined
+      const origin = atPeer ?? stored.orDefault(undefined)
+      if (origin !== undefined) {
+        onLookup(atPeer === undefined ? 'row' : 'peer')
+        this._ledger.add(stream, origin, retentionMs)
+        return Right(origin)
+      }
+      if (stored.isLeft() && clock.now() + RETRY_PAUSE_MS < deadline) {
+        await sleep(RETRY_PAUSE_MS)
+        continue
+      }
+      onLookup('none')
+      log.warn('origin-unknown', { stream, cause: stored.swap().map(err => err.message).orDefault('no gateway and no row knows the stream') })
+      return Left(stored.isLeft() ? 'origin-unreadable' : 'origin-unknown')
     }
-    onLookup('none')
-    log.warn('origin-unknown', { stream, cause: stored.swap().map(err => err.message).orDefault('no gateway and no row knows the stream') })
-    return Left(stored.isLeft() ? 'origin-unreadable' : 'origin-unknown')
   }
 
   /** Removes the rows of streams that have ended. */
@@ -114,8 +122,9 @@
 
   /** Reads the row of a stream; Right is undefined if the store has none. */
   private async _read (stream: string, deadline: number): Promise<Either<StoreError, StreamOrigin | undefined>> {
+    const { access, clock } = this._options
     try {
-      const { rows } = await this._options.access.read(getOriginRange(stream), deadline)
+      const { rows } = await access.readOnce(getOriginRange(stream), Math.min(deadline, clock.now() + READ_TIMEOUT_MS))
       return Right(rows.map(fromOriginRow)[0])
     } catch (err) {
       if (err instanceof StoreError) return Left(err)
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -4,6 +4,7 @@
 import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
 import type { ReserveLender } from '../../core/reserve/index.js'
 import type { LimitPeers } from './LimitPeers.js'
+import { MAX_STREAMS_PER_CALL } from './OriginPeers.js'
 import type { PermitPeers } from './PermitPeers.js'
 import { decodeTransaction, encodeCommit, encodeFeed, encodeSnapshot } from './rowCodec.js'
 
@@ -29,7 +30,7 @@
 
 const TURN = z.object({ turn: z.string() })
 
-const STREAM = z.object({ stream: z.string() })
+const STREAMS = z.object({ streams: z.array(z.string()).max(MAX_STREAMS_PER_CALL) })
 
 const LIMITED_TARGET = z.object({ key: z.string(), failureDomain: z.string() })
 
@@ -94,7 +95,7 @@
     notifyLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveNotice(input) }),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     getTurn: t.procedure.input(TURN).query(({ input }) => ({ transcript: options.getCachedTurn(input.turn)?.toString('base64') ?? null })),
-    getOrigin: t.procedure.input(STREAM).query(({ input }) => ({ origin: options.getOrigin(input.stream) ?? null })),
+    getOrigins: t.procedure.input(STREAMS).mutation(({ input }) => input.streams.map(stream => options.getOrigin(stream) ?? null)),
     watch: t.procedure.input(WATCH).mutation(async ({ input }) => {
       return encodeFeed(await relay(async () => await direct.watch(input.table, input.after, input.waitMs, input)))
     })
