--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -3,7 +3,7 @@
 const address = z.string().regex(/^[^:]+:[0-9]+$/, 'host:port')
 const name = z.string().min(1)
 
-/** Transactions per second that a store accepts if the settings state no rate: the lowest rate of the platform's sheets, rounded down. */
+/** Transactions per second that a store is assumed to accept if the settings state no rate; less than any of the users' stores accepts. */
 export const DEFAULT_WRITES_PER_SECOND = 500
 
 /** Placement policies; all except `cost` serve as baselines for measurements. */
--- a/src/core/origin/OriginQueue.ts
+++ b/src/core/origin/OriginQueue.ts
@@ -1,8 +1,5 @@
 import type { Clock } from '../clock/index.js'
-import type { RowPut } from '../platform/index.js'
-
-/** Maximum number of rows in one transaction of the store. */
-export const ROWS_PER_TRANSACTION = 100
+import { ROWS_PER_TRANSACTION, type RowPut } from '../platform/index.js'
 
 /** Maximum number of rows that wait; the oldest are dropped, whose streams are the most likely to have ended. */
 export const MAX_WAITING_ROWS = 5_000
--- a/src/core/platform/RowExpiry.ts
+++ b/src/core/platform/RowExpiry.ts
@@ -1,11 +1,8 @@
-import type { RowKey } from './RowStore.js'
+import { ROWS_PER_TRANSACTION, type RowKey } from './RowStore.js'
 
 /** Milliseconds for which rows are kept beyond their retention, so that they are not removed while a caller still uses them. */
 export const EXPIRY_MARGIN_MS = 30_000
 
-/** Maximum number of rows that one transaction removes. */
-export const REMOVES_PER_TRANSACTION = 100
-
 interface ExpiringRows {
   readonly keys: readonly RowKey[]
   readonly expiresAt: number
@@ -26,7 +23,7 @@
     const expiredKeys: RowKey[] = []
     for (let at = 0; at < this._expiringRows.length;) {
       const { keys, expiresAt } = this._expiringRows[at]!
-      if (expiresAt > now || keys[0]?.part !== partition || expiredKeys.length + keys.length > REMOVES_PER_TRANSACTION) {
+      if (expiresAt > now || keys[0]?.part !== partition || expiredKeys.length + keys.length > ROWS_PER_TRANSACTION) {
         at++
         continue
       }
--- a/src/core/platform/RowStore.ts
+++ b/src/core/platform/RowStore.ts
@@ -1,3 +1,6 @@
+/** Maximum number of rows that one transaction of the store changes. */
+export const ROWS_PER_TRANSACTION = 100
+
 /** Identifies a partition of a table; partitions may fail independently. */
 export interface StorePartition {
   readonly table: string
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -258,6 +258,7 @@
     else this._refuse('no-target')
   }
 
+  /** Refuses the request, or breaks its response off; without a time to retry if no later time helps. */
   private _refuse (reason: RefusalReason, retryAfterSeconds: number | null = RETRY_AFTER_SECONDS): void {
     if (this._exchange.hasStarted()) {
       this._exchange.abort(reason)
--- a/tests/core/origin/OriginQueueTests.ts
+++ b/tests/core/origin/OriginQueueTests.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl'
-import { MAX_WAITING_ROWS, OriginQueue, ROWS_PER_TRANSACTION, toOriginRow, WRITE_SHARE } from '../../../src/core/origin/index.js'
+import { MAX_WAITING_ROWS, OriginQueue, toOriginRow, WRITE_SHARE } from '../../../src/core/origin/index.js'
+import { ROWS_PER_TRANSACTION } from '../../../src/core/platform/index.js'
 
 const toRow = (at: number) => toOriginRow(`r-${at}`, { service: 'model', softwareVersion: 'v1' })
 
--- a/tests/core/platform/RowExpiryTests.ts
+++ b/tests/core/platform/RowExpiryTests.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl'
-import { EXPIRY_MARGIN_MS, REMOVES_PER_TRANSACTION, RowExpiry } from '../../../src/core/platform/index.js'
+import { EXPIRY_MARGIN_MS, RowExpiry, ROWS_PER_TRANSACTION } from '../../../src/core/platform/index.js'
 
 describe('RowExpiry', () => {
   const toKey = (part: string, key: string) => ({ table: 'turns', part, key })
@@ -20,6 +20,6 @@
       expect(new Set(keys.map(key => key.part)).size).toEqual(1)
       sizes.push(keys.length)
     }
-    expect(sizes).toEqual([REMOVES_PER_TRANSACTION, REMOVES_PER_TRANSACTION, 30, 30])
+    expect(sizes).toEqual([ROWS_PER_TRANSACTION, ROWS_PER_TRANSACTION, 30, 30])
   })
 })
