--- a/src/core/platform/RowExpiry.ts
+++ b/src/core/platform/RowExpiry.ts
@@ -3,14 +3,14 @@
 /** Milliseconds for which rows are kept beyond their retention, so that they are not removed while a caller still uses them. */
 export const EXPIRY_MARGIN_MS = 30_000
 
-interface ExpiringRows {
+interface ExpiringEntry {
   readonly keys: readonly RowKey[]
   readonly expiresAt: number
 }
 
 /** Tracks rows that this gateway wrote and when they may be removed. */
 export class RowExpiry {
-  private readonly _expiringRows: ExpiringRows[] = []
+  private readonly _expiringRows: ExpiringEntry[] = []
 
   /** Adds rows of one partition that are removed together. */
   add (keys: readonly RowKey[], retentionMs: number, now: number): void {
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -265,7 +265,7 @@
   }
 }
 
-/** Gets the milliseconds for which a caller may take up its stream. */
+/** Gets the milliseconds for which a caller may continue its stream. */
 function getOriginRetentionMs ({ call, route }: Exchange): number {
   return Math.max(call.timeoutMs ?? 0, route.timeoutMs) + ORIGIN_MARGIN_MS
 }
--- a/tests/io/gateway/OriginStoreFaultTests.ts
+++ b/tests/io/gateway/OriginStoreFaultTests.ts
@@ -18,7 +18,7 @@
 const gateway = fc.nat(GATEWAYS - 1)
 const step = fc.oneof(
   { weight: 4, arbitrary: fc.record({ type: fc.constant('begin' as const), gateway, version: fc.constantFrom(...VERSIONS) }) },
-  { weight: 4, arbitrary: fc.record({ type: fc.constant('take-up' as const), gateway, stream: fc.nat(20) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('continue' as const), gateway, stream: fc.nat(20) }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constant('kill' as const), gateway }) },
   { weight: 1, arbitrary: fc.record({ type: fc.constant('kill-all' as const) }) },
   { weight: 2, arbitrary: fc.record({ type: fc.constant('store' as const), failure: fc.constantFrom(undefined, undefined, 'refused', 'answer-lost') }) },
@@ -72,7 +72,7 @@
       const origin = { service: 'model', softwareVersion: step.version }
       this._streams.push({ id, origin })
       this._gateways[step.gateway]!.record(id, origin, RETENTION_MS)
-    } else if (step.type === 'take-up') {
+    } else if (step.type === 'continue') {
       const stream = this._streams[step.stream]
       if (stream === undefined) return
       const found = await this._find(step.gateway, stream.id)
--- a/tests/io/gateway/OriginStoreTests.ts
+++ b/tests/io/gateway/OriginStoreTests.ts
@@ -77,7 +77,7 @@
     expect((await find(createStore(), 'r')).extract()).toEqual(ORIGIN)
   })
 
-  it('should remove the rows of streams that their callers can no longer take up', async () => {
+  it('should remove the rows of streams that their callers can no longer continue', async () => {
     const store = createStore()
     await record(store, 'r')
     skippedMs = RETENTION_MS + EXPIRY_MARGIN_MS
--- a/tests/processes/VersionsJoinedTests.ts
+++ b/tests/processes/VersionsJoinedTests.ts
@@ -4,7 +4,7 @@
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 import { waitFor } from './GatewayHarness.js'
 
-/** Number of streams that each test begins; the rule on lost streams applies from 12 on. */
+/** Number of streams that each test begins. */
 const STREAMS = 24
 
 /** Gateways that run. */
@@ -19,10 +19,10 @@
   readonly response: Promise<PlatformCallResponse>
 }
 
-/** What became of streams that callers took up again. */
-interface TakeUpCounts {
+/** What became of streams whose callers sent another try. */
+interface ContinuationCounts {
   /** Streams that were completed at the version that had begun them. */
-  readonly wentOn: number
+  readonly continued: number
   /** Streams that got events of another version. */
   readonly joined: number
   /** Streams that were refused and have not run. */
@@ -80,7 +80,7 @@
     await waitForOrigins()
     await gateways[0]!.kill()
     releaseTargets()
-    expect(await takeUp(streams, gateways.slice(1))).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams(streams, gateways.slice(1))).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue the streams of all gateways at their versions after all were killed at once', async () => {
@@ -89,7 +89,7 @@
     await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
     gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
     releaseTargets()
-    expect(await takeUp(streams, gateways)).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams(streams, gateways)).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue streams at their versions while the store is away', async () => {
@@ -99,7 +99,7 @@
     const [first, ...others] = gateways
     const rotated = [...others, first!]
     // A caller's next try arrives at another gateway than its first one.
-    expect(await takeUp(streams, rotated)).toEqual({ wentOn: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams(streams, rotated)).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should refuse, as not run, a stream whose version no longer serves', async () => {
@@ -111,13 +111,13 @@
     releaseTargets()
     const leftBehind = streams.filter(stream => stream.version === 'v1').length
     expect(leftBehind > 0).toEqual(true)
-    expect(await takeUp(streams, gateways)).toEqual({ wentOn: STREAMS - leftBehind, joined: 0, refused: leftBehind })
+    expect(await continueStreams(streams, gateways)).toEqual({ continued: STREAMS - leftBehind, joined: 0, refused: leftBehind })
   })
 
   it('should refuse, as not run, a stream that no gateway and no row knows', async () => {
     releaseTargets()
     const unknown = ['r-1', 'r-2'].map(id => ({ id, version: 'v1', response: Promise.resolve(undefined as never) }))
-    expect(await takeUp(unknown, gateways)).toEqual({ wentOn: 0, joined: 0, refused: 2 })
+    expect(await continueStreams(unknown, gateways)).toEqual({ continued: 0, joined: 0, refused: 2 })
   })
 
   /** Begins streams, in rotation over gateways, and waits for the first event of each. */
@@ -140,7 +140,7 @@
   }
 
   /** Sends the next try for each stream, in rotation over gateways, and counts what became of the streams. */
-  async function takeUp (streams: readonly BegunStream[], at: readonly GatewayProcess[]): Promise<TakeUpCounts> {
+  async function continueStreams (streams: readonly BegunStream[], at: readonly GatewayProcess[]): Promise<ContinuationCounts> {
     const responses = await Promise.all(streams.map(async ({ id, version }, index) => {
       const response = await callPlatform(at[index % at.length]!.callerAddress, {
         id: `${id}-again`, path: '/turns/resumable/a', body: 'in', headers: { 'last-event-id': '1', resumes: id }
@@ -149,7 +149,7 @@
       return { ...response, isSameVersion: getVersions(response.body).every(other => other === version), hasRun }
     }))
     return {
-      wentOn: responses.filter(response => response.status === 200 && response.isComplete && response.isSameVersion).length,
+      continued: responses.filter(response => response.status === 200 && response.isComplete && response.isSameVersion).length,
       joined: responses.filter(response => !response.isSameVersion).length,
       refused: responses.filter(response => response.status === 503 && !response.hasRun).length
     }
