Log and measure how long the origin of a stream takes to be durable

Each transaction now logs its rows, the wait of the first one and its own time (`origins-written`), at most one line an interval of the queue; a histogram has the sum (`wisteria_origin_delay_seconds`). No change of logic.

--- a/src/core/origin/OriginQueue.ts
+++ b/src/core/origin/OriginQueue.ts
@@ -21,6 +21,19 @@
   readonly writesPerSecond: number
 }
 
+/** A row that waits. */
+interface WaitingRow {
+  readonly put: RowPut
+  readonly addedAt: number
+}
+
+/** Rows of one transaction. */
+export interface OriginBatch {
+  readonly puts: readonly RowPut[]
+  /** Milliseconds for which the first of them has waited. */
+  readonly waitedMs: number
+}
+
 const NONE: ReadonlySet<string> = new Set()
 
 /**
@@ -31,7 +44,7 @@
  */
 export class OriginQueue {
   private readonly _options: OriginQueueOptions
-  private _rows: RowPut[] = []
+  private _rows: WaitingRow[] = []
   private _gateways = 1
   private _nextAt = -Infinity
 
@@ -45,8 +58,8 @@
   }
 
   /** Adds a row; returns whether another one was dropped for it. */
-  add (row: RowPut): boolean {
-    this._rows.push(row)
+  add (put: RowPut): boolean {
+    this._rows.push({ put, addedAt: this._options.clock.now() })
     if (this._rows.length <= MAX_WAITING_ROWS) return false
     this._rows.shift()
     return true
@@ -54,18 +67,20 @@
 
   /** Gets the milliseconds until the next transaction may be written; undefined while no row waits, except in busy partitions. */
   getDelayMs (busyPartitions = NONE): number | undefined {
-    const hasRow = this._rows.some(({ part }) => !busyPartitions.has(part))
+    const hasRow = this._rows.some(({ put }) => !busyPartitions.has(put.part))
     return hasRow ? Math.max(0, this._nextAt - this._options.clock.now()) : undefined
   }
 
-  /** Takes the rows of the next transaction: those of the partition whose first row has waited the longest. */
-  take (busyPartitions = NONE): RowPut[] {
-    const partition = this._rows.find(({ part }) => !busyPartitions.has(part))?.part
-    const taken = this._rows.filter(({ part }) => part === partition).slice(0, ROWS_PER_TRANSACTION)
+  /** Takes the rows of the next transaction, those of the partition whose first row has waited the longest; undefined if there are none. */
+  take (busyPartitions = NONE): OriginBatch | undefined {
+    const first = this._rows.find(({ put }) => !busyPartitions.has(put.part))
+    if (first === undefined) return undefined
+    const now = this._options.clock.now()
+    const taken = this._rows.filter(({ put }) => put.part === first.put.part).slice(0, ROWS_PER_TRANSACTION)
     const takenRows = new Set(taken)
     this._rows = this._rows.filter(row => !takenRows.has(row))
-    this._nextAt = this._options.clock.now() + this._getIntervalMs()
-    return taken
+    this._nextAt = now + this._getIntervalMs()
+    return { puts: taken.map(({ put }) => put), waitedMs: now - first.addedAt }
   }
 
   private _getIntervalMs (): number {
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -171,7 +171,8 @@
       log,
       peers: new OriginPeers({ pool, ranking, clock }),
       writesPerSecond: settings.store.writesPerSecond,
-      onLookup: source => { metrics.originLookups.inc({ source }) }
+      onLookup: source => { metrics.originLookups.inc({ source }) },
+      onWritten: delayMs => { metrics.recordOriginsWritten(delayMs) }
     })
     this._budgets = new BudgetStore({
       access,
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -27,6 +27,7 @@
   private readonly _request = this._histogram('wisteria_request_seconds', 'Time from arrival to the end of the answer.', ['kind'])
   private readonly _firstByte = this._histogram('wisteria_first_byte_seconds', 'Time from arrival to the first byte of an answer in pieces.', ['kind'])
   private readonly _store = this._histogram('wisteria_store_seconds', 'Time of a call of the store.', ['call'])
+  private readonly _originDelay = this._histogram('wisteria_origin_delay_seconds', 'Time from the first event of a stream until its origin was in the store, of the first stream of each transaction.', [])
 
   constructor () {
     for (const reason of Object.keys(REFUSALS)) this._refusals.inc({ reason }, 0)
@@ -60,6 +61,11 @@
     this._store.observe({ call }, tookMs / 1_000)
   }
 
+  /** Records a transaction with origins of streams, by the time from the first event of its first stream until it was durable. */
+  recordOriginsWritten (delayMs: number): void {
+    this._originDelay.observe(delayMs / 1_000)
+  }
+
   /** Records the prompt tokens of a dispatched request, by whether the target has probably cached them. */
   recordPrompt (cached: number, uncached: number): void {
     this._prompt.inc({ cached: 'yes' }, cached)
--- a/src/io/gateway/OriginStore.ts
+++ b/src/io/gateway/OriginStore.ts
@@ -2,9 +2,9 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import {
-  fromOriginRow, getOriginKey, getOriginRange, OriginLedger, OriginQueue, toOriginRow, type StreamOrigin
+  fromOriginRow, getOriginKey, getOriginRange, OriginLedger, OriginQueue, toOriginRow, type OriginBatch, type StreamOrigin
 } from '../../core/origin/index.js'
-import { StoreError, type RowPut } from '../../core/platform/index.js'
+import { StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
 import type { OriginPeers } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -34,6 +34,8 @@
   readonly writesPerSecond: number
   /** Called with each lookup. */
   readonly onLookup: (source: OriginSource) => void
+  /** Called with each transaction and the milliseconds from the first event of its first stream until it was durable. */
+  readonly onWritten: (delayMs: number) => void
 }
 
 /**
@@ -126,21 +128,25 @@
     if (delayMs === undefined || this._timer !== undefined) return
     this._timer = setTimeout(() => {
       this._timer = undefined
-      void this._write(this._queue.take(this._busyPartitions))
+      const batch = this._queue.take(this._busyPartitions)
+      if (batch !== undefined) void this._write(batch)
     }, delayMs)
   }
 
-  private async _write (puts: readonly RowPut[]): Promise<void> {
-    const { access, clock, log } = this._options
-    const partition = puts[0]?.part
-    if (partition === undefined) return
+  private async _write ({ puts, waitedMs }: OriginBatch): Promise<void> {
+    const { access, clock, log, onWritten } = this._options
+    const { part: partition } = puts[0]!
+    const startedAt = clock.now()
     this._busyPartitions.add(partition)
     this._scheduleWrite()
     try {
-      await access.commitRepeatable({ puts }, clock.now() + WRITE_TIMEOUT_MS)
+      await access.commitRepeatable({ puts }, startedAt + WRITE_TIMEOUT_MS)
+      const tookMs = clock.now() - startedAt
+      onWritten(waitedMs + tookMs)
+      log.info('origins-written', { partition, rows: puts.length, waitedMs: Math.round(waitedMs), tookMs: Math.round(tookMs) })
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      log.warn('origin-not-written', { partition, rows: puts.length, cause: err.message })
+      log.warn('origin-not-written', { partition, rows: puts.length, waitedMs: Math.round(waitedMs), cause: err.message })
     } finally {
       this._busyPartitions.delete(partition)
       this._scheduleWrite()
--- a/tests/core/origin/OriginQueueTests.ts
+++ b/tests/core/origin/OriginQueueTests.ts
@@ -18,17 +18,17 @@
     expect(queue.getDelayMs()).toEqual(undefined)
     queue.add(toRow(0))
     expect(queue.getDelayMs()).toEqual(0)
-    expect(queue.take()).toEqual([toRow(0)])
+    expect(queue.take()).toEqual({ puts: [toRow(0)], waitedMs: 0 })
   })
 
   it('should take the oldest rows, as many as fit in a transaction, and drop the oldest when too many wait', () => {
     const queue = new OriginQueue({ clock: { now: () => 0 }, writesPerSecond: 800 })
     const dropped = Array.from({ length: MAX_WAITING_ROWS + 1 }, (_, at) => queue.add(toRow(at))).filter(Boolean)
     expect(dropped.length).toEqual(1)
-    const rows = queue.take()
+    const rows = queue.take()!.puts
     expect([rows.length, rows[0]]).toEqual([ROWS_PER_TRANSACTION, toRow(1)])
     expect(rows.every(row => row.part === toRow(1).part)).toEqual(true)
-    const others = queue.take(new Set([toRow(1).part]))
+    const others = queue.take(new Set([toRow(1).part]))!.puts
     expect(others.some(row => row.part === toRow(1).part)).toEqual(false)
   })
 
@@ -82,7 +82,7 @@
       addedAt.set(toRow(begun).key, now)
     }
     if (queue.getDelayMs() !== 0) continue
-    const rows = queue.take()
+    const rows = queue.take()!.puts
     const { part } = rows[0]!
     transactions.set(part, (transactions.get(part) ?? 0) + gateways)
     for (const { key } of rows) latestMs = Math.max(latestMs, now - addedAt.get(key)!)
--- a/tests/io/gateway/OriginStoreFaultTests.ts
+++ b/tests/io/gateway/OriginStoreFaultTests.ts
@@ -102,7 +102,8 @@
     const fetch = async (stream: string): Promise<StreamOrigin | undefined> => {
       return this._gateways.map(peer => peer.getRemembered(stream)).find(origin => origin !== undefined)
     }
-    this._gateways[at] = new OriginStore({ access, clock, log, peers: { fetch }, writesPerSecond: 10_000, onLookup: () => {} })
+    const callbacks = { onLookup: () => {}, onWritten: () => {} }
+    this._gateways[at] = new OriginStore({ access, clock, log, peers: { fetch }, writesPerSecond: 10_000, ...callbacks })
   }
 }
 
--- a/tests/io/gateway/OriginStoreTests.ts
+++ b/tests/io/gateway/OriginStoreTests.ts
@@ -13,12 +13,14 @@
   let rows: MemoryRowStore
   let skippedMs: number
   let sources: OriginSource[]
+  let delays: number[]
   const clock = { now: () => performance.now() + skippedMs }
 
   beforeEach(() => {
     rows = new MemoryRowStore()
     skippedMs = 0
     sources = []
+    delays = []
   })
 
   it('should find a stream that another gateway began in the store', async () => {
@@ -46,6 +48,16 @@
     expect(rows.calls.commit <= 2 * ORIGIN_PARTITIONS).toEqual(true)
   })
 
+  it('should report how long the row of a stream took, with the time for which the store was away', async () => {
+    const store = createStore()
+    rows.failure = 'refused'
+    await record(store, 'r')
+    expect(delays).toEqual([])
+    rows.failure = undefined
+    while (delays.length === 0) await settle()
+    expect(delays[0]! >= 50).toEqual(true)
+  })
+
   it('should ask other gateways while the store is away', async () => {
     const first = createStore()
     await record(first, 'r')
@@ -88,7 +100,15 @@
   function createStore (peers: { fetch: (stream: string) => Promise<StreamOrigin | undefined> } = NOBODY): OriginStore {
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true })
     const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-    return new OriginStore({ access, clock, log, peers, writesPerSecond: 1_000, onLookup: source => { sources.push(source) } })
+    return new OriginStore({
+      access,
+      clock,
+      log,
+      peers,
+      writesPerSecond: 1_000,
+      onLookup: source => { sources.push(source) },
+      onWritten: delayMs => { delays.push(delayMs) }
+    })
   }
 
   async function record (store: OriginStore, stream: string): Promise<void> {
