Continue streams that their callers do not name while one version serves

What callers saw: since streams go on only at the version that began them, a caller that sends `Last-Event-Id` without `Resumes` had every stream refused as `origin-unknown` and began its turn anew.

Ruled out: going by the targets in the list alone.

Change: gateways write a row for each version of each service when they learn of it (`VersionStore`), so that a version that has just left is known after the loss of all. Without a name, a stream goes on at the only version that the store and the list have; with two it is refused as before. Routes with several backends still refuse: the service is not known then.

--- a/src/core/origin/OriginRows.ts
+++ b/src/core/origin/OriginRows.ts
@@ -25,11 +25,16 @@
 }
 
 /** Encodes the origin of a stream; it never changes, so writing the row twice has no further effect. */
-export function toOriginRow (stream: string, { service, softwareVersion }: StreamOrigin): RowPut {
-  return { ...getOriginKey(stream), value: Buffer.from(JSON.stringify([service, softwareVersion])) }
+export function toOriginRow (stream: string, origin: StreamOrigin): RowPut {
+  return { ...getOriginKey(stream), value: toOriginValue(origin) }
 }
 
-/** Decodes the origin of a stream. */
+/** Encodes a service and version as the value of a row. */
+export function toOriginValue ({ service, softwareVersion }: StreamOrigin): Uint8Array {
+  return Buffer.from(JSON.stringify([service, softwareVersion]))
+}
+
+/** Decodes the service and version in a row. */
 export function fromOriginRow (row: StoredRow): StreamOrigin {
   const [service, softwareVersion] = JSON.parse(Buffer.from(row.value).toString('utf8')) as [string, string]
   return { service, softwareVersion }
--- a/src/core/origin/index.ts
+++ b/src/core/origin/index.ts
@@ -1,4 +1,5 @@
 export * from './OriginLedger.js'
 export * from './OriginQueue.js'
 export * from './OriginRows.js'
+export * from './ServedVersions.js'
 export * from './StreamOrigin.js'
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -71,6 +71,11 @@
     return state?.incarnation === incarnation ? state : undefined
   }
 
+  /** Gets all targets, draining ones included. */
+  getTargets (): Target[] {
+    return [...this._states.values()].map(state => state.target)
+  }
+
   /** Gets the number of targets. */
   getSize (): number {
     return this._states.size
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -30,6 +30,7 @@
 import { TargetClient } from './TargetClient.js'
 import { TargetLimits } from './TargetLimits.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
+import { RETIRE_CHECK_MS, VersionStore } from './VersionStore.js'
 
 /** Tables of the platform that a gateway follows, with the decoders of their rows. */
 export interface PlatformTables {
@@ -89,6 +90,7 @@
   private readonly _turns: TurnStore
   private readonly _budgets: BudgetStore
   private readonly _origins: OriginStore
+  private readonly _versions: VersionStore
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _ledger: ReserveLedger
@@ -174,6 +176,7 @@
       onLookup: source => { metrics.originLookups.inc({ source }) },
       onWritten: delayMs => { metrics.recordOriginsWritten(delayMs) }
     })
+    this._versions = new VersionStore({ access, clock, log })
     this._budgets = new BudgetStore({
       access,
       clock,
@@ -187,6 +190,7 @@
       turns: this._turns,
       budgets: this._budgets,
       origins: this._origins,
+      versions: this._versions,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       isStoreUnavailable: () => access.health.isUnavailable(),
@@ -232,6 +236,7 @@
       void this._turns.removeExpired()
       void this._origins.removeExpired()
     })
+    void periodic(RETIRE_CHECK_MS).observe(() => { void this._versions.update() })
     void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
     const peers = await this._peers.listen(listen.peers)
     void this._directory.run({ id, address: peers, failureDomain })
@@ -298,7 +303,7 @@
   private _applyTargets (rows: readonly StoredRow[]): void {
     const targets = rows.flatMap(row => this._decodeTarget(row) ?? [])
     this._registry.setAll(targets, this._options.clock.now())
-    this._updateTargetCount()
+    this._onTargetsApplied()
   }
 
   private _onTargetChange (change: RowChange): void {
@@ -311,7 +316,7 @@
       if (target === undefined) this._registry.remove(change.row.key, clock.now())
       else if (this._registry.set(target)) log.info('target-changed', { ...target, row: change.row.version })
     }
-    this._updateTargetCount()
+    this._onTargetsApplied()
   }
 
   private _decodeTarget (row: StoredRow): Target | undefined {
@@ -334,8 +339,9 @@
     return serving.filter(state => regions[state.target.failureDomain] === regions[failureDomain])
   }
 
-  private _updateTargetCount (): void {
+  private _onTargetsApplied (): void {
     this._options.metrics.targets.set(this._registry.getSize())
+    this._versions.setTargets(this._registry.getTargets())
   }
 }
 
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,7 +1,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import { getRetrySeconds } from '../../core/limits/index.js'
-import { getOrigin, type BegunStream } from '../../core/origin/index.js'
+import { getOrigin, type BegunStream, type StreamOrigin } from '../../core/origin/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
@@ -13,6 +13,7 @@
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import { StallTimer } from './StallTimer.js'
 import type { TurnStore } from './TurnStore.js'
+import type { VersionStore } from './VersionStore.js'
 
 /** Milliseconds before the caller's maximum wait is over at which saving a turn is abandoned. */
 const SAVE_MARGIN_MS = 150
@@ -36,6 +37,7 @@
   readonly turns: TurnStore
   readonly budgets: BudgetStore
   readonly origins: OriginStore
+  readonly versions: VersionStore
   readonly clock: Clock
   /** Gets the tokens that one event of a service's streams counts for. */
   readonly getTokensPerEvent: (service: string) => number
@@ -119,9 +121,8 @@
     const { call, route } = exchange
     if (call.resumedStream === undefined && call.lastEventId === undefined) return Right(undefined)
     const members = { stream: call.resumedStream ?? null }
-    if (call.resumedStream === undefined) return Left({ reason: 'origin-unknown', members })
-    const { origins, getStoreRetrySeconds, attempts } = this._options
-    const found = await origins.find(call.resumedStream, getOriginRetentionMs(exchange), this._getPrepareDeadline(exchange))
+    const { getStoreRetrySeconds, attempts } = this._options
+    const found = await this._findOrigin(exchange)
     if (found.isLeft()) {
       const reason = found.extract() as RefusalReason
       return Left({ reason, members, retryAfterSeconds: reason === 'origin-unreadable' ? getStoreRetrySeconds() : undefined })
@@ -131,6 +132,17 @@
     return Left({ reason: 'version-gone', members: { ...members, ...origin } })
   }
 
+  /** Finds where the stream of a request began; without its name, if only one version of its service can have begun it. */
+  private async _findOrigin (exchange: Exchange): Promise<Either<RefusalReason, StreamOrigin>> {
+    const { call, route } = exchange
+    const { origins, versions } = this._options
+    const deadline = this._getPrepareDeadline(exchange)
+    if (call.resumedStream !== undefined) return await origins.find(call.resumedStream, getOriginRetentionMs(exchange), deadline)
+    const [backend, ...others] = route.backends
+    if (!route.isResumable || backend === undefined || others.length > 0) return Left('origin-unknown')
+    return await versions.findOnly(backend.service, deadline)
+  }
+
   /** Records the target that sends the first event of a new stream. */
   private _begin (exchange: Exchange, target: Target): BegunStream {
     const origin = getOrigin(target)
--- a/tests/processes/VersionsJoinedTests.ts
+++ b/tests/processes/VersionsJoinedTests.ts
@@ -1,8 +1,9 @@
 import { expect } from 'earl'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
-import { callPlatform, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
+import { callPlatform } from '../../tools/platform/PlatformCaller.js'
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 import { waitFor } from './GatewayHarness.js'
+import { beginStreams, continueStreams, getVersions } from './StreamHarness.js'
 
 /** Number of streams that each test begins. */
 const STREAMS = 24
@@ -10,25 +11,6 @@
 /** Gateways that run. */
 const GATEWAYS = 3
 
-/** A stream whose first event a caller has received. */
-interface BegunStream {
-  readonly id: string
-  /** Software version that the first event states. */
-  readonly version: string
-  /** Resolves when the response has ended or was broken off. */
-  readonly response: Promise<PlatformCallResponse>
-}
-
-/** What became of streams whose callers sent another try. */
-interface ContinuationCounts {
-  /** Streams that were completed at the version that had begun them. */
-  readonly continued: number
-  /** Streams that got events of another version. */
-  readonly joined: number
-  /** Streams that were refused and have not run. */
-  readonly refused: number
-}
-
 // Streams held events of two software versions: gateways continued a stream at any target, whatever version had begun it.
 describe('gateways before targets of two software versions', () => {
   let fixture: PlatformFixture
@@ -76,34 +58,34 @@
   })
 
   it('should continue the streams of a gateway that was killed at their versions, at the other gateways', async () => {
-    const streams = await beginStreams([gateways[0]!])
+    const streams = await beginStreams(STREAMS, [gateways[0]!])
     await waitForOrigins()
     await gateways[0]!.kill()
     releaseTargets()
-    expect(await continueStreams(streams, gateways.slice(1))).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams({ fixture, streams, gateways: gateways.slice(1) })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue the streams of all gateways at their versions after all were killed at once', async () => {
-    const streams = await beginStreams(gateways)
+    const streams = await beginStreams(STREAMS, gateways)
     await waitForOrigins()
     await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
     gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
     releaseTargets()
-    expect(await continueStreams(streams, gateways)).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams({ fixture, streams, gateways })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue streams at their versions while the store is away', async () => {
-    const streams = await beginStreams(gateways)
+    const streams = await beginStreams(STREAMS, gateways)
     fixture.store.rows.failure = 'refused'
     releaseTargets()
     const [first, ...others] = gateways
     const rotated = [...others, first!]
     // A caller's next try arrives at another gateway than its first one.
-    expect(await continueStreams(streams, rotated)).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    expect(await continueStreams({ fixture, streams, gateways: rotated })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should refuse, as not run, a stream whose version no longer serves', async () => {
-    const streams = await beginStreams(gateways)
+    const streams = await beginStreams(STREAMS, gateways)
     await waitForOrigins()
     await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
     for (const engine of fixture.engines.slice(0, 2)) fixture.unregister(engine)
@@ -111,50 +93,22 @@
     releaseTargets()
     const leftBehind = streams.filter(stream => stream.version === 'v1').length
     expect(leftBehind > 0).toEqual(true)
-    expect(await continueStreams(streams, gateways)).toEqual({ continued: STREAMS - leftBehind, joined: 0, refused: leftBehind })
+    const expected = { continued: STREAMS - leftBehind, joined: 0, refused: leftBehind }
+    expect(await continueStreams({ fixture, streams, gateways })).toEqual(expected)
+  })
+
+  it('should refuse, as not run, streams that their callers do not name', async () => {
+    const streams = await beginStreams(STREAMS, gateways)
+    releaseTargets()
+    expect(await continueStreams({ fixture, streams, gateways, isNamed: false })).toEqual({ continued: 0, joined: 0, refused: STREAMS })
   })
 
   it('should refuse, as not run, a stream that no gateway and no row knows', async () => {
     releaseTargets()
     const unknown = ['r-1', 'r-2'].map(id => ({ id, version: 'v1', response: Promise.resolve(undefined as never) }))
-    expect(await continueStreams(unknown, gateways)).toEqual({ continued: 0, joined: 0, refused: 2 })
+    expect(await continueStreams({ fixture, streams: unknown, gateways })).toEqual({ continued: 0, joined: 0, refused: 2 })
   })
 
-  /** Begins streams, in rotation over gateways, and waits for the first event of each. */
-  async function beginStreams (at: readonly GatewayProcess[]): Promise<BegunStream[]> {
-    return await Promise.all(Array.from({ length: STREAMS }, async (_, index) => await new Promise<BegunStream>((resolve, reject) => {
-      const id = `r-${index}`
-      let text = ''
-      const response = callPlatform(at[index % at.length]!.callerAddress, {
-        id,
-        path: '/turns/resumable/a',
-        body: 'in',
-        onData: chunk => {
-          text += chunk
-          const [version] = getVersions(text)
-          if (version !== undefined) resolve({ id, version, response })
-        }
-      })
-      void response.then(() => { reject(new Error(`The stream ${id} ended without an event.`)) })
-    })))
-  }
-
-  /** Sends the next try for each stream, in rotation over gateways, and counts what became of the streams. */
-  async function continueStreams (streams: readonly BegunStream[], at: readonly GatewayProcess[]): Promise<ContinuationCounts> {
-    const responses = await Promise.all(streams.map(async ({ id, version }, index) => {
-      const response = await callPlatform(at[index % at.length]!.callerAddress, {
-        id: `${id}-again`, path: '/turns/resumable/a', body: 'in', headers: { 'last-event-id': '1', resumes: id }
-      })
-      const hasRun = fixture.engines.some(engine => engine.runs.some(run => run.id === `${id}-again`))
-      return { ...response, isSameVersion: getVersions(response.body).every(other => other === version), hasRun }
-    }))
-    return {
-      continued: responses.filter(response => response.status === 200 && response.isComplete && response.isSameVersion).length,
-      joined: responses.filter(response => !response.isSameVersion).length,
-      refused: responses.filter(response => response.status === 503 && !response.hasRun).length
-    }
-  }
-
   function getResumedRuns (): string[] {
     return fixture.engines.flatMap(engine => engine.runs.filter(run => run.headers['last-event-id'] !== undefined).map(run => run.id))
   }
@@ -177,11 +131,6 @@
   }
 })
 
-/** Gets the different software versions that the events of a stream state. */
-function getVersions (body: string): string[] {
-  return [...new Set([...body.matchAll(/^data: (v[0-9]+) /gm)].map(match => match[1]!))]
-}
-
 async function waitForPeers (gateway: GatewayProcess): Promise<void> {
   await waitFor(() => gateway.getEvents('peers-known').some(event => (event.peers as string[]).length === GATEWAYS))
 }
