Soak gateways under planned faults from outside

`PlatformCaller` takes an agent, `EngineStandin` a gap between events, and `PlatformFixture` can register a target again.

--- /dev/null
+++ b/tests/processes/SoakTests.ts
@@ -0,0 +1,25 @@
+import { expect } from 'earl'
+import { PROMISES, type PromiseName } from '../../tools/soak/Promises.js'
+import { Soak } from '../../tools/soak/Soak.js'
+import { planSoak } from '../../tools/soak/SoakPlan.js'
+
+/** Milliseconds of one short run; `npm run soak` runs longer ones. */
+const DURATION_MS = 10_000
+
+describe('soak', function () {
+  this.timeout(120_000)
+
+  for (const seed of [1, 2]) {
+    it(`should keep every promise under the faults of seed ${seed}`, async () => {
+      const soak = new Soak({ seed, durationMs: DURATION_MS })
+      expect(await soak.run()).toEqual([])
+      expect((Object.keys(PROMISES) as PromiseName[]).filter(name => soak.checks.getChecked(name) === 0)).toEqual([])
+    })
+  }
+
+  it('should plan the same faults for the same seed', () => {
+    const options = { seed: 7, durationMs: 30_000, gateways: 3, targets: 7 }
+    expect(planSoak(options)).toEqual(planSoak(options))
+    expect(planSoak({ ...options, seed: 8 }).length === 0).toEqual(false)
+  })
+})
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 
 /** Milliseconds between two bytes of a stream that trickles. */
 const TRICKLE_INTERVAL_MS = 50
@@ -32,6 +33,8 @@
   events = ['first', 'second', 'third']
   /** Delays a stream after its first event until it resolves. */
   gate: Promise<void> = Promise.resolve()
+  /** Milliseconds before each event of a stream but the first. */
+  eventGapMs = 0
   private readonly _server: Server
 
   constructor (id: string) {
@@ -96,6 +99,7 @@
     const lastEventId = Number(run.headers['last-event-id'] ?? 0)
     for (let index = lastEventId; index < this.events.length; index++) {
       if (index === lastEventId + 1) await this.gate
+      if (index > lastEventId && this.eventGapMs > 0) await sleep(this.eventGapMs)
       res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
       if (behaviour === 'trickle' && index === lastEventId) {
         // Sends bytes that complete no event, until the caller closes.
--- a/tools/platform/PlatformCaller.ts
+++ b/tools/platform/PlatformCaller.ts
@@ -1,4 +1,4 @@
-import { request, type IncomingHttpHeaders } from 'node:http'
+import { request, type Agent, type IncomingHttpHeaders } from 'node:http'
 import { FIXTURE_HOST } from './PlatformFixture.js'
 
 /** One request of a caller. */
@@ -12,6 +12,8 @@
   readonly onData?: (text: string) => void
   /** Closes the connection when aborted. */
   readonly signal?: AbortSignal
+  /** Keeps connections open between requests; a new connection without it. */
+  readonly agent?: Agent
 }
 
 /** Response received by a caller. */
@@ -23,7 +25,7 @@
   readonly isComplete: boolean
 }
 
-/** Sends one request on a new connection; status 0 means that the connection was closed without a response. */
+/** Sends one request; status 0 means that the connection was closed without a response. */
 export async function callPlatform (address: string, call: PlatformCall): Promise<PlatformCallResponse> {
   const [host, port] = address.split(':')
   return await new Promise(resolve => {
@@ -32,7 +34,7 @@
       port: Number(port),
       method: call.method ?? (call.body === undefined ? 'GET' : 'POST'),
       path: call.path,
-      agent: false,
+      agent: call.agent ?? false,
       signal: call.signal,
       headers: { host: FIXTURE_HOST, 'x-request-id': call.id, 'x-timeout-ms': '3000', ...call.headers }
     }, res => {
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -85,6 +85,11 @@
     this.store.rows.apply({ removes: [{ table: 'servers', part: '', key: standin.id }] })
   }
 
+  /** Registers a target again with a new start time. */
+  register (standin: EngineStandin): void {
+    this._register(standin, this.engines.includes(standin) ? 'model' : 'desk')
+  }
+
   /** Registers the plain services at another address. */
   replaceDesks (address: string): void {
     for (const desk of this.desks) {
--- /dev/null
+++ b/tools/soak/Promises.ts
@@ -0,0 +1,48 @@
+/** What callers and targets may rely on, whatever fails. */
+export const PROMISES = {
+  once: 'a booking runs at most once',
+  notRun: 'a request that was refused as not run has not run',
+  whole: 'a success is the whole response of a target to this very request',
+  order: 'a stream has each event once, in order, over all tries, and ends after its last one',
+  version: 'a stream holds events of one software version',
+  history: 'a turn goes on from the whole history of its program',
+  kept: 'a turn that was answered whole is found again',
+  budget: 'the tokens of a program stay within its budget and the maximum of one turn'
+} as const
+export type PromiseName = keyof typeof PROMISES
+
+/** Number of broken cases that are kept of each promise. */
+const KEPT_CASES = 5
+
+/** Counts how often each promise was checked and broken. */
+export class PromiseChecks {
+  private readonly _counts = new Map<PromiseName, { checked: number, readonly broken: string[], brokenCount: number }>()
+
+  /** Checks a promise; the detail is kept if it is broken. */
+  check (name: PromiseName, isKept: boolean, detail: () => string): void {
+    const count = this._counts.get(name) ?? { checked: 0, broken: [], brokenCount: 0 }
+    this._counts.set(name, count)
+    count.checked++
+    if (isKept) return
+    count.brokenCount++
+    if (count.broken.length < KEPT_CASES) count.broken.push(detail())
+  }
+
+  /** Gets how often a promise was checked. */
+  getChecked (name: PromiseName): number {
+    return this._counts.get(name)?.checked ?? 0
+  }
+
+  /** Gets the details of broken promises. */
+  getBroken (): string[] {
+    return [...this._counts].flatMap(([name, { broken }]) => broken.map(detail => `${name}: ${detail}`))
+  }
+
+  /** Formats one line for each promise. */
+  format (): string[] {
+    return Object.entries(PROMISES).map(([name, text]) => {
+      const count = this._counts.get(name as PromiseName)
+      return `${String(count?.checked ?? 0).padStart(6)} checked ${String(count?.brokenCount ?? 0).padStart(4)} broken  ${text}`
+    })
+  }
+}
