Hash the names of versions for rows only

It now compares the names; only rows have hashed keys. Found by reading; the cost was not measured. The tests of `ServedVersions` and `VersionStore` are unchanged and pass.

--- a/src/core/origin/ServedVersions.ts
+++ b/src/core/origin/ServedVersions.ts
@@ -36,6 +36,7 @@
 /** Tracks which versions of which services the list of targets contains, and since when others are missing in it. */
 export class ServedVersions {
   private readonly _clock: Clock
+  /** Listed versions by service and version; hashed for rows only, since the list is applied with each change of a target. */
   private _listed = new Map<string, StreamOrigin>()
   private readonly _unlistedSince = new Map<string, number>()
 
@@ -45,7 +46,7 @@
 
   /** Applies the list of targets; returns the versions that it did not contain before. */
   setListed (origins: readonly StreamOrigin[]): StreamOrigin[] {
-    const listed = new Map(origins.map(origin => [getKey(origin), origin]))
+    const listed = new Map(origins.map(origin => [`${origin.service}\u0000${origin.softwareVersion}`, origin]))
     const added = [...listed].filter(([key]) => !this._listed.has(key)).map(([, origin]) => origin)
     this._listed = listed
     return added
@@ -59,7 +60,8 @@
   /** Gets the rows, of those that the store has, that may be removed: unless they were written again since they were read. */
   getRetired (rows: readonly StoredRow[]): RowCondition[] {
     const now = this._clock.now()
-    const unlisted = rows.filter(({ key }) => !this._listed.has(key))
+    const listedKeys = new Set(this.getListed().map(getKey))
+    const unlisted = rows.filter(({ key }) => !listedKeys.has(key))
     const keys = new Set(unlisted.map(({ key }) => key))
     for (const key of [...this._unlistedSince.keys()]) if (!keys.has(key)) this._unlistedSince.delete(key)
     for (const key of keys) if (!this._unlistedSince.has(key)) this._unlistedSince.set(key, now)
