Tests: one harness for streams that callers continue

`StreamHarness` starts the engines of given versions and the gateways, kills and restarts them, and begins and continues streams; the cases and their checks are the same.

--- a/tests/processes/VersionsJoinedTests.ts
+++ b/tests/processes/VersionsJoinedTests.ts
@@ -1,9 +1,8 @@
 import { expect } from 'earl'
-import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
 import { callPlatform } from '../../tools/platform/PlatformCaller.js'
-import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
+import type { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 import { waitFor } from './GatewayHarness.js'
-import { beginStreams, continueStreams, getVersions } from './StreamHarness.js'
+import { getVersions, StreamHarness } from './StreamHarness.js'
 
 /** Number of streams that each test begins. */
 const STREAMS = 24
@@ -13,35 +12,25 @@
 
 // Streams held events of two software versions: gateways continued a stream at any target, whatever version had begun it.
 describe('gateways before targets of two software versions', () => {
+  let harness: StreamHarness
   let fixture: PlatformFixture
-  let gateways: GatewayProcess[]
-  let releaseTargets: () => void
 
   beforeEach(async () => {
-    fixture = new PlatformFixture()
-    await fixture.start({ engines: 4 })
-    for (const engine of fixture.engines.slice(2)) fixture.setEngineVersion(engine, 'v2')
-    for (const engine of fixture.engines.slice(0, 2)) fixture.setEngineVersion(engine, 'v1')
-    gateways = await Promise.all(Array.from({ length: GATEWAYS }, async (_, at) => await startGateway(at)))
-    await Promise.all(gateways.map(waitForPeers))
-    const gate = new Promise<void>(resolve => { releaseTargets = resolve })
-    for (const engine of fixture.engines) engine.gate = gate
+    harness = new StreamHarness()
+    await harness.start(['v1', 'v1', 'v2', 'v2'], GATEWAYS)
+    fixture = harness.fixture
   })
 
-  afterEach(async () => {
-    releaseTargets()
-    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
-    fixture.close()
-  })
+  afterEach(async () => { await harness.stop() })
 
   it('should continue a stream that a target breaks off at a target of the same version', async () => {
-    releaseTargets()
+    harness.releaseTargets()
     const responses = await Promise.all(Array.from({ length: STREAMS }, async (_, at) => {
       const engine = fixture.engines[at % 4]!
       engine.nextBehaviours.push('break-off')
       // Requests with the same body count as one that crashes its targets.
       const call = { id: `r-${at}`, path: '/turns/resumable/a', body: `in-${at}` }
-      return await callPlatform(gateways[at % GATEWAYS]!.callerAddress, call)
+      return await callPlatform(harness.gateways[at % GATEWAYS]!.callerAddress, call)
     }))
     expect(responses.map(response => getVersions(response.body).length)).toEqual(responses.map(() => 1))
     expect(responses.filter(response => response.isComplete).length >= STREAMS / 2).toEqual(true)
@@ -51,75 +40,69 @@
   it('should break a stream off, not complete it elsewhere, when no other target of its version serves', async () => {
     for (const engine of fixture.engines.slice(1, 3)) fixture.unregister(engine)
     await waitForTargets(2)
-    releaseTargets()
+    harness.releaseTargets()
     for (const engine of fixture.engines) engine.nextBehaviours.push('break-off')
-    const response = await callPlatform(gateways[0]!.callerAddress, { id: 'r', path: '/turns/resumable/a', body: 'in' })
+    const response = await callPlatform(harness.gateways[0]!.callerAddress, { id: 'r', path: '/turns/resumable/a', body: 'in' })
     expect([response.status, response.isComplete, getVersions(response.body).length]).toEqual([200, false, 1])
   })
 
   it('should continue the streams of a gateway that was killed at their versions, at the other gateways', async () => {
-    const streams = await beginStreams(STREAMS, [gateways[0]!])
+    const [first, ...others] = harness.gateways
+    const streams = await harness.beginStreams(STREAMS, [first!])
     await waitForOrigins()
-    await gateways[0]!.kill()
-    releaseTargets()
-    expect(await continueStreams({ fixture, streams, gateways: gateways.slice(1) })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    await first!.kill()
+    harness.releaseTargets()
+    expect(await harness.continueStreams(streams, { gateways: others })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue the streams of all gateways at their versions after all were killed at once', async () => {
-    const streams = await beginStreams(STREAMS, gateways)
+    const streams = await harness.beginStreams(STREAMS)
     await waitForOrigins()
-    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
-    gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
-    releaseTargets()
-    expect(await continueStreams({ fixture, streams, gateways })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    await harness.restartGateways()
+    harness.releaseTargets()
+    expect(await harness.continueStreams(streams)).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should continue streams at their versions while the store is away', async () => {
-    const streams = await beginStreams(STREAMS, gateways)
+    const streams = await harness.beginStreams(STREAMS)
     fixture.store.rows.failure = 'refused'
-    releaseTargets()
-    const [first, ...others] = gateways
+    harness.releaseTargets()
+    const [first, ...others] = harness.gateways
     const rotated = [...others, first!]
     // A caller's next try arrives at another gateway than its first one.
-    expect(await continueStreams({ fixture, streams, gateways: rotated })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+    expect(await harness.continueStreams(streams, { gateways: rotated })).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
   it('should refuse, as not run, a stream whose version no longer serves', async () => {
-    const streams = await beginStreams(STREAMS, gateways)
+    const streams = await harness.beginStreams(STREAMS)
     await waitForOrigins()
-    await Promise.all(gateways.map(async gateway => { await gateway.kill() }))
-    for (const engine of fixture.engines.slice(0, 2)) fixture.unregister(engine)
-    gateways = await Promise.all(gateways.map(async (_, at) => await startGateway(at)))
-    releaseTargets()
+    await harness.restartGateways({ whileDown: () => { for (const engine of fixture.engines.slice(0, 2)) fixture.unregister(engine) } })
+    harness.releaseTargets()
     const leftBehind = streams.filter(stream => stream.version === 'v1').length
     expect(leftBehind > 0).toEqual(true)
     const expected = { continued: STREAMS - leftBehind, joined: 0, refused: leftBehind }
-    expect(await continueStreams({ fixture, streams, gateways })).toEqual(expected)
+    expect(await harness.continueStreams(streams)).toEqual(expected)
   })
 
   it('should refuse, as not run, streams that their callers do not name', async () => {
-    const streams = await beginStreams(STREAMS, gateways)
-    releaseTargets()
-    expect(await continueStreams({ fixture, streams, gateways, isNamed: false })).toEqual({ continued: 0, joined: 0, refused: STREAMS })
+    const streams = await harness.beginStreams(STREAMS)
+    harness.releaseTargets()
+    expect(await harness.continueStreams(streams, { isNamed: false })).toEqual({ continued: 0, joined: 0, refused: STREAMS })
   })
 
   it('should refuse, as not run, a stream that no gateway and no row knows', async () => {
-    releaseTargets()
+    harness.releaseTargets()
     const unknown = ['r-1', 'r-2'].map(id => ({ id, version: 'v1', response: Promise.resolve(undefined as never) }))
-    expect(await continueStreams({ fixture, streams: unknown, gateways })).toEqual({ continued: 0, joined: 0, refused: 2 })
+    expect(await harness.continueStreams(unknown)).toEqual({ continued: 0, joined: 0, refused: 2 })
   })
 
   function getResumedRuns (): string[] {
     return fixture.engines.flatMap(engine => engine.runs.filter(run => run.headers['last-event-id'] !== undefined).map(run => run.id))
   }
 
-  async function startGateway (at: number): Promise<GatewayProcess> {
-    return await GatewayProcess.start({ id: `gateway-${at}`, storeAddress: fixture.storeAddress })
-  }
-
   async function waitForTargets (count: number): Promise<void> {
     const removed = fixture.engines.length - count
-    await waitFor(() => gateways.every(gateway => gateway.getEvents('target-removed').length === removed))
+    await waitFor(() => harness.gateways.every(gateway => gateway.getEvents('target-removed').length === removed))
   }
 
   /** Waits until the store holds the origin of each stream. */
@@ -130,7 +113,3 @@
     }
   }
 })
-
-async function waitForPeers (gateway: GatewayProcess): Promise<void> {
-  await waitFor(() => gateway.getEvents('peers-known').some(event => (event.peers as string[]).length === GATEWAYS))
-}
