Abort an attempt at its deadline also after a garbage collection

What callers saw: a response that stalled after its head stayed open far beyond its route's time limit; the caller waited until it gave up itself.

Cause: `Attempts` combined `AbortSignal.timeout` with the caller's signal by `AbortSignal.any`, which refers to its sources weakly. When the head has arrived nothing else refers to the time-out, and a garbage collection removes it with its timer. Existing tests of stalled responses end before garbage is collected.

Ruled out: back-pressure of the caller (nothing buffered, no drain awaited) and a write of the turn (it has a deadline of its own, and no end had been sent).

Change: `AttemptAbort` has a timer of its own, which is cleared when the attempt ends. Other uses of `AbortSignal.timeout` are passed to their call directly, and a listener keeps those alive.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -6,6 +6,7 @@
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { AttemptAbort } from './AttemptAbort.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
@@ -148,11 +149,11 @@
     if (state.limit.getPerSecond() !== undefined) metrics.limitedSends.inc()
     metrics.recordPrompt(cached, Math.max(0, call.promptTokens - cached))
     state.prefixCache.add(call.promptSegments)
-    const progress = this._track(placement, sentAt)
     // A request that may not be repeated runs to completion when its caller disconnects, because a half-made change can't be retried.
     const isDetached = route.kind === RouteKind.NonIdempotent
-    const timeoutSignal = AbortSignal.timeout(Math.max(1, Math.ceil(timeoutMs)))
-    const signal = isDetached ? timeoutSignal : AbortSignal.any([timeoutSignal, this._exchange.callerDisconnected])
+    const abort = new AttemptAbort({ timeoutMs, callerDisconnected: isDetached ? undefined : this._exchange.callerDisconnected })
+    const { signal } = abort
+    const progress = this._track(placement, sentAt, abort)
     try {
       const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
       // Without its id, a response may be a late copy of an earlier one on the same connection.
@@ -184,7 +185,7 @@
   }
 
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
-  private _track (placement: Placement, sentAt: number): { recordFirstChunk: () => void, finish: () => void } {
+  private _track (placement: Placement, sentAt: number, abort: AttemptAbort): { recordFirstChunk: () => void, finish: () => void } {
     const { clock } = this._context
     const { state, prefillMs, predictedMs } = placement
     state.recordStart(prefillMs)
@@ -198,6 +199,7 @@
     return {
       recordFirstChunk: () => { if (endPrefill()) state.recordResponse(Math.max(0, clock.now() - sentAt - predictedMs), clock.now()) },
       finish: () => {
+        abort.close()
         endPrefill()
         state.recordCompletion()
       }
--- a/src/io/gateway/index.ts
+++ b/src/io/gateway/index.ts
@@ -1,3 +1,4 @@
+export * from './AttemptAbort.js'
 export * from './Attempts.js'
 export * from './CacheLearner.js'
 export * from './BudgetRows.js'
