--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -12,7 +12,7 @@
 const hasTrouble = process.env.TROUBLE !== '0'
 const DOWN_MS = 4_500
 const HEARTBEAT_MS = 1_200
-const PROGRAMS_PER_S = 14
+const PROGRAMS_PER_S = 17
 const TURNS = 4
 const recorder = new Recorder(dirname(fileURLToPath(import.meta.url)))
 const store = new Store()
@@ -21,7 +21,7 @@
 
 function createEngine (id, zone) {
   return new Engine({
-    id, zone, service: 'models', store, run: async (req, res, turn) => { ran.add(turn.id); await stream(res, turn, { events: 10, gapMs: 40 }) }
+    id, zone, service: 'models', store, run: async (req, res, turn) => { ran.add(turn.id); await stream(res, turn, { events: 14, gapMs: 45 }) }
   })
 }
 
@@ -46,8 +46,13 @@
         const id = `a${++attempts}`
         const gateway = gateways[attempts % 2]
         const headers = {
-          'X-Request-Id': id, 'X-Program-Id': program, 'X-Session-Id': program, 'X-Token-Budget': '4000', 'X-Token-Usage': '1000,60',
-          'X-Timeout-Ms': '5000', 'X-Program-Deadline-Ms': String(Math.max(1, Math.round(deadline - performance.now()))),
+          'X-Request-Id': id,
+          'X-Program-Id': program,
+          'X-Session-Id': program,
+          'X-Token-Budget': '4000',
+          'X-Token-Usage': '1000,60',
+          'X-Timeout-Ms': '5000',
+          'X-Program-Deadline-Ms': String(Math.max(1, Math.round(deadline - performance.now()))),
           ...(previous === undefined ? {} : { 'X-Previous-Turn': previous })
         }
         const response = await call(gateway.callers, { path: '/chat/x', headers, body: input }).catch(err => ({ status: 0, error: err.code }))
@@ -62,19 +67,19 @@
   }
   const runProgram = async at => {
     // 2.9 times the time of the turns on idle engines, with the way of each, and the objective.
-    const deadline = performance.now() + 2.9 * TURNS * (440 + 94 + 150) + 300
+    const deadline = performance.now() + 2.9 * TURNS * (630 + 94 + 150) + 300
     let previous
     for (let turn = 0; turn < TURNS; turn++) {
-      const input = turn === 0 ? `Which spring fits movement ${at}?` : at % 3 === 0 ? `Tell me more about ${at}.${turn}` : 'continue'
+      const input = turn === 0 ? `Which spring fits movement ${at}?` : at % 4 === 0 ? `Tell me more about ${at}.${turn}` : 'continue'
       previous = await sendTurn(`p${at}`, { input, previous, deadline })
       if (previous === undefined) return
       await sleep(150)
     }
   }
   const programs = []
-  let isOpen = true
+  const state = { isOpen: true }
   const traffic = (async () => {
-    for (let at = 0; isOpen; at++) {
+    for (let at = 0; state.isOpen; at++) {
       programs.push(runProgram(at))
       await sleep(1_000 / PROGRAMS_PER_S)
     }
@@ -96,7 +101,7 @@
   } else await sleep(DOWN_MS)
   const calmAt = performance.now() + BOUNDS.contactMs
   await sleep(BOUNDS.contactMs + 6_000)
-  isOpen = false
+  state.isOpen = false
   await traffic
   await Promise.all(programs)
 
@@ -107,7 +112,7 @@
     await Promise.all(gateways.map(async gateway => { await gateway.exit; await gateway.start() }))
     await sleep(BOUNDS.contactMs)
     const before = turns.length
-    await Promise.all([1, 2, 4, 5, 7, 8].map(async at => { await runProgram(at + 100_000 * 3) }))
+    await Promise.all([1, 2, 3, 5, 6, 7].map(async at => { await runProgram(at + 400_000) }))
     const later = turns.slice(before).filter(turn => turn.input === 'continue')
     recorder.line(`after a restart of both gateways: ${later.length} turns with the input "continue", ${later.filter(turn => !turn.tries.some(id => ran.has(id))).length} reached no engine`)
   }
