--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -46,7 +46,8 @@
     bodies.set(turn.id, turn.body.toString())
     const isReset = hasBegun && engine.isInTrouble && ++engine.answers % RESET_EVERY === 0
     if (isReset) resets.add(turn.id)
-    const pieces = turn.path.startsWith('/chat') ? Array.from({ length: 6 }, (_, at) => `id: ${at + 1}\ndata: piece ${at + 1} of ${turn.id}\n\n`)
+    const pieces = turn.path.startsWith('/chat')
+      ? Array.from({ length: 6 }, (_, at) => `id: ${at + 1}\ndata: piece ${at + 1} of ${turn.id}\n\n`)
       : Array.from({ length: 6 }, (_, at) => `line ${at + 1} of ${turn.id}\n`)
     await writeUnframed(res, turn, pieces, isReset)
   }
--- a/review/4/run.mjs
+++ b/review/4/run.mjs
@@ -45,7 +45,10 @@
   await store.start()
   store.put('op', 'config', getConfig())
   const models = ['m1', 'm2', 'm3'].map(id => new Engine({
-    id, service: 'models', store, run: async (req, res, turn, engine) => {
+    id,
+    service: 'models',
+    store,
+    run: async (req, res, turn, engine) => {
       if (engine.id === 'm1' && isInTrouble) {
         recorder.line(`engine m1 answers ${turn.id} without end`)
         flood(res, turn)
@@ -57,13 +60,13 @@
   const gateways = [await Gateway.create('edge-1', store.address), await Gateway.create('edge-2', store.address)]
   await Promise.all(gateways.map(async gateway => { await gateway.start() }))
   await sleep(1_500)
-  let isOpen = true
+  const state = { isOpen: true }
   const ends = new Map(gateways.map(gateway => [gateway.id, 0]))
   // The platform: ends a process that exceeds its memory, and starts it again after a short delay.
   const supervise = async gateway => {
     let peakMb = 0
-    void gateway.exit.then(({ code, signal }) => { if (isOpen) recorder.line(`${gateway.id} ended: code ${code}, signal ${signal}`) })
-    while (isOpen) {
+    void gateway.exit.then(({ code, signal }) => { if (state.isOpen) recorder.line(`${gateway.id} ended: code ${code}, signal ${signal}`) })
+    while (state.isOpen) {
       await sleep(20)
       const mb = gateway.getResidentMb()
       if (mb !== undefined) peakMb = Math.max(peakMb, mb)
@@ -100,7 +103,7 @@
     }
   }
   const traffic = (async () => {
-    while (isOpen) {
+    while (state.isOpen) {
       calls.push(sendTurn(), sendCharge())
       await sleep(150)
     }
@@ -113,7 +116,7 @@
   for (const res of floods) res.destroy()
   recorder.line('engine m1 is sound')
   await sleep(2_000)
-  isOpen = false
+  state.isOpen = false
   await Promise.all(supervisors)
   await traffic
   await Promise.race([Promise.all(calls), sleep(8_000)])
--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -62,7 +62,9 @@
   const sent = results.filter(result => result.id !== undefined)
   const ran = new Set(desks.flatMap(desk => desk.runs.map(run => run.id)))
   // A charge counts if it was passed on, was sent over 3 s after the SIGTERM, and was cut before the limits of consumer and route.
-  const broken = sent.filter(({ id, charge, sentAt, tookMs }) => ran.has(id) && !charge.isComplete && sentAt - stoppedAt > 3_000 && tookMs < 6_000)
+  const broken = sent.filter(({ id, charge, sentAt, tookMs }) => {
+    return ran.has(id) && !charge.isComplete && sentAt - stoppedAt > 3_000 && tookMs < 6_000
+  })
   for (const { id, tookMs } of broken) recorder.line(`LOST broken: ${id} was passed on to an engine, and its channel ended without an answer after ${tookMs} ms`)
   recorder.line(`turns ${results.length}, charges ${sent.length}, passed on ${ran.size}, cut ${broken.length}`)
   exitCode = broken.length > 0 ? 1 : results.every(({ turn }) => turn.isComplete) && sent.every(({ charge }) => charge.isComplete) ? 0 : 2
--- a/review/harness/engine.mjs
+++ b/review/harness/engine.mjs
@@ -5,7 +5,8 @@
 
 export class Engine {
   /**
-   * @param options - `service`, `id`, `store`, `recorder`, and `run`, called as `run(req, res, call)` for each request that the engine runs.
+   * @param options - `service`, `id`, `store`, `recorder`, and `run`, called as `run(req, res, call, engine)` for each
+   * request that the engine runs.
    */
   constructor (options) {
     Object.assign(this, { slots: 12, zone: 'luzern', version: 'v1', born: Date.now(), runs: [], ...options })
@@ -24,7 +25,14 @@
   /** Writes the entry of the engine in the store. */
   register (state = 'ready') {
     this.store.put('servers', this.id, {
-      service: this.service, address: this.address, zone: this.zone, version: this.version, slots: this.slots, state, coldLeftMs: 0, callSeq: 0,
+      service: this.service,
+      address: this.address,
+      zone: this.zone,
+      version: this.version,
+      slots: this.slots,
+      state,
+      coldLeftMs: 0,
+      callSeq: 0,
       born: this.born
     })
   }
--- a/review/harness/store.mjs
+++ b/review/harness/store.mjs
@@ -75,7 +75,8 @@
       const after = Number(query.get('after'))
       const deadline = performance.now() + Math.min(30_000, Number(query.get('waitMs') ?? 0))
       for (;;) {
-        const rows = [...this._rows.values()].filter(row => row.table === table && row.rowVersion > after).sort((a, b) => a.rowVersion - b.rowVersion)
+        const rows = [...this._rows.values()].filter(row => row.table === table && row.rowVersion > after)
+        rows.sort((a, b) => a.rowVersion - b.rowVersion)
         const waitMs = deadline - performance.now()
         if (rows.length > 0 || waitMs <= 0) return { status: 200, body: { rows, rowVersion: this._version } }
         await new Promise(resolve => {
