Log what tells the causes of a response that ended early apart

The lines answer-broken-off and caller-disconnected named a cause and a duration only. They now give the time since the last byte in each direction, the bytes that were sent, and the version and age of the configuration. No logic is changed.

--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallProtocol, CallRequest, ResponseHead } from '../../core/forward/index.js'
 import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
-import type { Route } from '../../core/route/index.js'
+import type { ConfigHolder, Route } from '../../core/route/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
@@ -15,6 +15,7 @@
   readonly log: DecisionLog
   readonly metrics: GatewayMetrics
   readonly protocol: CallProtocol
+  readonly configs: ConfigHolder
   /** Checks whether the gateway is stopping, so that connections are closed after their response. */
   readonly isStopping: () => boolean
 }
@@ -44,6 +45,9 @@
   private readonly _callerDisconnected = new AbortController()
   /** True once this gateway has closed the connection of an incomplete response. */
   private _isAborted = false
+  private _lastReceivedAt: number | undefined
+  private _lastSentAt: number | undefined
+  private _sentBytes = 0
 
   constructor (options: ExchangeOptions) {
     const { context, call, route, res } = options
@@ -72,6 +76,11 @@
     return this._res.headersSent
   }
 
+  /** Records that bytes of the response have arrived from a target. */
+  recordReceived (): void {
+    this._lastReceivedAt = this._context.clock.now()
+  }
+
   /** Sends a target's complete response. */
   sendComplete (head: ResponseHead, body: Buffer): void {
     if (this._isClosed()) return
@@ -89,6 +98,8 @@
 
   /** Sends a chunk; resolves when the connection accepts more or is closed. */
   async write (bytes: Buffer): Promise<void> {
+    this._lastSentAt = this._context.clock.now()
+    this._sentBytes += bytes.length
     if (this._isClosed() || this._res.write(bytes)) return
     await new Promise<void>(resolve => {
       const done = (): void => {
@@ -108,10 +119,9 @@
 
   /** Closes the connection of a response that can't be completed, so that the caller doesn't take it for complete. */
   abort (cause: string): void {
-    const { log, metrics, clock } = this._context
+    const { log, metrics } = this._context
     metrics.addRefusal('answer-interrupted')
-    const tookMs = Math.round(clock.now() - this.startedAt)
-    log.warn('answer-broken-off', { req: this.call.id, program: this.call.program?.id, route: this.route.name, cause, tookMs })
+    log.warn('answer-broken-off', { req: this.call.id, program: this.call.program?.id, route: this.route.name, cause, ...this._getEndDetails() })
     this._isAborted = true
     this._res.destroy()
   }
@@ -130,10 +140,25 @@
   private _onDisconnected (): void {
     this._callerDisconnected.abort()
     if (this._isAborted) return
-    const { log, metrics, clock } = this._context
+    const { log, metrics } = this._context
     metrics.callerDisconnects.inc({ kind: this.route.kind })
-    const tookMs = Math.round(clock.now() - this.startedAt)
-    log.info('caller-disconnected', { req: this.call.id, program: this.call.program?.id, hasStarted: this.hasStarted(), tookMs })
+    log.info('caller-disconnected', { req: this.call.id, program: this.call.program?.id, hasStarted: this.hasStarted(), ...this._getEndDetails() })
+  }
+
+  /** Gets what tells the causes of a response that ended early apart. */
+  private _getEndDetails (): Record<string, number | undefined> {
+    const { clock, configs } = this._context
+    const now = clock.now()
+    const getAgeMs = (at: number | undefined): number | undefined => at === undefined ? undefined : Math.round(now - at)
+    return {
+      tookMs: Math.round(now - this.startedAt),
+      receivedMsAgo: getAgeMs(this._lastReceivedAt),
+      sentMsAgo: getAgeMs(this._lastSentAt),
+      sentBytes: this._sentBytes,
+      config: this.configVersion,
+      newestConfig: configs.get()?.config.version,
+      configAgeMs: getAgeMs(configs.getAppliedAt())
+    }
   }
 
   private _isClosed (): boolean {
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -196,8 +196,8 @@
       isStoreUnavailable: () => access.health.isUnavailable(),
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
-    const context = { clock, log, metrics, protocol, isStopping: () => this._isStopping }
-    this._server = new GatewayServer({ context, configs: this._configs, plain: new PlainForwarder(attempts), streams })
+    const context = { clock, log, metrics, protocol, configs: this._configs, isStopping: () => this._isStopping }
+    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
       access,
@@ -292,7 +292,7 @@
         log.warn('config-rejected', { row: row.version, problem })
       },
       Right: config => {
-        if (!this._configs.applyIfNewer(config)) return
+        if (!this._configs.applyIfNewer(config, this._options.clock.now())) return
         this._server.setLimits(config.limits)
         metrics.configVersion.set(config.version)
         log.info('config-adopted', { version: config.version, row: row.version, routes: config.routes.length })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Refusal } from '../../core/reason/index.js'
-import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
+import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
 import { listen, readBody } from '../http/index.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
@@ -35,7 +35,6 @@
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
   readonly context: ExchangeContext
-  readonly configs: ConfigHolder
   readonly plain: PlainForwarder
   readonly streams: StreamForwarder
 }
@@ -97,7 +96,7 @@
   }
 
   private async _handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { context, configs } = this._options
+    const { context } = this._options
     const head = { method: req.method ?? '', url: req.url ?? '', rawHeaders: req.rawHeaders }
     const decoded = context.protocol.decodeRequest(head)
     if (decoded.isLeft()) {
@@ -105,7 +104,7 @@
       return
     }
     const call = decoded.unsafeCoerce()
-    const routeTable = configs.get()
+    const routeTable = context.configs.get()
     if (routeTable === undefined) {
       this._refuse(req, res, call.id, { reason: 'not-ready', retryAfterSeconds: NOT_READY_RETRY_SECONDS })
       return
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -42,6 +42,7 @@
   let size = 0
   try {
     for await (const chunk of body) {
+      exchange.recordReceived()
       size += chunk.length
       if (size > MAX_RESPONSE_BYTES) {
         discard()
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -227,6 +227,7 @@
     const stallTimer = new StallTimer({ limitMs: stallMs, onStall: attempt.response.discard })
     try {
       for await (const chunk of body) {
+        exchange.recordReceived()
         for (const event of splitter.add(chunk)) {
           const hasData = event.data !== undefined
           if (hasData) stallTimer.stop()
--- a/tests/core/route/RouteTableTests.ts
+++ b/tests/core/route/RouteTableTests.ts
@@ -19,9 +19,9 @@
 describe('ConfigHolder', () => {
   it('should not apply an older version', () => {
     const holder = new ConfigHolder()
-    expect(holder.applyIfNewer(createConfig(7, []))).toEqual(true)
-    expect(holder.applyIfNewer(createConfig(4, []))).toEqual(false)
-    expect(holder.applyIfNewer(createConfig(7, []))).toEqual(false)
+    expect(holder.applyIfNewer(createConfig(7, []), 0)).toEqual(true)
+    expect(holder.applyIfNewer(createConfig(4, []), 0)).toEqual(false)
+    expect(holder.applyIfNewer(createConfig(7, []), 0)).toEqual(false)
     expect(holder.get()?.config.version).toEqual(7)
   })
 })
