--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -6,7 +6,7 @@
 const TRICKLE_INTERVAL_MS = 50
 
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'pause' | 'stall'
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -33,6 +33,8 @@
   events = ['first', 'second', 'third']
   /** Delays a stream after its first event until it resolves. */
   gate: Promise<void> = Promise.resolve()
+  /** Milliseconds for which a stream that pauses sends nothing after its first event. */
+  pauseMs = 0
   /** Milliseconds before each event of a stream but the first. */
   eventGapMs = 0
   private readonly _server: Server
@@ -101,6 +103,8 @@
       if (index === lastEventId + 1) await this.gate
       if (index > lastEventId && this.eventGapMs > 0) await sleep(this.eventGapMs)
       res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
+      if (behaviour === 'stall' && index === lastEventId) return
+      if (behaviour === 'pause' && index === lastEventId) await sleep(this.pauseMs)
       if (behaviour === 'trickle' && index === lastEventId) {
         // Sends bytes that complete no event, until the caller closes.
         const timer = setInterval(() => { res.write(':') }, TRICKLE_INTERVAL_MS)
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -16,6 +16,8 @@
 interface RouteOverrides {
   readonly timeoutMs?: number
   readonly maxAttempts?: number
+  /** Attempts of the route whose streams may be resumed. */
+  readonly resumableAttempts?: number
 }
 
 /** Store stand-in with a configuration and registered target stand-ins. */
@@ -38,14 +40,14 @@
   }
 
   /** Writes a new version of the configuration. */
-  configure (route: RouteOverrides = {}, extraPrefixes: readonly string[] = []): void {
+  configure ({ resumableAttempts = 2, ...route }: RouteOverrides = {}, extraPrefixes: readonly string[] = []): void {
     const base = { host: FIXTURE_HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 0, maxAttempts: 2, ...route }
     const stream = { ...base, kind: 'streaming', service: 'model', maxAttempts: 1, retentionS: 60, sessionAffinity: true, targetGapMs: 300 }
     this.store.put('op', 'config', {
       version: this._version++,
       routes: [
         { ...stream, name: 'kept', pathPrefix: '/turns/kept/', retained: true, resumable: false },
-        { ...stream, name: 'resumable', pathPrefix: '/turns/resumable/', maxAttempts: 2, retained: false, resumable: true },
+        { ...stream, name: 'resumable', pathPrefix: '/turns/resumable/', maxAttempts: resumableAttempts, retained: false, resumable: true },
         { ...stream, name: 'split', service: undefined, backends: SPLIT_BACKENDS, pathPrefix: '/turns/split/', retained: false, resumable: false },
         { ...base, name: 'lookup', pathPrefix: '/lookup/', kind: 'idempotent', service: 'desk' },
         { ...base, name: 'booking', pathPrefix: '/booking/', kind: 'non_idempotent', service: 'desk' },
