Keep the stream of a silent target until another target has accepted it

Cause: the response of the silent target was discarded first; only then the retry policy, the placement and the other target were asked whether the stream could go on. Class: giving up what can still succeed for something that isn't known to be possible.

Change: StreamHandover asks another target first, and ends the silent response when the other one's 200 has arrived; an event of the silent one cancels the other attempt. Without an attempt or a target the stream stays. AttemptAbort gets a third source. Log lines stream-moved, stream-went-on, and a counter by outcome.

--- a/src/io/gateway/AttemptAbort.ts
+++ b/src/io/gateway/AttemptAbort.ts
@@ -4,10 +4,12 @@
   readonly timeoutMs: number
   /** Aborted when the caller disconnects; undefined if the attempt goes on without its caller. */
   readonly callerDisconnected: AbortSignal | undefined
+  /** Aborted when the response is no longer needed. */
+  readonly cancelled?: AbortSignal | undefined
 }
 
 /**
- * Aborts an attempt at its deadline, or when its caller disconnects.
+ * Aborts an attempt at its deadline, when its caller disconnects or when it is cancelled.
  *
  * A timer of its own, because `AbortSignal.any` refers to its sources weakly: a garbage collection removes an `AbortSignal.timeout` among
  * them together with its timer (Node.js 20), and a response that stalls after its head then never ends.
@@ -21,8 +23,10 @@
   constructor (options: AttemptAbortOptions) {
     this._options = options
     this._timer = setTimeout(this._abort, Math.max(1, Math.ceil(options.timeoutMs)))
-    if (options.callerDisconnected?.aborted === true) this._abort()
-    else options.callerDisconnected?.addEventListener('abort', this._abort)
+    for (const signal of this._getSources()) {
+      if (signal.aborted) this._abort()
+      else signal.addEventListener('abort', this._abort)
+    }
   }
 
   /** Gets the signal for the request to the target. */
@@ -33,6 +37,11 @@
   /** Stops waiting when the attempt has ended. */
   close (): void {
     clearTimeout(this._timer)
-    this._options.callerDisconnected?.removeEventListener('abort', this._abort)
+    for (const signal of this._getSources()) signal.removeEventListener('abort', this._abort)
+  }
+
+  private _getSources (): AbortSignal[] {
+    const { callerDisconnected, cancelled } = this._options
+    return [callerDisconnected, cancelled].filter(signal => signal !== undefined)
   }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry } from '../../core/forward/index.js'
+import { decideRetry, type RetryDecision } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
@@ -83,22 +83,14 @@
 
   /** Gets the response of the next attempt; undefined when the request was refused or its caller has disconnected. */
   async next ({ body, lastEventId, stream }: AttemptRequest): Promise<Attempt | undefined> {
-    const { call, route, callerDisconnected } = this._exchange
+    const { callerDisconnected } = this._exchange
     for (;;) {
       if (callerDisconnected.aborted) return undefined
       if (this._context.suspects.isRefused(this._exchange.suspectDigest)) {
         this._refuse(this._runs > 0 ? 'attempts-failed' : 'crashes-targets')
         return undefined
       }
-      const placed = await this._context.limitedPlacer.place({
-        call,
-        route,
-        excluded: this._excluded,
-        warmTarget: this._options.warmTarget,
-        stream,
-        maxWaitMs: getMaxPermitWait(this._exchange, this._options.isInProgress ?? false),
-        isInProgress: hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
-      })
+      const placed = await this._place(stream)
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
         this._refuseUnplaced(placed, stream)
@@ -110,6 +102,39 @@
     }
   }
 
+  /**
+   * Gets the response of another target while the one of the latest attempt is still expected; undefined when none may or does continue.
+   *
+   * The request is never refused for it.
+   */
+  async askOther ({ body, lastEventId, stream }: AttemptRequest, cancelled: AbortSignal): Promise<Attempt | undefined> {
+    // The latest attempt counts as a run: its target may have generated all that the caller has received.
+    if (this._decideRetry(this._runs + 1).type !== 'retry' || this._context.suspects.isRefused(this._exchange.suspectDigest)) return undefined
+    const placed = await this._place(stream)
+    if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
+    const attempt = await this._send(placed.placement, body, lastEventId, cancelled)
+    if (attempt === undefined || attempt.response.head.status === 200) return attempt
+    attempt.response.discard()
+    attempt.finish()
+    this._recordRun(attempt.state, `status ${attempt.response.head.status} instead of 200 when the stream was resumed`)
+    return undefined
+  }
+
+  /** Records that a stream has moved from the target of an attempt to another one. */
+  recordMove (from: Attempt, to: Attempt, silentMs: number): void {
+    const { log, metrics } = this._context
+    this._recordRun(from.state, `no event for ${Math.round(silentMs)} ms`)
+    metrics.streamSilences.inc({ outcome: 'moved' })
+    log.info('stream-moved', { req: this._exchange.call.id, from: from.state.incarnation, target: to.state.incarnation, silentMs: Math.round(silentMs) })
+  }
+
+  /** Records that a stream went on by itself while another target was asked to continue it. */
+  recordGoingOn (attempt: Attempt, silentMs: number): void {
+    const { log, metrics } = this._context
+    metrics.streamSilences.inc({ outcome: 'went-on' })
+    log.info('stream-went-on', { req: this._exchange.call.id, target: attempt.state.incarnation, silentMs: Math.round(silentMs) })
+  }
+
   /** Records that the latest response could not be relayed; returns whether another target may be tried, and refuses the request if not. */
   handleFailure (attempt: Attempt, failure: ResponseFailure): boolean {
     const isAbortedLocally = this._exchange.callerDisconnected.aborted || this._exchange.getRemainingMs() <= 0
@@ -119,7 +144,23 @@
     return this._canRetry()
   }
 
-  private async _send (placement: Placement, body: Buffer | undefined, lastEventId: string | undefined): Promise<Attempt | undefined> {
+  private async _place (stream: BegunStream | undefined): Promise<LimitedPlacement> {
+    const { call, route } = this._exchange
+    const isInProgress = this._options.isInProgress ?? false
+    return await this._context.limitedPlacer.place({
+      call,
+      route,
+      excluded: this._excluded,
+      warmTarget: this._options.warmTarget,
+      stream,
+      maxWaitMs: getMaxPermitWait(this._exchange, isInProgress),
+      isInProgress: hasEarlierWork(this._exchange, isInProgress)
+    })
+  }
+
+  private async _send (
+    placement: Placement, body: Buffer | undefined, lastEventId: string | undefined, cancelled?: AbortSignal
+  ): Promise<Attempt | undefined> {
     const { clock, log, client, metrics } = this._context
     const { call, route, configVersion } = this._exchange
     const { state } = placement
@@ -151,7 +192,7 @@
     state.prefixCache.add(call.promptSegments)
     // A request that may not be repeated runs to completion when its caller disconnects, because a half-made change can't be retried.
     const isDetached = route.kind === RouteKind.NonIdempotent
-    const abort = new AttemptAbort({ timeoutMs, callerDisconnected: isDetached ? undefined : this._exchange.callerDisconnected })
+    const abort = new AttemptAbort({ timeoutMs, callerDisconnected: isDetached ? undefined : this._exchange.callerDisconnected, cancelled })
     const { signal } = abort
     const progress = this._track(placement, sentAt, abort)
     try {
@@ -238,17 +279,21 @@
 
   /** Checks whether another target may be tried; refuses the request if not. */
   private _canRetry (): boolean {
+    const decision = this._decideRetry(this._runs)
+    if (decision.type === 'retry') return true
+    this._refuse(decision.reason)
+    return false
+  }
+
+  private _decideRetry (runs: number): RetryDecision {
     const { route } = this._exchange
-    const decision = decideRetry({
+    return decideRetry({
       sends: this._dispatches,
-      runs: this._runs,
+      runs,
       isRepeatable: isRepeatable(route),
       maxAttempts: route.maxAttempts,
       remainingMs: this._exchange.getRemainingMs()
     })
-    if (decision.type === 'retry') return true
-    this._refuse(decision.reason)
-    return false
   }
 
   private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>, stream: BegunStream | undefined): void {
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -17,6 +17,7 @@
   readonly limitedSends = this._counter('wisteria_limited_sends_total', 'Requests sent to targets that limit their request rate.', [])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly originLookups = this._counter('wisteria_origin_lookups_total', 'Streams whose callers sent another try, by where their origin was found.', ['source'])
+  readonly streamSilences = this._counter('wisteria_stream_silences_total', 'Streams whose target sent no event for half of the time that callers wait, by whether another target took the stream over.', ['outcome'])
   readonly relayedCalls = this._counter('wisteria_store_calls_relayed_total', 'Calls of the store that went through a peer.', [])
   readonly loans = this._counter('wisteria_reserve_loans_total', 'Turns that asked for tokens of their program\'s reserve, by result.', ['result'])
   readonly droppedLines = this._counter('wisteria_log_lines_dropped_total', 'Log lines dropped because the reader was too slow.', [])
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -6,12 +6,12 @@
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
 import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
-import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
+import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext, type AttemptRequest } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
 import type { OriginStore } from './OriginStore.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
-import { StallTimer } from './StallTimer.js'
+import { StreamHandover, type StreamHandoverOptions } from './StreamHandover.js'
 import type { TurnStore } from './TurnStore.js'
 import type { VersionStore } from './VersionStore.js'
 
@@ -22,11 +22,11 @@
 const PREPARE_TIMEOUT_MS = 1_000
 
 /**
- * Share of the callers' maximum wait for an event after which a stream that may be resumed continues at another target.
+ * Share of the callers' maximum wait for an event after which another target is asked to continue a stream that may be resumed.
  *
  * The rest of the time is for that target's first event. The longest gap of a stream that is on time is at most a quarter of this share.
  */
-const STALL_SHARE = 0.5
+const SILENCE_SHARE = 0.5
 
 /** Milliseconds for which the origin of a stream is kept beyond the time that its caller has. */
 const ORIGIN_MARGIN_MS = 5_000
@@ -59,6 +59,15 @@
   stream: BegunStream | undefined
 }
 
+/** One attempt whose events are relayed. */
+interface StreamRelay {
+  readonly exchange: Exchange
+  readonly attempts: Attempts
+  readonly attempt: Attempt
+  readonly progress: StreamProgress
+  readonly handover: StreamHandover
+}
+
 /** Forwards requests whose response is a stream of events: the turns of programs. */
 export class StreamForwarder {
   private readonly _options: StreamForwarderOptions
@@ -194,12 +203,21 @@
       warmTarget: program === undefined ? undefined : budgets.getWarmTarget(program.id),
       isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id)
     })
+    const getRequest = (): AttemptRequest => ({ body: prompt, lastEventId: progress.lastEventId, stream: progress.stream })
+    let attempt = await attempts.next(getRequest())
     for (;;) {
-      const attempt = await attempts.next({ body: prompt, lastEventId: progress.lastEventId, stream: progress.stream })
       if (attempt === undefined) return
       const isStream = attempt.response.head.status === 200 || exchange.hasStarted()
-      const failure = isStream ? await this._relay(exchange, attempt, progress) : await relayBody(exchange, attempt)
+      const handover = this._createHandover(exchange, attempt, async signal => await attempts.askOther(getRequest(), signal))
+      const failure = isStream ? await this._relay({ exchange, attempts, attempt, progress, handover }) : await relayBody(exchange, attempt)
       attempt.finish()
+      const successor = handover.getSuccessor()
+      if (successor !== undefined) {
+        attempts.recordMove(attempt, successor, this._options.clock.now() - progress.lastEventAt)
+        this._options.attempts.metrics.addRetry('stream-resumed')
+        attempt = successor
+        continue
+      }
       if (failure === undefined && !isStream) return
       if (failure === undefined) {
         // Unspent tokens are released before the turn is saved, so that a slow store doesn't block other turns of the program.
@@ -209,11 +227,21 @@
       }
       if (!attempts.handleFailure(attempt, failure)) return
       if (progress.events > 0) this._options.attempts.metrics.addRetry('stream-resumed')
+      attempt = await attempts.next(getRequest())
     }
   }
 
-  /** Relays the events of one attempt; returns the failure that interrupted the stream, or undefined when it is complete. */
-  private async _relay (exchange: Exchange, attempt: Attempt, progress: StreamProgress): Promise<ResponseFailure | undefined> {
+  private _createHandover (exchange: Exchange, attempt: Attempt, askOther: StreamHandoverOptions['askOther']): StreamHandover {
+    return new StreamHandover({
+      limitMs: getCallerWaitMs(exchange.route) * SILENCE_SHARE,
+      askOther,
+      endCurrent: attempt.response.discard,
+      onError: err => { this._options.attempts.log.warn('stream-not-moved', { req: exchange.call.id, cause: err instanceof Error ? err.stack : String(err) }) }
+    })
+  }
+
+  /** Relays the events of one attempt; returns the failure that interrupted the stream, or undefined when it is complete or has moved. */
+  private async _relay ({ exchange, attempts, attempt, progress, handover }: StreamRelay): Promise<ResponseFailure | undefined> {
     const { head, body } = attempt.response
     const failure = head.status === 200 ? getHeadFailure(attempt) : `status ${head.status} instead of 200 when the stream was resumed`
     if (failure !== undefined) {
@@ -223,14 +251,14 @@
     const splitter = new EventSplitter()
     let isFirst = true
     const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
-    const stallMs = getCallerWaitMs(exchange.route) * STALL_SHARE
-    const stallTimer = new StallTimer({ limitMs: stallMs, onStall: attempt.response.discard })
     try {
       for await (const chunk of body) {
         exchange.recordReceived()
         for (const event of splitter.add(chunk)) {
+          // What the former target still sends would come twice.
+          if (handover.getSuccessor() !== undefined) return undefined
           const hasData = event.data !== undefined
-          if (hasData) stallTimer.stop()
+          if (hasData && handover.stop()) attempts.recordGoingOn(attempt, this._options.clock.now() - progress.lastEventAt)
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.recordFirstChunk()
           progress.stream ??= this._begin(exchange, attempt.state.target)
@@ -243,7 +271,7 @@
           if (event.id !== '') progress.lastEventId = event.id
           progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
-          if (hasData && isRepeatable(exchange.route)) stallTimer.start()
+          if (hasData && isRepeatable(exchange.route)) handover.start()
         }
         if (splitter.isTooLong()) {
           attempt.response.discard()
@@ -251,10 +279,11 @@
         }
       }
     } catch (err) {
-      if (stallTimer.hasStalled()) return { cause: `no event for ${stallMs} ms`, isConnectionLost: false }
+      await handover.settle()
+      if (handover.getSuccessor() !== undefined) return undefined
       return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true }
     } finally {
-      stallTimer.stop()
+      handover.stop()
     }
     if (splitter.getRemainder().length > 0 || progress.events === 0) return { cause: 'the stream ended within an event', isConnectionLost: true }
     return undefined
--- a/tests/processes/SilentTargetTests.ts
+++ b/tests/processes/SilentTargetTests.ts
@@ -66,6 +66,25 @@
     expect(countWhole(await sendStreams())).toEqual(STREAMS)
   })
 
+  it('should relay each event once when streams go on while the other target is asked', async () => {
+    const [first, second] = harness.fixture.engines
+    for (let index = 0; index < STREAMS; index++) {
+      first!.nextBehaviours.push('pause')
+      second!.nextBehaviours.push('hang')
+    }
+    const responses = await sendStreams()
+    const begun = new Set(first!.runs.map(run => run.id))
+    expect(begun.size > 0).toEqual(true)
+    expect(countWhole(responses.filter((_, index) => begun.has(`s${index}`)))).toEqual(begun.size)
+  })
+
+  it('should continue streams at the other target when theirs breaks off while it is asked', async () => {
+    const [first, second] = harness.fixture.engines
+    second!.headDelayMs = 600
+    for (let index = 0; index < STREAMS; index++) first!.nextBehaviours.push('pause-reset')
+    expect(countWhole(await sendStreams())).toEqual(STREAMS)
+  })
+
   it('should continue streams at the other target when theirs has died', async () => {
     const [first] = harness.fixture.engines
     for (let index = 0; index < STREAMS; index++) first!.nextBehaviours.push('stall')
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -6,7 +6,7 @@
 const TRICKLE_INTERVAL_MS = 50
 
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'pause' | 'stall'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'pause' | 'pause-reset' | 'stall'
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -35,6 +35,8 @@
   gate: Promise<void> = Promise.resolve()
   /** Milliseconds for which a stream that pauses sends nothing after its first event. */
   pauseMs = 0
+  /** Milliseconds before the head of each response. */
+  headDelayMs = 0
   /** Milliseconds before each event of a stream but the first. */
   eventGapMs = 0
   private readonly _server: Server
@@ -80,6 +82,7 @@
 
   private async _respond (run: EngineRun, res: ServerResponse, behaviour: EngineBehaviour): Promise<void> {
     if (behaviour === 'hang') return
+    if (this.headDelayMs > 0) await sleep(this.headDelayMs)
     if (behaviour === 'reset') {
       res.destroy()
       return
@@ -104,7 +107,11 @@
       if (index > lastEventId && this.eventGapMs > 0) await sleep(this.eventGapMs)
       res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
       if (behaviour === 'stall' && index === lastEventId) return
-      if (behaviour === 'pause' && index === lastEventId) await sleep(this.pauseMs)
+      if (behaviour.startsWith('pause') && index === lastEventId) await sleep(this.pauseMs)
+      if (behaviour === 'pause-reset' && index === lastEventId) {
+        res.destroy()
+        return
+      }
       if (behaviour === 'trickle' && index === lastEventId) {
         // Sends bytes that complete no event, until the caller closes.
         const timer = setInterval(() => { res.write(':') }, TRICKLE_INTERVAL_MS)
