Skip odd rows alone, in every table that a gateway reads

Cause: rows decoded by a cast, and background loops that end with any error but a StoreError. Class: data of other writers that is trusted.

Change: one decoder with schemas (decodeRow) for all rows, with ranges for ports, addresses, numbers, names and ids; a budget that can't be decoded is unreadable, not empty; listeners, loops and tasks log unexpected errors and go on. Looked for the class elsewhere: the lists of targets' caches are parsed by a schema inside a try; trpc inputs have schemas; bodies of callers are not parsed.

--- a/src/core/budget/BudgetRow.ts
+++ b/src/core/budget/BudgetRow.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto'
-import type { RowKey, StoredRow } from '../platform/index.js'
+import { z } from 'zod'
+import { decodeRowOrThrow, type RowKey, type StoredRow } from '../platform/index.js'
 
 /** Table of programs' budgets. */
 export const BUDGET_TABLE = 'budgets'
@@ -28,9 +29,13 @@
   return Buffer.from(JSON.stringify(row))
 }
 
-/** Decodes a budget from its row. */
+const TOKENS = z.int().min(0)
+
+const BUDGET = z.object({ granted: z.record(z.string(), TOKENS), target: z.string().optional(), reserveSpent: TOKENS.optional() })
+
+/** Decodes a budget from its row, or throws a `RowDecodeError`: without the grants, no token may be granted. */
 export function decodeBudgetRow (row: StoredRow): BudgetRow {
-  return JSON.parse(Buffer.from(row.value).toString('utf8')) as BudgetRow
+  return decodeRowOrThrow(row, BUDGET)
 }
 
 /** Gets the sum of the tokens granted to all holders. */
--- a/src/core/origin/OriginRows.ts
+++ b/src/core/origin/OriginRows.ts
@@ -1,5 +1,6 @@
 import { createHash } from 'node:crypto'
-import type { RowKey, RowPut, RowRange, StoredRow } from '../platform/index.js'
+import { z } from 'zod'
+import { decodeRow, type RowKey, type RowPut, type RowRange, type StoredRow } from '../platform/index.js'
 import type { StreamOrigin } from './StreamOrigin.js'
 
 /** Table of the origins of streams. */
@@ -34,8 +35,10 @@
   return Buffer.from(JSON.stringify([service, softwareVersion]))
 }
 
-/** Decodes the service and version in a row. */
-export function fromOriginRow (row: StoredRow): StreamOrigin {
-  const [service, softwareVersion] = JSON.parse(Buffer.from(row.value).toString('utf8')) as [string, string]
-  return { service, softwareVersion }
+const ORIGIN = z.tuple([z.string(), z.string()])
+
+/** Decodes the service and version in a row; undefined if it has none. */
+export function fromOriginRow (row: StoredRow): StreamOrigin | undefined {
+  const origin = decodeRow(row, ORIGIN)
+  return origin === undefined ? undefined : { service: origin[0], softwareVersion: origin[1] }
 }
--- a/src/core/origin/ServedVersions.ts
+++ b/src/core/origin/ServedVersions.ts
@@ -27,7 +27,7 @@
  * The rows contain versions whose targets have left, and the list those whose rows are being written.
  */
 export function findOnlyVersion (service: string, rows: readonly StoredRow[], listed: readonly StreamOrigin[]): StreamOrigin | undefined {
-  const [stored, ...others] = rows.map(fromOriginRow).filter(origin => origin.service === service)
+  const [stored, ...others] = rows.map(fromOriginRow).filter(origin => origin?.service === service)
   if (stored === undefined || others.length > 0) return undefined
   const ofService = listed.filter(origin => origin.service === service)
   return ofService.every(origin => origin.softwareVersion === stored.softwareVersion) ? stored : undefined
--- a/src/core/peer/PeerRow.ts
+++ b/src/core/peer/PeerRow.ts
@@ -1,4 +1,5 @@
-import type { RowKey, StoredRow } from '../platform/index.js'
+import { z } from 'zod'
+import { decodeRow, HOST_AND_PORT, type RowKey, type StoredRow } from '../platform/index.js'
 
 /** Table in which gateways register the addresses that their peers connect to. */
 export const PEER_TABLE = 'gateways'
@@ -21,8 +22,10 @@
   return Buffer.from(JSON.stringify({ address: peer.address, failureDomain: peer.failureDomain }))
 }
 
-/** Decodes a peer from its row. */
-export function decodePeer (row: StoredRow): Peer {
-  const { address, failureDomain } = JSON.parse(Buffer.from(row.value).toString('utf8')) as Omit<Peer, 'id'>
-  return { id: row.key, address, failureDomain }
+const PEER = z.object({ address: HOST_AND_PORT, failureDomain: z.string() })
+
+/** Decodes a peer from its row; undefined if the row is no registration. */
+export function decodePeer (row: StoredRow): Peer | undefined {
+  const peer = decodeRow(row, PEER)
+  return peer === undefined || row.key === '' ? undefined : { id: row.key, ...peer }
 }
--- a/src/core/reserve/HandoverRow.ts
+++ b/src/core/reserve/HandoverRow.ts
@@ -1,4 +1,5 @@
-import type { RowKey, StoredRow } from '../platform/index.js'
+import { z } from 'zod'
+import { decodeRow, type RowKey, type StoredRow } from '../platform/index.js'
 
 /** Table in which a gateway that stops leaves the state of its reserves to the next process with the same id. */
 export const HANDOVER_TABLE = 'reserve-handovers'
@@ -28,7 +29,14 @@
   return Buffer.from(JSON.stringify(row))
 }
 
-/** Decodes a handover row. */
-export function decodeHandover (row: StoredRow): HandoverRow {
-  return JSON.parse(Buffer.from(row.value).toString('utf8')) as HandoverRow
+const RESERVE = z.object({ spent: z.int().min(0), isClosed: z.boolean() })
+
+const HANDOVER = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('left'), state: z.record(z.string(), RESERVE) }),
+  z.object({ type: z.literal('taken'), incarnation: z.string() })
+])
+
+/** Decodes a handover row; undefined if the row is none, so that nothing is known of earlier loans. */
+export function decodeHandover (row: StoredRow): HandoverRow | undefined {
+  return decodeRow(row, HANDOVER)
 }
--- a/src/core/reserve/ReserveSlots.ts
+++ b/src/core/reserve/ReserveSlots.ts
@@ -8,6 +8,9 @@
 /** Number of slots over which programs are distributed; several times the number of gateways, so that gateways hold similar shares. */
 export const RESERVE_SLOTS = 256
 
+/** All slots. */
+const SLOTS: ReadonlySet<string> = new Set(Array.from({ length: RESERVE_SLOTS }, (_, slot) => String(slot)))
+
 /** Maximum number of slots that one transaction claims; the store accepts up to 100 rows. */
 const CLAIMS_PER_TRANSACTION = 100
 
@@ -24,9 +27,9 @@
   return { table: RESERVE_TABLE, part: '', key: slot }
 }
 
-/** Decodes the holders from the rows of the table. */
+/** Decodes the holders from the rows of the table; rows that name no slot are ignored. */
 export function decodeHolders (rows: readonly StoredRow[]): SlotHolders {
-  return new Map(rows.map(row => [row.key, Buffer.from(row.value).toString('utf8')]))
+  return new Map(rows.filter(row => SLOTS.has(row.key)).map(row => [row.key, Buffer.from(row.value).toString('utf8')]))
 }
 
 /**
--- a/src/io/gateway/BudgetRows.ts
+++ b/src/io/gateway/BudgetRows.ts
@@ -3,7 +3,7 @@
   decodeBudgetRow, encodeBudgetRow, getBudgetKey, getGrantableTokens, planGrant, planReserveClosing, planReturn,
   type BudgetAccount, type BudgetRow
 } from '../../core/budget/index.js'
-import { StoreError, StoreFailure, type PartitionHealth, type RowKey, type StoredRow } from '../../core/platform/index.js'
+import { RowDecodeError, StoreError, StoreFailure, type PartitionHealth, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import type { BudgetPeers } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { ReservationRequest } from './BudgetStore.js'
@@ -48,7 +48,7 @@
 
   /** Requests from the store the tokens that an account lacks for a turn. */
   async grant (account: BudgetAccount, req: ReservationRequest): Promise<Grant> {
-    const { clock, access, partitions } = this._options
+    const { clock, access, partitions, log } = this._options
     const key = getBudgetKey(req.program)
     let deadline = Math.min(req.deadline, clock.now() + GRANT_TRY_MS)
     try {
@@ -75,7 +75,8 @@
       if (!(err instanceof StoreError)) throw err
       account.row = { isKnown: false }
       access.recordRetry(err)
-      partitions.recordFailure(key.part, clock.now())
+      if (err instanceof RowDecodeError) log.warn('budget-row-rejected', { req: req.req, program: req.program, cause: err.message })
+      else partitions.recordFailure(key.part, clock.now())
       return Grant.Unreadable
     }
   }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -233,11 +233,11 @@
     void this._targetWatch.run()
     void this._suspectWatch.run()
     void periodic(EXPIRY_CHECK_MS).observe(() => {
-      void this._turns.removeExpired()
-      void this._origins.removeExpired()
+      this._runInBackground('turns', async () => { await this._turns.removeExpired() })
+      this._runInBackground('origins', async () => { await this._origins.removeExpired() })
     })
-    void periodic(RETIRE_CHECK_MS).observe(() => { void this._versions.update() })
-    void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
+    void periodic(RETIRE_CHECK_MS).observe(() => { this._runInBackground('versions', async () => { await this._versions.update() }) })
+    void periodic(RETURN_CHECK_MS).observe(() => { this._runInBackground('budgets', async () => { await this._budgets.returnUnused() }) })
     const peers = await this._peers.listen(listen.peers)
     void this._directory.run({ id, address: peers, failureDomain })
     return {
@@ -283,6 +283,13 @@
     log.info('stopped', { inProgress: this._server.getInProgress(), tookMs: Math.round(clock.now() - startedAt) })
   }
 
+  /** Runs a task that no request waits for; an unexpected error is logged, and does not end the process. */
+  private _runInBackground (task: string, run: () => Promise<void>): void {
+    run().catch((err: unknown) => {
+      this._options.log.warn('background-task-failed', { task, cause: err instanceof Error ? err.stack : String(err) })
+    })
+  }
+
   private _applyConfig (row: StoredRow): void {
     const { tables, log, metrics } = this._options
     if (row.key !== tables.configKey) return
--- a/src/io/gateway/OriginStore.ts
+++ b/src/io/gateway/OriginStore.ts
@@ -4,7 +4,7 @@
 import {
   fromOriginRow, getOriginKey, getOriginRange, OriginLedger, OriginQueue, toOriginRow, type OriginBatch, type StreamOrigin
 } from '../../core/origin/index.js'
-import { StoreError } from '../../core/platform/index.js'
+import { RowDecodeError, StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
 import type { OriginPeers } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -115,7 +115,10 @@
     const { access, clock } = this._options
     try {
       const { rows } = await access.readOnce(getOriginRange(stream), Math.min(deadline, clock.now() + READ_TIMEOUT_MS))
-      return Right(rows.map(fromOriginRow)[0])
+      const [row] = rows
+      if (row === undefined) return Right(undefined)
+      const origin = fromOriginRow(row)
+      return origin === undefined ? Left(new RowDecodeError(row)) : Right(origin)
     } catch (err) {
       if (err instanceof StoreError) return Left(err)
       throw err
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -52,7 +52,7 @@
         if (this._options.clock.now() - this._readAt > REREAD_MS) await this._readAll()
         await this._watch()
       } catch (err) {
-        if (!(err instanceof StoreError)) throw err
+        if (!(err instanceof StoreError)) this._logFailure(err)
         await sleep(RETRY_MS)
       }
     }
@@ -73,11 +73,25 @@
     this._stop.abort()
   }
 
+  /** Runs a listener; a row that it can't handle doesn't end the following of the table. */
+  private _notify (listener: () => void): void {
+    try {
+      listener()
+    } catch (err) {
+      this._logFailure(err)
+    }
+  }
+
+  private _logFailure (err: unknown): void {
+    const { log, table } = this._options
+    log.warn('watch-failed', { table, version: this._version, cause: err instanceof Error ? err.stack : String(err) })
+  }
+
   private async _readAll (): Promise<void> {
     const { access, clock, table } = this._options
     const startedAt = clock.now()
     const { rows, version } = await access.read({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
-    this._options.onRows(rows)
+    this._notify(() => { this._options.onRows(rows) })
     this._version = version
     this._readAt = startedAt
     this._confirmedAt = startedAt
@@ -92,7 +106,7 @@
       this._readAt = -Infinity
       return
     }
-    for (const change of feed.changes) this._options.onChange(change)
+    for (const change of feed.changes) this._notify(() => { this._options.onChange(change) })
     this._version = feed.version
     this._confirmedAt = startedAt
   }
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -38,6 +38,7 @@
 export class PeerDirectory {
   private readonly _options: PeerDirectoryOptions
   private _peerCount = 0
+  private _rejectedRows = 0
 
   constructor (options: PeerDirectoryOptions) {
     this._options = options
@@ -69,7 +70,10 @@
   private async _read (isSettled: boolean, hasPredecessor: boolean): Promise<void> {
     const { store, ranking, log, onPeers } = this._options
     const { rows } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
-    const peers = rows.map(decodePeer)
+    const peers = rows.map(decodePeer).filter(peer => peer !== undefined)
+    const rejected = rows.length - peers.length
+    if (rejected !== this._rejectedRows) log.warn('peer-rows-rejected', { rows: rows.filter(row => decodePeer(row) === undefined).map(row => row.key) })
+    this._rejectedRows = rejected
     ranking.setPeers(peers)
     if (peers.length !== this._peerCount) log.info('peers-known', { peers: peers.map(peer => peer.id) })
     this._peerCount = peers.length
@@ -82,7 +86,7 @@
         await step()
         return
       } catch (err) {
-        if (!(err instanceof StoreError)) throw err
+        if (!(err instanceof StoreError)) this._options.log.warn('peer-list-failed', { cause: err instanceof Error ? err.stack : String(err) })
         await sleep(RETRY_INTERVAL_MS)
       }
     }
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -1,4 +1,10 @@
 import { expect } from 'earl'
+import fc from 'fast-check'
+import { decodeBudgetRow } from '../../src/core/budget/index.js'
+import { fromOriginRow } from '../../src/core/origin/index.js'
+import { decodePeer } from '../../src/core/peer/index.js'
+import { RowDecodeError, type StoredRow } from '../../src/core/platform/index.js'
+import { decodeHandover, decodeHolders } from '../../src/core/reserve/index.js'
 import { decodeConfig } from '../../platform/decodeConfig.js'
 import { decodeTarget } from '../../platform/decodeTarget.js'
 
@@ -19,6 +25,48 @@
     const broken = ['no JSON', '[]', {}, ...changes.map(change => ({ ...registration, ...change }))]
     for (const value of broken) expect(decode(value)).toEqual(undefined)
   })
+
+  it('should skip registrations that name no address, or numbers and names that no target has', () => {
+    const addresses = ['10.0.0.1:70000', '10.0.0.1:0', '10.0.0.1:', '10.0.0.1:1:2', '256.0.0.1:80', '10.0.0:80', '1.2.3.4.5:80', `10.0.0.1:${'9'.repeat(30)}`]
+    const changes = [{ slots: 9e15 }, { slots: 1e300 }, { born: 1e300 }, { born: -1 }, { version: 'v'.repeat(300) }, { zone: [] }, ...addresses.map(address => ({ address }))]
+    for (const change of changes) expect([change, decode({ ...registration, ...change })]).toEqual([change, undefined])
+  })
+
+  it('should skip ids that no header can name', () => {
+    for (const key of ['', ' ', 'a b', 'line\nbreak', '\u0000', 'ünï']) {
+      expect(decodeTarget({ table: 'servers', part: '', key, value: toBytes(registration), version: 1 })).toEqual(undefined)
+    }
+  })
+})
+
+describe('the decoders of rows', () => {
+  const decoders: ReadonlyArray<(row: StoredRow) => unknown> = [
+    decodeTarget, row => decodeConfig(row.value), decodePeer, fromOriginRow, decodeHandover, row => decodeHolders([row])
+  ]
+  const texts = fc.oneof(
+    fc.json({ maxDepth: 4 }),
+    fc.string(),
+    fc.nat(30_000).map(depth => '['.repeat(depth) + ']'.repeat(depth)),
+    fc.constantFrom('1e400', '{"granted":{"a":1e400}}', '{"type":"left","state":{"p":{"spent":-1,"isClosed":0}}}', '["s"]', '{"__proto__":{"granted":{}}}')
+  )
+  const values = fc.oneof(texts.map(text => Buffer.from(text)), fc.uint8Array({ maxLength: 300 }).map(bytes => Buffer.from(bytes)))
+
+  it('should never throw, whatever another writer has left', () => {
+    fc.assert(fc.property(fc.string(), values, (key, value) => {
+      for (const decode of decoders) decode({ table: 't', part: '', key, value, version: 1 })
+    }), { seed: 31, numRuns: 1_000 })
+  })
+
+  it('should report a budget that they cannot decode as unreadable, and not as empty', () => {
+    fc.assert(fc.property(values, value => {
+      try {
+        const { granted } = decodeBudgetRow({ table: 't', part: '', key: 'p', value, version: 1 })
+        expect(Object.values(granted).every(tokens => Number.isSafeInteger(tokens) && tokens >= 0)).toEqual(true)
+      } catch (err) {
+        expect(err instanceof RowDecodeError).toEqual(true)
+      }
+    }), { seed: 31, numRuns: 1_000 })
+  })
 })
 
 describe('decodeConfig', () => {
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -120,6 +120,11 @@
     return await this._exited
   }
 
+  /** Checks whether the process has ended. */
+  hasExited (): boolean {
+    return this._child.exitCode !== null || this._child.signalCode !== null
+  }
+
   /** Kills the process and removes its settings folder. */
   async kill (): Promise<void> {
     this.signal('SIGKILL')
