Send a request that its address has received before on a connection of its own

Cause: a response is matched by the id of its request, and the id was taken as unique on a connection. It is not: when two targets are listed at one address (an instance that is gone and its successor, until the row is removed), a request that the first one refused is sent to the same address again, with the same id, and often on the same kept connection. A second copy of the refusal then has the very id of the request that is running. Class: proof that is matched by the request instead of by the try. It was rarely seen because the pool opens another connection for a try that follows at once; a try that waits for a permit meets the idle one.

Change: `Attempts` remembers the addresses that have received the request; `TargetClient` sends a repeated one through an agent whose connections carry one request each. No earlier response can arrive there.

Looked for elsewhere: a refusal with another id or none counts as no answer (`Attempts`, id before `isNotRun`); a copy that arrives while no request waits closes the connection (new test; it passed before). Other clients of a gateway (store, peers) have no such proofs.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -71,6 +71,8 @@
   private readonly _context: AttemptContext
   private readonly _exchange: Exchange
   private readonly _excluded = new Set<string>()
+  /** Addresses that have received the request; several targets may be listed at one address. */
+  private readonly _addresses = new Set<string>()
   private readonly _options: AttemptsOptions
   private _dispatches = 0
   private _runs = 0
@@ -127,6 +129,8 @@
     const timeoutMs = this._exchange.getRemainingMs()
     this._dispatches++
     this._excluded.add(state.incarnation)
+    const isRepeated = this._addresses.has(state.target.address)
+    this._addresses.add(state.target.address)
     log.info('dispatched', {
       req: call.id,
       route: route.name,
@@ -155,7 +159,7 @@
     const { signal } = abort
     const progress = this._track(placement, sentAt, abort)
     try {
-      const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
+      const response = await client.send({ call, body, signal, isRepeated, dispatch: { target: state.target, timeoutMs, lastEventId } })
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
         response.discard()
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -43,20 +43,16 @@
   readonly dispatch: DispatchOptions
   readonly body: Buffer | undefined
   readonly signal: AbortSignal
+  /** True when the address has received the request before; a late copy of its first response has the same id. */
+  readonly isRepeated: boolean
 }
 
 /** Sends requests to targets, one at a time on a connection. */
 export class TargetClient {
   private readonly _protocol: CallProtocol
-  private readonly _agent = new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
-    keepAliveTimeout: UNANNOUNCED_KEEP_ALIVE_MS,
-    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    headersTimeout: 0,
-    bodyTimeout: 0,
-    pipelining: 1
-  })
+  private readonly _agent = createAgent()
+  /** Its connections carry one request each, so that no response to an earlier one can arrive. */
+  private readonly _singleUseAgent = createAgent()
 
   constructor (protocol: CallProtocol) {
     this._protocol = protocol
@@ -64,16 +60,18 @@
 
   /** Sends a request and resolves when the head of the response has arrived; rejects with a {@link TargetError}. */
   async send (request: TargetRequest): Promise<TargetResponse> {
-    const { call, dispatch, body, signal } = request
+    const { call, dispatch, body, signal, isRepeated } = request
     const handler = new ResponseHandler(signal)
     try {
       // The agent sends the path unchanged; a URL object would normalize it.
-      this._agent.dispatch({
+      const agent = isRepeated ? this._singleUseAgent : this._agent
+      agent.dispatch({
         origin: `http://${dispatch.target.address}`,
         path: call.requestTarget,
         method: call.method as Dispatcher.HttpMethod,
         headers: this._protocol.getTargetHeaders(call, dispatch),
-        body: body ?? null
+        body: body ?? null,
+        ...(isRepeated ? { reset: true } : {})
       }, handler)
       const response = await handler.response
       return { head: this._protocol.decodeResponse(response.status, response.headers), body: response.body, discard: response.abort }
@@ -84,10 +82,22 @@
 
   /** Closes all connections. */
   async close (): Promise<void> {
-    await this._agent.destroy()
+    await Promise.all([this._agent.destroy(), this._singleUseAgent.destroy()])
   }
 }
 
+function createAgent (): Agent {
+  return new Agent({
+    connect: { timeout: CONNECT_TIMEOUT_MS },
+    keepAliveTimeout: UNANNOUNCED_KEEP_ALIVE_MS,
+    keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    pipelining: 1
+  })
+}
+
 function isConnectError (err: unknown): boolean {
   const code = (err as { code?: string } | undefined)?.code
   return err instanceof errors.ConnectTimeoutError || code === 'ECONNREFUSED' || code === 'EHOSTUNREACH'
--- a/tests/processes/RawTarget.ts
+++ b/tests/processes/RawTarget.ts
@@ -1,5 +1,5 @@
 import { createServer, type AddressInfo, type Server, type Socket } from 'node:net'
-import { GatewayHarness } from './GatewayHarness.js'
+import { GatewayHarness, waitFor } from './GatewayHarness.js'
 
 /** A request as received on a connection. */
 export interface RawRequest {
@@ -48,6 +48,13 @@
 export class RawTargetHarness extends GatewayHarness {
   readonly target = new RawTarget()
 
+  /** Starts the target and registers all plain services at its address. */
+  async startDesks (onRequest: (socket: Socket, request: RawRequest) => void): Promise<void> {
+    await this.target.start(onRequest)
+    this.fixture.replaceDesks(this.target.address)
+    await waitFor(() => this.gateway.getEvents('target-changed').length >= this.fixture.desks.length)
+  }
+
   override async stop (): Promise<void> {
     this.target.close()
     await super.stop()
