Close a connection that delivers the response to another request

What callers saw: after one late copy of a refusal on a kept connection, each following request on that connection was answered 502 although its target ran it, one after the other.

Cause: a response with another id was discarded, but discarding does nothing once a response is complete, and a refusal without a body is complete together with its head. The connection went back to the pool; the true response came next and was read as that of the next request, and so on. Class: a connection of which it is not known what it will deliver is used again.

Change: `ResponseHandler` decodes the head as it arrives and closes the connection at once when it belongs to another request, before the response can be complete. The request that met the copy is still answered 502 if it can't be repeated: its target may run it.

Looked for elsewhere: other discards (unsigned, encoded, unproved refusals) concern the response to the request itself, so a complete one leaves the connection in order.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -11,9 +11,10 @@
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
 import type { Placer } from './Placer.js'
+import type { TargetResponse } from './ResponseHandler.js'
 import type { SuspectStore } from './SuspectStore.js'
 import type { TargetLimits } from './TargetLimits.js'
-import { TargetError, type TargetClient, type TargetResponse } from './TargetClient.js'
+import { TargetError, type TargetClient } from './TargetClient.js'
 
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
 const RETRY_AFTER_SECONDS = 0.3
--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -1,4 +1,5 @@
 import type { Dispatcher } from 'undici'
+import type { ResponseHead } from '../../core/forward/index.js'
 
 /** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
 const MAX_BUFFERED_BYTES = 65_536
@@ -6,21 +7,29 @@
 /** Interim responses (status 1xx) that are accepted before the response. */
 const MAX_INTERIM_RESPONSES = 16
 
-/** A response as received, with its body as a stream. */
-export interface RawResponse {
-  readonly status: number
-  /** Names and values alternating. */
-  readonly headers: readonly string[]
+/** A response whose head has arrived. */
+export interface TargetResponse {
+  readonly head: ResponseHead
   readonly body: AsyncIterable<Buffer>
-  readonly abort: () => void
+  /** Discards the rest of the response and closes its connection. */
+  readonly discard: () => void
+}
+
+/** Options of {@link ResponseHandler}. */
+export interface ResponseHandlerOptions {
+  /** Id of the request, which its response states. */
+  readonly requestId: string
+  readonly signal: AbortSignal
+  /** Decodes the head of a response; headers are names and values in alternation. */
+  readonly decode: (status: number, headers: readonly string[]) => ResponseHead
 }
 
 /** Receives one response: its head as a promise, its body as an iterable with back-pressure. */
 export class ResponseHandler implements Dispatcher.DispatchHandler {
   /** True as soon as the request may have been written to a connection. */
   isSent = false
-  readonly response: Promise<RawResponse>
-  private _resolve: (response: RawResponse) => void = () => {}
+  readonly response: Promise<TargetResponse>
+  private _resolve: (response: TargetResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
   private _controller: Dispatcher.DispatchController | undefined
   private _interimResponses = 0
@@ -29,11 +38,12 @@
   private _isComplete = false
   private _err: Error | undefined
   private _wakeReader: () => void = () => {}
-  private readonly _signal: AbortSignal
+  private readonly _options: ResponseHandlerOptions
   private readonly _onAbort = (): void => { this._abort(new Error('The request was aborted.')) }
 
-  constructor (signal: AbortSignal) {
-    this._signal = signal
+  constructor (options: ResponseHandlerOptions) {
+    const { signal } = options
+    this._options = options
     this.response = new Promise((resolve, reject) => {
       this._resolve = resolve
       this._reject = reject
@@ -60,7 +70,10 @@
     }
     const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
     const headers = rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
-    this._resolve({ status, headers, body: this._read(), abort: () => { this._abort(new Error('The response was discarded.')) } })
+    const head = this._options.decode(status, headers)
+    this._resolve({ head, body: this._read(), discard: () => { this._abort(new Error('The response was discarded.')) } })
+    // The response to this request may still follow, and would be read as the response to the next one on the connection.
+    if (head.requestId !== this._options.requestId) this._abort(new Error('The response belongs to another request.'))
   }
 
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
@@ -109,7 +122,7 @@
   }
 
   private _close (): void {
-    this._signal.removeEventListener('abort', this._onAbort)
+    this._options.signal.removeEventListener('abort', this._onAbort)
     this._wakeReader()
   }
 }
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -1,6 +1,6 @@
 import { Agent, errors, type Dispatcher } from 'undici'
 import type { CallProtocol, CallRequest, DispatchOptions, ResponseHead } from '../../core/forward/index.js'
-import { ResponseHandler } from './ResponseHandler.js'
+import { ResponseHandler, type TargetResponse } from './ResponseHandler.js'
 
 /** Milliseconds in which a connection to a target must open; enough for a round trip between regions to a busy target. */
 export const CONNECT_TIMEOUT_MS = 500
@@ -14,14 +14,6 @@
 /** Milliseconds before a target's announced idle time-out at which a connection is closed. */
 const KEEP_ALIVE_MARGIN_MS = 700
 
-/** A response whose head has arrived. */
-export interface TargetResponse {
-  readonly head: ResponseHead
-  readonly body: AsyncIterable<Buffer>
-  /** Discards the rest of the response and closes its connection. */
-  readonly discard: () => void
-}
-
 /** Error of a request that got no response. */
 export class TargetError extends Error {
   /** True when no byte of the request was sent. */
@@ -61,7 +53,8 @@
   /** Sends a request and resolves when the head of the response has arrived; rejects with a {@link TargetError}. */
   async send (request: TargetRequest): Promise<TargetResponse> {
     const { call, dispatch, body, signal, isRepeated } = request
-    const handler = new ResponseHandler(signal)
+    const decode = (status: number, headers: readonly string[]): ResponseHead => this._protocol.decodeResponse(status, headers)
+    const handler = new ResponseHandler({ requestId: call.id, signal, decode })
     try {
       // The agent sends the path unchanged; a URL object would normalize it.
       const agent = isRepeated ? this._singleUseAgent : this._agent
@@ -73,8 +66,7 @@
         body: body ?? null,
         ...(isRepeated ? { reset: true } : {})
       }, handler)
-      const response = await handler.response
-      return { head: this._protocol.decodeResponse(response.status, response.headers), body: response.body, discard: response.abort }
+      return await handler.response
     } catch (err) {
       throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent || isConnectError(err))
     }
--- a/tests/processes/LateCopyTests.ts
+++ b/tests/processes/LateCopyTests.ts
@@ -58,6 +58,27 @@
     })
   }
 
+  for (const hasId of [true, false]) {
+    it(`should not give the answer of a request that met a copy of a refusal to the next one, ${hasId ? 'with' : 'without'} an id in the copy`, async () => {
+      const runs: string[] = []
+      await harness.startDesks((socket, { id }) => {
+        if (id === 'refused') {
+          socket.write(toRefusal(id))
+          return
+        }
+        runs.push(id)
+        if (id === 'met') socket.write(toRefusal(hasId ? 'refused' : undefined))
+        setTimeout(() => { writeIfOpen(socket, toResponse(id, `answer to ${id}`)) }, ANSWER_DELAY_MS)
+      })
+      expect((await harness.call({ id: 'refused', path: '/booking/x', body: 'x' })).status).toEqual(503)
+      // The target runs the request, so the answer must not say that it is safe to try again.
+      expect((await harness.call({ id: 'met', path: '/booking/x', body: 'x' })).status).toEqual(502)
+      const next = await harness.call({ id: 'next', path: '/booking/x', body: 'x' })
+      expect({ status: next.status, body: next.body }).toEqual({ status: 200, body: 'answer to next' })
+      expect(runs).toEqual(['met', 'next'])
+    })
+  }
+
   it('should close a connection on which a copy of a refusal arrives while no request waits', async () => {
     await harness.startDesks((socket, { id }) => {
       socket.write(toRefusal(id))
