Never take the error of an established connection for one that was refused

What callers saw: a request that had been sent on an open connection could be answered 503 ("not run"), and sent to a second target, when its connection failed with EHOSTUNREACH or ECONNREFUSED.

Cause: `TargetClient` took these codes as proof that no byte was sent, whether or not the request had been written. Linux reports the last ICMP error of a network path (EHOSTUNREACH) on an established connection when its retransmissions end. Class: proof by the kind of an error instead of by what was sent.

Evidence: the new test failed on the code before: should not state that a request did not run which was sent before its connection failed with EHOSTUNREACH (and ECONNREFUSED) - true + false

Change: only `isSent` decides; a connection that can't be opened never sends. Found by reading; not seen in a run with a real network path.

--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -1,4 +1,4 @@
-import { Agent, errors, type Dispatcher } from 'undici'
+import { Agent, type Dispatcher } from 'undici'
 import type { CallProtocol, CallRequest, DispatchOptions, ResponseHead } from '../../core/forward/index.js'
 import { ResponseHandler, type TargetResponse } from './ResponseHandler.js'
 
@@ -68,7 +68,7 @@
       }, handler)
       return await handler.response
     } catch (err) {
-      throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent || isConnectError(err))
+      throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent)
     }
   }
 
@@ -89,8 +89,3 @@
     pipelining: 1
   })
 }
-
-function isConnectError (err: unknown): boolean {
-  const code = (err as { code?: string } | undefined)?.code
-  return err instanceof errors.ConnectTimeoutError || code === 'ECONNREFUSED' || code === 'EHOSTUNREACH'
-}
