--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -11,9 +11,10 @@
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
 import type { Placer } from './Placer.js'
+import type { TargetResponse } from './ResponseHandler.js'
 import type { SuspectStore } from './SuspectStore.js'
 import type { TargetLimits } from './TargetLimits.js'
-import { TargetError, type TargetClient, type TargetResponse } from './TargetClient.js'
+import { TargetError, type TargetClient } from './TargetClient.js'
 
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
 const RETRY_AFTER_SECONDS = 0.3
@@ -71,6 +72,8 @@
   private readonly _context: AttemptContext
   private readonly _exchange: Exchange
   private readonly _excluded = new Set<string>()
+  /** Addresses that have received the request; several targets may be listed at one address. */
+  private readonly _addresses = new Set<string>()
   private readonly _options: AttemptsOptions
   private _dispatches = 0
   private _runs = 0
@@ -168,6 +171,8 @@
     const timeoutMs = this._exchange.getRemainingMs()
     this._dispatches++
     this._excluded.add(state.incarnation)
+    const isRepeated = this._addresses.has(state.target.address)
+    this._addresses.add(state.target.address)
     log.info('dispatched', {
       req: call.id,
       route: route.name,
@@ -196,7 +201,7 @@
     const { signal } = abort
     const progress = this._track(placement, sentAt, abort)
     try {
-      const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
+      const response = await client.send({ call, body, signal, isRepeated, dispatch: { target: state.target, timeoutMs, lastEventId } })
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
         response.discard()
