Streams: begin at a version only once its row is in the store

What callers saw: a stream without a name (`Last-Event-Id` only) that had begun at a target of a new software version went on at one of the old version, when the caller returned to a gateway that had been out of step.

Cause: the gateway that knew of the new version began to write its row in `served-versions`, but sent requests there whether the write succeeded or not. A gateway that had stood still read the rows, found one version, and its own list was as old as they were. Class: acting on a fact before others can know it, where others conclude from its absence.

Evidence: GatewayOutOfStepTests, "when a stream without a name began at a version that could not be stored", failed on the code before: "The value 5 is not equal to 0" (streams joined of 24).

A take-up reads the rows after its request has arrived, and the stream had begun before: the row is there however long either gateway stood still. Versions that could not be written are no longer kept in a set of their own, but derived.

Rows are now removed only after the list of targets was confirmed by a read that began after theirs, and a listed version whose row is missing is written again; both have a test in VersionStoreTests, which could not be expressed on the code before (new interface).

--- a/src/core/origin/ServedVersions.ts
+++ b/src/core/origin/ServedVersions.ts
@@ -38,6 +38,8 @@
   private readonly _clock: Clock
   /** Listed versions by service and version; hashed for rows only, since the list is applied with each change of a target. */
   private _listed = new Map<string, StreamOrigin>()
+  /** Listed versions whose rows the store has. */
+  private readonly _stored = new Set<string>()
   private readonly _unlistedSince = new Map<string, number>()
 
   constructor (clock: Clock) {
@@ -46,10 +48,14 @@
 
   /** Applies the list of targets; returns the versions that it did not contain before. */
   setListed (origins: readonly StreamOrigin[]): StreamOrigin[] {
-    const listed = new Map(origins.map(origin => [`${origin.service}\u0000${origin.softwareVersion}`, origin]))
-    const added = [...listed].filter(([key]) => !this._listed.has(key)).map(([, origin]) => origin)
+    const listed = new Map(origins.map(origin => [getOriginName(origin), origin]))
+    const added = [...listed].filter(([name]) => !this._listed.has(name))
+    for (const [name, origin] of added) {
+      this._stored.delete(name)
+      this._unlistedSince.delete(getKey(origin))
+    }
     this._listed = listed
-    return added
+    return added.map(([, origin]) => origin)
   }
 
   /** Gets the versions that the list contains. */
@@ -57,6 +63,27 @@
     return [...this._listed.values()]
   }
 
+  /** Records that the row of a version was written while the version was listed. */
+  recordStored (origin: StreamOrigin): void {
+    if (this._listed.has(getOriginName(origin))) this._stored.add(getOriginName(origin))
+  }
+
+  /** Checks whether the store has the row of a version, so that all gateways know that streams may have begun there. */
+  isStored (origin: StreamOrigin): boolean {
+    return this._stored.has(getOriginName(origin))
+  }
+
+  /** Gets the listed versions whose rows have to be written. */
+  getUnstored (): StreamOrigin[] {
+    return this.getListed().filter(origin => !this.isStored(origin))
+  }
+
+  /** Applies a read of all rows: versions whose rows were removed no longer count as stored. */
+  setRows (rows: readonly StoredRow[]): void {
+    const keys = new Set(rows.map(({ key }) => key))
+    for (const origin of this.getListed()) if (!keys.has(getKey(origin))) this._stored.delete(getOriginName(origin))
+  }
+
   /** Gets the rows, of those that the store has, that may be removed: unless they were written again since they were read. */
   getRetired (rows: readonly StoredRow[]): RowCondition[] {
     const now = this._clock.now()
@@ -70,6 +97,10 @@
   }
 }
 
+function getOriginName ({ service, softwareVersion }: StreamOrigin): string {
+  return `${service}\u0000${softwareVersion}`
+}
+
 /** Gets the key of a version's row; names of services and versions are hashed, since keys are limited in length. */
 function getKey ({ service, softwareVersion }: StreamOrigin): string {
   return `${getServicePrefix(service)}${hash(softwareVersion)}`
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -30,6 +30,7 @@
 import { TargetClient } from './TargetClient.js'
 import { TargetLimits } from './TargetLimits.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
+import { VersionGate } from './VersionGate.js'
 import { RETIRE_CHECK_MS, VersionStore } from './VersionStore.js'
 
 /** Tables of the platform that a gateway follows, with the decoders of their rows. */
@@ -76,6 +77,9 @@
 /** Milliseconds for which the store may delay the response to a watch for crashes; they are rare, and a change is reported at once. */
 const SUSPECT_WATCH_MS = 4_000
 
+/** Milliseconds for which a read of the list of targets is awaited: a watch in progress and the next one. */
+const CONFIRM_TIMEOUT_MS = 5_000
+
 /** Milliseconds between two checks whether a stopping process has finished its requests. */
 const STOP_POLL_MS = 25
 
@@ -161,7 +165,14 @@
       onUnavailable: () => { this._registry.recordStoreUnavailable() },
       onAvailable: () => { this._registry.recordStoreAvailable(clock.now()) }
     })
-    const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
+    this._versions = new VersionStore({ access, clock, log, confirmList: async () => await this._confirmTargets() })
+    const versionGate = new VersionGate({ versions: this._versions, log })
+    const placer = new Placer({
+      registry: this._registry,
+      policy: createPolicy(options),
+      clock,
+      isVersionKnown: (target, stream) => versionGate.isKnown(target, stream)
+    })
     const suspects = new SuspectStore({ access, clock, log })
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
@@ -176,7 +187,6 @@
       onLookup: source => { metrics.originLookups.inc({ source }) },
       onWritten: delayMs => { metrics.recordOriginsWritten(delayMs) }
     })
-    this._versions = new VersionStore({ access, clock, log })
     this._budgets = new BudgetStore({
       access,
       clock,
@@ -191,6 +201,7 @@
       budgets: this._budgets,
       origins: this._origins,
       versions: this._versions,
+      versionGate,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       isStoreUnavailable: () => access.health.isUnavailable(),
@@ -339,6 +350,15 @@
     return serving.filter(state => regions[state.target.failureDomain] === regions[failureDomain])
   }
 
+  /** Waits until the list of targets is confirmed by a read that begins later than now; returns false after a time-out. */
+  private async _confirmTargets (): Promise<boolean> {
+    const { clock } = this._options
+    const startedAt = clock.now()
+    const isConfirmed = (): boolean => clock.now() - this._targetWatch.getAgeMs() >= startedAt
+    await waitUntil(() => isConfirmed() || clock.now() - startedAt > CONFIRM_TIMEOUT_MS)
+    return isConfirmed()
+  }
+
   private _onTargetsApplied (): void {
     this._options.metrics.targets.set(this._registry.getSize())
     this._versions.setTargets(this._registry.getTargets())
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -3,13 +3,15 @@
 import type { CallRequest } from '../../core/forward/index.js'
 import { canContinue, type BegunStream } from '../../core/origin/index.js'
 import type { Backend, Route } from '../../core/route/index.js'
-import type { Placement, PlacementPolicy, TargetRegistry, TargetState } from '../../core/target/index.js'
+import type { Placement, PlacementPolicy, Target, TargetRegistry, TargetState } from '../../core/target/index.js'
 
 /** Options of {@link Placer}. */
 export interface PlacerOptions {
   readonly registry: TargetRegistry
   readonly policy: PlacementPolicy
   readonly clock: Clock
+  /** Checks whether the version of a target is certain, for streams that may be resumed; all are by default. */
+  readonly isVersionKnown?: (target: Target, stream: BegunStream | undefined) => boolean
 }
 
 /** Facts that placement considers beside the request itself. */
@@ -40,8 +42,19 @@
     return policy.select(this.getCandidates(call, route, stream), work, clock.now())
   }
 
-  /** Gets the targets of the backend to which a request belongs that are not draining and may continue its stream. */
+  /** Gets the targets of the backend to which a request belongs that are not draining and may send the events of its stream. */
   getCandidates (call: CallRequest, route: Route, stream?: BegunStream): TargetState[] {
+    const { isVersionKnown = () => true } = this._options
+    const serving = this._getServing(call, route, stream)
+    return route.isResumable ? serving.filter(({ target }) => isVersionKnown(target, stream)) : serving
+  }
+
+  /** Checks whether a request has no target only because the versions of its targets are not certain. */
+  isWithheld (call: CallRequest, route: Route, stream?: BegunStream): boolean {
+    return this.getCandidates(call, route, stream).length === 0 && this._getServing(call, route, stream).length > 0
+  }
+
+  private _getServing (call: CallRequest, route: Route, stream: BegunStream | undefined): TargetState[] {
     const { registry, clock } = this._options
     const isOrigin = (backend: Backend): boolean => backend.service === stream?.origin?.service
     const hashKey = call.program?.session ?? call.affinityKey ?? call.id
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -13,6 +13,7 @@
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import { StallTimer } from './StallTimer.js'
 import type { TurnStore } from './TurnStore.js'
+import type { VersionGate } from './VersionGate.js'
 import type { VersionStore } from './VersionStore.js'
 
 /** Milliseconds before the caller's maximum wait is over at which saving a turn is abandoned. */
@@ -31,6 +32,9 @@
 /** Milliseconds for which the origin of a stream is kept beyond the time that its caller has. */
 const ORIGIN_MARGIN_MS = 5_000
 
+/** Seconds after which a caller may retry when the versions of all targets were uncertain; they are stored or read within milliseconds. */
+const RETRY_AFTER_SECONDS = 0.3
+
 /** Options of {@link StreamForwarder}. */
 export interface StreamForwarderOptions {
   readonly attempts: AttemptContext
@@ -38,6 +42,7 @@
   readonly budgets: BudgetStore
   readonly origins: OriginStore
   readonly versions: VersionStore
+  readonly versionGate: VersionGate
   readonly clock: Clock
   /** Gets the tokens that one event of a service's streams counts for. */
   readonly getTokensPerEvent: (service: string) => number
@@ -119,7 +124,9 @@
   /** Finds the stream that a request continues; undefined for a new stream. */
   private async _findStream (exchange: Exchange): Promise<Either<Refusal, BegunStream | undefined>> {
     const { call, route } = exchange
-    if (call.resumedStream === undefined && call.lastEventId === undefined) return Right(undefined)
+    if (call.resumedStream === undefined && call.lastEventId === undefined) {
+      return await this._awaitVersions(exchange, undefined) ? Right(undefined) : Left({ reason: 'no-target', retryAfterSeconds: RETRY_AFTER_SECONDS })
+    }
     const members = { stream: call.resumedStream ?? null }
     const { getStoreRetrySeconds, attempts } = this._options
     const found = await this._findOrigin(exchange)
@@ -128,10 +135,22 @@
       return Left({ reason, members, retryAfterSeconds: reason === 'origin-unreadable' ? getStoreRetrySeconds() : undefined })
     }
     const origin = found.unsafeCoerce()
+    if (!await this._awaitVersions(exchange, { origin })) {
+      return Left({ reason: 'origin-unreadable', members: { ...members, ...origin }, retryAfterSeconds: getStoreRetrySeconds() })
+    }
     if (attempts.placer.getCandidates(call, route, { origin }).length > 0) return Right({ origin })
     return Left({ reason: 'version-gone', members: { ...members, ...origin } })
   }
 
+  /** Waits until a target is known to have the version that a stream needs; returns false if it is still uncertain in the end. */
+  private async _awaitVersions (exchange: Exchange, stream: BegunStream | undefined): Promise<boolean> {
+    const { call, route, callerDisconnected } = exchange
+    const { attempts: { placer }, clock, versionGate } = this._options
+    const deadline = this._getPrepareDeadline(exchange)
+    const getRemainingMs = (): number => callerDisconnected.aborted ? 0 : deadline - clock.now()
+    return await versionGate.wait(call.id, () => placer.isWithheld(call, route, stream), getRemainingMs)
+  }
+
   /** Finds where the stream of a request began; without its name, if only one version of its service can have begun it. */
   private async _findOrigin (exchange: Exchange): Promise<Either<RefusalReason, StreamOrigin>> {
     const { call, route } = exchange
--- a/src/io/gateway/VersionStore.ts
+++ b/src/io/gateway/VersionStore.ts
@@ -23,6 +23,8 @@
   readonly access: StoreAccess
   readonly clock: Clock
   readonly log: DecisionLog
+  /** Resolves with whether the list of targets was confirmed by a read that began later than now. */
+  readonly confirmList?: () => Promise<boolean>
 }
 
 /**
@@ -34,8 +36,6 @@
 export class VersionStore {
   private readonly _options: VersionStoreOptions
   private readonly _versions: ServedVersions
-  /** Versions that are listed and whose row is not known to be in the store. */
-  private readonly _unwritten = new Set<StreamOrigin>()
   private _isWriting = false
 
   constructor (options: VersionStoreOptions) {
@@ -45,10 +45,15 @@
 
   /** Applies the list of targets. */
   setTargets (targets: readonly Target[]): void {
-    for (const origin of this._versions.setListed(targets.map(getOrigin))) this._unwritten.add(origin)
+    this._versions.setListed(targets.map(getOrigin))
     void this._write()
   }
 
+  /** Checks whether streams may begin at a version: only when all gateways can know of it, because its row is in the store. */
+  isStored (origin: StreamOrigin): boolean {
+    return this._versions.isStored(origin)
+  }
+
   /** Finds the version at which any stream of a service has begun. */
   async findOnly (service: string, deadline: number): Promise<Either<RefusalReason, StreamOrigin>> {
     const { access, log } = this._options
@@ -68,14 +73,20 @@
 
   /** Writes the versions that could not be written, and removes those whose last target has left long ago. */
   async update (): Promise<void> {
-    const { access, clock, log } = this._options
+    const { access, clock, log, confirmList = async () => true } = this._options
     if (access.health.isUnavailable()) return
     await this._write()
-    const deadline = clock.now() + RETIRE_TIMEOUT_MS
     try {
-      const { rows } = await access.readOnce({ table: VERSION_TABLE, part: '' }, deadline)
+      const { rows } = await access.readOnce({ table: VERSION_TABLE, part: '' }, clock.now() + RETIRE_TIMEOUT_MS)
+      this._versions.setRows(rows)
+      await this._write()
+      // A gateway that was out of step could remove a version that has begun to serve meanwhile.
+      if (!await confirmList()) {
+        log.warn('version-not-retired', { cause: 'the list of targets was not confirmed' })
+        return
+      }
       for (const condition of this._versions.getRetired(rows)) {
-        const { type } = await access.commitOnce({ conditions: [condition], removes: [condition] }, deadline)
+        const { type } = await access.commitOnce({ conditions: [condition], removes: [condition] }, clock.now() + RETIRE_TIMEOUT_MS)
         log.info('version-retired', { key: condition.key, row: condition.version, result: type })
       }
     } catch (err) {
@@ -89,15 +100,14 @@
     const { access, clock, log } = this._options
     this._isWriting = true
     try {
-      while (this._unwritten.size > 0) {
-        const origins = [...this._unwritten]
+      for (let origins = this._versions.getUnstored(); origins.length > 0; origins = this._versions.getUnstored()) {
         await access.commitRepeatable({ puts: origins.map(toVersionRow) }, clock.now() + WRITE_TIMEOUT_MS)
-        for (const origin of origins) this._unwritten.delete(origin)
+        for (const origin of origins) this._versions.recordStored(origin)
         log.info('versions-written', { versions: origins.map(({ service, softwareVersion }) => `${service} ${softwareVersion}`) })
       }
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      log.warn('versions-not-written', { versions: this._unwritten.size, cause: err.message })
+      log.warn('versions-not-written', { versions: this._versions.getUnstored().length, cause: err.message })
     } finally {
       this._isWriting = false
     }
--- a/tests/io/gateway/VersionStoreTests.ts
+++ b/tests/io/gateway/VersionStoreTests.ts
@@ -63,15 +63,52 @@
     await waitForRows(1)
   })
 
+  it('should count a version as stored only after its row was written', async () => {
+    const store = createStore()
+    rows.readOnlyTables.add(VERSION_TABLE)
+    store.setTargets([createTarget('v1')])
+    await waitFor(() => rows.calls.commit > 1)
+    expect(store.isStored(V1)).toEqual(false)
+    rows.readOnlyTables.clear()
+    await waitFor(() => store.isStored(V1))
+    expect(rows.getTableSize(VERSION_TABLE)).toEqual(1)
+  })
+
+  it('should write the row of a version that serves again after another gateway removed it', async () => {
+    const store = createStore()
+    store.setTargets([createTarget('v1')])
+    await waitFor(() => store.isStored(V1))
+    rows.apply({ removes: [toVersionRow(V1)] })
+    await store.update()
+    expect([rows.getTableSize(VERSION_TABLE), store.isStored(V1)]).toEqual([1, true])
+  })
+
+  // A gateway that had stood still removed, by its old list, the row of a version that had begun to serve meanwhile.
+  it('should not remove a row before the list of targets is confirmed', async () => {
+    const other = createStore()
+    other.setTargets([createTarget('v1')])
+    await waitForRows(1)
+    let isConfirmed = true
+    const store = createStore(async () => isConfirmed)
+    await store.update()
+    skippedMs = RETIRE_MS
+    isConfirmed = false
+    await store.update()
+    expect(rows.getTableSize(VERSION_TABLE)).toEqual(1)
+    isConfirmed = true
+    await store.update()
+    expect(rows.getTableSize(VERSION_TABLE)).toEqual(0)
+  })
+
   it('should tell an outage from a stream that cannot go on', async () => {
     rows.failure = 'refused'
     expect((await find(createStore())).extract()).toEqual('origin-unreadable')
   })
 
-  function createStore (): VersionStore {
+  function createStore (confirmList?: () => Promise<boolean>): VersionStore {
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true })
     const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-    return new VersionStore({ access, clock, log })
+    return new VersionStore({ access, clock, log, ...(confirmList === undefined ? {} : { confirmList }) })
   }
 
   function createTarget (softwareVersion: string): Target {
--- /dev/null
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -0,0 +1,52 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { expect } from 'earl'
+import { waitFor } from './GatewayHarness.js'
+import { StreamHarness, type BegunStream } from './StreamHarness.js'
+
+/** Streams that each test begins. */
+const STREAMS = 24
+
+/** Milliseconds for which a gateway stands still. */
+const FREEZE_MS = 2_500
+
+// A gateway that was out of step while targets of a new software version joined continued their streams at targets of the old one.
+describe('a gateway that was out of step while software versions changed', () => {
+  let harness: StreamHarness
+
+  beforeEach(async () => {
+    harness = new StreamHarness()
+    await harness.start(['v1', 'v1'], 2)
+    await waitFor(() => harness.fixture.store.rows.getTableSize('served-versions') === 2)
+  })
+
+  afterEach(async () => { await harness.stop() })
+
+  it('should not join versions when a stream without a name began at a version that could not be stored', async () => {
+    harness.fixture.store.rows.readOnlyTables.add('served-versions')
+    harness.freeze(1)
+    await harness.addEngine('v2')
+    await waitFor(() => harness.gateways[0]!.getEvents('target-changed').some(event => event.softwareVersion === 'v2'))
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[0]!])
+    await sleep(FREEZE_MS)
+    const tries = harness.continueStreams(streams, { gateways: [harness.gateways[1]!], isNamed: false })
+    harness.wake(1)
+    harness.releaseTargets()
+    expect((await tries).joined).toEqual(0)
+  })
+
+  it('should go on with streams of its version while a new one joins', async () => {
+    const streams: BegunStream[] = await harness.beginStreams(STREAMS, [harness.gateways[0]!])
+    await waitForOrigins()
+    harness.freeze(1)
+    await harness.addEngine('v2')
+    await sleep(FREEZE_MS)
+    const tries = harness.continueStreams(streams, { gateways: [harness.gateways[1]!] })
+    harness.wake(1)
+    harness.releaseTargets()
+    expect(await tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+  })
+
+  async function waitForOrigins (): Promise<void> {
+    await waitFor(() => harness.fixture.store.rows.getTableSize('stream-origins') === STREAMS)
+  }
+})
--- a/tests/processes/StreamHarness.ts
+++ b/tests/processes/StreamHarness.ts
@@ -1,3 +1,4 @@
+import { FaultProxy } from '../../tools/soak/FaultProxy.js'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
 import { callPlatform, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
@@ -39,8 +40,12 @@
 export class StreamHarness {
   readonly fixture = new PlatformFixture()
   gateways: GatewayProcess[] = []
+  /** Connection to the store of each gateway. */
+  proxies: FaultProxy[] = []
   /** Lets all streams go on after their first event. */
   releaseTargets: () => void = () => {}
+  private readonly _addresses: string[] = []
+  private _gate: Promise<void> = Promise.resolve()
 
   /** Starts an engine for each version, and gateways that know each other. */
   async start (versions: readonly string[], gateways: number): Promise<void> {
@@ -53,12 +58,32 @@
     }))
     const gate = new Promise<void>(resolve => { this.releaseTargets = resolve })
     for (const engine of this.fixture.engines) engine.gate = gate
+    this._gate = gate
+  }
+
+  /** Starts an engine of a software version, whose streams pause as well. */
+  async addEngine (version: string): Promise<void> {
+    const engine = await this.fixture.addEngine(version)
+    engine.gate = this._gate
+  }
+
+  /** Stands a gateway still; its connections to the store are lost meanwhile. */
+  freeze (at: number): void {
+    this.gateways[at]!.signal('SIGSTOP')
+    this.proxies[at]!.setMode('reset')
+  }
+
+  /** Lets a gateway go on. */
+  wake (at: number): void {
+    this.proxies[at]!.setMode('open')
+    this.gateways[at]!.signal('SIGCONT')
   }
 
   /** Stops the gateways and the stand-ins. */
   async stop (): Promise<void> {
     this.releaseTargets()
     await this._killGateways()
+    for (const proxy of this.proxies) proxy.close()
     this.fixture.close()
   }
 
@@ -106,8 +131,14 @@
   }
 
   private async _startGateways (count: number): Promise<GatewayProcess[]> {
+    while (this.proxies.length < count) this.proxies.push(new FaultProxy(this.fixture.storeAddress))
     return await Promise.all(Array.from({ length: count }, async (_, at) =>
-      await GatewayProcess.start({ id: `gateway-${at}`, storeAddress: this.fixture.storeAddress })))
+      await GatewayProcess.start({ id: `gateway-${at}`, storeAddress: await this._getStoreAddress(at) })))
+  }
+
+  private async _getStoreAddress (at: number): Promise<string> {
+    this._addresses[at] ??= await this.proxies[at]!.start()
+    return this._addresses[at]
   }
 
   private async _killGateways (): Promise<void> {
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -26,10 +26,15 @@
   /** Partitions whose calls are refused, or time out at the caller without a response. */
   readonly failedPartitions = new Map<string, 'refused' | 'silent'>()
 
+  /** Tables to which commits are refused. */
+  readonly readOnlyTables = new Set<string>()
+
   async commit (transaction: RowTransaction, options?: CallOptions): Promise<RowCommit> {
     this.calls.commit++
     this._failIfUnavailable()
     await this._failIfPartitionUnavailable(getPartitionOf(transaction), options)
+    const isRefused = (transaction.puts ?? []).some(put => this.readOnlyTables.has(put.table))
+    if (isRefused) throw new StoreError(StoreFailure.Refused, 'The table accepts no commits.')
     const result = this.apply(transaction)
     if (this.failure === 'answer-lost') throw new StoreError(StoreFailure.NoResponse, 'The response to a commit was lost.')
     return result
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -73,10 +73,20 @@
     }
   }
 
+  /** Starts and registers another model engine of a software version; its events state the version. */
+  async addEngine (version: string): Promise<EngineStandin> {
+    const id = `engine-${this.engines.length}`
+    this._versions.set(id, version)
+    const engine = await this._addTarget(id, 'model')
+    engine.events = getVersionedEvents(version)
+    this.engines.push(engine)
+    return engine
+  }
+
   /** Registers a model engine with another software version; its events state the version. */
   setEngineVersion (engine: EngineStandin, version: string): void {
     this._versions.set(engine.id, version)
-    engine.events = ['first', 'second', 'third'].map(data => `${version} ${data}`)
+    engine.events = getVersionedEvents(version)
     this._register(engine, 'model')
   }
 
@@ -117,3 +127,7 @@
     })
   }
 }
+
+function getVersionedEvents (version: string): string[] {
+  return ['first', 'second', 'third'].map(data => `${version} ${data}`)
+}
