Streams: read the list of targets after a pause before relying on it

What callers saw: a stream that had begun at one software version went on at another, at a gateway that had stood still while a target was started again under its id with the other version. Streams that began at such a gateway were recorded with the wrong version, and others joined them.

Cause: the request names the target's id only, and the version was taken from a row read before the pause. After the wake, waiting requests are handled before the change of the row is. Class: acting after a pause on what was read before it.

Change: `PauseDetector` sees a pause of a second or more by a gap between signs of life, without relying on the order of timers. `VersionGate` is asked synchronously where a target is chosen, for each attempt, and withholds all targets until a read of the list that began after the pause has ended (`TableWatch.isConfirmedSincePause`); the watch reads the whole table at once then.

A pause between the choice of a target and the write to its connection is not covered.

--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,6 +1,6 @@
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
-import type { Clock } from '../../core/clock/index.js'
+import { LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
 import { LenderRanking, PermitLedger } from '../../core/limits/index.js'
@@ -95,6 +95,7 @@
   private readonly _budgets: BudgetStore
   private readonly _origins: OriginStore
   private readonly _versions: VersionStore
+  private readonly _pauses: PauseDetector
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _ledger: ReserveLedger
@@ -109,6 +110,7 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
+    this._pauses = new PauseDetector(clock)
     const { id, failureDomain, regions } = settings
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
@@ -166,7 +168,7 @@
       onAvailable: () => { this._registry.recordStoreAvailable(clock.now()) }
     })
     this._versions = new VersionStore({ access, clock, log, confirmList: async () => await this._confirmTargets() })
-    const versionGate = new VersionGate({ versions: this._versions, log })
+    const versionGate = new VersionGate({ versions: this._versions, isListCurrent: () => this._targetWatch.isConfirmedSincePause(), log })
     const placer = new Placer({
       registry: this._registry,
       policy: createPolicy(options),
@@ -223,6 +225,7 @@
       clock,
       log,
       table: tables.targetTable,
+      getResumedAt: () => this._pauses.getResumedAt(),
       onRows: rows => { this._applyTargets(rows) },
       onChange: change => { this._onTargetChange(change) }
     })
@@ -243,6 +246,7 @@
     void this._configWatch.run()
     void this._targetWatch.run()
     void this._suspectWatch.run()
+    void periodic(LIFE_SIGN_MS).observe(() => { this._pauses.recordLife() })
     void periodic(EXPIRY_CHECK_MS).observe(() => {
       void this._turns.removeExpired()
       void this._origins.removeExpired()
@@ -354,7 +358,7 @@
   private async _confirmTargets (): Promise<boolean> {
     const { clock } = this._options
     const startedAt = clock.now()
-    const isConfirmed = (): boolean => clock.now() - this._targetWatch.getAgeMs() >= startedAt
+    const isConfirmed = (): boolean => this._targetWatch.isConfirmedSince(startedAt)
     await waitUntil(() => isConfirmed() || clock.now() - startedAt > CONFIRM_TIMEOUT_MS)
     return isConfirmed()
   }
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -31,6 +31,8 @@
   readonly onChange: (change: RowChange) => void
   /** Milliseconds for which the store may delay the response to a watch. */
   readonly waitMs?: number
+  /** Gets the end of the latest pause of the process; the table is read again after each. */
+  readonly getResumedAt?: () => number
 }
 
 /** Follows a table without partitions: reads it completely, then watches for changes, and reads it again after a gap. */
@@ -49,7 +51,7 @@
   async run (): Promise<void> {
     while (!this._stop.signal.aborted) {
       try {
-        if (this._options.clock.now() - this._readAt > REREAD_MS) await this._readAll()
+        if (this._options.clock.now() - this._readAt > REREAD_MS || !this.isConfirmedSincePause()) await this._readAll()
         await this._watch()
       } catch (err) {
         if (!(err instanceof StoreError)) throw err
@@ -63,6 +65,16 @@
     return this._options.clock.now() - this._confirmedAt
   }
 
+  /** Checks whether a read that began at the given time or later has confirmed the rows. */
+  isConfirmedSince (time: number): boolean {
+    return this._confirmedAt >= time
+  }
+
+  /** Checks whether the rows were confirmed since the latest pause of the process. */
+  isConfirmedSincePause (): boolean {
+    return this.isConfirmedSince(this._getResumedAt())
+  }
+
   /** Checks whether the table was read. */
   isRead (): boolean {
     return this._confirmedAt > -Infinity
@@ -73,6 +85,10 @@
     this._stop.abort()
   }
 
+  private _getResumedAt (): number {
+    return this._options.getResumedAt?.() ?? -Infinity
+  }
+
   private async _readAll (): Promise<void> {
     const { access, clock, table } = this._options
     const startedAt = clock.now()
--- a/src/io/gateway/VersionGate.ts
+++ b/src/io/gateway/VersionGate.ts
@@ -10,6 +10,8 @@
 /** Options of {@link VersionGate}. */
 export interface VersionGateOptions {
   readonly versions: Pick<VersionStore, 'isStored'>
+  /** Checks whether the list of targets was confirmed since the latest pause of the process. */
+  readonly isListCurrent: () => boolean
   readonly log: DecisionLog
 }
 
@@ -23,6 +25,8 @@
 
   /** Checks whether a target may send events of a stream that may be resumed, now; the stream is undefined for a new one. */
   isKnown (target: Target, stream: BegunStream | undefined): boolean {
+    // A target may have started again under its id with another version while the process was paused.
+    if (!this._options.isListCurrent()) return false
     // A caller that does not name its stream is continued by the versions in the store, so a stream begins only at one of them.
     return stream !== undefined || this._options.versions.isStored(getOrigin(target))
   }
@@ -31,8 +35,8 @@
   async wait (req: string, isWithheld: () => boolean, getRemainingMs: () => number): Promise<boolean> {
     if (!isWithheld()) return true
     while (isWithheld() && getRemainingMs() > POLL_MS) await sleep(POLL_MS)
-    const isWithheldStill = isWithheld()
-    this._options.log.info('version-awaited', { req, isWithheld: isWithheldStill })
-    return !isWithheldStill
+    const isStillWithheld = isWithheld()
+    this._options.log.info('version-awaited', { req, isWithheld: isStillWithheld, isListCurrent: this._options.isListCurrent() })
+    return !isStillWithheld
   }
 }
--- a/tests/processes/GatewayOutOfStepTests.ts
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -34,6 +34,23 @@
     expect((await tries).joined).toEqual(0)
   })
 
+  it('should not join versions when a target has started again under its id with another version', async () => {
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[0]!])
+    await waitForOrigins()
+    const tries = await wakeAfterRestart(async () => await harness.continueStreams(streams, { gateways: [harness.gateways[1]!] }))
+    expect(tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+  })
+
+  it('should record the version at which a stream begins when a target has started again under its id with another version', async () => {
+    const streams = await wakeAfterRestart(async () => {
+      const begun = await harness.beginStreams(STREAMS, [harness.gateways[1]!])
+      await waitForOrigins()
+      return begun
+    })
+    const tries = await harness.continueStreams(streams, { gateways: [harness.gateways[0]!] })
+    expect(tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+  })
+
   it('should go on with streams of its version while a new one joins', async () => {
     const streams: BegunStream[] = await harness.beginStreams(STREAMS, [harness.gateways[0]!])
     await waitForOrigins()
@@ -46,6 +63,17 @@
     expect(await tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
+  /** Starts a target again under its id with another version while a gateway stands still, and calls that gateway when it wakes. */
+  async function wakeAfterRestart<T> (call: () => Promise<T>): Promise<T> {
+    harness.freeze(1)
+    harness.fixture.setEngineVersion(harness.fixture.engines[0]!, 'v2')
+    await sleep(FREEZE_MS)
+    harness.releaseTargets()
+    const result = call()
+    harness.wake(1)
+    return await result
+  }
+
   async function waitForOrigins (): Promise<void> {
     await waitFor(() => harness.fixture.store.rows.getTableSize('stream-origins') === STREAMS)
   }
