--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,6 +1,6 @@
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
-import type { Clock } from '../../core/clock/index.js'
+import { LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
 import { LenderRanking, PermitLedger } from '../../core/limits/index.js'
@@ -30,6 +30,7 @@
 import { TargetClient } from './TargetClient.js'
 import { TargetLimits } from './TargetLimits.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
+import { VersionGate } from './VersionGate.js'
 import { RETIRE_CHECK_MS, VersionStore } from './VersionStore.js'
 
 /** Tables of the platform that a gateway follows, with the decoders of their rows. */
@@ -76,6 +77,9 @@
 /** Milliseconds for which the store may delay the response to a watch for crashes; they are rare, and a change is reported at once. */
 const SUSPECT_WATCH_MS = 4_000
 
+/** Milliseconds for which a read of the list of targets is awaited: a watch in progress and the next one. */
+const CONFIRM_TIMEOUT_MS = 5_000
+
 /** Milliseconds between two checks whether a stopping process has finished its requests. */
 const STOP_POLL_MS = 25
 
@@ -91,6 +95,7 @@
   private readonly _budgets: BudgetStore
   private readonly _origins: OriginStore
   private readonly _versions: VersionStore
+  private readonly _pauses: PauseDetector
   private readonly _peers: PeerServer
   private readonly _directory: PeerDirectory
   private readonly _ledger: ReserveLedger
@@ -105,6 +110,7 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
+    this._pauses = new PauseDetector(clock)
     const { id, failureDomain, regions } = settings
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
@@ -161,7 +167,14 @@
       onUnavailable: () => { this._registry.recordStoreUnavailable() },
       onAvailable: () => { this._registry.recordStoreAvailable(clock.now()) }
     })
-    const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
+    this._versions = new VersionStore({ access, clock, log, confirmList: async () => await this._confirmTargets() })
+    const versionGate = new VersionGate({ versions: this._versions, isListCurrent: () => this._targetWatch.isConfirmedSincePause(), log })
+    const placer = new Placer({
+      registry: this._registry,
+      policy: createPolicy(options),
+      clock,
+      isVersionKnown: (target, stream) => versionGate.isKnown(target, stream)
+    })
     const suspects = new SuspectStore({ access, clock, log })
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
@@ -176,7 +189,6 @@
       onLookup: source => { metrics.originLookups.inc({ source }) },
       onWritten: delayMs => { metrics.recordOriginsWritten(delayMs) }
     })
-    this._versions = new VersionStore({ access, clock, log })
     this._budgets = new BudgetStore({
       access,
       clock,
@@ -191,6 +203,7 @@
       budgets: this._budgets,
       origins: this._origins,
       versions: this._versions,
+      versionGate,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       isStoreUnavailable: () => access.health.isUnavailable(),
@@ -212,6 +225,7 @@
       clock,
       log,
       table: tables.targetTable,
+      getResumedAt: () => this._pauses.getResumedAt(),
       onRows: rows => { this._applyTargets(rows) },
       onChange: change => { this._onTargetChange(change) }
     })
@@ -232,6 +246,7 @@
     void this._configWatch.run()
     void this._targetWatch.run()
     void this._suspectWatch.run()
+    void periodic(LIFE_SIGN_MS).observe(() => { this._pauses.recordLife() })
     void periodic(EXPIRY_CHECK_MS).observe(() => {
       this._runInBackground('turns', async () => { await this._turns.removeExpired() })
       this._runInBackground('origins', async () => { await this._origins.removeExpired() })
@@ -346,6 +361,15 @@
     return serving.filter(state => regions[state.target.failureDomain] === regions[failureDomain])
   }
 
+  /** Waits until the list of targets is confirmed by a read that begins later than now; returns false after a time-out. */
+  private async _confirmTargets (): Promise<boolean> {
+    const { clock } = this._options
+    const startedAt = clock.now()
+    const isConfirmed = (): boolean => this._targetWatch.isConfirmedSince(startedAt)
+    await waitUntil(() => isConfirmed() || clock.now() - startedAt > CONFIRM_TIMEOUT_MS)
+    return isConfirmed()
+  }
+
   private _onTargetsApplied (): void {
     this._options.metrics.targets.set(this._registry.getSize())
     this._versions.setTargets(this._registry.getTargets())
