Callers' connections time out only after what waits on them was read

The tests show six more ends of the same kind: a kept connection was closed although a request had come during the pause; a configuration with a shorter idle or header time-out cut connections to which more was announced; a longer idle time-out did not hold for open connections; and the 408 of a half-sent head, or the 400 of malformed bytes, was sent as the answer to the request before it on the connection, which was still running.

Cause: Node's HTTP server times connections out by wall time from timers, which fire before waiting bytes are read when the process was paused; its error handler wrote 408 and left the parser attached. Class: a decision by a timer on input that was not read yet, and a parser that goes on after a refusal.

Change: the HTTP server only parses. CallerConnections checks phases (idle, head, body) by the time in which the process ran (RunningClock), and gives the event loop a turn to read before a connection counts as overdue. A phase keeps the larger of the limits under which it began and those in force (ConnectionAge). A refusal of bytes is sent after the pending responses, and detaches the parser.

--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -1,1 +1,2 @@
 export * from './Clock.js'
+export * from './RunningClock.js'
--- /dev/null
+++ b/src/core/connection/index.ts
@@ -0,0 +1,1 @@
+export * from './ConnectionAge.js'
--- /dev/null
+++ b/src/io/gateway/CallerConnection.ts
@@ -0,0 +1,134 @@
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Clock } from '../../core/clock/index.js'
+import { ConnectionAge, ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+
+/** Options of {@link CallerConnection}. */
+export interface CallerConnectionOptions {
+  readonly socket: Socket
+  /** Clock by which phases are timed. */
+  readonly clock: Clock
+  /** Gets the limits in force. */
+  readonly getLimits: () => PhaseLimits
+}
+
+/** One connection of a caller: which phase it is in, and how the gateway ends it. */
+export class CallerConnection {
+  readonly socket: Socket
+  private readonly _clock: Clock
+  private readonly _getLimits: () => PhaseLimits
+  private readonly _age: ConnectionAge
+  /** Responses that have not been sent completely, with their requests. */
+  private readonly _pending = new Map<ServerResponse, IncomingMessage>()
+  /** Limits in force when the phase was last updated. */
+  private _limits: PhaseLimits
+  /** Idle time-out in force when the latest request arrived, which its response announces. */
+  private _announcedIdleMs = 0
+  private _bytesRead = 0
+  private _isClosing = false
+  /** Response to bytes that are no request; sent after the pending responses. */
+  private _deferredRefusal: string | undefined
+
+  constructor (options: CallerConnectionOptions) {
+    this.socket = options.socket
+    this._clock = options.clock
+    this._getLimits = options.getLimits
+    this._limits = options.getLimits()
+    this._age = new ConnectionAge(this._clock.now(), this._limits)
+  }
+
+  /** Checks whether the gateway has begun to end the connection, so that no further request on it may be forwarded. */
+  isClosing (): boolean {
+    return this._isClosing
+  }
+
+  /** Records that no request after those received so far is accepted. */
+  markClosing (): void {
+    this._isClosing = true
+  }
+
+  /** Gets the request whose body is being received. */
+  getReceiving (): { req: IncomingMessage, res: ServerResponse } | undefined {
+    for (const [res, req] of this._pending) if (!req.complete) return { req, res }
+    return undefined
+  }
+
+  /** Records a request; it is pending until its response was sent or has been abandoned. */
+  addRequest (req: IncomingMessage, res: ServerResponse): void {
+    this._pending.set(res, req)
+    this._announcedIdleMs = this._getLimits().idle
+    this._enter(req.complete ? ConnectionPhase.Response : ConnectionPhase.Body, this._getLimits())
+    res.on('close', () => { this._removeRequest(res) })
+  }
+
+  /** Updates the phase by what was read since the last call. */
+  update (): void {
+    const { bytesRead } = this.socket
+    const hasRead = bytesRead !== this._bytesRead
+    this._bytesRead = bytesRead
+    const phase = this._age.getPhase()
+    if (phase === ConnectionPhase.Body && this.getReceiving() === undefined) this._enter(ConnectionPhase.Response, this._limits)
+    // The head began at some time since the last update, so perhaps under the limits of that time.
+    else if (phase === ConnectionPhase.Idle && hasRead) this._enter(ConnectionPhase.Head, this._limits)
+    this._limits = this._getLimits()
+  }
+
+  /** Gets the phase if it has lasted too long, otherwise undefined. */
+  getOverduePhase (): ConnectionPhase | undefined {
+    if (this._isClosing || !this._age.isOverdue(this._clock.now(), this._getLimits())) return undefined
+    return this._age.getPhase()
+  }
+
+  /** Checks whether the connection waits for the first byte of a further request. */
+  isIdle (): boolean {
+    return !this._isClosing && this._age.getPhase() === ConnectionPhase.Idle
+  }
+
+  /** Checks whether anything was received. */
+  hasReceivedBytes (): boolean {
+    return this._bytesRead > 0
+  }
+
+  /** Refuses bytes that are no request, after the pending responses; nothing that follows them is read as a request. */
+  refuseBytes (response: string): void {
+    if (this._isClosing) return
+    this._isClosing = true
+    if (this._pending.size === 0) this._endWith(response)
+    else this._deferredRefusal = response
+  }
+
+  /** Ends the connection after what was written; nothing that is still received is read as a request. */
+  end (): void {
+    this._isClosing = true
+    this._detachParser()
+    this.socket.end()
+  }
+
+  private _endWith (response: string): void {
+    this.socket.write(response)
+    this.end()
+  }
+
+  private _removeRequest (res: ServerResponse): void {
+    this._pending.delete(res)
+    if (this._pending.size > 0) return
+    this._bytesRead = this.socket.bytesRead
+    const limits = this._getLimits()
+    this._enter(ConnectionPhase.Idle, { ...limits, idle: Math.max(limits.idle, this._announcedIdleMs) })
+    if (this._deferredRefusal !== undefined && this.socket.writable) this._endWith(this._deferredRefusal)
+  }
+
+  /** Discards what is received from now on; without a listener the parser would read on. */
+  private _detachParser (): void {
+    const discard = (): void => {}
+    this.socket.on('data', discard)
+    for (const listener of this.socket.listeners('data')) {
+      if (listener !== discard) this.socket.off('data', listener as (data: Buffer) => void)
+    }
+    this.socket.resume()
+  }
+
+  private _enter (phase: ConnectionPhase, limits: PhaseLimits): void {
+    this._age.enter(phase, this._clock.now(), limits)
+  }
+}
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,9 +1,12 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
-import type { Refusal } from '../../core/reason/index.js'
+import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
+import { ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
 import { listen, readBody } from '../http/index.js'
+import { CallerConnections } from './CallerConnections.js'
+import type { CallerConnection } from './CallerConnection.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
 import type { StreamForwarder } from './StreamForwarder.js'
@@ -14,24 +17,25 @@
 /** Maximum number of connections that wait to be accepted: callers that come at once after a restart. */
 const LISTEN_BACKLOG = 4_096
 
-/** Milliseconds between two checks for callers that take too long to send a request. */
-const SLOW_CALLER_CHECK_MS = 500
-
 /** Milliseconds that an idle connection stays open beyond the configured time, so that it isn't closed while a request is on its way. */
 const IDLE_MARGIN_MS = 1_000
 
-/** Milliseconds for receiving a complete request with its body, while the configured time-out of its route is not known yet. */
-const REQUEST_TIMEOUT_MS = 30_000
+/** Milliseconds for receiving the body of a request; several times the longest time-out of a route, which holds from the head on. */
+const BODY_TIMEOUT_MS = 30_000
+
+/** Time-outs until a configuration was read. */
+const INITIAL_LIMITS: PhaseLimits = { idle: 5_000, head: 60_000, body: BODY_TIMEOUT_MS }
 
 /** Seconds after which a caller may retry while no configuration was read. */
 const NOT_READY_RETRY_SECONDS = 0.5
 
 /** Statuses for bytes that are not a valid request, by the parser's error code. */
 const PARSE_STATUS: Readonly<Record<string, string>> = {
-  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
-  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout'
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large'
 }
 
+type LogMembers = Readonly<Record<string, unknown>>
+
 /** Options of {@link GatewayServer}. */
 export interface GatewayServerOptions {
   readonly context: ExchangeContext
@@ -43,15 +47,28 @@
 /** HTTP server for callers: decodes, checks and routes their requests. */
 export class GatewayServer {
   private readonly _options: GatewayServerOptions
-  private readonly _server: Server
+  private readonly _server: NetServer
+  /** Parses requests; accepts no connections itself, so that it neither times them out nor closes them. */
+  private readonly _parser: Server
+  private readonly _connections: CallerConnections
   private _inProgress = 0
 
   constructor (options: GatewayServerOptions) {
     this._options = options
-    this._server = createServer({
-      maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: REQUEST_TIMEOUT_MS, connectionsCheckingInterval: SLOW_CALLER_CHECK_MS
-    }, (req, res) => { void this._serve(req, res) })
-    this._server.on('clientError', (err: NodeJS.ErrnoException, socket) => { this._handleClientError(err, socket as Socket) })
+    this._parser = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, headersTimeout: 0 })
+    this._parser.on('request', (req, res) => { void this._serve(req, res) })
+    this._parser.on('clientError', (err: NodeJS.ErrnoException, socket) => { this._handleClientError(err, socket as Socket) })
+    // With a listener, the parser closes no connection when its keep-alive time-out fires.
+    this._parser.on('timeout', () => {})
+    this._connections = new CallerConnections({
+      clock: options.context.clock,
+      limits: INITIAL_LIMITS,
+      onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) }
+    })
+    this._server = createNetServer({ allowHalfOpen: true, noDelay: true }, socket => {
+      this._connections.add(socket)
+      this._parser.emit('connection', socket)
+    })
   }
 
   /** Starts to listen; returns the address. */
@@ -61,14 +78,15 @@
 
   /** Applies the time-outs of a configuration; its size limits are checked for each request. */
   setLimits (limits: CallerLimits): void {
-    this._server.headersTimeout = limits.headerTimeoutMs
-    this._server.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    // The parser announces its keep-alive time-out to callers; connections stay open for longer.
+    this._parser.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
+    this._connections.setLimits({ idle: limits.idleTimeoutMs + 2 * IDLE_MARGIN_MS, head: limits.headerTimeoutMs, body: BODY_TIMEOUT_MS })
   }
 
   /** Stops accepting connections and closes idle ones. */
   stopListening (): void {
     this._server.close()
-    this._server.closeIdleConnections()
+    this._connections.closeIdle()
   }
 
   /** Gets the number of requests in progress. */
@@ -77,6 +95,12 @@
   }
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    const connection = this._connections.get(req.socket)
+    if (connection.isClosing()) {
+      req.resume()
+      return
+    }
+    connection.addRequest(req, res)
     this._inProgress++
     this._options.context.metrics.inProgress.set(this._inProgress)
     let isOpen = true
@@ -122,6 +146,7 @@
     }
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version })
     const body = await readBody(req, limits.bodyBytes)
+    if (this._connections.get(req.socket).isClosing()) return
     if (body.isLeft()) {
       if (!exchange.callerDisconnected.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
       return
@@ -138,7 +163,9 @@
     const { context } = this._options
     context.metrics.addRefusal(refusal.reason)
     context.log.info('refused', { req: id, reason: refusal.reason, detail: refusal.detail, ...refusal.members })
-    sendProblem(context, res, id, refusal, !req.complete && hasBody(req))
+    const closesConnection = !req.complete && hasBody(req)
+    if (closesConnection) this._connections.get(req.socket).markClosing()
+    sendProblem(context, res, id, refusal, closesConnection)
     req.resume()
   }
 
@@ -147,11 +174,28 @@
       socket.destroy()
       return
     }
+    const connection = this._connections.get(socket)
+    // The parser reports an error again for all bytes that follow.
+    if (connection.isClosing()) return
     const status = PARSE_STATUS[err.code ?? ''] ?? '400 Bad Request'
+    const reason = status.startsWith('431') ? 'headers-too-large' : 'invalid-request'
+    this._refuseBytes(connection, status, reason, { code: err.code, cause: err.message })
+  }
+
+  private _handleOverdue (connection: CallerConnection, phase: ConnectionPhase): void {
+    const receiving = connection.getReceiving()
+    if (receiving !== undefined) this._refuse(receiving.req, receiving.res, undefined, { reason: 'body-timeout' })
+    else if (phase === ConnectionPhase.Head && connection.hasReceivedBytes()) {
+      this._refuseBytes(connection, '408 Request Timeout', 'body-timeout', { cause: 'the head did not arrive in time' })
+    } else connection.end()
+  }
+
+  /** Refuses bytes that are no complete request, and ends the connection. */
+  private _refuseBytes (connection: CallerConnection, status: string, reason: RefusalReason, members: LogMembers): void {
     const { context } = this._options
-    context.metrics.addRefusal(status.startsWith('431') ? 'headers-too-large' : status.startsWith('408') ? 'body-timeout' : 'invalid-request')
-    context.log.info('bytes-refused', { code: err.code, cause: err.message })
-    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    context.metrics.addRefusal(reason)
+    context.log.info('bytes-refused', members)
+    connection.refuseBytes(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
   }
 }
 
--- a/src/io/http/listen.ts
+++ b/src/io/http/listen.ts
@@ -1,5 +1,4 @@
-import type { Server } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Server } from 'node:net'
 
 /** Options of {@link listen}. */
 export interface ListenOptions {
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -35,6 +35,8 @@
   gate: Promise<void> = Promise.resolve()
   /** Milliseconds before each event of a stream but the first. */
   eventGapMs = 0
+  /** Milliseconds of work before the response of a plain service. */
+  workMs = 0
   private readonly _server: Server
 
   constructor (id: string) {
@@ -91,6 +93,7 @@
     if (behaviour === 'fail') res.writeHead(500).end('the target failed')
     else if (run.url.startsWith('/turns/')) await this._stream(run, res, behaviour)
     else if (behaviour === 'cut-length') res.writeHead(200, { 'content-length': 100 }).write('short', () => { res.destroy() })
+    else if (this.workMs > 0) setTimeout(() => { res.writeHead(200).end(`answer to ${run.url}`) }, this.workMs)
     else res.writeHead(200).end(`answer to ${run.url}`)
   }
 
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -18,6 +18,11 @@
   readonly maxAttempts?: number
 }
 
+interface LimitOverrides {
+  readonly headerTimeoutMs?: number
+  readonly idleTimeoutMs?: number
+}
+
 /** Store stand-in with a configuration and registered target stand-ins. */
 export class PlatformFixture {
   readonly store = new StoreStandin()
@@ -38,7 +43,7 @@
   }
 
   /** Writes a new version of the configuration. */
-  configure (route: RouteOverrides = {}, extraPrefixes: readonly string[] = []): void {
+  configure (route: RouteOverrides = {}, extraPrefixes: readonly string[] = [], limits: LimitOverrides = {}): void {
     const base = { host: FIXTURE_HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 0, maxAttempts: 2, ...route }
     const stream = { ...base, kind: 'streaming', service: 'model', maxAttempts: 1, retentionS: 60, sessionAffinity: true, targetGapMs: 300 }
     this.store.put('op', 'config', {
@@ -56,7 +61,7 @@
         { name: 'small-model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 1 } },
         { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }
       ],
-      limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000 }
+      limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000, ...limits }
     })
   }
 
