Attempts, stalls and calls time out only after what waits was read

Callers saw: 504 for bookings whose answers had arrived while the gateway was paused, and streams that were begun a second time at another target though their events had arrived. Calls of the store and of peers failed in the same way; several at once make the gateway take the store for unavailable.

Failed before: PauseTests: [504, 504, 504, 504] is not equal to [200, 200, 200, 200] PauseTests: [2, 2, 2, 2] is not equal to [1, 1, 1, 1] (runs of each stream) createTimeoutSignalTests with AbortSignal.timeout: "aborted" before "read"

Measured: the tests above, AttemptAbortTests, OutageTests, UnnamedStreamsTests and tests/io/peer pass.

--- a/src/io/gateway/AttemptAbort.ts
+++ b/src/io/gateway/AttemptAbort.ts
@@ -16,11 +16,12 @@
   private readonly _controller = new AbortController()
   private readonly _options: AttemptAbortOptions
   private readonly _timer: NodeJS.Timeout
+  private _isClosed = false
   private readonly _abort = (): void => { this._controller.abort() }
 
   constructor (options: AttemptAbortOptions) {
     this._options = options
-    this._timer = setTimeout(this._abort, Math.max(1, Math.ceil(options.timeoutMs)))
+    this._timer = setTimeout(() => { this._abortAfterInput() }, Math.max(1, Math.ceil(options.timeoutMs)))
     if (options.callerDisconnected?.aborted === true) this._abort()
     else options.callerDisconnected?.addEventListener('abort', this._abort)
   }
@@ -32,7 +33,13 @@
 
   /** Stops waiting when the attempt has ended. */
   close (): void {
+    this._isClosed = true
     clearTimeout(this._timer)
     this._options.callerDisconnected?.removeEventListener('abort', this._abort)
   }
+
+  /** Aborts unless the attempt ends by what waits to be read: after a pause of the process, timers fire before input is read. */
+  private _abortAfterInput (): void {
+    setImmediate(() => { if (!this._isClosed) this._abort() })
+  }
 }
--- a/src/io/gateway/StallTimer.ts
+++ b/src/io/gateway/StallTimer.ts
@@ -10,6 +10,7 @@
 export class StallTimer {
   private readonly _options: StallTimerOptions
   private _timer: NodeJS.Timeout | undefined
+  private _check: NodeJS.Immediate | undefined
   private _hasStalled = false
 
   constructor (options: StallTimerOptions) {
@@ -20,14 +21,18 @@
   start (): void {
     this.stop()
     this._timer = setTimeout(() => {
-      this._hasStalled = true
-      this._options.onStall()
+      // After a pause of the process, timers fire before input is read.
+      this._check = setImmediate(() => {
+        this._hasStalled = true
+        this._options.onStall()
+      })
     }, this._options.limitMs)
   }
 
   /** Stops waiting. */
   stop (): void {
     clearTimeout(this._timer)
+    clearImmediate(this._check)
   }
 
   /** Checks whether the stream has stalled. */
--- a/src/io/http/index.ts
+++ b/src/io/http/index.ts
@@ -1,2 +1,3 @@
+export * from './createTimeoutSignal.js'
 export * from './httpServer.js'
 export * from './listen.js'
--- a/src/io/peer/PeerPool.ts
+++ b/src/io/peer/PeerPool.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { Peer } from '../../core/peer/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { createTimeoutSignal } from '../http/index.js'
 import { PeerClient } from './PeerClient.js'
 
 /** Time-out of one call to a peer by default, in milliseconds; allows for a round trip between regions and a busy peer. */
@@ -63,7 +64,7 @@
     const state = this._peers.get(id)
     if (state === undefined || (!ignoresBackoff && clock.now() < state.backoffUntil)) return undefined
     try {
-      const result = await call(state.client.procedures, { signal: AbortSignal.timeout(timeoutMs) })
+      const result = await call(state.client.procedures, { signal: createTimeoutSignal(timeoutMs) })
       state.backoffMs = PEER_BACKOFF_MS
       return result
     } catch (err) {
--- a/src/io/peer/PeerStore.ts
+++ b/src/io/peer/PeerStore.ts
@@ -3,6 +3,7 @@
 import {
   RowStore, StoreError, StoreFailure, type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction
 } from '../../core/platform/index.js'
+import { createTimeoutSignal } from '../http/index.js'
 import { PeerClient } from './PeerClient.js'
 import { decodeCommit, decodeFeed, decodeSnapshot, encodeTransaction } from './rowCodec.js'
 
@@ -40,7 +41,7 @@
 
   private async _call<T> (options: CallOptions, call: (signal: AbortSignal) => Promise<T>): Promise<T> {
     try {
-      return await call(AbortSignal.timeout(options.timeoutMs + RELAY_MARGIN_MS))
+      return await call(createTimeoutSignal(options.timeoutMs + RELAY_MARGIN_MS))
     } catch (err) {
       // A failed call may have taken effect in the store, unless the peer reports a refusal or accepted no connection.
       const isRefused = (err instanceof TRPCClientError && err.message === StoreFailure.Refused) || isConnectError(err)
