--- a/src/core/clock/index.ts
+++ b/src/core/clock/index.ts
@@ -1,2 +1,3 @@
 export * from './Clock.js'
 export * from './PauseDetector.js'
+export * from './RunningClock.js'
--- a/src/io/gateway/AttemptAbort.ts
+++ b/src/io/gateway/AttemptAbort.ts
@@ -1,3 +1,6 @@
+/** Longest delay of a timer in milliseconds; Node.js fires timers with a longer one at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1
+
 /** Options of {@link AttemptAbort}. */
 export interface AttemptAbortOptions {
   /** Milliseconds until the deadline of the attempt. */
@@ -18,11 +21,13 @@
   private readonly _controller = new AbortController()
   private readonly _options: AttemptAbortOptions
   private readonly _timer: NodeJS.Timeout
+  private _isClosed = false
   private readonly _abort = (): void => { this._controller.abort() }
 
   constructor (options: AttemptAbortOptions) {
     this._options = options
-    this._timer = setTimeout(this._abort, Math.max(1, Math.ceil(options.timeoutMs)))
+    const delayMs = Math.min(MAX_TIMER_MS, Math.max(1, Math.ceil(options.timeoutMs)))
+    this._timer = setTimeout(() => { this._abortAfterInput() }, delayMs)
     for (const signal of this._getSources()) {
       if (signal.aborted) this._abort()
       else signal.addEventListener('abort', this._abort)
@@ -36,6 +41,7 @@
 
   /** Stops waiting when the attempt has ended. */
   close (): void {
+    this._isClosed = true
     clearTimeout(this._timer)
     for (const signal of this._getSources()) signal.removeEventListener('abort', this._abort)
   }
@@ -44,4 +50,9 @@
     const { callerDisconnected, cancelled } = this._options
     return [callerDisconnected, cancelled].filter(signal => signal !== undefined)
   }
+
+  /** Aborts unless the attempt ends by what waits to be read: after a pause of the process, timers fire before input is read. */
+  private _abortAfterInput (): void {
+    setImmediate(() => { if (!this._isClosed) this._abort() })
+  }
 }
--- a/src/io/gateway/StreamHandover.ts
+++ b/src/io/gateway/StreamHandover.ts
@@ -24,6 +24,7 @@
 export class StreamHandover {
   private readonly _options: StreamHandoverOptions
   private _timer: NodeJS.Timeout | undefined
+  private _check: NodeJS.Immediate | undefined
   private _search: AbortController | undefined
   private _pending: Promise<void> | undefined
   private _successor: Attempt | undefined
@@ -40,7 +41,7 @@
 
   /** Stops waiting, and any search; returns whether another target was being asked. */
   stop (): boolean {
-    clearTimeout(this._timer)
+    this._cancelTimer()
     const isSearching = this._search !== undefined
     this._search?.abort()
     this._search = undefined
@@ -49,7 +50,7 @@
 
   /** Waits for the search in progress, if there is one; for a stream that its target has broken off. */
   async settle (): Promise<void> {
-    clearTimeout(this._timer)
+    this._cancelTimer()
     await this._pending
   }
 
@@ -59,7 +60,15 @@
   }
 
   private _schedule (delayMs: number): void {
-    this._timer = setTimeout(() => { this._pending = this._ask() }, delayMs)
+    this._timer = setTimeout(() => {
+      // After a pause of the process, timers fire before input is read.
+      this._check = setImmediate(() => { this._pending = this._ask() })
+    }, delayMs)
+  }
+
+  private _cancelTimer (): void {
+    clearTimeout(this._timer)
+    clearImmediate(this._check)
   }
 
   private async _ask (): Promise<void> {
