--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -6,7 +6,7 @@
 const TRICKLE_INTERVAL_MS = 50
 
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'pause' | 'pause-reset' | 'stall'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'pause' | 'pause-reset' | 'pause-end' | 'pause-go-reset' | 'head-hang' | 'stall'
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -104,6 +104,10 @@
 
   private async _stream (run: EngineRun, res: ServerResponse, behaviour: EngineBehaviour): Promise<void> {
     res.writeHead(200, { 'content-type': 'text/event-stream' })
+    if (behaviour === 'head-hang') {
+      res.flushHeaders()
+      return
+    }
     const lastEventId = Number(run.headers['last-event-id'] ?? 0)
     for (let index = lastEventId; index < this.events.length; index++) {
       if (index === lastEventId + 1) await this.gate
@@ -111,6 +115,15 @@
       res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
       if (behaviour === 'stall' && index === lastEventId) return
       if (behaviour.startsWith('pause') && index === lastEventId) await sleep(this.pauseMs)
+      if (behaviour === 'pause-go-reset' && index === lastEventId + 1) {
+        await sleep(50)
+        res.destroy()
+        return
+      }
+      if (behaviour === 'pause-end' && index === lastEventId) {
+        res.end('id: 9\nda')
+        return
+      }
       if (behaviour === 'pause-reset' && index === lastEventId) {
         res.destroy()
         return
