Answer a request whose forwarding fails unexpectedly

Cause: the handler's last catch destroyed the response also when nothing had been sent. Class: an error path that ends a request silently.

--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -114,8 +114,10 @@
     try {
       await this._handle(req, res)
     } catch (err) {
-      this._options.context.log.warn('request-failed', { cause: err instanceof Error ? err.stack : String(err) })
-      res.destroy()
+      const { context } = this._options
+      context.log.warn('request-failed', { cause: err instanceof Error ? err.stack : String(err) })
+      if (res.headersSent) res.destroy()
+      else this._refuse(req, res, undefined, { reason: 'outcome-unknown' })
     }
   }
 
