--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -26,10 +26,8 @@
       isResumable: false,
       maxGapMs: 100
     }
-    configs.applyIfNewer({
-      version: 1, routes: [route], services: new Map(),
-      limits: { headerBytes: 4_096, bodyBytes: 4_096, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
-    }, clock.now())
+    const limits = { headerBytes: 4_096, bodyBytes: 4_096, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
+    configs.applyIfNewer({ version: 1, routes: [route], services: new Map(), limits }, clock.now())
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const context = { clock, log, metrics: new GatewayMetrics(), protocol: new PlatformProtocol(), configs, isStopping: () => false }
     const forward = async (): Promise<void> => { throw new Error('unexpected') }
