Treat a response without a length as broken off when its connection is reset

What callers saw (MIXED): an answer without a length and without chunks that its target reset on the way was handed out as complete: lookups, charges, streams between two events, and turns, which were also saved so.

Cause: such a response ends with its connection, and undici ends it alike when the connection is closed and when it is reset (ECONNRESET). Class: an end that is taken from the parser although only the connection knows it. Node.js hides a part of it as well: the reset of a connection that is not being read at that moment (a slow caller) is reported as its end, without an error.

Change: `TargetConnection` decides how a response ended, for plain answers, streams and turns alike. A reset reaches undici with a code of its own, so that the response fails; at 'end', a connection that has no peer any more (getpeername) was reset. A response whose length or last chunk has arrived stays whole whatever follows.

Looked for elsewhere: responses with a length that are cut, with and without `Connection: close`, HTTP/1.0, chunked ones cut before or within the last chunk: all failed before and after (tests). A stream that ends within an event is broken off (test, passed before).

--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici'
 import type { ResponseHead } from '../../core/forward/index.js'
+import type { ConnectionReader, TargetConnection } from './TargetConnection.js'
 
 /** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
 const MAX_BUFFERED_BYTES = 65_536
@@ -25,13 +26,14 @@
 }
 
 /** Receives one response: its head as a promise, its body as an iterable with back-pressure. */
-export class ResponseHandler implements Dispatcher.DispatchHandler {
+export class ResponseHandler implements Dispatcher.DispatchHandler, ConnectionReader {
   /** True as soon as the request may have been written to a connection. */
   isSent = false
   readonly response: Promise<TargetResponse>
   private _resolve: (response: TargetResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
   private _controller: Dispatcher.DispatchController | undefined
+  private _connection: TargetConnection | undefined
   private _interimResponses = 0
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
@@ -52,6 +54,14 @@
     if (signal.aborted) this._onAbort()
   }
 
+  setConnection (connection: TargetConnection): void {
+    this._connection = connection
+  }
+
+  onConnectionEnd (wasReset: boolean): void {
+    if (wasReset && !this._isComplete) this._fail(new Error('The connection was reset.'))
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this._controller = controller
     // A request that was aborted while it waited for a connection is not written.
@@ -59,6 +69,7 @@
       controller.abort(this._err)
       return
     }
+    this._connection?.setReader(this)
     this.isSent = true
   }
 
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -1,6 +1,7 @@
-import { Agent, type Dispatcher } from 'undici'
+import type { Agent, Dispatcher } from 'undici'
 import type { CallProtocol, CallRequest, DispatchOptions, ResponseHead } from '../../core/forward/index.js'
 import { ResponseHandler, type TargetResponse } from './ResponseHandler.js'
+import { createTargetAgent, type TargetDispatchOptions } from './TargetConnection.js'
 
 /** Milliseconds in which a connection to a target must open; enough for a round trip between regions to a busy target. */
 export const CONNECT_TIMEOUT_MS = 500
@@ -58,14 +59,16 @@
     try {
       // The agent sends the path unchanged; a URL object would normalize it.
       const agent = isRepeated ? this._singleUseAgent : this._agent
-      agent.dispatch({
+      const options: TargetDispatchOptions = {
         origin: `http://${dispatch.target.address}`,
         path: call.requestTarget,
         method: call.method as Dispatcher.HttpMethod,
         headers: this._protocol.getTargetHeaders(call, dispatch),
         body: body ?? null,
+        reader: handler,
         ...(isRepeated ? { reset: true } : {})
-      }, handler)
+      }
+      agent.dispatch(options, handler)
       return await handler.response
     } catch (err) {
       throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent)
@@ -79,8 +82,8 @@
 }
 
 function createAgent (): Agent {
-  return new Agent({
-    connect: { timeout: CONNECT_TIMEOUT_MS },
+  return createTargetAgent({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
     keepAliveTimeout: UNANNOUNCED_KEEP_ALIVE_MS,
     keepAliveMaxTimeout: MAX_KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
