Keep the gateway running when a connection ends while its response is paused

What callers saw: the gateway process ended by itself (uncaught AssertionError), and with it everything that it had accepted (LOST): when a target closed or reset the connection of an answer without a length, or of one that it announced to be the last, while reading was paused for a slow caller and all bytes had arrived. A sound target and a caller that reads late are enough; answers of over 64 KiB are concerned.

Cause: undici 7.30 finishes its parser when a connection ends, and asserts that it isn't paused (`Parser.finish`, called for 'end', 'error' and 'close'). Node.js emits 'end' as soon as its buffer is empty, also while the parser is paused. Class: an end that meets a paused reader.

Evidence: the new tests failed on the code before: TargetClientTests, no length, paused, closed: Uncaught AssertionError: assert(!this.paused) at Parser.finish, Socket.onHttpSocketEnd no length, paused, reset: the same at Socket.onHttpSocketError UnframedAnswerTests, should keep running when answers end while their callers do not read: readiness - 0 + 200; the gateway's last lines: "at Socket.onHttpSocketEnd ... code: 'ERR_ASSERTION' ...

Change: before undici handles the end of a connection, `TargetConnection` tells the reader of its response, which resumes and does not pause any more; all bytes have been read by then, so nothing is buffered beyond the bound.

Looked for elsewhere: the clients of the store, of peers and of targets' cache lists use undici too, and read bodies as they come; whether their parser can be paused at the end was not tried (suspected, not shown).

--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -38,6 +38,7 @@
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
   private _isComplete = false
+  private _hasConnectionEnded = false
   private _err: Error | undefined
   private _wakeReader: () => void = () => {}
   private readonly _options: ResponseHandlerOptions
@@ -59,6 +60,9 @@
   }
 
   onConnectionEnd (wasReset: boolean): void {
+    this._hasConnectionEnded = true
+    // The parser of undici fails when its connection ends while it is paused.
+    this._controller?.resume()
     if (wasReset && !this._isComplete) this._fail(new Error('The connection was reset.'))
   }
 
@@ -90,7 +94,7 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._chunks.push(chunk)
     this._bufferedBytes += chunk.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES) controller.pause()
+    if (this._bufferedBytes > MAX_BUFFERED_BYTES && !this._hasConnectionEnded) controller.pause()
     this._wakeReader()
   }
 
--- a/tests/io/gateway/TargetClientTests.ts
+++ b/tests/io/gateway/TargetClientTests.ts
@@ -16,6 +16,9 @@
 /** Body that is longer than what is buffered for a caller. */
 const LONG_BODY = 'x'.repeat(400_000)
 
+/** Body for which reading is paused after its last byte, so that the end of its connection is seen while it is paused. */
+const PAUSED_BODY = 'x'.repeat(100_000)
+
 type ResponseEnd = 'close' | 'reset'
 
 interface RawResponse {
@@ -40,6 +43,8 @@
   'no length, HTTP/1.0, closed': { head: OLD, body: 'part', end: 'close', isWhole: true },
   'no length, empty, closed': { head: UNFRAMED, body: '', end: 'close', isWhole: true },
   'no length, not read, closed': { head: UNFRAMED, body: LONG_BODY, end: 'close', isWhole: true, isRead: false },
+  'no length, paused, closed': { head: UNFRAMED, body: PAUSED_BODY, end: 'close', isWhole: true, isRead: false },
+  'no length, paused, reset': { head: UNFRAMED, body: PAUSED_BODY, end: 'reset', isWhole: false, isRead: false },
   'no length, reset': { head: UNFRAMED, body: 'part', end: 'reset', isWhole: false },
   'no length, announced, reset': { head: UNFRAMED_CLOSE, body: 'part', end: 'reset', isWhole: false },
   'no length, HTTP/1.0, reset': { head: OLD, body: 'part', end: 'reset', isWhole: false },
--- a/tests/processes/UnframedAnswerTests.ts
+++ b/tests/processes/UnframedAnswerTests.ts
@@ -1,12 +1,27 @@
+import { request } from 'node:http'
 import type { Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
+import { FIXTURE_HOST } from '../../tools/platform/PlatformFixture.js'
 import { STREAM_BODY, waitFor } from './GatewayHarness.js'
 import { RawTargetHarness, type RawRequest } from './RawTarget.js'
 
 /** Milliseconds after the last byte at which an answer ends. */
 const END_DELAY_MS = 30
 
+/** The lengths of long answers; the connections of a caller that does not read buffer 1 to 8 MB. */
+const MIN_LENGTH_BYTES = 1_000_000
+const MAX_LENGTH_BYTES = 8_000_000
+
+/** Step between two lengths, so that one of the answers ends just after reading from its target is paused. */
+const LENGTH_STEP_BYTES = 50_000
+
+/** Number of answers at the same time. */
+const CONCURRENT_CALLERS = 35
+
+/** Milliseconds after which a caller begins to read. */
+const READ_DELAY_MS = 500
+
 /** Ways in which an answer without a length may end. */
 const AnswerEnd = { Close: 'close', Reset: 'reset' } as const
 type AnswerEnd = typeof AnswerEnd[keyof typeof AnswerEnd]
@@ -68,6 +83,17 @@
     expect((await harness.sendTurn('turn-1', {}, 'x')).isComplete).toEqual(false)
   })
 
+  it('should keep running when answers end while their callers do not read', async () => {
+    await startTargets(async (socket, { id }) => { await writeAnswer(socket, id, 'x'.repeat(Number(id)), AnswerEnd.Close) })
+    for (let size = MIN_LENGTH_BYTES; size < MAX_LENGTH_BYTES;) {
+      const sizes = Array.from({ length: CONCURRENT_CALLERS }, (_, at) => size + at * LENGTH_STEP_BYTES)
+      size += CONCURRENT_CALLERS * LENGTH_STEP_BYTES
+      const received = await Promise.all(sizes.map(async length => await readLate(harness.gateway.callerAddress, String(length))))
+      expect(await harness.gateway.getReadiness()).toEqual(200)
+      expect(received).toEqual(sizes)
+    }
+  })
+
   async function startTargets (onRequest: (socket: Socket, request: RawRequest) => Promise<void>): Promise<void> {
     await harness.startDesks((socket, request) => { void onRequest(socket, request) })
     harness.fixture.replaceEngines(harness.target.address)
@@ -85,3 +111,17 @@
   if (end === AnswerEnd.Close) socket.end()
   else socket.resetAndDestroy()
 }
+
+/** Sends a lookup and reads its answer late; returns the length of its body, or 0 if it was broken off. */
+async function readLate (address: string, id: string): Promise<number> {
+  const [host, port] = address.split(':')
+  const headers = { host: FIXTURE_HOST, 'x-request-id': id, 'x-timeout-ms': '3000' }
+  return await new Promise(resolve => {
+    const req = request({ host, port: Number(port), path: '/lookup/x', headers, agent: false }, res => {
+      let size = 0
+      res.on('close', () => { resolve(res.complete ? size : 0) }).on('error', () => {})
+      setTimeout(() => { res.on('data', (chunk: Buffer) => { size += chunk.length }) }, READ_DELAY_MS)
+    })
+    req.on('error', () => { resolve(0) }).end()
+  })
+}
