--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -1,5 +1,6 @@
 import type { Dispatcher } from 'undici'
 import type { ResponseHead } from '../../core/forward/index.js'
+import type { ConnectionReader, TargetConnection } from './TargetConnection.js'
 
 /** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
 const MAX_BUFFERED_BYTES = 65_536
@@ -25,17 +26,19 @@
 }
 
 /** Receives one response: its head as a promise, its body as an iterable with back-pressure. */
-export class ResponseHandler implements Dispatcher.DispatchHandler {
+export class ResponseHandler implements Dispatcher.DispatchHandler, ConnectionReader {
   /** True as soon as the request may have been written to a connection. */
   isSent = false
   readonly response: Promise<TargetResponse>
   private _resolve: (response: TargetResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
   private _controller: Dispatcher.DispatchController | undefined
+  private _connection: TargetConnection | undefined
   private _interimResponses = 0
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
   private _isComplete = false
+  private _hasConnectionEnded = false
   private _err: Error | undefined
   private _wakeReader: () => void = () => {}
   private readonly _options: ResponseHandlerOptions
@@ -52,6 +55,17 @@
     if (signal.aborted) this._onAbort()
   }
 
+  setConnection (connection: TargetConnection): void {
+    this._connection = connection
+  }
+
+  onConnectionEnd (wasReset: boolean): void {
+    this._hasConnectionEnded = true
+    // The parser of undici fails when its connection ends while it is paused.
+    this._controller?.resume()
+    if (wasReset && !this._isComplete) this._fail(new Error('The connection was reset.'))
+  }
+
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this._controller = controller
     // A request that was aborted while it waited for a connection is not written.
@@ -59,6 +73,7 @@
       controller.abort(this._err)
       return
     }
+    this._connection?.setReader(this)
     this.isSent = true
   }
 
@@ -79,7 +94,7 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._chunks.push(chunk)
     this._bufferedBytes += chunk.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES) controller.pause()
+    if (this._bufferedBytes > MAX_BUFFERED_BYTES && !this._hasConnectionEnded) controller.pause()
     this._wakeReader()
   }
 
