Targets: nothing for a target whose responses say that it is leaving

What callers saw: a target that was leaving got requests from gateways that had passed on its statement (`Server-Leaving: 1`) until its row said so, and for good while the store was away (DRAIN).

Cause: the header was not read, and "draining" was a yes or no of the row only, without a time. Class: a fact that arrives on one path is not used on the others.

Change: `LeavingTargets` remembers for each incarnation since when it may have announced that it is leaving, by its row, a response or a peer; `TargetRegistry` uses it for all. Heads are read before a response is discarded, interim ones too. A leaving target is used only if no other one of the service or of the stream's version is left, until `targets.drain_ms` less the time that a request takes to arrive. `LimitPeers` was split: `TargetNewsPeers` spreads limits and notices by the target's lender, each once. A statement in a response ends with the incarnation only: the rule knows no taking back. Event `target-leaving`, metric `wisteria_leaving_notices_total`.

The same class elsewhere: the check after the wait for a permit uses the same list (LimitedPlacerTests, new case). A start time that is unknown can't tell incarnations apart: such a notice ends with the row.

Existing tests: RelayedStoreTests passes the new option; the gateways of tests are started with `targets.drain_ms` 2,500.

--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -28,6 +28,10 @@
     /** Milliseconds after the stop signal at which the process is killed. */
     grace_ms: z.number().min(1_000)
   }),
+  targets: z.strictObject({
+    /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
+    drain_ms: z.number().min(0)
+  }).default({ drain_ms: 0 }),
   placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
 }).transform(raw => ({
   id: raw.id,
@@ -36,6 +40,7 @@
   listen: raw.listen,
   store: { address: raw.store.address, rowBytes: raw.store.row_bytes, writesPerSecond: raw.store.writes_per_second },
   graceMs: raw.stop.grace_ms,
+  drainMs: raw.targets.drain_ms,
   placement: raw.placement
 }))
 
--- a/src/core/explain/LogExplainer.ts
+++ b/src/core/explain/LogExplainer.ts
@@ -7,7 +7,7 @@
 
 /** Events of a gateway or a target that may explain what happened to a request there. */
 const CONTEXT_EVENTS: ReadonlySet<string> = new Set([
-  'store-away', 'store-back', 'store-connection-lost', 'store-connection-restored', 'target-ejected', 'target-removed', 'target-changed',
+  'store-away', 'store-back', 'store-connection-lost', 'store-connection-restored', 'target-ejected', 'target-removed', 'target-changed', 'target-leaving',
   'listening', 'stopping', 'log-lines-dropped'
 ])
 
--- a/src/core/explain/RequestPath.ts
+++ b/src/core/explain/RequestPath.ts
@@ -129,5 +129,5 @@
 /** Checks whether a line states that a target gets no more requests. */
 function isTargetLost (line: LogLine, target: string): boolean {
   if (line.event === 'target-changed') return line.fields.isLeaving === true && getText(line, 'id') === target
-  return ['target-ejected', 'target-removed'].includes(line.event) && getText(line, 'target')?.split('@')[0] === target
+  return ['target-ejected', 'target-removed', 'target-leaving'].includes(line.event) && getText(line, 'target')?.split('@')[0] === target
 }
--- a/src/core/forward/CallProtocol.ts
+++ b/src/core/forward/CallProtocol.ts
@@ -35,6 +35,8 @@
   readonly isNotRun: boolean
   /** Requests per second that the target accepts from all gateways together; undefined when it states no limit. */
   readonly requestsPerSecond: number | undefined
+  /** True when the target states that it is leaving. */
+  readonly isLeaving: boolean
   /** True when another instance than the one named in the request has responded. */
   readonly isMisdirected: boolean
   /** True when the body was encoded in transit, so that it differs from the one that the target generated. */
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -1,4 +1,5 @@
 import { getIncarnationKey, type Target } from './Target.js'
+import { LeavingTargets } from './LeavingTargets.js'
 import { BestPace } from './StreamPace.js'
 import { TargetState } from './TargetState.js'
 
@@ -9,20 +10,44 @@
  */
 export const REREGISTER_MS = 2_000
 
+/** Milliseconds that a request takes at most to reach its target: the time-out of a new connection, and the network. */
+const DISPATCH_MS = 600
+
+/** Options of {@link TargetRegistry}. */
+export interface TargetRegistryOptions {
+  /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
+  readonly drainMs?: number
+}
+
 /** Keeps the targets that the store lists, with the state that this gateway tracks for each. */
 export class TargetRegistry {
   private readonly _states = new Map<string, TargetState>()
   private readonly _bestPaces = new Map<string, BestPace>()
   /** Ids that the store no longer lists since an outage, and that may be registered again. */
   private readonly _missing = new Set<string>()
+  private readonly _leaving = new LeavingTargets()
+  private readonly _drainMs: number
   private _isStoreUnavailable = false
   private _reregisterUntil = -Infinity
 
-  /** Applies the registration of a target; returns whether anything that matters to placement changed. */
-  set (target: Target): boolean {
+  constructor (options: TargetRegistryOptions = {}) {
+    this._drainMs = options.drainMs ?? 0
+  }
+
+  /**
+   * Applies the registration of a target; returns whether anything that matters to placement changed.
+   *
+   * @param changedAfter - Time after which the row was changed; unknown by default.
+   */
+  set (target: Target, changedAfter = -Infinity): boolean {
     this._missing.delete(target.id)
     const existing = this._states.get(target.id)
-    if (existing?.incarnation !== getIncarnationKey(target) || existing.target.address !== target.address) {
+    const incarnation = getIncarnationKey(target)
+    const isReplaced = existing?.incarnation !== incarnation || existing.target.address !== target.address
+    if (isReplaced) this._forgetUnknown(existing?.target)
+    if (target.isLeaving) this._leaving.add(incarnation, { since: changedAfter, isStated: false })
+    else this._leaving.withdraw(incarnation)
+    if (isReplaced) {
       this._states.set(target.id, new TargetState(target, this._getBestPace(target.service)))
       return true
     }
@@ -37,16 +62,21 @@
       if (this._states.has(id)) this._missing.add(id)
       return
     }
-    this._states.delete(id)
+    this._delete(id)
   }
 
   /** Applies the complete list of targets. */
-  setAll (targets: readonly Target[], now: number): void {
+  setAll (targets: readonly Target[], now: number, changedAfter = -Infinity): void {
     const listed = new Set(targets.map(target => target.id))
-    for (const target of targets) this.set(target)
+    for (const target of targets) this.set(target, changedAfter)
     for (const id of [...this._states.keys()]) if (!listed.has(id)) this.remove(id, now)
   }
 
+  /** Records that a target has stated that it is leaving, which holds for its incarnation; returns whether that is news. */
+  recordLeaving (incarnation: string, statedAt: number): boolean {
+    return this._leaving.add(incarnation, { since: statedAt, isStated: true })
+  }
+
   /** Records that the store is unavailable. */
   recordStoreUnavailable (): void {
     this._isStoreUnavailable = true
@@ -61,8 +91,15 @@
 
   /** Gets the targets of a service that are not draining, including ejected ones. */
   getServing (service: string, now: number): TargetState[] {
-    if (!this._isStoreUnavailable && now >= this._reregisterUntil && this._missing.size > 0) this._removeMissing()
-    return [...this._states.values()].filter(state => state.target.service === service && !state.target.isLeaving)
+    return this._getOfService(service, now).filter(state => this._leaving.getSince(state.incarnation) === undefined)
+  }
+
+  /** Gets the targets of a service that are draining and still serve, for requests that no other target can serve. */
+  getDraining (service: string, now: number): TargetState[] {
+    return this._getOfService(service, now).filter(state => {
+      const since = this._leaving.getSince(state.incarnation)
+      return since !== undefined && now < since + this._drainMs - DISPATCH_MS
+    })
   }
 
   /** Gets a target by the key of its incarnation; undefined if that incarnation is not listed. */
@@ -81,6 +118,21 @@
     return this._states.size
   }
 
+  private _getOfService (service: string, now: number): TargetState[] {
+    if (!this._isStoreUnavailable && now >= this._reregisterUntil && this._missing.size > 0) this._removeMissing()
+    return [...this._states.values()].filter(state => state.target.service === service)
+  }
+
+  private _delete (id: string): void {
+    this._forgetUnknown(this._states.get(id)?.target)
+    this._states.delete(id)
+  }
+
+  /** Forgets that a target is leaving whose start time is unknown, because its next incarnation would have the same key. */
+  private _forgetUnknown (target: Target | undefined): void {
+    if (target?.bornAt === 0) this._leaving.delete(getIncarnationKey(target))
+  }
+
   private _getBestPace (service: string): BestPace {
     const existing = this._bestPaces.get(service)
     if (existing !== undefined) return existing
@@ -90,7 +142,7 @@
   }
 
   private _removeMissing (): void {
-    for (const id of this._missing) this._states.delete(id)
+    for (const id of this._missing) this._delete(id)
     this._missing.clear()
   }
 }
--- a/src/core/target/index.ts
+++ b/src/core/target/index.ts
@@ -1,6 +1,7 @@
 export * from './baselines.js'
 export * from './CacheSource.js'
 export * from './CostPlacement.js'
+export * from './LeavingTargets.js'
 export * from './PlacementPolicy.js'
 export * from './PrefixCacheTracker.js'
 export * from './RequestLimit.js'
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -9,6 +9,7 @@
 import { AttemptAbort } from './AttemptAbort.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
+import type { LeavingNotices } from './LeavingNotices.js'
 import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
 import type { Placer } from './Placer.js'
 import type { SuspectStore } from './SuspectStore.js'
@@ -26,6 +27,7 @@
   readonly placer: Placer
   readonly limitedPlacer: LimitedPlacer
   readonly limits: TargetLimits
+  readonly leaving: LeavingNotices
   /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
   readonly random: () => number
   readonly client: TargetClient
@@ -156,6 +158,7 @@
     const progress = this._track(placement, sentAt, abort)
     try {
       const response = await client.send({ call, body, signal, dispatch: { target: state.target, timeoutMs, lastEventId } })
+      this._context.leaving.recordResponse(state, response.head, call.id)
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
         response.discard()
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -11,13 +11,15 @@
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
 import {
-  BudgetPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore, TurnPeers
+  BudgetPeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore,
+  TurnPeers
 } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
+import { LeavingNotices } from './LeavingNotices.js'
 import { LimitedPlacer } from './LimitedPlacer.js'
 import { OriginStore } from './OriginStore.js'
 import { Placer } from './Placer.js'
@@ -87,7 +89,7 @@
 export class Gateway {
   private readonly _options: GatewayOptions
   private readonly _configs = new ConfigHolder()
-  private readonly _registry = new TargetRegistry()
+  private readonly _registry: TargetRegistry
   private readonly _server: GatewayServer
   private readonly _status: StatusServer
   private readonly _cacheLearner: CacheLearner
@@ -110,6 +112,7 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
+    this._registry = new TargetRegistry({ drainMs: settings.drainMs })
     this._pauses = new PauseDetector(clock)
     const { id, failureDomain, regions } = settings
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
@@ -126,6 +129,12 @@
     })
     const applyStatement: TargetLimits['apply'] = (target, statement) => limits.apply(target, statement)
     const limitPeers = new LimitPeers({ pool, clock, localId: id, ranking: lenders, applyStatement })
+    const leaving = new LeavingNotices({
+      registry: this._registry, clock, log, metrics, publish: (target, statedAt) => { void leavingPeers.publish(target, statedAt) }
+    })
+    const leavingPeers = new LeavingPeers({
+      pool, clock, localId: id, ranking: lenders, applyLeaving: (target, statedAt) => leaving.apply(target, statedAt)
+    })
     const permits = new PermitPeers({
       pool, clock, localId: id, ranking: lenders, ledger: new PermitLedger(clock), getLimit: target => limits.get(target), applyStatement
     })
@@ -136,6 +145,7 @@
       reserves: ledger,
       permits,
       limits: limitPeers,
+      leaving: leavingPeers,
       returnUnused,
       getCachedTurn: turn => this._turns.getCached(turn),
       getOrigin: stream => this._origins.getRemembered(stream)
@@ -178,7 +188,7 @@
     const suspects = new SuspectStore({ access, clock, log })
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
-    const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
+    const attempts = { clock, log, metrics, placer, limitedPlacer, limits, leaving, random, suspects, client: new TargetClient(protocol) }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
     this._origins = new OriginStore({
       access,
@@ -267,7 +277,7 @@
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log } = this._options
     this._graceMs = settings.graceMs
-    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement'] as const
+    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs'] as const
     const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(startSettings[key]))
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
@@ -317,7 +327,7 @@
 
   private _applyTargets (rows: readonly StoredRow[]): void {
     const targets = rows.flatMap(row => this._decodeTarget(row) ?? [])
-    this._registry.setAll(targets, this._options.clock.now())
+    this._registry.setAll(targets, this._options.clock.now(), this._targetWatch.getConfirmedAt())
     this._onTargetsApplied()
   }
 
@@ -329,7 +339,7 @@
     } else {
       const target = this._decodeTarget(change.row)
       if (target === undefined) this._registry.remove(change.row.key, clock.now())
-      else if (this._registry.set(target)) log.info('target-changed', { ...target, row: change.row.version })
+      else if (this._registry.set(target, this._targetWatch.getConfirmedAt())) log.info('target-changed', { ...target, row: change.row.version })
     }
     this._onTargetsApplied()
   }
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -15,6 +15,7 @@
   readonly callerDisconnects = this._counter('wisteria_caller_disconnects_total', 'Requests whose caller closed its connection before the answer was complete, by kind of route.', ['kind'])
   readonly ejections = this._counter('wisteria_ejections_total', 'Targets that get no work for a while.', [])
   readonly limitedSends = this._counter('wisteria_limited_sends_total', 'Requests sent to targets that limit their request rate.', [])
+  readonly leavingNotices = this._counter('wisteria_leaving_notices_total', 'Targets that stated that they are leaving, by whether a response or a peer said so first.', ['source'])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly originLookups = this._counter('wisteria_origin_lookups_total', 'Streams whose callers sent another try, by where their origin was found.', ['source'])
   readonly relayedCalls = this._counter('wisteria_store_calls_relayed_total', 'Calls of the store that went through a peer.', [])
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -42,7 +42,11 @@
     return policy.select(this.getCandidates(call, route, stream), work, clock.now())
   }
 
-  /** Gets the targets of the backend to which a request belongs that are not draining and may send the events of its stream. */
+  /**
+   * Gets the targets of the backend to which a request belongs and that may send the events of its stream.
+   *
+   * A target that is draining is one of them only if there are no others, and while it still serves.
+   */
   getCandidates (call: CallRequest, route: Route, stream?: BegunStream): TargetState[] {
     const { isVersionKnown = () => true } = this._options
     const serving = this._getServing(call, route, stream)
@@ -60,7 +64,9 @@
     const hashKey = call.program?.session ?? call.affinityKey ?? call.id
     const service = route.backends.find(isOrigin)?.service ?? chooseBackend(route.backends, hashKey)
     if (service === undefined) return []
-    return registry.getServing(service, clock.now()).filter(({ target }) => canContinue(target, stream))
+    const now = clock.now()
+    const serving = registry.getServing(service, now).filter(({ target }) => canContinue(target, stream))
+    return serving.length > 0 ? serving : registry.getDraining(service, now).filter(({ target }) => canContinue(target, stream))
   }
 }
 
--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -19,6 +19,8 @@
 export class ResponseHandler implements Dispatcher.DispatchHandler {
   /** True as soon as the request may have been written to a connection. */
   isSent = false
+  /** Headers of the interim responses, names and values alternating. */
+  readonly interimHeaders: string[] = []
   readonly response: Promise<RawResponse>
   private _resolve: (response: RawResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
@@ -53,13 +55,13 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
+    const headers = getRawHeaders(controller)
     if (status < 200) {
+      this.interimHeaders.push(...headers)
       this._interimResponses++
       if (this._interimResponses > MAX_INTERIM_RESPONSES) this._abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`))
       return
     }
-    const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
-    const headers = rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
     this._resolve({ status, headers, body: this._read(), abort: () => { this._abort(new Error('The response was discarded.')) } })
   }
 
@@ -113,3 +115,8 @@
     this._wakeReader()
   }
 }
+
+function getRawHeaders (controller: Dispatcher.DispatchController): string[] {
+  const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
+  return rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
+}
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -65,6 +65,11 @@
     return this._options.clock.now() - this._confirmedAt
   }
 
+  /** Gets the time after which a change that is being applied was made. */
+  getConfirmedAt (): number {
+    return this._confirmedAt
+  }
+
   /** Checks whether a read that began at the given time or later has confirmed the rows. */
   isConfirmedSince (time: number): boolean {
     return this._confirmedAt >= time
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -14,6 +14,9 @@
 /** Milliseconds before a target's announced idle time-out at which a connection is closed. */
 const KEEP_ALIVE_MARGIN_MS = 700
 
+/** Status of the interim responses, whose headers count as those of one. */
+const INTERIM_STATUS = 100
+
 /** A response whose head has arrived. */
 export interface TargetResponse {
   readonly head: ResponseHead
@@ -76,7 +79,9 @@
         body: body ?? null
       }, handler)
       const response = await handler.response
-      return { head: this._protocol.decodeResponse(response.status, response.headers), body: response.body, discard: response.abort }
+      const head = this._protocol.decodeResponse(response.status, response.headers)
+      const { isLeaving } = this._protocol.decodeResponse(INTERIM_STATUS, handler.interimHeaders)
+      return { head: { ...head, isLeaving: head.isLeaving || isLeaving }, body: response.body, discard: response.abort }
     } catch (err) {
       throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent || isConnectError(err))
     }
--- a/src/io/peer/LimitPeers.ts
+++ b/src/io/peer/LimitPeers.ts
@@ -1,11 +1,10 @@
-import type { Clock } from '../../core/clock/index.js'
-import type { LenderRanking, LimitedTarget } from '../../core/limits/index.js'
+import type { LimitedTarget } from '../../core/limits/index.js'
 import type { LimitStatement } from '../../core/target/index.js'
-import type { PeerPool } from './PeerPool.js'
+import type { PeerClient } from './PeerClient.js'
+import { TargetNewsPeers, type TargetNewsCallOptions, type TargetNewsPeersOptions, type TargetNotice } from './TargetNewsPeers.js'
 
-/** Statement of a target as gateways pass it on; times are ages, because clocks of machines differ. */
-export interface LimitNotice {
-  readonly target: LimitedTarget
+/** Statement of a target about its limit as gateways pass it on. */
+export interface LimitNotice extends TargetNotice {
   /** Requests per second; null without a limit. */
   readonly perSecond: number | null
   readonly sentAgoMs: number
@@ -13,70 +12,37 @@
 }
 
 /** Options of {@link LimitPeers}. */
-export interface LimitPeersOptions {
-  readonly pool: PeerPool
-  readonly clock: Clock
-  readonly localId: string
-  readonly ranking: LenderRanking
+export interface LimitPeersOptions extends TargetNewsPeersOptions {
   /** Records a statement of a target that another gateway has passed on; returns whether the limit has changed. */
   readonly applyStatement: (target: string, statement: LimitStatement) => boolean
 }
 
-/**
- * Spreads changes of the limits that targets state: a gateway reports one to the target's lender, which notifies all others once.
- *
- * Needed because a gateway of a large deployment rarely uses a given target: by its own requests alone, each would learn a limit late.
- */
-export class LimitPeers {
+/** Spreads changes of the limits that targets state. */
+export class LimitPeers extends TargetNewsPeers<LimitStatement, LimitNotice> {
   private readonly _options: LimitPeersOptions
 
   constructor (options: LimitPeersOptions) {
+    super(options)
     this._options = options
   }
 
-  /** Passes on a change that a response to this gateway has shown. */
-  async publish (target: LimitedTarget, statement: LimitStatement): Promise<void> {
-    const { ranking, localId, pool } = this._options
-    for (const lender of ranking.getLenders(target)) {
-      if (lender === localId) {
-        await this._notifyPeers(target, statement)
-        return
-      }
-      const notice = this._encode(target, statement)
-      const isReported = await pool.call(lender, { subject: target.key }, async (procedures, options) => {
-        await procedures.reportLimit.mutate(notice, options)
-        return true
-      })
-      if (isReported === true) return
-    }
-  }
-
-  /** Applies a change reported to this gateway as the target's lender, and notifies the others if it is news. */
-  receiveReport (notice: LimitNotice): void {
-    if (this.receiveNotice(notice)) void this._notifyPeers(notice.target, this._decode(notice))
+  protected encode (target: LimitedTarget, { perSecond, sentAt, statedAt }: LimitStatement, now: number): LimitNotice {
+    return { target, perSecond: perSecond ?? null, sentAgoMs: Math.max(0, now - sentAt), statedAgoMs: Math.max(0, now - statedAt) }
   }
 
-  /** Applies a change that the target's lender has passed on; returns whether it is news. */
-  receiveNotice (notice: LimitNotice): boolean {
-    return this._options.applyStatement(notice.target.key, this._decode(notice))
+  protected decode ({ perSecond, sentAgoMs, statedAgoMs }: LimitNotice, now: number): LimitStatement {
+    return { perSecond: perSecond ?? undefined, sentAt: now - sentAgoMs, statedAt: now - statedAgoMs }
   }
 
-  private async _notifyPeers (target: LimitedTarget, statement: LimitStatement): Promise<void> {
-    const { ranking, localId, pool } = this._options
-    const notice = this._encode(target, statement)
-    const others = ranking.getPeers().filter(({ id }) => id !== localId)
-    await Promise.all(others.map(async ({ id }) => {
-      await pool.call(id, { subject: target.key }, async (procedures, options) => { await procedures.notifyLimit.mutate(notice, options) })
-    }))
+  protected apply (target: LimitedTarget, statement: LimitStatement): boolean {
+    return this._options.applyStatement(target.key, statement)
   }
 
-  private _encode (target: LimitedTarget, { perSecond, sentAt, statedAt }: LimitStatement): LimitNotice {
-    const now = this._options.clock.now()
-    return { target, perSecond: perSecond ?? null, sentAgoMs: Math.max(0, now - sentAt), statedAgoMs: Math.max(0, now - statedAt) }
+  protected async report (procedures: PeerClient['procedures'], notice: LimitNotice, options: TargetNewsCallOptions): Promise<void> {
+    await procedures.reportLimit.mutate(notice, options)
   }
 
-  private _decode ({ perSecond, sentAgoMs, statedAgoMs }: LimitNotice): LimitStatement {
-    const now = this._options.clock.now()
-    return { perSecond: perSecond ?? undefined, sentAt: now - sentAgoMs, statedAt: now - statedAgoMs }
+  protected async notify (procedures: PeerClient['procedures'], notice: LimitNotice, options: TargetNewsCallOptions): Promise<void> {
+    await procedures.notifyLimit.mutate(notice, options)
   }
 }
--- a/tests/core/target/TargetRegistryTests.ts
+++ b/tests/core/target/TargetRegistryTests.ts
@@ -47,4 +47,79 @@
     registry.set({ ...target, bornAt: 6 })
     expect(registry.getServing('model', 0)[0]!.prefixCache.getCachedTokens([{ id: 'p', tokens: 10 }])).toEqual(0)
   })
+
+  describe('with a target that states that it is leaving', () => {
+    const INCARNATION = 'i-1@5'
+    const DRAIN_MS = 2_500
+    const getDraining = (registry: TargetRegistry, now: number): string[] => registry.getDraining('model', now).map(state => state.target.id)
+    let registry: TargetRegistry
+
+    beforeEach(() => {
+      registry = new TargetRegistry({ drainMs: DRAIN_MS })
+      registry.set(target)
+      expect(registry.recordLeaving(INCARNATION, 100)).toEqual(true)
+    })
+
+    it('should not return it as serving, and report the news once', () => {
+      expect(getIds(registry, 100)).toEqual([])
+      expect(registry.recordLeaving(INCARNATION, 200)).toEqual(false)
+    })
+
+    it('should keep the notice through rows, a complete list and an outage', () => {
+      registry.set({ ...target, slots: 9 })
+      registry.setAll([target], 200)
+      registry.recordStoreUnavailable()
+      registry.setAll([], 300)
+      registry.recordStoreAvailable(400)
+      registry.set(target)
+      expect(getIds(registry, 500)).toEqual([])
+    })
+
+    it('should keep the notice while the target is not listed, and know it before the target is', () => {
+      registry.remove('i-1', 200)
+      registry.set(target)
+      registry.recordLeaving('i-2@7', 300)
+      registry.set({ ...target, id: 'i-2', bornAt: 7 })
+      expect(getIds(registry, 400)).toEqual([])
+    })
+
+    it('should return a new incarnation under the same id', () => {
+      registry.set({ ...target, bornAt: 6 })
+      expect(getIds(registry, 200)).toEqual(['i-1'])
+      registry.recordLeaving(INCARNATION, 300)
+      expect(getIds(registry, 300)).toEqual(['i-1'])
+    })
+
+    it('should return it as draining until a request could arrive after it has drained', () => {
+      expect(getDraining(registry, 100)).toEqual(['i-1'])
+      expect(getDraining(registry, 100 + DRAIN_MS - 601)).toEqual(['i-1'])
+      expect(getDraining(registry, 100 + DRAIN_MS - 600)).toEqual([])
+      registry.recordLeaving(INCARNATION, 2_000)
+      expect(getDraining(registry, 100 + DRAIN_MS)).toEqual([])
+    })
+
+    it('should forget the notice of a target whose start time is unknown when its row is removed', () => {
+      registry.set({ ...target, id: 'i-3', bornAt: 0 })
+      registry.recordLeaving('i-3@0', 100)
+      registry.remove('i-3', 200)
+      registry.set({ ...target, id: 'i-3', bornAt: 0 })
+      expect(getIds(registry, 300)).toEqual(['i-3'])
+    })
+  })
+
+  it('should count a row that says draining from the time after which it was changed, and let the row take it back', () => {
+    const registry = new TargetRegistry({ drainMs: 2_500 })
+    registry.set(target)
+    registry.set({ ...target, isLeaving: true }, 100)
+    expect(registry.getDraining('model', 1_999).length).toEqual(1)
+    expect(registry.getDraining('model', 2_000).length).toEqual(0)
+    registry.set(target, 1_000)
+    expect(getIds(registry, 1_000)).toEqual(['i-1'])
+  })
+
+  it('should not return as draining a target whose row was changed at an unknown time', () => {
+    const registry = new TargetRegistry({ drainMs: 2_500 })
+    registry.set({ ...target, isLeaving: true })
+    expect(registry.getDraining('model', 0)).toEqual([])
+  })
 })
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -154,6 +154,13 @@
     expect(getTarget(await place())).toEqual('far')
   })
 
+  it('should not use a permit for a target that has stated that it is leaving while the request waited for it', async () => {
+    limit('near')
+    onAsk = () => { registry.recordLeaving('near@1', clock.now()) }
+    answers = [{ type: 'granted', waitMs: 0 }]
+    expect(getTarget(await place())).toEqual('far')
+  })
+
   // A process that was paused for some seconds acted on a permission that had run out meanwhile.
   it('should not use a permit that arrived or was used too late, because the process was paused', async () => {
     limit('near')
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -27,6 +27,7 @@
       reserves,
       permits: { lend: () => ({ type: 'refused', waitMs: 0 }) },
       limits: { receiveReport: () => {}, receiveNotice: () => false },
+      leaving: { receiveReport: () => {}, receiveNotice: () => false },
       returnUnused: async () => {},
       getCachedTurn: () => undefined,
       getOrigin: () => undefined
--- a/tests/platform/PlatformProtocolTests.ts
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -66,5 +66,7 @@
     expect(rates).toEqual([2.5, 0, undefined, undefined, undefined])
     expect(protocol.decodeResponse(200, []).requestsPerSecond).toEqual(undefined)
     expect(protocol.decodeResponse(421, []).isMisdirected).toEqual(true)
+    expect(protocol.decodeResponse(500, ['Server-Leaving', '1']).isLeaving).toEqual(true)
+    expect([[], ['Server-Leaving', '0']].map(headers => protocol.decodeResponse(200, headers).isLeaving)).toEqual([false, false])
   })
 })
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -6,7 +6,7 @@
 const TRICKLE_INTERVAL_MS = 50
 
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' | 'interim-leaving'
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -27,6 +27,8 @@
   readonly arrivals: number[] = []
   /** Request rate that the responses state; undefined for none. */
   requestsPerSecond: number | undefined
+  /** True if the responses state that the target is leaving. */
+  statesLeaving = false
   /** Behaviours of the next requests, in order of arrival; requests after the last one get a complete response. */
   readonly nextBehaviours: EngineBehaviour[] = []
   /** Data of the events that each stream sends. */
@@ -64,6 +66,7 @@
     }
     this.arrivals.push(performance.now())
     if (this.requestsPerSecond !== undefined) res.setHeader('server-limit', String(this.requestsPerSecond))
+    if (this.statesLeaving) res.setHeader('server-leaving', '1')
     const behaviour = this.nextBehaviours.shift() ?? 'answer'
     if (behaviour === 'not-run') {
       res.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id }).end()
@@ -78,6 +81,7 @@
 
   private async _respond (run: EngineRun, res: ServerResponse, behaviour: EngineBehaviour): Promise<void> {
     if (behaviour === 'hang') return
+    if (behaviour === 'interim-leaving') res.writeEarlyHints({ link: '</>; rel=preload', 'server-leaving': '1' })
     if (behaviour === 'reset') {
       res.destroy()
       return
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -13,6 +13,9 @@
 /** Name of the settings file in the temporary folder of a gateway. */
 const SETTINGS_FILE = 'settings.toml'
 
+/** Milliseconds for which targets go on serving after they have announced that they are leaving, as the gateways are told. */
+const DRAIN_MS = 2_500
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly id: string
@@ -148,6 +151,7 @@
   const listen = ['callers', 'readiness', 'metrics', 'peers'].map(server => `${server} = "127.0.0.1:0"`)
   return [
     `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', ...listen,
-    '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', `grace_ms = ${options.graceMs ?? 8_000}`
+    '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', `grace_ms = ${options.graceMs ?? 8_000}`,
+    '[targets]', `drain_ms = ${DRAIN_MS}`
   ].join('\n')
 }
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -100,6 +100,12 @@
     this._register(standin, this.engines.includes(standin) ? 'model' : 'desk')
   }
 
+  /** Writes the row of a target again with the same start time, as when it reports that it is alive, or that it is draining. */
+  report (standin: EngineStandin, state: 'ready' | 'draining' = 'ready'): void {
+    const row = this.store.rows.getRow({ table: 'servers', part: '', key: standin.id })!
+    this.store.put('servers', standin.id, { ...JSON.parse(Buffer.from(row.value).toString()), state })
+  }
+
   /** Registers the plain services at another address. */
   replaceDesks (address: string): void {
     for (const desk of this.desks) {
