--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -8,6 +8,9 @@
 /** Interim responses (status 1xx) that are accepted before the response. */
 const MAX_INTERIM_RESPONSES = 16
 
+/** Status of the interim responses, whose headers count as those of one. */
+const INTERIM_STATUS = 100
+
 /** A response whose head has arrived. */
 export interface TargetResponse {
   readonly head: ResponseHead
@@ -35,6 +38,8 @@
   private _controller: Dispatcher.DispatchController | undefined
   private _connection: TargetConnection | undefined
   private _interimResponses = 0
+  /** Headers of the interim responses, names and values alternating. */
+  private readonly _interimHeaders: string[] = []
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
   private _isComplete = false
@@ -78,14 +83,14 @@
   }
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
+    const headers = getRawHeaders(controller)
     if (status < 200) {
+      this._interimHeaders.push(...headers)
       this._interimResponses++
       if (this._interimResponses > MAX_INTERIM_RESPONSES) this._abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`))
       return
     }
-    const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
-    const headers = rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
-    const head = this._options.decode(status, headers)
+    const head = this._decode(status, headers)
     this._resolve({ head, body: this._read(), discard: () => { this._abort(new Error('The response was discarded.')) } })
     // The response to this request may still follow, and would be read as the response to the next one on the connection.
     if (head.requestId !== this._options.requestId) this._abort(new Error('The response belongs to another request.'))
@@ -107,6 +112,13 @@
     this._fail(err)
   }
 
+  /** Decodes the head of the response; that the target is leaving may also have been stated by an interim response. */
+  private _decode (status: number, headers: readonly string[]): ResponseHead {
+    const { decode } = this._options
+    const head = decode(status, headers)
+    return { ...head, isLeaving: head.isLeaving || decode(INTERIM_STATUS, this._interimHeaders).isLeaving }
+  }
+
   private async * _read (): AsyncGenerator<Buffer> {
     for (;;) {
       const chunk = this._chunks.shift()
@@ -141,3 +153,8 @@
     this._wakeReader()
   }
 }
+
+function getRawHeaders (controller: Dispatcher.DispatchController): string[] {
+  const { rawHeaders } = controller as unknown as { rawHeaders: ReadonlyArray<Buffer | string> }
+  return rawHeaders.map(value => typeof value === 'string' ? value : value.toString('latin1'))
+}
