Streams: limit tokens, bytes and events, whatever their size

Cause: a target decided how much the gateway kept. Transcript kept a Buffer for each event, on routes that retain nothing too; nothing compared a stream with the turn's maximum; EventSplitter created all events of a chunk at once, with strings of several times its size. Class: input of a target without a bound in bytes.

Change: StreamLimit (core) counts tokens, bytes and events over all attempts of a stream; an event after the caller's maximum of tokens, or beyond 8 MiB or 1 KiB a token, ends the attempt as failing and the response as broken off, without another target (ResponseFailure.isFinal). The last event may have fewer tokens than the others, and events without data are no tokens. A transcript exists only on retained routes and adds at most 512 KiB. Incomplete events and transcripts are in one growing block (ByteBuffer), so that tiny pieces cost their bytes only; events are parsed one at a time and as views. An event has at most 64 KiB. BatchWriter writes the pieces that arrive together at once and lets other requests have their turn in between.

Why it works: what is kept of a stream is bounded by bytes before the target sends, and no more tokens are relayed than the reservation of the turn.

Tests changed: TurnTests reads events from an iterator instead of an array; same expectations.

--- a/src/core/turn/index.ts
+++ b/src/core/turn/index.ts
@@ -1,4 +1,6 @@
+export * from './ByteBuffer.js'
 export * from './EventSplitter.js'
+export * from './StreamLimit.js'
 export * from './Transcript.js'
 export * from './TurnRows.js'
 export * from './OutageAdmission.js'
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -4,6 +4,7 @@
 import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { Route } from '../../core/route/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
 /** Headers of a response after which the connection is closed. */
@@ -44,11 +45,13 @@
   private readonly _callerDisconnected = new AbortController()
   /** True once this gateway has closed the connection of an incomplete response. */
   private _isAborted = false
+  private readonly _writer: BatchWriter
 
   constructor (options: ExchangeOptions) {
     const { context, call, route, res } = options
     this._context = context
     this._res = res
+    this._writer = new BatchWriter(res)
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
@@ -89,20 +92,13 @@
 
   /** Sends a chunk; resolves when the connection accepts more or is closed. */
   async write (bytes: Buffer): Promise<void> {
-    if (this._isClosed() || this._res.write(bytes)) return
-    await new Promise<void>(resolve => {
-      const done = (): void => {
-        this._res.off('drain', done).off('close', done)
-        resolve()
-      }
-      this._res.on('drain', done).on('close', done)
-    })
+    return await this._writer.write(bytes)
   }
 
   /** Ends a response that was sent in chunks. */
   end (): void {
     if (this._isClosed()) return
-    this._res.end()
+    this._writer.end()
     this._recordResponse(this._res.statusCode)
   }
 
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -5,7 +5,7 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
-import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
+import { EventSplitter, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, Transcript, type StreamEvent } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
@@ -49,7 +49,9 @@
 
 /** Progress of one stream while it is relayed, over all attempts. */
 interface StreamProgress {
-  readonly transcript: Transcript
+  /** Transcript of a retained turn; undefined on other routes, where nothing of the stream is kept. */
+  readonly transcript: Transcript | undefined
+  readonly limit: StreamLimit
   events: number
   /** Tokens of the events that were sent to the caller. */
   tokens: number
@@ -100,9 +102,15 @@
     }
     const { settle } = reservation
     const prompt = loaded.unsafeCoerce()
-    const { lastEventId } = exchange.call
+    const { lastEventId, maxOutputTokens: maxTokens } = exchange.call
     const progress: StreamProgress = {
-      transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId, lastEventAt: exchange.startedAt, stream
+      transcript: exchange.route.isRetained ? new Transcript(prompt) : undefined,
+      limit: new StreamLimit({ maxTokens }),
+      events: 0,
+      tokens: 0,
+      lastEventId,
+      lastEventAt: exchange.startedAt,
+      stream
     }
     let isSettled = false
     const settleOnce = (): void => {
@@ -230,6 +238,11 @@
         for (const event of splitter.add(chunk)) {
           const hasData = event.data !== undefined
           if (hasData) stallTimer.stop()
+          const excess = getExcess(progress, event, hasData ? tokensPerEvent : 0)
+          if (excess !== undefined) {
+            attempt.response.discard()
+            return { cause: excess, isConnectionLost: false, isFinal: true }
+          }
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.recordFirstChunk()
           progress.stream ??= this._begin(exchange, attempt.state.target)
@@ -240,7 +253,6 @@
           else attempt.state.pace.recordGap(now - progress.lastEventAt, now)
           progress.lastEventAt = now
           if (event.id !== '') progress.lastEventId = event.id
-          progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
           if (hasData && isRepeatable(exchange.route)) stallTimer.start()
         }
@@ -262,7 +274,7 @@
   /** Ends the response; a retained turn is saved first, because a caller may continue from it as soon as its stream has ended. */
   private async _finish (exchange: Exchange, progress: StreamProgress): Promise<void> {
     const { route, call } = exchange
-    if (route.isRetained) {
+    if (progress.transcript !== undefined) {
       const deadline = Math.min(exchange.deadline, progress.lastEventAt + getCallerWaitMs(route) - SAVE_MARGIN_MS)
       if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.abort('the turn could not be saved in time')
@@ -277,6 +289,13 @@
   }
 }
 
+/** Counts an event and adds it to the transcript; returns the limit that it exceeds, or undefined if it may be relayed. */
+function getExcess ({ limit, transcript }: StreamProgress, event: StreamEvent, tokens: number): string | undefined {
+  const excess = limit.add({ bytes: event.bytes.length, tokens })
+  if (excess !== undefined || transcript === undefined || transcript.addEvent(event)) return excess
+  return `the turn exceeds ${MAX_TURN_BYTES} bytes`
+}
+
 /** Gets the milliseconds for which a caller may continue its stream. */
 function getOriginRetentionMs ({ call, route }: Exchange): number {
   return Math.max(call.timeoutMs ?? 0, route.timeoutMs) + ORIGIN_MARGIN_MS
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -1,6 +1,7 @@
 import { expect } from 'earl'
 import {
-  EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, PARTITIONS_PER_TURN, toTurnRows, Transcript
+  ByteBuffer, EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_TURN_BYTES,
+  PARTITIONS_PER_TURN, StreamLimit, toTurnRows, Transcript, type CountedEvent
 } from '../../../src/core/turn/index.js'
 
 describe('EventSplitter', () => {
@@ -15,6 +16,12 @@
     }
   })
 
+  it('should decode ids and data as the event stream format states', () => {
+    const bytes = Buffer.from('id:1\ndata\ndata:  b\r\ndata:\n: comment\nidx: 9\ndatax: c\ndata: \u00e9\n\nevent: end\nid: 2\nid\n\n\n')
+    const events = [...new EventSplitter().add(bytes)].map(({ id, data }) => ({ id, data: data?.toString() }))
+    expect(events).toEqual([{ id: '1', data: '\n b\n\n\u00e9' }, { id: '', data: undefined }])
+  })
+
   it('should scan bytes that are no event once and keep a bounded number of them', () => {
     for (const chunkBytes of [1, 65_536]) {
       const splitter = new EventSplitter()
@@ -23,29 +30,65 @@
       let received = 0
       let events = 0
       while (!splitter.isTooLong()) {
-        events += splitter.add(chunk).length
+        events += [...splitter.add(chunk)].length
         received += chunkBytes
       }
       // A scan of all kept bytes for each chunk takes minutes for single bytes.
       expect([events, received <= MAX_EVENT_BYTES + chunkBytes, performance.now() - startedAt < 2_000]).toEqual([0, true, true])
-      splitter.add(chunk)
+      expect([...splitter.add(chunk)].length).toEqual(0)
       expect(splitter.getRemainder().length).toEqual(0)
     }
   })
 
   it('should return the events before one that is too long, and none after it', () => {
     const splitter = new EventSplitter({ maxEventBytes: 20 })
-    expect(splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: too long for it\n\nid: 3\n\n')).map(event => event.id)).toEqual(['1'])
-    expect([splitter.isTooLong(), splitter.add(Buffer.from('id: 4\n\n'))]).toEqual([true, []])
+    expect([...splitter.add(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: too long for it\n\nid: 3\n\n'))].map(event => event.id)).toEqual(['1'])
+    expect([splitter.isTooLong(), [...splitter.add(Buffer.from('id: 4\n\n'))]]).toEqual([true, []])
   })
 
   it('should hold back an incomplete event', () => {
     const splitter = new EventSplitter()
-    expect(splitter.add(Buffer.from('id: 1\ndata: a\n')).length).toEqual(0)
+    expect([...splitter.add(Buffer.from('id: 1\ndata: a\n'))].length).toEqual(0)
     expect(splitter.getRemainder().length).toEqual(14)
   })
 })
 
+describe('StreamLimit', () => {
+  it('should allow the last event to have fewer tokens, and no event with data after the maximum', () => {
+    const limit = new StreamLimit({ maxTokens: 10 })
+    const add = (tokens: number) => limit.add({ bytes: 30, tokens })
+    expect([add(4), add(4), add(0), add(4), add(0), add(4)])
+      .toEqual([undefined, undefined, undefined, undefined, undefined, 'the stream exceeds 10 tokens'])
+  })
+
+  it('should limit the bytes and the events of a stream without a maximum of tokens, and events without data', () => {
+    const count = (maxTokens: number, event: CountedEvent): string => {
+      const limit = new StreamLimit({ maxTokens })
+      for (let events = 0; ; events++) {
+        const excess = limit.add(event)
+        if (excess !== undefined) return `${events}: ${excess}`
+      }
+    }
+    expect([
+      count(0, { bytes: 9, tokens: 4 }), count(0, { bytes: MAX_STREAM_BYTES / 2, tokens: 4 }), count(10, { bytes: 9, tokens: 0 }),
+      count(16_384, { bytes: MAX_STREAM_BYTES / 2, tokens: 1 })
+    ]).toEqual([
+      '8192: the stream exceeds 8192 events', '2: the stream exceeds 8388608 bytes', '8192: the stream exceeds 8192 events',
+      '4: the stream exceeds 16777216 bytes'
+    ])
+  })
+})
+
+describe('ByteBuffer', () => {
+  it('should return the appended bytes, also after they were taken', () => {
+    const buffer = new ByteBuffer()
+    for (let at = 0; at < 3_000; at++) buffer.append(Buffer.of(at % 256))
+    expect(buffer.take()).toEqual(Buffer.from(Array.from({ length: 3_000 }, (_, at) => at % 256)))
+    buffer.append(Buffer.from('x'))
+    expect([buffer.length, buffer.getView().toString()]).toEqual([1, 'x'])
+  })
+})
+
 describe('Transcript', () => {
   it('should append the data of each event and a line feed to the prompt, byte for byte', () => {
     const transcript = new Transcript(Buffer.from('input'))
@@ -54,6 +97,15 @@
   })
 })
 
+describe('a transcript without end', () => {
+  it('should not grow beyond its limit', () => {
+    const transcript = new Transcript(Buffer.alloc(0))
+    const [event] = [...new EventSplitter().add(Buffer.from(`data: ${'x'.repeat(1_023)}\n\n`))]
+    const added = Array.from({ length: MAX_TURN_BYTES / 1_024 + 2 }, () => transcript.addEvent(event!))
+    expect([added.filter(isAdded => isAdded).length, added.at(-1), transcript.toBuffer().length]).toEqual([512, false, MAX_TURN_BYTES])
+  })
+})
+
 describe('turn rows', () => {
   const store = (transcript: Buffer, rowBytes: number) => toTurnRows('t1', '7', transcript, { rowBytes }).map(put => ({ ...put, version: 1 }))
 
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -13,6 +13,9 @@
 /** Name of the settings file in the temporary folder of a gateway. */
 const SETTINGS_FILE = 'settings.toml'
 
+/** Options of Node.js with which deploy/system.toml runs a gateway. */
+const NODE_OPTIONS = ['--max-old-space-size=120']
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly id: string
@@ -50,7 +53,7 @@
     const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
     const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, createSettings(options))
-    const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...NODE_OPTIONS, 'target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(child, folder, options)
     await gateway._waitUntilListening()
     return gateway
