--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -4,6 +4,7 @@
 import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
 /** Headers of a response after which the connection is closed. */
@@ -48,11 +49,13 @@
   private _lastReceivedAt: number | undefined
   private _lastSentAt: number | undefined
   private _sentBytes = 0
+  private readonly _writer: BatchWriter
 
   constructor (options: ExchangeOptions) {
     const { context, call, route, res } = options
     this._context = context
     this._res = res
+    this._writer = new BatchWriter(res)
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
@@ -100,20 +103,13 @@
   async write (bytes: Buffer): Promise<void> {
     this._lastSentAt = this._context.clock.now()
     this._sentBytes += bytes.length
-    if (this._isClosed() || this._res.write(bytes)) return
-    await new Promise<void>(resolve => {
-      const done = (): void => {
-        this._res.off('drain', done).off('close', done)
-        resolve()
-      }
-      this._res.on('drain', done).on('close', done)
-    })
+    return await this._writer.write(bytes)
   }
 
   /** Ends a response that was sent in chunks. */
   end (): void {
     if (this._isClosed()) return
-    this._res.end()
+    this._writer.end()
     this._recordResponse(this._res.statusCode)
   }
 
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -5,7 +5,7 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
-import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
+import { EventSplitter, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, Transcript, type StreamEvent } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext, type AttemptRequest } from './Attempts.js'
 import { awaitFirstEvent } from './awaitFirstEvent.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
@@ -58,7 +58,9 @@
 
 /** Progress of one stream while it is relayed, over all attempts. */
 interface StreamProgress {
-  readonly transcript: Transcript
+  /** Transcript of a retained turn; undefined on other routes, where nothing of the stream is kept. */
+  readonly transcript: Transcript | undefined
+  readonly limit: StreamLimit
   events: number
   /** Tokens of the events that were sent to the caller. */
   tokens: number
@@ -127,9 +129,15 @@
     }
     const { settle } = reservation
     const prompt = loaded.unsafeCoerce()
-    const { lastEventId } = exchange.call
+    const { lastEventId, maxOutputTokens: maxTokens } = exchange.call
     const progress: StreamProgress = {
-      transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId, lastEventAt: exchange.startedAt, stream
+      transcript: exchange.route.isRetained ? new Transcript(prompt) : undefined,
+      limit: new StreamLimit({ maxTokens }),
+      events: 0,
+      tokens: 0,
+      lastEventId,
+      lastEventAt: exchange.startedAt,
+      stream
     }
     let isSettled = false
     const settleOnce = (): void => {
@@ -244,7 +252,7 @@
       let failure: ResponseFailure | undefined
       try {
         failure = isStream ? await this._relay({ exchange, attempts, attempt, progress, handover }) : await relayBody(exchange, attempt)
-        if (failure !== undefined) await handover.settle()
+        if (failure !== undefined && failure.isFinal !== true) await handover.settle()
       } finally {
         handover.stop()
         attempt.finish()
@@ -298,6 +306,11 @@
           if (handover.getSuccessor() !== undefined) return undefined
           const isProgress = event.data !== undefined || event.id !== ''
           if (isProgress && handover.stop()) attempts.recordGoingOn(attempt, this._options.clock.now() - progress.lastEventAt)
+          const excess = getExcess(progress, event, event.data === undefined ? 0 : tokensPerEvent)
+          if (excess !== undefined) {
+            attempt.response.discard()
+            return { cause: excess, isConnectionLost: false, isFinal: true }
+          }
           if (!exchange.hasStarted()) exchange.start(head)
           attempt.recordFirstChunk()
           progress.stream ??= this._begin(exchange, attempt.state.target)
@@ -308,7 +321,6 @@
           else attempt.state.pace.recordGap(now - progress.lastEventAt, now)
           progress.lastEventAt = now
           if (event.id !== '') progress.lastEventId = event.id
-          progress.transcript.addEvent(event)
           await exchange.write(event.bytes)
           if (isProgress && isRepeatable(exchange.route)) handover.start()
         }
@@ -328,7 +340,7 @@
   /** Ends the response; a retained turn is saved first, because a caller may continue from it as soon as its stream has ended. */
   private async _finish (exchange: Exchange, progress: StreamProgress): Promise<void> {
     const { route, call } = exchange
-    if (route.isRetained) {
+    if (progress.transcript !== undefined) {
       const deadline = Math.min(exchange.deadline, progress.lastEventAt + getCallerWaitMs(route) - SAVE_MARGIN_MS)
       if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.abort('the turn could not be saved in time')
@@ -358,6 +370,13 @@
   }
 }
 
+/** Counts an event and adds it to the transcript; returns the limit that it exceeds, or undefined if it may be relayed. */
+function getExcess ({ limit, transcript }: StreamProgress, event: StreamEvent, tokens: number): string | undefined {
+  const excess = limit.add({ bytes: event.bytes.length, tokens })
+  if (excess !== undefined || transcript === undefined || transcript.addEvent(event)) return excess
+  return `the turn exceeds ${MAX_TURN_BYTES} bytes`
+}
+
 /** Gets the milliseconds for which a caller may continue its stream. */
 function getOriginRetentionMs ({ call, route }: Exchange): number {
   return Math.max(call.timeoutMs ?? 0, route.timeoutMs) + ORIGIN_MARGIN_MS
--- a/src/io/gateway/awaitFirstEvent.ts
+++ b/src/io/gateway/awaitFirstEvent.ts
@@ -19,7 +19,7 @@
       const result = await Promise.race([iterator.next(), timeout])
       if (result.done === true) break
       chunks.push(result.value)
-      if (splitter.add(result.value).some(event => event.data !== undefined)) break
+      if ([...splitter.add(result.value)].some(event => event.data !== undefined)) break
       if (splitter.isTooLong()) throw new Error('the first event is too long')
     }
   } finally {
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -16,6 +16,9 @@
 /** Milliseconds for which targets go on serving after they have announced that they are leaving, as the gateways are told. */
 const DRAIN_MS = 2_500
 
+/** Options of Node.js with which deploy/system.toml runs a gateway. */
+const NODE_OPTIONS = ['--max-old-space-size=120']
+
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
   readonly id: string
@@ -53,7 +56,7 @@
     const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
     const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, createSettings(options))
-    const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...NODE_OPTIONS, 'target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(child, folder, options)
     await gateway._waitUntilListening()
     return gateway
