End a long answer that its target breaks off, also when the request may be repeated

What callers saw (CONFIG): an answer of over 256 KiB to a repeatable request that broke off was never ended: what had arrived, then an open connection without a further byte, beyond the time limit of the route. Found beside it (MIXED): on a route whose streams may be resumed, a long failure (status 500) that broke off was continued with the stream of another target and ended as complete.

Cause: whether another target may be tried was decided by the route alone. Once a part of a body has been relayed nothing can continue it; `PlainForwarder` saw that, but nobody ended the response, and `StreamForwarder` did not see it. Class: two places decide about one ending.

Change: `relayBody` states with a failure that a part was relayed which can't be continued; `Attempts.handleFailure`, the only place that decides, then breaks the response off. The same holds for a body that exceeds 64 MiB after its head was sent.

Looked for elsewhere: streams of events are continued after a complete event only, or broken off (tests in GatewayTests, UnframedAnswerTests).

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -38,6 +38,8 @@
   readonly cause: string
   /** True when the connection to the target was lost, so that the target may have crashed. */
   readonly isConnectionLost: boolean
+  /** True when the caller has received a part that no other target can continue. */
+  readonly isPartlyRelayed?: boolean
 }
 
 /** The response of one attempt with the target that sends it. */
@@ -119,7 +121,9 @@
     this._recordRun(attempt.state, failure.cause, !isAbortedLocally)
     if (failure.isConnectionLost && !isAbortedLocally) this._recordSuspect(attempt.state)
     if (this._exchange.callerDisconnected.aborted) return false
-    return this._canRetry()
+    if (failure.isPartlyRelayed !== true) return this._canRetry()
+    this._refuse('attempts-failed')
+    return false
   }
 
   private async _send (placement: Placement, body: Buffer | undefined, lastEventId: string | undefined): Promise<Attempt | undefined> {
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -24,7 +24,7 @@
       const failure = await relayBody(exchange, attempt)
       attempt.finish()
       if (failure === undefined) return
-      if (!attempts.handleFailure(attempt, failure) || exchange.hasStarted()) return
+      if (!attempts.handleFailure(attempt, failure)) return
     }
   }
 }
@@ -45,7 +45,7 @@
       size += chunk.length
       if (size > MAX_RESPONSE_BYTES) {
         discard()
-        return { cause: `the body exceeds ${MAX_RESPONSE_BYTES} bytes`, isConnectionLost: false }
+        return { cause: `the body exceeds ${MAX_RESPONSE_BYTES} bytes`, isConnectionLost: false, isPartlyRelayed: exchange.hasStarted() }
       }
       if (exchange.hasStarted()) {
         await exchange.write(chunk)
@@ -57,7 +57,7 @@
       await exchange.write(Buffer.concat(chunks))
     }
   } catch (err) {
-    return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true }
+    return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true, isPartlyRelayed: exchange.hasStarted() }
   }
   if (exchange.hasStarted()) exchange.end()
   else exchange.sendComplete(head, Buffer.concat(chunks))
--- a/tests/processes/RawTarget.ts
+++ b/tests/processes/RawTarget.ts
@@ -52,11 +52,33 @@
   async startDesks (onRequest: (socket: Socket, request: RawRequest) => void): Promise<void> {
     await this.target.start(onRequest)
     this.fixture.replaceDesks(this.target.address)
-    await waitFor(() => this.gateway.getEvents('target-changed').length >= this.fixture.desks.length)
+    await this._waitUntilKnown(this.fixture.desks.length)
+  }
+
+  /** Starts the target and registers all model engines at its address. */
+  async startEngines (onRequest: (socket: Socket, request: RawRequest) => void): Promise<void> {
+    await this.target.start(onRequest)
+    this.fixture.replaceEngines(this.target.address)
+    await this._waitUntilKnown(this.fixture.engines.length)
+  }
+
+  /** Starts the target and registers all plain services and model engines at its address. */
+  async startAll (onRequest: (socket: Socket, request: RawRequest) => void): Promise<void> {
+    await this.startDesks(onRequest)
+    this.fixture.replaceEngines(this.target.address)
+    await this._waitUntilKnown(this.fixture.desks.length + this.fixture.engines.length)
   }
 
   override async stop (): Promise<void> {
     this.target.close()
     await super.stop()
   }
+
+  private async _waitUntilKnown (targets: number): Promise<void> {
+    const countKnown = (): number => {
+      const changes = this.gateway.getEvents('target-changed').filter(event => event.address === this.target.address)
+      return new Set(changes.map(event => event.id)).size
+    }
+    await waitFor(() => countKnown() >= targets)
+  }
 }
--- a/tests/processes/UnframedAnswerTests.ts
+++ b/tests/processes/UnframedAnswerTests.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { FIXTURE_HOST } from '../../tools/platform/PlatformFixture.js'
-import { STREAM_BODY, waitFor } from './GatewayHarness.js'
+import { STREAM_BODY } from './GatewayHarness.js'
 import { RawTargetHarness, type RawRequest } from './RawTarget.js'
 
 /** Milliseconds after the last byte at which an answer ends. */
@@ -95,10 +95,7 @@
   })
 
   async function startTargets (onRequest: (socket: Socket, request: RawRequest) => Promise<void>): Promise<void> {
-    await harness.startDesks((socket, request) => { void onRequest(socket, request) })
-    harness.fixture.replaceEngines(harness.target.address)
-    const targets = harness.fixture.desks.length + harness.fixture.engines.length
-    await waitFor(() => harness.gateway.getEvents('target-changed').length >= targets)
+    await harness.startAll((socket, request) => { void onRequest(socket, request) })
   }
 })
 
