Refuse a retained turn that its caller continues instead of saving it without its first events

Cause: a transcript was begun with the prompt of each request, also where the caller already had a part of the response. Class: a part that is stored as a whole.

Change: `lacksEarlierEvents` decides on arrival; the turn is refused at once with `turn-incomplete`, truly not run and without a time to retry. Its caller sends the turn anew from its start, which is saved whole. Weighed: running the turn and breaking it off at its end costs an engine and leaves the caller with nothing; ending it without saving it loses the conversation (404); a second run from the start would join two texts; writing each event before it is relayed makes it known after a kill, but costs a commit for each event of every such turn.

--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -90,6 +90,7 @@
   'turn-unknown': notRun(404, 'No such turn is kept.', 'The caller starts a new conversation; search for the turn in the log of the gateway that served it.'),
   'turn-unreadable': notRun(503, 'The earlier turn cannot be read at the moment.', 'Check the store; the log line `turn-unreadable` names the cause.'),
   'turn-not-savable': notRun(503, 'The turn could not be saved at the moment, so it was not run.', 'Check the store; the log line `store-away` names the cause.'),
+  'turn-incomplete': notRun(503, 'The events that the caller has received earlier are not known, so the turn could not be saved whole.', 'None: the caller begins the turn anew.'),
   'origin-unknown': notRun(503, 'It is not known which software version began the stream, so no target may continue it.', 'The caller starts anew; the log line `origin-unknown` names the stream.'),
   'origin-unreadable': notRun(503, 'Which software version began the stream cannot be read at the moment.', 'Check the store; the log line `origin-unknown` names the cause.'),
   'version-gone': notRun(503, 'No target of the software version that began the stream is in service.', 'None: the caller starts anew. Replace targets in steps, so that streams of the old version can end.'),
--- a/src/core/turn/index.ts
+++ b/src/core/turn/index.ts
@@ -1,3 +1,4 @@
+export * from './ContinuedTurn.js'
 export * from './EventSplitter.js'
 export * from './Transcript.js'
 export * from './TurnRows.js'
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -5,7 +5,7 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
-import { EventSplitter, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
+import { EventSplitter, lacksEarlierEvents, MAX_EVENT_BYTES, shouldRunTurn, Transcript } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext } from './Attempts.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
@@ -77,6 +77,11 @@
       exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
       return
     }
+    const { lastEventId } = exchange.call
+    if (lacksEarlierEvents({ isRetained: exchange.route.isRetained, lastEventId })) {
+      exchange.refuse({ reason: 'turn-incomplete', members: { stream: exchange.call.resumedStream ?? null, lastEventId } })
+      return
+    }
     const found = await this._findStream(exchange)
     if (found.isLeft()) {
       exchange.refuse(found.extract() as Refusal)
@@ -100,7 +105,6 @@
     }
     const { settle } = reservation
     const prompt = loaded.unsafeCoerce()
-    const { lastEventId } = exchange.call
     const progress: StreamProgress = {
       transcript: new Transcript(prompt), events: 0, tokens: 0, lastEventId, lastEventAt: exchange.startedAt, stream
     }
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -46,6 +46,7 @@
       routes: [
         { ...stream, name: 'kept', pathPrefix: '/turns/kept/', retained: true, resumable: false },
         { ...stream, name: 'resumable', pathPrefix: '/turns/resumable/', maxAttempts: 2, retained: false, resumable: true },
+        { ...stream, name: 'both', pathPrefix: '/turns/both/', maxAttempts: 2, retained: true, resumable: true },
         { ...stream, name: 'split', service: undefined, backends: SPLIT_BACKENDS, pathPrefix: '/turns/split/', retained: false, resumable: false },
         { ...base, name: 'lookup', pathPrefix: '/lookup/', kind: 'idempotent', service: 'desk' },
         { ...base, name: 'booking', pathPrefix: '/booking/', kind: 'non_idempotent', service: 'desk' },
