--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -5,7 +5,9 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
-import { EventSplitter, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, Transcript, type StreamEvent } from '../../core/turn/index.js'
+import {
+  EventSplitter, lacksEarlierEvents, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, Transcript, type StreamEvent
+} from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext, type AttemptRequest } from './Attempts.js'
 import { awaitFirstEvent } from './awaitFirstEvent.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
@@ -106,6 +108,11 @@
       exchange.refuse({ reason: 'turn-not-savable', retryAfterSeconds: getStoreRetrySeconds() })
       return
     }
+    const { lastEventId } = exchange.call
+    if (lacksEarlierEvents({ isRetained: exchange.route.isRetained, lastEventId })) {
+      exchange.refuse({ reason: 'turn-incomplete', members: { stream: exchange.call.resumedStream ?? null, lastEventId } })
+      return
+    }
     const found = await this._findStream(exchange)
     if (found.isLeft()) {
       exchange.refuse(found.extract() as Refusal)
@@ -129,7 +136,7 @@
     }
     const { settle } = reservation
     const prompt = loaded.unsafeCoerce()
-    const { lastEventId, maxOutputTokens: maxTokens } = exchange.call
+    const { maxOutputTokens: maxTokens } = exchange.call
     const progress: StreamProgress = {
       transcript: exchange.route.isRetained ? new Transcript(prompt) : undefined,
       limit: new StreamLimit({ maxTokens }),
