--- a/tests/processes/GatewayOutOfStepTests.ts
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -63,6 +63,21 @@
     expect(await tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
   })
 
+  for (const link of ['silent', 'reset', 'one-way', 'delayed'] as const) {
+    it(`should not join versions while its connection to the store is ${link} and a new version joins`, async () => {
+      const [first, second] = harness.gateways
+      harness.proxies[1]!.setMode(link)
+      await harness.addEngine('v2')
+      await waitFor(() => first!.getEvents('versions-written').some(event => (event.versions as string[]).includes('model v2')))
+      const streams = await harness.beginStreams(STREAMS, [first!])
+      harness.releaseTargets()
+      const named = await harness.continueStreams(streams.slice(0, STREAMS / 2), { gateways: [second!] })
+      const unnamed = await harness.continueStreams(streams.slice(STREAMS / 2), { gateways: [second!], isNamed: false })
+      expect(new Set(streams.map(({ version }) => version)).size).toEqual(2)
+      expect([named.joined, unnamed.joined, unnamed.continued]).toEqual([0, 0, 0])
+    })
+  }
+
   /** Starts a target again under its id with another version while a gateway stands still, and calls that gateway when it wakes. */
   async function wakeAfterRestart<T> (call: () => Promise<T>): Promise<T> {
     harness.freeze(1)
