Streams: a test for a restart under the same id during a cut, known red

What callers see: a stream that began at one software version goes on at another, when a target was started again under its id with the other version while the gateway's link to the store was silent, and the gateway learned the stream's origin from a peer.

Cause: as after a pause, the version comes from a row that is out of date; here the gateway can't see that it is: a watch without changes is as old.

--- a/tests/processes/GatewayOutOfStepTests.ts
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -9,6 +9,9 @@
 /** Milliseconds for which a gateway stands still. */
 const FREEZE_MS = 2_500
 
+/** Milliseconds after a cut at which callers return; shorter than a watch takes to fail. */
+const CUT_MS = 1_500
+
 // A gateway that was out of step while targets of a new software version joined continued their streams at targets of the old one.
 describe('a gateway that was out of step while software versions changed', () => {
   let harness: StreamHarness
@@ -78,6 +81,17 @@
     })
   }
 
+  it('should not join versions while its connection to the store is silent and a target has started again under its id', async () => {
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[0]!])
+    await waitForOrigins()
+    harness.proxies[1]!.setMode('silent')
+    harness.fixture.setEngineVersion(harness.fixture.engines[0]!, 'v2')
+    await sleep(CUT_MS)
+    harness.releaseTargets()
+    const tries = await harness.continueStreams(streams, { gateways: [harness.gateways[1]!] })
+    expect(tries.joined).toEqual(0)
+  })
+
   /** Starts a target again under its id with another version while a gateway stands still, and calls that gateway when it wakes. */
   async function wakeAfterRestart<T> (call: () => Promise<T>): Promise<T> {
     harness.freeze(1)
