A refused caller's connection is read on before it is closed

Callers saw: a reset (ECONNRESET, EPIPE) in place of, or right behind, a refusal that was written while bytes of the request were unread. A body in chunks beyond the limit never got its 413: the end of the iteration over the body destroyed the connection.

Cause: closing a socket with unread bytes resets it. Class: a last answer that its caller can't receive.

Failed before (tests/processes/LingeringCloseTests.ts, 5 of 9): [[413], "EPIPE", []] is not equal to [[413], undefined, []] (also 400, 404) [[], "ECONNRESET", []] is not equal to [[413], undefined, []] (body in chunks) condition not met within 10 s: caller.errorCode!==void 0 (a caller that goes on sending kept its connection)

Change: every end of a connection by the gateway, with those of Node's own last responses, closes the writing side, discards input for 2 s or 16 MiB, and then closes. readBody ends its iteration without destroying the request.

Measured: LingeringCloseTests, CallerTimeoutTests and GatewayTests pass.

--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -3,6 +3,12 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ConnectionAge, ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
 
+/** Milliseconds for which a connection that was ended is still read: several round trips between distant regions. */
+const LINGER_MS = 2_000
+
+/** Bytes that are read of a connection that was ended: several times the usual limit of a body, 4 MiB. */
+const LINGER_BYTES = 16_777_216
+
 /** Options of {@link CallerConnection}. */
 export interface CallerConnectionOptions {
   readonly socket: Socket
@@ -26,6 +32,7 @@
   private _announcedIdleMs = 0
   private _bytesRead = 0
   private _isClosing = false
+  private _isEnded = false
   /** Response to bytes that are no request; sent after the pending responses. */
   private _deferredRefusal: string | undefined
 
@@ -35,6 +42,8 @@
     this._getLimits = options.getLimits
     this._limits = options.getLimits()
     this._age = new ConnectionAge(this._clock.now(), this._limits)
+    // The parser calls this after the last response of a connection; closing at once would reset it while bytes are unread.
+    this.socket.destroySoon = () => { this.end() }
   }
 
   /** Checks whether the gateway has begun to end the connection, so that no further request on it may be forwarded. */
@@ -97,11 +106,19 @@
     else this._deferredRefusal = response
   }
 
-  /** Ends the connection after what was written; nothing that is still received is read as a request. */
+  /**
+   * Ends the connection after what was written; nothing that is still received is read as a request.
+   *
+   * It is read for a while longer, because unread bytes would reset it before the caller has received the last response.
+   */
   end (): void {
+    if (this._isEnded) return
+    this._isEnded = true
     this._isClosing = true
-    this._detachParser()
+    this._discardInput()
     this.socket.end()
+    const timer = setTimeout(() => { this.socket.destroy() }, LINGER_MS)
+    this.socket.on('close', () => { clearTimeout(timer) })
   }
 
   private _endWith (response: string): void {
@@ -118,9 +135,13 @@
     if (this._deferredRefusal !== undefined && this.socket.writable) this._endWith(this._deferredRefusal)
   }
 
-  /** Discards what is received from now on; without a listener the parser would read on. */
-  private _detachParser (): void {
-    const discard = (): void => {}
+  /** Discards a bounded number of bytes from now on, in place of the parser. */
+  private _discardInput (): void {
+    let size = 0
+    const discard = (data: Buffer): void => {
+      size += data.length
+      if (size > LINGER_BYTES) this.socket.destroy()
+    }
     this.socket.on('data', discard)
     for (const listener of this.socket.listeners('data')) {
       if (listener !== discard) this.socket.off('data', listener as (data: Buffer) => void)
--- a/src/io/http/httpServer.ts
+++ b/src/io/http/httpServer.ts
@@ -56,7 +56,8 @@
   const chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
+    // The end of an iteration would destroy the connection, and with it the refusal of a body that is too large.
+    for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       size += chunk.length
       if (size > maxBytes) return Left({ reason: 'body-too-large', members: { limitBytes: maxBytes } })
       chunks.push(chunk)
