Turns: save transcripts that exceed one call of the store

Callers saw: a turn of a conversation of 760,000 bytes or more ran, was tried for three seconds and was broken off; other turns were refused just after it, because the gateway took the store for unavailable.

Cause: all rows of a turn were one transaction, whose base64 exceeds the megabyte of one call; the store's 413 counted as a failure of the store. Classes: a limit of a dependency that is found out after the work is done; an answer about the call taken as a statement about the service.

Change: toTurnTransactions groups the rows, which are written one transaction after the other with the last chunk last; fromTurnRows also checks that no chunk is missing. Removals are grouped like the writes (an entry of over 100 rows would never have been removed and would have held up the others).

Why it works: a turn without its last chunk is unknown to every reader, and a try that fails part-way goes on at the next partition with the same values.

Test changed: "should not restore a turn whose last chunk is missing" now also covers missing first and middle chunks.

--- a/src/core/platform/RowStore.ts
+++ b/src/core/platform/RowStore.ts
@@ -1,6 +1,9 @@
 /** Maximum number of rows that one transaction of the store changes. */
 export const ROWS_PER_TRANSACTION = 100
 
+/** Largest number of bytes of values in one transaction; base64 and JSON make it a third larger, and a store accepts a megabyte. */
+export const BYTES_PER_TRANSACTION = 600_000
+
 /** Identifies a partition of a table; partitions may fail independently. */
 export interface StorePartition {
   readonly table: string
@@ -89,6 +92,8 @@
 export const StoreFailure = {
   /** The store responded that it did not execute the call. */
   Refused: 'refused',
+  /** The store responded that it accepts no such call, as one that is too large; this says nothing about its availability. */
+  Rejected: 'rejected',
   /** There was no response; a commit may have taken effect or may still do so. */
   NoResponse: 'no-answer'
 } as const
--- a/src/core/turn/TurnRows.ts
+++ b/src/core/turn/TurnRows.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import type { RowPut, RowRange, StoredRow } from '../platform/index.js'
+import { BYTES_PER_TRANSACTION, ROWS_PER_TRANSACTION, type RowPut, type RowRange, type StoredRow } from '../platform/index.js'
 
 /** Table of finished turns. */
 export const TURN_TABLE = 'turns'
@@ -39,15 +39,35 @@
   const rows: RowPut[] = []
   for (let at = 0; at === 0 || at < transcript.length; at += size) {
     const isLast = at + size >= transcript.length
-    const key = `${id}/${String(rows.length).padStart(CHUNK_DIGITS, '0')}`
+    const key = getChunkKey(id, rows.length)
     rows.push({ table: TURN_TABLE, part, key, value: Buffer.concat([Buffer.of(isLast ? 0 : 1), transcript.subarray(at, at + size)]) })
   }
   return rows
 }
 
-/** Joins the rows of a turn; undefined when there are no rows or the last chunk is missing. */
+/** Gets the key of a chunk of a turn. */
+function getChunkKey (id: string, chunk: number): string {
+  return `${id}/${String(chunk).padStart(CHUNK_DIGITS, '0')}`
+}
+
+/** Groups the rows of a turn into transactions of the store; the last chunk is in the last one, without which the turn does not exist. */
+export function toTurnTransactions (rows: readonly RowPut[]): RowPut[][] {
+  const transactions: RowPut[][] = []
+  let bytes = Infinity
+  for (const row of rows) {
+    bytes += row.value.length
+    if (bytes > BYTES_PER_TRANSACTION || transactions.at(-1)!.length === ROWS_PER_TRANSACTION) {
+      transactions.push([])
+      bytes = row.value.length
+    }
+    transactions.at(-1)!.push(row)
+  }
+  return transactions
+}
+
+/** Joins the rows of a turn; undefined when there are no rows or a chunk is missing. */
 export function fromTurnRows (rows: readonly StoredRow[]): Buffer | undefined {
   const last = rows.at(-1)
-  if (last === undefined || last.value[0] !== 0) return undefined
+  if (last === undefined || last.value[0] !== 0 || !last.key.endsWith(getChunkKey('', rows.length - 1))) return undefined
   return Buffer.concat(rows.map(row => row.value.subarray(1)))
 }
--- a/src/io/gateway/BudgetRows.ts
+++ b/src/io/gateway/BudgetRows.ts
@@ -163,7 +163,7 @@
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       // Without a response the change may still be applied, so the tokens aren't spent before a later change of the row.
-      if (err.failure === StoreFailure.Refused) account.cancelReturn(tokens)
+      if (err.failure !== StoreFailure.NoResponse) account.cancelReturn(tokens)
       else account.row = { isKnown: false }
       log.warn('budget-not-returned', { program, tokens, cause: err.message })
     }
--- a/src/io/gateway/PartitionFallback.ts
+++ b/src/io/gateway/PartitionFallback.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
-import { PartitionHealth, StoreError } from '../../core/platform/index.js'
+import { PartitionHealth, StoreError, StoreFailure } from '../../core/platform/index.js'
 
 /** Milliseconds after which the next partition is called too; a store that is sixty times slower than usual still responds in time. */
 export const STAGGER_MS = 300
@@ -57,7 +57,7 @@
       const round = await this._callRound(this._health.sort(remaining, this._options.clock.now()), call)
       if (round.found !== undefined || round.err === undefined) return round.found
       remaining = round.failed
-      if (shouldGiveUp() || this._options.clock.now() + PAUSE_MS >= deadline) throw round.err
+      if (shouldGiveUp() || round.err.failure === StoreFailure.Rejected || this._options.clock.now() + PAUSE_MS >= deadline) throw round.err
       await sleep(PAUSE_MS)
     }
   }
@@ -106,7 +106,8 @@
       this._health.recordResponse(partition)
       return found
     } catch (err) {
-      this._health.recordFailure(partition, this._options.clock.now())
+      const isRejected = err instanceof StoreError && err.failure === StoreFailure.Rejected
+      if (!isRejected) this._health.recordFailure(partition, this._options.clock.now())
       throw err
     }
   }
--- a/src/io/gateway/StoreAccess.ts
+++ b/src/io/gateway/StoreAccess.ts
@@ -72,7 +72,8 @@
       try {
         return await this._callOnce(deadline, partition, call)
       } catch (err) {
-        if (!(err instanceof StoreError) || this._options.clock.now() + pauseMs >= deadline) throw err
+        if (!(err instanceof StoreError) || err.failure === StoreFailure.Rejected) throw err
+        if (this._options.clock.now() + pauseMs >= deadline) throw err
         this.recordRetry(err)
         await sleep(pauseMs)
       }
@@ -88,15 +89,20 @@
   private async _callAndRecord<T> (partition: StorePartition, call: () => Promise<T>): Promise<T> {
     const { clock, log, onUnavailable, onAvailable } = this._options
     const lastResponseAt = this.health.getLastResponseAt()
+    const recordResponse = (): void => {
+      if (!this.health.recordResponse(clock.now())) return
+      log.info('store-back', { awayMs: Math.round(clock.now() - lastResponseAt) })
+      onAvailable()
+    }
     try {
       const response = await call()
-      if (this.health.recordResponse(clock.now())) {
-        log.info('store-back', { awayMs: Math.round(clock.now() - lastResponseAt) })
-        onAvailable()
-      }
+      recordResponse()
       return response
     } catch (err) {
-      if (err instanceof StoreError && this.health.recordFailure(clock.now(), partition)) {
+      if (err instanceof StoreError && err.failure === StoreFailure.Rejected) {
+        log.warn('store-call-rejected', { ...partition, cause: err.message })
+        recordResponse()
+      } else if (err instanceof StoreError && this.health.recordFailure(clock.now(), partition)) {
         log.warn('store-away', { answeredMsAgo: Math.round(clock.now() - this.health.getLastResponseAt()), cause: err.message })
         onUnavailable()
       }
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError } from '../../core/platform/index.js'
 import type { RefusalReason } from '../../core/reason/index.js'
-import { fromTurnRows, getTurnPartitions, getTurnRange, toTurnRows } from '../../core/turn/index.js'
+import { fromTurnRows, getTurnPartitions, getTurnRange, toTurnRows, toTurnTransactions } from '../../core/turn/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { TurnPeers } from '../peer/index.js'
 import { ExpiringRows } from './ExpiringRows.js'
@@ -75,13 +75,15 @@
     const triedPartitions = new Set<string>()
     try {
       await this._fallback.call(getTurnPartitions(id), { deadline }, async partition => {
-        const puts = toTurnRows(id, partition, transcript, { rowBytes })
+        const transactions = toTurnTransactions(toTurnRows(id, partition, transcript, { rowBytes }))
         // A write without a response may still be applied, so the rows of every try are removed when they expire.
         if (!triedPartitions.has(partition)) {
-          this._expiring.add(puts.map(({ table, key }) => ({ table, part: partition, key })), retentionMs)
+          for (const puts of transactions) this._expiring.add(puts.map(({ table, key }) => ({ table, part: partition, key })), retentionMs)
         }
         triedPartitions.add(partition)
-        return await access.commitOnce({ puts }, deadline)
+        // One after the other: the turn exists only with its last chunk, which is written when all others are stored.
+        for (const puts of transactions) await access.commitOnce({ puts }, deadline)
+        return true
       })
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
--- a/src/io/peer/PeerStore.ts
+++ b/src/io/peer/PeerStore.ts
@@ -43,6 +43,7 @@
       return await call(AbortSignal.timeout(options.timeoutMs + RELAY_MARGIN_MS))
     } catch (err) {
       // A failed call may have taken effect in the store, unless the peer reports a refusal or accepted no connection.
+      if (err instanceof TRPCClientError && err.message === StoreFailure.Rejected) throw new StoreError(StoreFailure.Rejected, 'The store rejected a call through a peer.')
       const isRefused = (err instanceof TRPCClientError && err.message === StoreFailure.Refused) || isConnectError(err)
       throw new StoreError(isRefused ? StoreFailure.Refused : StoreFailure.NoResponse, `Store call through a peer failed: ${err instanceof Error ? err.message : String(err)}`)
     }
--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -84,7 +84,8 @@
       if (this._health.recordResponse(clock.now())) log.info('store-connection-restored')
       return response
     } catch (err) {
-      if (this._health.recordFailure(clock.now(), partition)) {
+      if (isRejected(err)) this._health.recordResponse(clock.now())
+      else if (this._health.recordFailure(clock.now(), partition)) {
         log.warn('store-connection-lost', { cause: String(err) })
         void this._probeUntilAvailable()
       }
@@ -99,6 +100,7 @@
       onRelayed()
       return response
     } catch (err) {
+      if (isRejected(err)) throw err
       ranking.recordFailure(relayPeer.peer.id, clock.now())
       if (this._relayPeer === relayPeer) {
         this._relayPeer = undefined
@@ -153,6 +155,11 @@
   }
 }
 
+/** Checks whether the store responded that it accepts no such call. */
+function isRejected (err: unknown): boolean {
+  return err instanceof StoreError && err.failure === StoreFailure.Rejected
+}
+
 /** Gets a range without rows, which costs almost nothing to read. */
 function getProbeRange (probeNumber: number): RowRange {
   return { table: PEER_TABLE, part: String(probeNumber % PROBED_PARTITIONS), from: '', to: '\u0001' }
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -1,7 +1,8 @@
 import { expect } from 'earl'
+import { BYTES_PER_TRANSACTION, ROWS_PER_TRANSACTION } from '../../../src/core/platform/index.js'
 import {
   ByteBuffer, EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_TURN_BYTES,
-  PARTITIONS_PER_TURN, StreamLimit, toTurnRows, Transcript, type CountedEvent
+  PARTITIONS_PER_TURN, StreamLimit, toTurnRows, toTurnTransactions, Transcript, type CountedEvent
 } from '../../../src/core/turn/index.js'
 
 describe('EventSplitter', () => {
@@ -129,8 +130,21 @@
     for (let at = 0; at < 500; at++) expect(new Set(getTurnPartitions(`turn ${at}`)).size).toEqual(PARTITIONS_PER_TURN)
   })
 
-  it('should not restore a turn whose last chunk is missing', () => {
+  it('should be written in transactions that the store accepts, with the last chunk in the last one', () => {
+    for (const [length, rowBytes] of [[0, 49_152], [760_000, 49_152], [5_000_000, 49_152], [50_000, 100]] as const) {
+      const puts = toTurnRows('t1', '7', Buffer.alloc(length), { rowBytes })
+      const transactions = toTurnTransactions(puts)
+      expect(transactions.flat()).toEqual(puts)
+      const bytes = transactions.map(rows => rows.reduce((sum, { value }) => sum + value.length, 0))
+      expect(Math.max(...bytes) <= BYTES_PER_TRANSACTION).toEqual(true)
+      expect(transactions.every(rows => rows.length <= ROWS_PER_TRANSACTION)).toEqual(true)
+    }
+  })
+
+  it('should not restore a turn of which a chunk is missing', () => {
     const rows = store(Buffer.alloc(250), 100)
+    expect(fromTurnRows(rows.slice(1))).toEqual(undefined)
+    expect(fromTurnRows([rows[0]!, rows[2]!])).toEqual(undefined)
     expect(fromTurnRows(rows.slice(0, -1))).toEqual(undefined)
     expect(fromTurnRows([])).toEqual(undefined)
   })
--- a/tests/io/gateway/TurnStoreTests.ts
+++ b/tests/io/gateway/TurnStoreTests.ts
@@ -75,12 +75,48 @@
   })
 })
 
+describe('turns that exceed one call of the store', () => {
+  const transcript = Buffer.alloc(1_500_000, 'x')
+
+  it('should be saved in several transactions and loaded whole', async () => {
+    const rows = new MemoryRowStore()
+    expect(await createStore(rows, undefined, 49_152).save('t1', transcript, RETENTION_MS, clock.now() + 1_000)).toEqual(true)
+    expect([rows.calls.commit, await load(createStore(rows, undefined, 49_152))]).toEqual([3, transcript])
+  })
+
+  it('should be unknown while a transaction of them is missing', async () => {
+    const rows = new MemoryRowStore()
+    const commit = rows.commit.bind(rows)
+    rows.commit = async (...args) => {
+      const result = await commit(...args)
+      if (rows.calls.commit === 2) rows.failure = 'refused'
+      return result
+    }
+    expect(await createStore(rows, undefined, 49_152).save('t1', transcript, RETENTION_MS, clock.now() + 100)).toEqual(false)
+    rows.failure = undefined
+    expect(await load(createStore(rows, undefined, 49_152))).toEqual('turn-unknown')
+  })
+
+  it('should not make the store count as unavailable when it rejects a call', async () => {
+    const rows = new MemoryRowStore()
+    rows.failure = 'rejected'
+    const access = createAccess(rows)
+    for (let at = 0; at < 10; at++) await createStore(rows, undefined, 1_000, access).save(`t${at}`, TRANSCRIPT, RETENTION_MS, clock.now() + 1_000)
+    expect(access.health.isUnavailable()).toEqual(false)
+  })
+})
+
 const clock = new SteadyClock()
+const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
+
+function createAccess (rows: MemoryRowStore): StoreAccess {
+  return new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
+}
 
-function createStore (rows: MemoryRowStore, peers: TurnStoreOptions['peers'] = { fetch: async () => undefined }): TurnStore {
-  const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
-  const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-  return new TurnStore({ access, clock, log, peers, rowBytes: 1_000 })
+function createStore (
+  rows: MemoryRowStore, peers: TurnStoreOptions['peers'] = { fetch: async () => undefined }, rowBytes = 1_000, access = createAccess(rows)
+): TurnStore {
+  return new TurnStore({ access, clock, log, peers, rowBytes })
 }
 
 async function save (store: TurnStore): Promise<boolean> {
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -22,7 +22,7 @@
   /** Number of calls of each kind. */
   readonly calls = { commit: 0, read: 0, watch: 0 }
   /** Failure of all calls while set; with `answer-lost` a transaction is committed and only its response is lost. */
-  failure: 'refused' | 'silent' | 'answer-lost' | undefined
+  failure: 'refused' | 'rejected' | 'silent' | 'answer-lost' | undefined
   /** Partitions whose calls are refused, or time out at the caller without a response. */
   readonly failedPartitions = new Map<string, 'refused' | 'silent'>()
 
@@ -117,6 +117,7 @@
   }
 
   private _failIfUnavailable (): void {
+    if (this.failure === 'rejected') throw new StoreError(StoreFailure.Rejected, 'The store accepts no such call.')
     if (this.failure === 'refused') throw new StoreError(StoreFailure.Refused, 'The store is unavailable.')
     if (this.failure === 'silent') throw new StoreError(StoreFailure.NoResponse, 'The store does not respond.')
   }
--- a/tools/platform/StoreStandin.ts
+++ b/tools/platform/StoreStandin.ts
@@ -3,6 +3,9 @@
 import { StoreError, StoreFailure, type RowFeed, type RowKey, type StoredRow } from '../../src/core/platform/index.js'
 import { MemoryRowStore } from './MemoryRowStore.js'
 
+/** Largest number of bytes of a call. */
+const MAX_CALL_BYTES = 1_000_000
+
 interface WireTransaction {
   readonly expectedRev: Array<RowKey & { readonly rowVersion: number }>
   readonly puts: Array<RowKey & { readonly value: string }>
@@ -39,6 +42,10 @@
     const chunks: Buffer[] = []
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
     const url = new URL(req.url!, 'http://store')
+    if (chunks.reduce((sum, chunk) => sum + chunk.length, 0) > MAX_CALL_BYTES) {
+      res.writeHead(413).end()
+      return
+    }
     try {
       const { status, body } = await this._respond(url, Buffer.concat(chunks).toString())
       res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
