Suspects: count a crash only as far as it is evidence, by caller, with an end

Cause: a request was host, path and body, so unrelated callers shared one record, and a request without a body had none; each lost connection counted as a crash that the request caused; nothing expired. Class: coincidence taken as evidence, kept without an end.

Change: the identity of a request has the caller (the program, or the address where none is named), method, previous turn, and whether there is a body. CrashEvidence (core) groups lost connections by incarnation: none is counted if the target goes on with over half of its requests, or if another target goes down within half a second and no request was at both (a request that is retried at once and crashes the next target stays evidence). A refusal lasts a minute from the third crash, twice as long after each further one, and all is forgotten after 15 minutes, rows included. connection-lost and crash-counted tell the two apart in the log.

Why it works: what goes down together with a failure domain leaves no record, what crashes targets alone or one after the other does at once, and a harmless request that was at three crashes by chance is served again.

Open: a gateway knows only the requests that it lost itself.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -1,22 +1,42 @@
 import { createHash } from 'node:crypto'
 import type { RowKey, RowPut } from '../platform/index.js'
 
-/** Table of crashes: one row for each request and incarnation of a target whose connection was lost while it ran the request. */
+/** Table of crashes: one row for each request and incarnation of a target that crashed while it ran the request. */
 export const SUSPECT_TABLE = 'suspects'
 
 /** Number of crashed target incarnations at which a request is refused. */
 export const REFUSE_AFTER_INCARNATIONS = 3
 
+/** Milliseconds after its third crash for which a request is refused; doubled with each further one. It ends, as it may be harmless. */
+export const REFUSAL_MS = 60_000
+
+/** Milliseconds after its latest crash for which a request is remembered. */
+export const SUSPECT_RETENTION_MS = 900_000
+
 /** Maximum number of requests that are kept; the oldest are evicted. */
 const MAX_SUSPECTS = 10_000
 
 /** Separator of digest and incarnation in a row's key. */
 const SEPARATOR = '/'
 
-/** Gets the digest that identifies a request across retries; undefined without a body, because unrelated requests would share it. */
-export function getSuspectDigest (host: string, target: string, body: Buffer | undefined): string | undefined {
-  if (body === undefined || body.length === 0) return undefined
-  return createHash('sha1').update(host).update('\u0000').update(target).update('\u0000').update(body).digest('hex')
+/** What identifies a request across retries. */
+export interface SuspectIdentity {
+  /** The program where one is named, else the address of the caller's connection: callers with the same request share no evidence. */
+  readonly caller: string
+  readonly method: string
+  readonly host: string
+  /** Path and query. */
+  readonly target: string
+  /** Id of the turn that a turn continues from, since later turns often have the same input. */
+  readonly previousTurn: string | undefined
+  readonly body: Buffer | undefined
+}
+
+/** Gets the digest that identifies a request across retries. */
+export function getSuspectDigest (identity: SuspectIdentity): string {
+  const { caller, method, host, target, previousTurn, body } = identity
+  const digest = createHash('sha1').update(JSON.stringify([caller, method, host, target, previousTurn ?? null, body === undefined]))
+  return (body === undefined ? digest : digest.update(body)).digest('hex')
 }
 
 /** Gets the row that shares a crash with all gateways; writing it twice has no further effect. */
@@ -24,35 +44,51 @@
   return { table: SUSPECT_TABLE, part: '', key: `${digest}${SEPARATOR}${incarnation}`, value: Buffer.alloc(0) }
 }
 
+interface Suspect {
+  readonly incarnations: Set<string>
+  latestAt: number
+}
+
 /**
  * Tracks which requests crashed targets.
  *
- * Handles a request that crashes each target that runs it and is retried at any gateway: after a few crashes it is refused instead.
+ * Handles a request that crashes each target that runs it and is retried at any gateway: after a few crashes it is refused instead. The
+ * refusal ends, after which one further crash renews it for twice the time.
  */
 export class SuspectList {
-  private readonly _incarnations = new Map<string, Set<string>>()
-
-  /** Records that the connection to a target was lost while it ran a request; returns true if the request is refused from now on. */
-  add (digest: string, incarnation: string): boolean {
-    const incarnations = this._incarnations.get(digest) ?? new Set()
-    this._incarnations.set(digest, incarnations)
-    if (incarnations.has(incarnation)) return false
-    incarnations.add(incarnation)
-    if (this._incarnations.size > MAX_SUSPECTS) {
-      const [oldest] = this._incarnations.keys()
-      this._incarnations.delete(oldest!)
+  private readonly _suspects = new Map<string, Suspect>()
+
+  /** Records that a request crashed a target; returns true if the request is refused from now on. */
+  add (digest: string, incarnation: string, now: number): boolean {
+    const known = this._suspects.get(digest)
+    const suspect = known === undefined || isForgotten(known, now) ? { incarnations: new Set<string>(), latestAt: now } : known
+    if (suspect.incarnations.has(incarnation)) return false
+    suspect.incarnations.add(incarnation)
+    suspect.latestAt = now
+    // The latest is moved to the end, so that the oldest is evicted.
+    this._suspects.delete(digest)
+    this._suspects.set(digest, suspect)
+    if (this._suspects.size > MAX_SUSPECTS) {
+      const [oldest] = this._suspects.keys()
+      this._suspects.delete(oldest!)
     }
-    return incarnations.size === REFUSE_AFTER_INCARNATIONS
+    return suspect.incarnations.size >= REFUSE_AFTER_INCARNATIONS
   }
 
   /** Adds the crash in a row that a gateway wrote; returns true if the request is refused from now on. */
-  addRow (key: RowKey): boolean {
+  addRow (key: RowKey, now: number): boolean {
     const [digest, incarnation] = key.key.split(SEPARATOR)
-    return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation)
+    return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, now)
   }
 
   /** Checks whether a request has to be refused. */
-  isRefused (digest: string | undefined): boolean {
-    return digest !== undefined && (this._incarnations.get(digest)?.size ?? 0) >= REFUSE_AFTER_INCARNATIONS
+  isRefused (digest: string | undefined, now: number): boolean {
+    const suspect = digest === undefined ? undefined : this._suspects.get(digest)
+    if (suspect === undefined || suspect.incarnations.size < REFUSE_AFTER_INCARNATIONS || isForgotten(suspect, now)) return false
+    return now - suspect.latestAt < REFUSAL_MS * 2 ** (suspect.incarnations.size - REFUSE_AFTER_INCARNATIONS)
   }
 }
+
+function isForgotten (suspect: Suspect, now: number): boolean {
+  return now - suspect.latestAt >= SUSPECT_RETENTION_MS
+}
--- a/src/core/suspect/index.ts
+++ b/src/core/suspect/index.ts
@@ -1,1 +1,2 @@
+export * from './CrashEvidence.js'
 export * from './SuspectList.js'
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -221,10 +221,11 @@
     this._recordRetry(state, 'answer-broken', cause)
   }
 
-  /** Records that the connection to a target was lost while it ran the request; a request that does so to several targets is refused. */
+  /** Records that the connection to a target was lost while it ran the request; a request that crashes several is refused. */
   private _recordSuspect (state: TargetState): void {
     const { suspectDigest, call } = this._exchange
-    if (suspectDigest !== undefined) void this._context.suspects.record(suspectDigest, state.incarnation, call.id)
+    if (suspectDigest === undefined) return
+    void this._context.suspects.record({ digest: suspectDigest, incarnation: state.incarnation, others: state.getInFlight() }, call.id)
   }
 
   private _eject (state: TargetState, isUnreachable: boolean): void {
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -43,7 +43,7 @@
   readonly deadline: number
   /** Bytes that the request holds in memory until it is over. */
   readonly held: HeldBytes
-  /** Digest that identifies the request when a caller resends it; undefined without a body. */
+  /** Digest that identifies the request when its caller resends it; undefined before its body was read. */
   suspectDigest: string | undefined
   private readonly _context: ExchangeContext
   private readonly _res: ServerResponse
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -96,6 +96,7 @@
   private readonly _status: StatusServer
   private readonly _cacheLearner: CacheLearner
   private readonly _turns: TurnStore
+  private readonly _suspects: SuspectStore
   private readonly _budgets: BudgetStore
   private readonly _origins: OriginStore
   private readonly _versions: VersionStore
@@ -171,6 +172,7 @@
     })
     const placer = new Placer({ registry: this._registry, policy: createPolicy(options), clock })
     const suspects = new SuspectStore({ access, clock, log })
+    this._suspects = suspects
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
     const attempts = { clock, log, metrics, placer, limitedPlacer, limits, random, suspects, client: new TargetClient(protocol) }
@@ -244,6 +246,7 @@
     void periodic(EXPIRY_CHECK_MS).observe(() => {
       void this._turns.removeExpired()
       void this._origins.removeExpired()
+      void this._suspects.removeExpired()
     })
     void periodic(RETIRE_CHECK_MS).observe(() => { void this._versions.update() })
     void periodic(RETURN_CHECK_MS).observe(() => { void this._budgets.returnUnused() })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -138,7 +138,14 @@
     }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
-    exchange.suspectDigest = getSuspectDigest(call.host, call.requestTarget, content)
+    exchange.suspectDigest = getSuspectDigest({
+      caller: call.program?.id ?? req.socket.remoteAddress ?? '',
+      method: call.method,
+      host: call.host,
+      target: call.requestTarget,
+      previousTurn: call.previousTurn,
+      body: content
+    })
     if (route.kind === RouteKind.Streaming) await this._options.streams.forward(exchange, content)
     else await this._options.plain.forward(exchange, content)
   }
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -1,7 +1,11 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError, type RowKey } from '../../core/platform/index.js'
-import { SuspectList, toSuspectRow } from '../../core/suspect/index.js'
+import {
+  CRASH_WINDOW_MS, CrashEvidence, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow, type CrashRecord, type LostRequest
+} from '../../core/suspect/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { ExpiringRows } from './ExpiringRows.js'
 import type { StoreAccess } from './StoreAccess.js'
 
 /** Milliseconds for which writing a crash to the store is retried. */
@@ -17,23 +21,45 @@
 /** Shares between gateways which requests have crashed targets. */
 export class SuspectStore {
   private readonly _options: SuspectStoreOptions
+  private readonly _evidence = new CrashEvidence()
   private readonly _list = new SuspectList()
+  private readonly _expiring: ExpiringRows
 
   constructor (options: SuspectStoreOptions) {
+    const { access, clock, log } = options
     this._options = options
+    this._expiring = new ExpiringRows({ access, clock, log, failureEvent: 'suspects-not-removed' })
   }
 
   /** Checks whether a request must not be run any more. */
   isRefused (digest: string | undefined): boolean {
-    return this._list.isRefused(digest)
+    return this._list.isRefused(digest, this._options.clock.now())
   }
 
-  /** Records that the connection to a target was lost while it ran a request, and shares this with the other gateways. */
-  async record (digest: string, incarnation: string, requestId: string): Promise<void> {
+  /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
+  async record (lost: LostRequest, requestId: string): Promise<void> {
+    const { clock, log } = this._options
+    this._evidence.add(lost, clock.now())
+    log.info('connection-lost', { req: requestId, digest: lost.digest, lifetime: lost.incarnation, others: lost.others })
+    // A timer may fire a millisecond early by the steady clock.
+    await sleep(CRASH_WINDOW_MS + 1)
+    await Promise.all(this._evidence.evaluate(clock.now()).map(async crash => { await this._share(crash) }))
+  }
+
+  /** Removes the rows of crashes that have expired. */
+  async removeExpired (): Promise<void> {
+    await this._expiring.removeExpired()
+  }
+
+  private async _share ({ digest, incarnation }: CrashRecord): Promise<void> {
     const { access, clock, log } = this._options
-    if (this._list.add(digest, incarnation)) log.warn('suspect-confirmed', { digest, req: requestId, lifetime: incarnation })
+    const isRefused = this._list.add(digest, incarnation, clock.now())
+    log.info('crash-counted', { digest, lifetime: incarnation })
+    if (isRefused) log.warn('suspect-confirmed', { digest, lifetime: incarnation })
+    const row = toSuspectRow(digest, incarnation)
+    this._expiring.add([{ table: row.table, part: row.part, key: row.key }], SUSPECT_RETENTION_MS)
     try {
-      await access.commitRepeatable({ puts: [toSuspectRow(digest, incarnation)] }, clock.now() + WRITE_TIMEOUT_MS)
+      await access.commitRepeatable({ puts: [row] }, clock.now() + WRITE_TIMEOUT_MS)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       log.warn('suspect-not-shared', { digest, lifetime: incarnation, cause: err.message })
@@ -42,6 +68,6 @@
 
   /** Applies a row that another gateway wrote. */
   applyRow (key: RowKey): void {
-    if (this._list.addRow(key)) this._options.log.warn('suspect-confirmed', { row: key.key })
+    if (this._list.addRow(key, this._options.clock.now())) this._options.log.warn('suspect-confirmed', { row: key.key })
   }
 }
