--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,9 +1,10 @@
+import { getHeapStatistics } from 'node:v8'
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
 import { LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
-import { LenderRanking, PermitLedger } from '../../core/limits/index.js'
+import { ByteBudget, LenderRanking, PermitLedger } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
@@ -67,6 +68,13 @@
 /** Bytes of payload in a byte of base64. */
 const BASE64_PAYLOAD_RATIO = 0.75
 
+/**
+ * Share of the process's heap limit in bytes that bodies and buffered responses of all requests may hold together.
+ *
+ * They are outside the heap, which leaves about this much of a machine's memory beside the limit that is set for it.
+ */
+const HELD_BYTES_SHARE = 0.2
+
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
 
@@ -94,6 +102,7 @@
   private readonly _status: StatusServer
   private readonly _cacheLearner: CacheLearner
   private readonly _turns: TurnStore
+  private readonly _suspects: SuspectStore
   private readonly _budgets: BudgetStore
   private readonly _origins: OriginStore
   private readonly _versions: VersionStore
@@ -186,6 +195,7 @@
       isVersionKnown: (target, stream) => versionGate.isKnown(target, stream)
     })
     const suspects = new SuspectStore({ access, clock, log })
+    this._suspects = suspects
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
     const attempts = { clock, log, metrics, placer, limitedPlacer, limits, leaving, random, suspects, client: new TargetClient(protocol) }
@@ -219,7 +229,8 @@
       isStoreUnavailable: () => access.health.isUnavailable(),
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
-    const context = { clock, log, metrics, protocol, configs: this._configs, isStopping: () => this._isStopping }
+    const memory = new ByteBudget({ maxBytes: getHeapStatistics().heap_size_limit * HELD_BYTES_SHARE })
+    const context = { clock, log, metrics, protocol, configs: this._configs, memory, isStopping: () => this._isStopping }
     this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
@@ -260,6 +271,7 @@
     void periodic(EXPIRY_CHECK_MS).observe(() => {
       this._runInBackground('turns', async () => { await this._turns.removeExpired() })
       this._runInBackground('origins', async () => { await this._origins.removeExpired() })
+      this._runInBackground('suspects', async () => { await this._suspects.removeExpired() })
     })
     void periodic(RETIRE_CHECK_MS).observe(() => { this._runInBackground('versions', async () => { await this._versions.update() }) })
     void periodic(RETURN_CHECK_MS).observe(() => { this._runInBackground('budgets', async () => { await this._budgets.returnUnused() }) })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -4,11 +4,12 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
-import { listen, readBody } from '../http/index.js'
+import { listen } from '../http/index.js'
 import { CallerConnections } from './CallerConnections.js'
 import type { CallerConnection } from './CallerConnection.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
+import { readHeldBody } from './readHeldBody.js'
 import type { StreamForwarder } from './StreamForwarder.js'
 
 /** Largest header block that the parser accepts; the configuration's limit is checked afterwards. */
@@ -146,7 +147,16 @@
       return
     }
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version })
-    const body = await readBody(req, limits.bodyBytes)
+    try {
+      await this._forward(exchange, req, res, limits.bodyBytes)
+    } finally {
+      exchange.held.release()
+    }
+  }
+
+  private async _forward (exchange: Exchange, req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<void> {
+    const { call, route } = exchange
+    const body = await readHeldBody(req, { maxBytes, held: exchange.held })
     if (this._connections.get(req.socket).isClosing()) return
     if (body.isLeft()) {
       if (!exchange.callerDisconnected.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
@@ -154,7 +164,14 @@
     }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
-    exchange.suspectDigest = getSuspectDigest(call.host, call.requestTarget, content)
+    exchange.suspectDigest = getSuspectDigest({
+      caller: call.program?.id ?? req.socket.remoteAddress ?? '',
+      method: call.method,
+      host: call.host,
+      target: call.requestTarget,
+      previousTurn: call.previousTurn,
+      body: content
+    })
     if (route.kind === RouteKind.Streaming) await this._options.streams.forward(exchange, content)
     else await this._options.plain.forward(exchange, content)
   }
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -1,4 +1,5 @@
 import { expect } from 'earl'
+import { ByteBudget } from '../../../src/core/limits/index.js'
 import { ConfigHolder, RouteKind, type Route } from '../../../src/core/route/index.js'
 import { GatewayMetrics, GatewayServer, type PlainForwarder, type StreamForwarder } from '../../../src/io/gateway/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
@@ -29,7 +30,8 @@
     const limits = { headerBytes: 4_096, bodyBytes: 4_096, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
     configs.applyIfNewer({ version: 1, routes: [route], services: new Map(), limits }, clock.now())
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
-    const context = { clock, log, metrics: new GatewayMetrics(), protocol: new PlatformProtocol(), configs, isStopping: () => false }
+    const memory = new ByteBudget({ maxBytes: 1_000_000 })
+    const context = { clock, log, metrics: new GatewayMetrics(), protocol: new PlatformProtocol(), configs, memory, isStopping: () => false }
     const forward = async (): Promise<void> => { throw new Error('unexpected') }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
     const server = new GatewayServer({ context, plain, streams })
