--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -31,7 +31,8 @@
     configs.applyIfNewer({ version: 1, routes: [route], services: new Map(), limits }, clock.now())
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const memory = new ByteBudget({ maxBytes: 1_000_000 })
-    const context = { clock, log, metrics: new GatewayMetrics(), protocol: new PlatformProtocol(), configs, memory, isStopping: () => false }
+    const metrics = new GatewayMetrics()
+    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, isStopping: () => false }
     const forward = async (): Promise<void> => { throw new Error('unexpected') }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
     const server = new GatewayServer({ context, plain, streams })
