A planned stop refuses what can't end within the grace period

Of two requests received on one connection during a stop, the first was answered with `Connection: close` and the second, already passed on, was cut.

Cause: after the signal every request was accepted whatever its deadline, until the exit, also during the handover. Class: accepting work without knowing that it can be answered.

Change: StopSchedule accepts everything for 2.5 s, then only requests whose deadline is within the serving time, and nothing from the handover on; the rest is refused as `stopping` before it is passed on. The handover waits until kept connections are unused for 0.5 s. A response names the close only if it is the latest of its connection, and later requests there are not accepted. The process serves until 0.3 s instead of 1 s before the end of the grace period, and ends idle connections in order.

Measured: KeptConnectionsStopTests pass.

--- a/src/core/connection/index.ts
+++ b/src/core/connection/index.ts
@@ -1,1 +1,2 @@
 export * from './ConnectionAge.js'
+export * from './StopSchedule.js'
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -63,6 +63,7 @@
   'queue-full': notRun(503, 'The queue of the target is full.', 'Add targets.'),
   'retained-full': notRun(503, 'The sidecar holds as many unfetched answers as it may.', 'Check that the store is available: answers are kept until they are durable.'),
   leaving: notRun(503, 'The target is leaving.', 'None: the entry selects another target.'),
+  stopping: notRun(503, 'The gateway is stopping and could not finish the request.', 'None: the caller sends it to another gateway.'),
   'not-ready': notRun(503, 'The entry does not know the configuration in force yet.', 'Check the store and the instance list.'),
   'store-unavailable': notRun(503, 'The store did not take the claim in time.', 'Check the platform table service.'),
   'history-damaged': notRun(500, 'The stored history fails its digest check.', 'Report a bug; the session is stopped to keep histories apart.'),
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -56,6 +56,11 @@
     this._isClosing = true
   }
 
+  /** Checks whether a response belongs to the latest request received. */
+  isLatest (res: ServerResponse): boolean {
+    return [...this._pending.keys()].at(-1) === res
+  }
+
   /** Gets the request whose body is being received. */
   getReceiving (): { req: IncomingMessage, res: ServerResponse } | undefined {
     for (const [res, req] of this._pending) if (!req.complete) return { req, res }
@@ -88,7 +93,7 @@
     return this._age.getPhase()
   }
 
-  /** Checks whether the connection waits for the first byte of a further request. */
+  /** Checks whether the connection is read, and waits for the first byte of a further request. */
   isIdle (): boolean {
     return !this._isClosing && this._age.getPhase() === ConnectionPhase.Idle
   }
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -62,6 +62,11 @@
     })
   }
 
+  /** Checks whether any connection is open. */
+  hasOpen (): boolean {
+    return this._open.size > 0
+  }
+
   private _check (): void {
     this._clock.tick()
     const overdue = [...this._open].filter(connection => {
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -15,8 +15,8 @@
   readonly log: DecisionLog
   readonly metrics: GatewayMetrics
   readonly protocol: CallProtocol
-  /** Checks whether the gateway is stopping, so that connections are closed after their response. */
-  readonly isStopping: () => boolean
+  /** Checks whether the connection of a response is closed after it, because the gateway is stopping. */
+  readonly closesAfter: (res: ServerResponse) => boolean
 }
 
 /** Options of {@link Exchange}. */
@@ -141,7 +141,7 @@
   }
 
   private _getCloseHeaders (): string[] {
-    return this._context.isStopping() ? CLOSE_HEADERS : []
+    return this._context.closesAfter(this._res) ? CLOSE_HEADERS : []
   }
 
   private _recordResponse (status: number): void {
@@ -163,7 +163,7 @@
     ...context.protocol.getRefusalHeaders(requestId, retryAfterMs),
     'Content-Type', PROBLEM_CONTENT_TYPE,
     'Content-Length', String(body.length),
-    ...(closesConnection || context.isStopping() ? CLOSE_HEADERS : [])
+    ...(closesConnection || context.closesAfter(res) ? CLOSE_HEADERS : [])
   ])
   res.end(body)
 }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,7 +1,9 @@
+import type { ServerResponse } from 'node:http'
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
+import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
 import { LenderRanking, PermitLedger } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
@@ -67,11 +69,11 @@
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
 
-/** Milliseconds before the end of the grace period at which requests that are still in progress are ended. */
-const STOP_MARGIN_MS = 1_000
+/** Milliseconds without a request after which kept connections count as unused: longer than callers mostly pause between requests. */
+const STOP_QUIET_MS = 500
 
-/** Milliseconds before the end of the grace period, when the process is killed, at which it exits in any case. */
-const EXIT_MARGIN_MS = 300
+/** Milliseconds for which a stopping process waits until callers have closed the connections that it has ended: some round trips. */
+const CLOSE_WAIT_MS = 300
 
 /** Milliseconds for which the store may delay the response to a watch for crashes; they are rare, and a change is reported at once. */
 const SUSPECT_WATCH_MS = 4_000
@@ -196,7 +198,7 @@
       isStoreUnavailable: () => access.health.isUnavailable(),
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
-    const context = { clock, log, metrics, protocol, isStopping: () => this._isStopping }
+    const context = { clock, log, metrics, protocol, closesAfter: (res: ServerResponse) => this._server.closesAfter(res) }
     this._server = new GatewayServer({ context, configs: this._configs, plain: new PlainForwarder(attempts), streams })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
@@ -268,13 +270,25 @@
     if (this._isStopping) return
     this._isStopping = true
     const startedAt = clock.now()
+    const schedule = new StopSchedule({ startedAt, graceMs: this._graceMs })
+    this._server.setStopping(schedule)
     log.info('stopping', { inProgress: this._server.getInProgress() })
     await waitUntil(() => clock.now() - startedAt >= STOP_NOTICE_MS)
     this._server.stopListening()
-    const deadline = startedAt + this._graceMs - STOP_MARGIN_MS
-    await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= deadline)
+    let usedAt = clock.now()
+    await waitUntil(() => {
+      if (this._server.getInProgress() > 0) usedAt = clock.now()
+      const isUnused = !this._server.hasConnections() || clock.now() - usedAt >= STOP_QUIET_MS
+      return isUnused || clock.now() >= schedule.getServingEnd()
+    })
+    // From here on requests on kept connections are refused, so that none is cut when the process exits.
+    schedule.close()
     const ledgerState = this._ledger.close()
-    if (ledgerState !== undefined) await this._handover.leave(ledgerState, startedAt + this._graceMs - EXIT_MARGIN_MS)
+    if (ledgerState !== undefined) await this._handover.leave(ledgerState, schedule.getExitTime())
+    await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= schedule.getExitTime())
+    this._server.closeIdle()
+    const closeDeadline = Math.min(clock.now() + CLOSE_WAIT_MS, schedule.getExitTime())
+    await waitUntil(() => !this._server.hasConnections() || clock.now() >= closeDeadline)
     this._configWatch.close()
     this._targetWatch.close()
     this._suspectWatch.close()
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
-import { ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionPhase, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
@@ -29,6 +29,9 @@
 /** Seconds after which a caller may retry while no configuration was read. */
 const NOT_READY_RETRY_SECONDS = 0.5
 
+/** Seconds after which a caller may retry at another gateway while this one is stopping. */
+const STOPPING_RETRY_SECONDS = 0.05
+
 /** Statuses for bytes that are not a valid request, by the parser's error code. */
 const PARSE_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large'
@@ -52,6 +55,8 @@
   private readonly _parser: Server
   private readonly _connections: CallerConnections
   private _inProgress = 0
+  /** Set once the gateway is stopping. */
+  private _stop: StopSchedule | undefined
 
   constructor (options: GatewayServerOptions) {
     this._options = options
@@ -83,12 +88,36 @@
     this._connections.setLimits({ idle: limits.idleTimeoutMs + 2 * IDLE_MARGIN_MS, head: limits.headerTimeoutMs, body: BODY_TIMEOUT_MS })
   }
 
+  /** Accepts from now on only the requests that the schedule of a stop accepts, and closes connections after their last response. */
+  setStopping (stop: StopSchedule): void {
+    this._stop = stop
+  }
+
+  /** Checks whether the connection of a response is closed after it; no request that arrives later on it is accepted. */
+  closesAfter (res: ServerResponse): boolean {
+    if (this._stop === undefined) return false
+    const connection = this._connections.get(res.req.socket)
+    if (!connection.isLatest(res)) return false
+    connection.markClosing()
+    return true
+  }
+
   /** Stops accepting connections and closes idle ones. */
   stopListening (): void {
     this._server.close()
     this._connections.closeIdle()
   }
 
+  /** Closes the connections without a request. */
+  closeIdle (): void {
+    this._connections.closeIdle()
+  }
+
+  /** Checks whether any connection is open. */
+  hasConnections (): boolean {
+    return this._connections.hasOpen()
+  }
+
   /** Gets the number of requests in progress. */
   getInProgress (): number {
     return this._inProgress
@@ -151,6 +180,10 @@
       if (!exchange.callerDisconnected.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
       return
     }
+    if (this._stop?.accepts(context.clock.now(), exchange.deadline) === false) {
+      this._refuse(req, res, call.id, { reason: 'stopping', retryAfterSeconds: STOPPING_RETRY_SECONDS })
+      return
+    }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
     exchange.suspectDigest = getSuspectDigest(call.host, call.requestTarget, content)
