The id of a loan names the run of the process that made it

Cause: ids of loans were counted anew by each process. Class: an id that is unique in one life of a process and used across several. The other ids that gateways exchange (incarnations of gateways and targets, ids of requests) are unique already; this was looked up in src/core, src/io/gateway and src/io/peer.

Failed before (ReserveLedgerTests): "lent" is not equal to "spent".

Change: the id begins with the incarnation of the process.

Measured: tests/core/reserve, BudgetStoreTests and tests/io/peer pass.

--- a/src/core/reserve/ReserveLedger.ts
+++ b/src/core/reserve/ReserveLedger.ts
@@ -30,6 +30,8 @@
 /** Options of {@link ReserveLedger}. */
 export interface ReserveLedgerOptions {
   readonly clock: Clock
+  /** Unique name of this run of the process, which makes the ids of its loans unique. */
+  readonly incarnation: string
 }
 
 /**
@@ -87,7 +89,7 @@
     if (account.isClosed) return { type: 'spent', isForGood: true }
     if (account.spent + account.lent >= getReserveTokens(req.limit)) return { type: 'spent', isForGood: account.lent === 0 }
     account.lent += req.tokens
-    const loan = `${req.program}/${this._loanCount++}`
+    const loan = `${this._options.incarnation}/${req.program}/${this._loanCount++}`
     this._loans.set(loan, { account, tokens: req.tokens })
     return { type: 'lent', loan }
   }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -111,7 +111,7 @@
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
-    const ledger = new ReserveLedger({ clock })
+    const ledger = new ReserveLedger({ clock, incarnation })
     this._ledger = ledger
     this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
     const pool = new PeerPool({ clock, log })
--- a/tests/core/reserve/ReserveLedgerTests.ts
+++ b/tests/core/reserve/ReserveLedgerTests.ts
@@ -53,6 +53,16 @@
     }
   })
 
+  it('should not settle a new loan by a late settlement of a loan that the previous process made', () => {
+    const [previous, next] = ['run-1', 'run-2'].map(incarnation => {
+      const ledger = new ReserveLedger({ clock, incarnation })
+      ledger.open({})
+      return { ledger, loan: ledger.lend({ program: 'p', limit: LIMIT, tokens: 450 }) }
+    })
+    if (previous!.loan.type === 'lent') next!.ledger.settle(previous!.loan.loan, 0)
+    expect(next!.ledger.lend({ program: 'p', limit: LIMIT, tokens: 1 }).type).toEqual('spent')
+  })
+
   it('should report a reserve as permanently spent only when no loan is open', () => {
     const ledger = open(false)
     const first = ledger.lend({ program: 'p', limit: LIMIT, tokens: 450 })
@@ -88,7 +98,7 @@
     first.closeReserve('q')
     const state = first.close()
     expect(first.lend({ program: 'r', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
-    const second = new ReserveLedger({ clock })
+    const second = new ReserveLedger({ clock, incarnation: 'run-1' })
     second.open(state)
     expect(second.closeReserve('p')).toEqual({ type: 'closed', spent: 430 })
     expect(second.lend({ program: 'q', limit: LIMIT, tokens: 1 })).toEqual({ type: 'spent', isForGood: true })
@@ -97,15 +107,15 @@
 
   it('should leave no state while the loans of the previous process are not known', () => {
     expect(open(true).close()).toEqual(undefined)
-    expect(new ReserveLedger({ clock }).close()).toEqual(undefined)
+    expect(new ReserveLedger({ clock, incarnation: 'run-1' }).close()).toEqual(undefined)
   })
 
   it('should lend nothing before this gateway is registered', () => {
-    expect(new ReserveLedger({ clock }).lend({ program: 'p', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
+    expect(new ReserveLedger({ clock, incarnation: 'run-1' }).lend({ program: 'p', limit: LIMIT, tokens: 1 })).toEqual({ type: 'unavailable' })
   })
 
   const open = (hasPredecessor: boolean): ReserveLedger => {
-    const ledger = new ReserveLedger({ clock })
+    const ledger = new ReserveLedger({ clock, incarnation: 'run-1' })
     ledger.open(hasPredecessor ? undefined : {})
     return ledger
   }
--- a/tests/io/gateway/BudgetStoreTests.ts
+++ b/tests/io/gateway/BudgetStoreTests.ts
@@ -254,7 +254,7 @@
 }
 
 function createReserve (): Peers {
-  const ledger = new ReserveLedger({ clock })
+  const ledger = new ReserveLedger({ clock, incarnation: 'run-1' })
   ledger.open({})
   return {
     ...NO_PEERS,
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -20,7 +20,7 @@
     directStore = new MemoryRowStore()
     peerStore = new MemoryRowStore()
     isPeerUnavailable = false
-    const reserves = new ReserveLedger({ clock: new SteadyClock() })
+    const reserves = new ReserveLedger({ clock: new SteadyClock(), incarnation: 'run-1' })
     server = new PeerServer({
       direct: peerStore,
       isDirectUnavailable: () => isPeerUnavailable,
