A log line for each connection that the gateway ends

Change: `connection-ended`, one line for each such connection, with the cause, the phase, the number of requests, the bytes read and written, the time since the last of each, and the version of the configuration. Connections that close because their caller asked for it, and those cut by the exit of the process, have no line.

--- a/src/core/connection/ConnectionAge.ts
+++ b/src/core/connection/ConnectionAge.ts
@@ -11,6 +11,16 @@
 } as const
 export type ConnectionPhase = typeof ConnectionPhase[keyof typeof ConnectionPhase]
 
+/** Why the gateway ends a caller's connection. */
+export const EndCause = {
+  Idle: 'idle',
+  HeaderTimeout: 'header-timeout',
+  /** The connection ends after a refusal, because the rest of the request is not read. */
+  Refusal: 'refusal',
+  Stop: 'stop'
+} as const
+export type EndCause = typeof EndCause[keyof typeof EndCause]
+
 /** Longest time, in milliseconds, for which a connection may remain in each phase; a response is limited by its route instead. */
 export type PhaseLimits = Readonly<Record<Exclude<ConnectionPhase, 'response'>, number>>
 
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../../core/clock/index.js'
-import { ConnectionAge, ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionAge, ConnectionPhase, type EndCause, type PhaseLimits } from '../../core/connection/index.js'
 
 /** Milliseconds for which a connection that was ended is still read: several round trips between distant regions. */
 const LINGER_MS = 2_000
@@ -16,6 +16,21 @@
   readonly clock: Clock
   /** Gets the limits in force. */
   readonly getLimits: () => PhaseLimits
+  /** Called when the gateway ends the connection of its own accord. */
+  readonly onEnd: (ending: ConnectionEnding) => void
+}
+
+/** State of a connection when the gateway ended it; times are late by up to one check. */
+export interface ConnectionEnding {
+  readonly cause: EndCause
+  /** What the connection waited for. */
+  readonly phase: ConnectionPhase
+  /** Requests whose head was read. */
+  readonly requests: number
+  readonly bytesRead: number
+  readonly bytesWritten: number
+  readonly sinceReadMs: number
+  readonly sinceWrittenMs: number
 }
 
 /** One connection of a caller: which phase it is in, and how the gateway ends it. */
@@ -23,6 +38,7 @@
   readonly socket: Socket
   private readonly _clock: Clock
   private readonly _getLimits: () => PhaseLimits
+  private readonly _onEnd: (ending: ConnectionEnding) => void
   private readonly _age: ConnectionAge
   /** Responses that have not been sent completely, with their requests. */
   private readonly _pending = new Map<ServerResponse, IncomingMessage>()
@@ -31,6 +47,12 @@
   /** Idle time-out in force when the latest request arrived, which its response announces. */
   private _announcedIdleMs = 0
   private _bytesRead = 0
+  private _bytesWritten = 0
+  private _readAt: number
+  private _writtenAt: number
+  private _requests = 0
+  /** Why no further request is accepted, with the phase at that time. */
+  private _ending: { readonly cause: EndCause, readonly phase: ConnectionPhase } | undefined
   private _isClosing = false
   private _isEnded = false
   /** Response to bytes that are no request; sent after the pending responses. */
@@ -40,6 +62,8 @@
     this.socket = options.socket
     this._clock = options.clock
     this._getLimits = options.getLimits
+    this._onEnd = options.onEnd
+    this._readAt = this._writtenAt = this._clock.now()
     this._limits = options.getLimits()
     this._age = new ConnectionAge(this._clock.now(), this._limits)
     // The parser calls this after the last response of a connection; closing at once would reset it while bytes are unread.
@@ -52,8 +76,9 @@
   }
 
   /** Records that no request after those received so far is accepted. */
-  markClosing (): void {
+  markClosing (cause: EndCause): void {
     this._isClosing = true
+    this._ending ??= { cause, phase: this._age.getPhase() }
   }
 
   /** Checks whether a response belongs to the latest request received. */
@@ -71,15 +96,20 @@
   addRequest (req: IncomingMessage, res: ServerResponse): void {
     this._pending.set(res, req)
     this._announcedIdleMs = this._getLimits().idle
+    this._requests++
+    this._readAt = this._clock.now()
     this._enter(req.complete ? ConnectionPhase.Response : ConnectionPhase.Body, this._getLimits())
     res.on('close', () => { this._removeRequest(res) })
   }
 
   /** Updates the phase by what was read since the last call. */
   update (): void {
-    const { bytesRead } = this.socket
+    const { bytesRead, bytesWritten } = this.socket
     const hasRead = bytesRead !== this._bytesRead
     this._bytesRead = bytesRead
+    if (hasRead) this._readAt = this._clock.now()
+    if (bytesWritten !== this._bytesWritten) this._writtenAt = this._clock.now()
+    this._bytesWritten = bytesWritten
     const phase = this._age.getPhase()
     if (phase === ConnectionPhase.Body && this.getReceiving() === undefined) this._enter(ConnectionPhase.Response, this._limits)
     // The head began at some time since the last update, so perhaps under the limits of that time.
@@ -104,9 +134,9 @@
   }
 
   /** Refuses bytes that are no request, after the pending responses; nothing that follows them is read as a request. */
-  refuseBytes (response: string): void {
+  refuseBytes (response: string, cause: EndCause): void {
     if (this._isClosing) return
-    this._isClosing = true
+    this.markClosing(cause)
     if (this._pending.size === 0) this._endWith(response)
     else this._deferredRefusal = response
   }
@@ -116,16 +146,32 @@
    *
    * It is read for a while longer, because unread bytes would reset it before the caller has received the last response.
    */
-  end (): void {
+  end (cause?: EndCause): void {
     if (this._isEnded) return
     this._isEnded = true
     this._isClosing = true
+    if (cause !== undefined) this.markClosing(cause)
+    this._report()
     this._discardInput()
     this.socket.end()
     const timer = setTimeout(() => { this.socket.destroy() }, LINGER_MS)
     this.socket.on('close', () => { clearTimeout(timer) })
   }
 
+  private _report (): void {
+    if (this._ending === undefined) return
+    this.update()
+    const now = this._clock.now()
+    this._onEnd({
+      ...this._ending,
+      requests: this._requests,
+      bytesRead: this._bytesRead,
+      bytesWritten: this._bytesWritten,
+      sinceReadMs: Math.round(now - this._readAt),
+      sinceWrittenMs: Math.round(now - this._writtenAt)
+    })
+  }
+
   private _endWith (response: string): void {
     this.socket.write(response)
     this.end()
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -1,7 +1,7 @@
 import type { Socket } from 'node:net'
 import { RunningClock, type Clock } from '../../core/clock/index.js'
-import { ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
-import { CallerConnection } from './CallerConnection.js'
+import { EndCause, type ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+import { CallerConnection, type ConnectionEnding } from './CallerConnection.js'
 
 /** Milliseconds between two checks for connections that wait too long; a time-out is late by up to two of them. */
 const CHECK_INTERVAL_MS = 500
@@ -15,6 +15,8 @@
   readonly limits: PhaseLimits
   /** Called when a connection has been in a phase for too long. */
   readonly onOverdue: (connection: CallerConnection, phase: ConnectionPhase) => void
+  /** Called when the gateway ends a connection of its own accord. */
+  readonly onEnd: (ending: ConnectionEnding) => void
 }
 
 /**
@@ -44,7 +46,7 @@
 
   /** Adds a connection until it is closed. */
   add (socket: Socket): void {
-    const connection = new CallerConnection({ socket, clock: this._clock, getLimits: () => this._limits })
+    const connection = new CallerConnection({ socket, clock: this._clock, getLimits: () => this._limits, onEnd: this._options.onEnd })
     this._connections.set(socket, connection)
     this._open.add(connection)
     socket.on('close', () => { this._open.delete(connection) })
@@ -55,10 +57,10 @@
     return this._connections.get(socket)!
   }
 
-  /** Ends the idle connections on which no byte waits to be read. */
+  /** Ends the idle connections on which no byte waits to be read, because the gateway is stopping. */
   closeIdle (): void {
     this._confirm([...this._open].filter(connection => connection.isIdle()), connection => {
-      if (connection.isIdle()) connection.end()
+      if (connection.isIdle()) connection.end(EndCause.Stop)
     })
   }
 
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
-import { ConnectionPhase, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
+import { ConnectionPhase, EndCause, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits, type ConfigHolder } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
@@ -32,6 +32,8 @@
 /** Seconds after which a caller may retry at another gateway while this one is stopping. */
 const STOPPING_RETRY_SECONDS = 0.05
 
+const HEAD_TIMEOUT = 'the head did not arrive in time'
+
 /** Statuses for bytes that are not a valid request, by the parser's error code. */
 const PARSE_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large'
@@ -68,7 +70,10 @@
     this._connections = new CallerConnections({
       clock: options.context.clock,
       limits: INITIAL_LIMITS,
-      onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) }
+      onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) },
+      onEnd: ending => {
+        options.context.log.info('connection-ended', { by: 'gateway', ...ending, config: options.configs.get()?.config.version })
+      }
     })
     this._server = createNetServer({ allowHalfOpen: true, noDelay: true }, socket => {
       this._connections.add(socket)
@@ -98,7 +103,7 @@
     if (this._stop === undefined) return false
     const connection = this._connections.get(res.req.socket)
     if (!connection.isLatest(res)) return false
-    connection.markClosing()
+    connection.markClosing(EndCause.Stop)
     return true
   }
 
@@ -197,7 +202,7 @@
     context.metrics.addRefusal(refusal.reason)
     context.log.info('refused', { req: id, reason: refusal.reason, detail: refusal.detail, ...refusal.members })
     const closesConnection = !req.complete && hasBody(req)
-    if (closesConnection) this._connections.get(req.socket).markClosing()
+    if (closesConnection) this._connections.get(req.socket).markClosing(EndCause.Refusal)
     sendProblem(context, res, id, refusal, closesConnection)
     req.resume()
   }
@@ -219,8 +224,8 @@
     const receiving = connection.getReceiving()
     if (receiving !== undefined) this._refuse(receiving.req, receiving.res, undefined, { reason: 'body-timeout' })
     else if (phase === ConnectionPhase.Head && connection.hasReceivedBytes()) {
-      this._refuseBytes(connection, '408 Request Timeout', 'body-timeout', { cause: 'the head did not arrive in time' })
-    } else connection.end()
+      this._refuseBytes(connection, '408 Request Timeout', 'body-timeout', { cause: HEAD_TIMEOUT })
+    } else connection.end(phase === ConnectionPhase.Head ? EndCause.HeaderTimeout : EndCause.Idle)
   }
 
   /** Refuses bytes that are no complete request, and ends the connection. */
@@ -228,7 +233,7 @@
     const { context } = this._options
     context.metrics.addRefusal(reason)
     context.log.info('bytes-refused', members)
-    connection.refuseBytes(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    connection.refuseBytes(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, reason === 'body-timeout' ? EndCause.HeaderTimeout : EndCause.Refusal)
   }
 }
 
