--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,8 +1,10 @@
+import type { ServerResponse } from 'node:http'
 import { getHeapStatistics } from 'node:v8'
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
 import { LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
+import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
 import { ByteBudget, LenderRanking, PermitLedger } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
@@ -78,11 +80,11 @@
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
 
-/** Milliseconds before the end of the grace period at which requests that are still in progress are ended. */
-const STOP_MARGIN_MS = 1_000
+/** Milliseconds without a request after which kept connections count as unused: longer than callers mostly pause between requests. */
+const STOP_QUIET_MS = 500
 
-/** Milliseconds before the end of the grace period, when the process is killed, at which it exits in any case. */
-const EXIT_MARGIN_MS = 300
+/** Milliseconds for which a stopping process waits until callers have closed the connections that it has ended: some round trips. */
+const CLOSE_WAIT_MS = 300
 
 /** Milliseconds for which the store may delay the response to a watch for crashes; they are rare, and a change is reported at once. */
 const SUSPECT_WATCH_MS = 4_000
@@ -127,7 +129,7 @@
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
-    const ledger = new ReserveLedger({ clock })
+    const ledger = new ReserveLedger({ clock, incarnation })
     this._ledger = ledger
     this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
     const pool = new PeerPool({ clock, log })
@@ -230,7 +232,8 @@
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
     const memory = new ByteBudget({ maxBytes: getHeapStatistics().heap_size_limit * HELD_BYTES_SHARE })
-    const context = { clock, log, metrics, protocol, configs: this._configs, memory, isStopping: () => this._isStopping }
+    const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
+    const context = { clock, log, metrics, protocol, configs: this._configs, memory, closesAfter }
     this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
@@ -305,13 +308,25 @@
     if (this._isStopping) return
     this._isStopping = true
     const startedAt = clock.now()
+    const schedule = new StopSchedule({ startedAt, graceMs: this._graceMs })
+    this._server.setStopping(schedule)
     log.info('stopping', { inProgress: this._server.getInProgress() })
     await waitUntil(() => clock.now() - startedAt >= STOP_NOTICE_MS)
     this._server.stopListening()
-    const deadline = startedAt + this._graceMs - STOP_MARGIN_MS
-    await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= deadline)
+    let usedAt = clock.now()
+    await waitUntil(() => {
+      if (this._server.getInProgress() > 0) usedAt = clock.now()
+      const isUnused = !this._server.hasConnections() || clock.now() - usedAt >= STOP_QUIET_MS
+      return isUnused || clock.now() >= schedule.getServingEnd()
+    })
+    // From here on requests on kept connections are refused, so that none is cut when the process exits.
+    schedule.close()
     const ledgerState = this._ledger.close()
-    if (ledgerState !== undefined) await this._handover.leave(ledgerState, startedAt + this._graceMs - EXIT_MARGIN_MS)
+    if (ledgerState !== undefined) await this._handover.leave(ledgerState, schedule.getExitTime())
+    await waitUntil(() => this._server.getInProgress() === 0 || clock.now() >= schedule.getExitTime())
+    this._server.closeIdle()
+    const closeDeadline = Math.min(clock.now() + CLOSE_WAIT_MS, schedule.getExitTime())
+    await waitUntil(() => !this._server.hasConnections() || clock.now() >= closeDeadline)
     this._configWatch.close()
     this._targetWatch.close()
     this._suspectWatch.close()
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,6 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
-import { ConnectionPhase, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionPhase, EndCause, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigest } from '../../core/suspect/index.js'
@@ -30,6 +30,11 @@
 /** Seconds after which a caller may retry while no configuration was read. */
 const NOT_READY_RETRY_SECONDS = 0.5
 
+/** Seconds after which a caller may retry at another gateway while this one is stopping. */
+const STOPPING_RETRY_SECONDS = 0.05
+
+const HEAD_TIMEOUT = 'the head did not arrive in time'
+
 /** Statuses for bytes that are not a valid request, by the parser's error code. */
 const PARSE_STATUS: Readonly<Record<string, string>> = {
   HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large'
@@ -52,6 +57,8 @@
   private readonly _parser: Server
   private readonly _connections: CallerConnections
   private _inProgress = 0
+  /** Set once the gateway is stopping. */
+  private _stop: StopSchedule | undefined
 
   constructor (options: GatewayServerOptions) {
     this._options = options
@@ -63,7 +70,10 @@
     this._connections = new CallerConnections({
       clock: options.context.clock,
       limits: INITIAL_LIMITS,
-      onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) }
+      onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) },
+      onEnd: ending => {
+        options.context.log.info('connection-ended', { by: 'gateway', ...ending, config: options.context.configs.get()?.config.version })
+      }
     })
     this._server = createNetServer({ allowHalfOpen: true, noDelay: true }, socket => {
       this._connections.add(socket)
@@ -83,12 +93,36 @@
     this._connections.setLimits({ idle: limits.idleTimeoutMs + 2 * IDLE_MARGIN_MS, head: limits.headerTimeoutMs, body: BODY_TIMEOUT_MS })
   }
 
+  /** Accepts from now on only the requests that the schedule of a stop accepts, and closes connections after their last response. */
+  setStopping (stop: StopSchedule): void {
+    this._stop = stop
+  }
+
+  /** Checks whether the connection of a response is closed after it; no request that arrives later on it is accepted. */
+  closesAfter (res: ServerResponse): boolean {
+    if (this._stop === undefined) return false
+    const connection = this._connections.get(res.req.socket)
+    if (!connection.isLatest(res)) return false
+    connection.markClosing(EndCause.Stop)
+    return true
+  }
+
   /** Stops accepting connections and closes idle ones. */
   stopListening (): void {
     this._server.close()
     this._connections.closeIdle()
   }
 
+  /** Closes the connections without a request. */
+  closeIdle (): void {
+    this._connections.closeIdle()
+  }
+
+  /** Checks whether any connection is open. */
+  hasConnections (): boolean {
+    return this._connections.hasOpen()
+  }
+
   /** Gets the number of requests in progress. */
   getInProgress (): number {
     return this._inProgress
@@ -156,12 +190,17 @@
 
   private async _forward (exchange: Exchange, req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<void> {
     const { call, route } = exchange
+    const { context } = this._options
     const body = await readHeldBody(req, { maxBytes, held: exchange.held })
     if (this._connections.get(req.socket).isClosing()) return
     if (body.isLeft()) {
       if (!exchange.callerDisconnected.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
       return
     }
+    if (this._stop?.accepts(context.clock.now(), exchange.deadline) === false) {
+      this._refuse(req, res, call.id, { reason: 'stopping', retryAfterSeconds: STOPPING_RETRY_SECONDS })
+      return
+    }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
     exchange.suspectDigest = getSuspectDigest({
@@ -182,7 +221,7 @@
     context.metrics.addRefusal(refusal.reason)
     context.log.info('refused', { req: id, reason: refusal.reason, detail: refusal.detail, ...refusal.members })
     const closesConnection = !req.complete && hasBody(req)
-    if (closesConnection) this._connections.get(req.socket).markClosing()
+    if (closesConnection) this._connections.get(req.socket).markClosing(EndCause.Refusal)
     sendProblem(context, res, id, refusal, closesConnection)
     req.resume()
   }
@@ -204,8 +243,8 @@
     const receiving = connection.getReceiving()
     if (receiving !== undefined) this._refuse(receiving.req, receiving.res, undefined, { reason: 'body-timeout' })
     else if (phase === ConnectionPhase.Head && connection.hasReceivedBytes()) {
-      this._refuseBytes(connection, '408 Request Timeout', 'body-timeout', { cause: 'the head did not arrive in time' })
-    } else connection.end()
+      this._refuseBytes(connection, '408 Request Timeout', 'body-timeout', { cause: HEAD_TIMEOUT })
+    } else connection.end(phase === ConnectionPhase.Head ? EndCause.HeaderTimeout : EndCause.Idle)
   }
 
   /** Refuses bytes that are no complete request, and ends the connection. */
@@ -213,7 +252,7 @@
     const { context } = this._options
     context.metrics.addRefusal(reason)
     context.log.info('bytes-refused', members)
-    connection.refuseBytes(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`)
+    connection.refuseBytes(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, reason === 'body-timeout' ? EndCause.HeaderTimeout : EndCause.Refusal)
   }
 }
 
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -32,7 +32,7 @@
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const memory = new ByteBudget({ maxBytes: 1_000_000 })
     const metrics = new GatewayMetrics()
-    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, isStopping: () => false }
+    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
     const forward = async (): Promise<void> => { throw new Error('unexpected') }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
     const server = new GatewayServer({ context, plain, streams })
