Soak: a world that disturbances share, unframed responses, repeated refusals, half requests

New promises that every run checks: requests get a whole response around planned work, targets that leave get nothing new, gateways do not end by themselves, and their resident memory stays below 210 MB (a gateway that exceeds it is ended, as on a deployment).

Callers also keep using gateways that were told to stop, until the process is gone.

--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -1,12 +1,22 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
 
 /** Milliseconds between two bytes of a stream that trickles. */
 const TRICKLE_INTERVAL_MS = 50
 
+/** Milliseconds between two parts of a response without a length, so that the first one arrives before a reset. */
+const UNFRAMED_GAP_MS = 30
+
 /** Behaviour of a stand-in for one request. */
-export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle'
+export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' |
+  'unframed' | 'unframed-reset' | 'not-run-copied' | 'not-run-repeated'
+
+/** Behaviours in which a target answers as its protocol allows. */
+const SOUND_BEHAVIOURS: readonly EngineBehaviour[] = ['answer', 'unframed', 'fail', 'refuse-unproved']
+
+/** Responds to the requests of a path instead of a stand-in's usual responses. */
+export type EngineResponder = (run: EngineRun, res: ServerResponse, engine: EngineStandin) => void
 
 /** Request received by a stand-in. */
 export interface EngineRun {
@@ -17,6 +27,12 @@
   readonly body: string
   /** True when the caller closed the connection before the response was complete. */
   isAbandoned: boolean
+  /** True when the target spoiled or broke off the response. */
+  isBroken: boolean
+  /** Time of the request, by the steady clock, in milliseconds. */
+  readonly at: number
+  /** Time at which the connection or the response ended. */
+  endedAt: number | undefined
 }
 
 /** HTTP server that simulates a target of the platform: a model engine for streamed turns, a plain service for other paths. */
@@ -35,17 +51,31 @@
   gate: Promise<void> = Promise.resolve()
   /** Milliseconds before each event of a stream but the first. */
   eventGapMs = 0
+  /** Responders by the start of the path. */
+  readonly responders = new Map<string, EngineResponder>()
+  /** Headers of all responses, such as the notice that the target leaves. */
+  extraHeaders: Record<string, string> = {}
   private readonly _server: Server
+  private readonly _sockets = new Set<Socket>()
+  /** Refusals that are written once more before the next response on their connection. */
+  private readonly _repeatedRefusals = new WeakMap<Socket, string>()
+  private _port = 0
 
   constructor (id: string) {
     this.id = id
     this._server = createServer((req, res) => { void this._serve(req, res) })
+    this._server.on('connection', socket => {
+      this._sockets.add(socket)
+      socket.on('error', () => {})
+      socket.on('close', () => { this._sockets.delete(socket) })
+    })
   }
 
   /** Starts the server on a free port; returns host and port. */
   async start (): Promise<string> {
-    await new Promise<void>(resolve => this._server.listen(0, '127.0.0.1', resolve))
-    return `127.0.0.1:${(this._server.address() as AddressInfo).port}`
+    await new Promise<void>(resolve => this._server.listen(this._port, '127.0.0.1', resolve))
+    this._port = (this._server.address() as AddressInfo).port
+    return `127.0.0.1:${this._port}`
   }
 
   /** Stops the server and closes its connections. */
@@ -54,9 +84,21 @@
     this._server.closeAllConnections()
   }
 
+  /** Resets all connections and refuses new ones until {@link start}, which listens on the same port again. */
+  crash (): void {
+    for (const run of this.runs) if (run.endedAt === undefined) run.isBroken = true
+    this._server.close()
+    for (const socket of this._sockets) socket.resetAndDestroy()
+  }
+
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const chunks: Buffer[] = []
-    for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
+    try {
+      for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
+    } catch {
+      // The caller has closed the connection before the request was complete.
+      return
+    }
     const id = String(req.headers['x-request-id'])
     if (req.headers['x-target-instance'] !== this.id) {
       res.writeHead(421, { 'x-instance-id': this.id, 'x-request-id': id }).end()
@@ -64,15 +106,37 @@
     }
     this.arrivals.push(performance.now())
     if (this.requestsPerSecond !== undefined) res.setHeader('server-limit', String(this.requestsPerSecond))
+    for (const [name, value] of Object.entries(this.extraHeaders)) res.setHeader(name, value)
     const behaviour = this.nextBehaviours.shift() ?? 'answer'
-    if (behaviour === 'not-run') {
-      res.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id }).end()
+    const refusal = `HTTP/1.1 503 Service Unavailable\r\nx-not-executed: 1\r\nx-request-id: ${id}\r\ncontent-length: 0\r\n\r\n`
+    if (behaviour.startsWith('not-run')) {
+      if (behaviour === 'not-run-repeated') this._repeatedRefusals.set(req.socket, refusal)
+      res.writeHead(503, { 'x-not-executed': '1', 'x-request-id': id, 'content-length': '0' }).end(() => {
+        if (behaviour === 'not-run-copied') req.socket.write(refusal)
+      })
       return
     }
     const body = Buffer.concat(chunks).toString()
-    const run: EngineRun = { id, method: req.method!, url: req.url!, headers: req.headers, body, isAbandoned: false }
+    const isBroken = !SOUND_BEHAVIOURS.includes(behaviour)
+    const run: EngineRun = {
+      id, method: req.method!, url: req.url!, headers: req.headers, body, isAbandoned: false, isBroken, at: performance.now(), endedAt: undefined
+    }
     this.runs.push(run)
-    res.on('close', () => { run.isAbandoned = !res.writableFinished })
+    res.on('close', () => {
+      run.isAbandoned = !res.writableFinished
+      run.endedAt = performance.now()
+    })
+    const repeated = this._repeatedRefusals.get(req.socket)
+    if (repeated !== undefined) {
+      this._repeatedRefusals.delete(req.socket)
+      run.isBroken = true
+      req.socket.write(repeated)
+    }
+    for (const [prefix, respond] of this.responders) {
+      if (!run.url.startsWith(prefix)) continue
+      respond(run, res, this)
+      return
+    }
     await this._respond(run, res, behaviour)
   }
 
@@ -88,12 +152,31 @@
     }
     res.setHeader('x-request-id', behaviour === 'other-request' ? 'another' : run.id)
     if (behaviour !== 'unsigned') res.setHeader('x-response-signature', `signed-${run.id}`)
-    if (behaviour === 'fail') res.writeHead(500).end('the target failed')
+    if (behaviour === 'unframed' || behaviour === 'unframed-reset') await this._respondUnframed(run, res, behaviour === 'unframed-reset')
+    else if (behaviour === 'fail') res.writeHead(500).end('the target failed')
     else if (run.url.startsWith('/turns/')) await this._stream(run, res, behaviour)
     else if (behaviour === 'cut-length') res.writeHead(200, { 'content-length': 100 }).write('short', () => { res.destroy() })
     else res.writeHead(200).end(`answer to ${run.url}`)
   }
 
+  /** Responds with neither a length nor chunks; the response ends with its connection, or is reset after a part of it. */
+  private async _respondUnframed (run: EngineRun, res: ServerResponse, isReset: boolean): Promise<void> {
+    const lastEventId = Number(run.headers['last-event-id'] ?? 0)
+    const body = run.url.startsWith('/turns/')
+      ? this.events.flatMap((data, index) => index < lastEventId ? [] : [`id: ${index + 1}\ndata: ${data}\n\n`])
+      : ['answer to ', run.url]
+    const { socket } = res
+    const headers = { ...res.getHeaders(), connection: 'close', ...(run.url.startsWith('/turns/') ? { 'content-type': 'text/event-stream' } : {}) }
+    socket!.write(`HTTP/1.1 200 OK\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}\r\n`).join('')}\r\n`)
+    for (const [index, part] of body.entries()) {
+      if (isReset && index > 0) break
+      socket!.write(part)
+      await sleep(UNFRAMED_GAP_MS)
+    }
+    if (isReset) socket!.resetAndDestroy()
+    else socket!.end()
+  }
+
   private async _stream (run: EngineRun, res: ServerResponse, behaviour: EngineBehaviour): Promise<void> {
     res.writeHead(200, { 'content-type': 'text/event-stream' })
     const lastEventId = Number(run.headers['last-event-id'] ?? 0)
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -1,6 +1,6 @@
 import { spawn, type ChildProcess } from 'node:child_process'
 import { createInterface } from 'node:readline'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 
@@ -18,6 +18,8 @@
   readonly id: string
   readonly storeAddress: string
   readonly graceMs?: number
+  /** Limit of the heap of the process, in MB; the default of Node.js without it. */
+  readonly heapMb?: number
 }
 
 /** Runs a gateway in a child process. */
@@ -50,7 +52,7 @@
     const folder = mkdtempSync(join(tmpdir(), 'wisteria-gateway-'))
     const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, createSettings(options))
-    const child = spawn(process.execPath, ['target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [...(options.heapMb === undefined ? [] : [`--max-old-space-size=${options.heapMb}`]), 'target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(child, folder, options)
     await gateway._waitUntilListening()
     return gateway
@@ -115,6 +117,16 @@
     if (this._child.exitCode === null) this._child.kill(name)
   }
 
+  /** Gets the resident memory in MB; undefined when the process has ended. */
+  getResidentMb (): number | undefined {
+    try {
+      const match = /VmRSS:\s+(\d+) kB/.exec(readFileSync(`/proc/${this.pid}/status`, 'utf8'))
+      return match === null ? undefined : Number(match[1]) / 1_024
+    } catch {
+      return undefined
+    }
+  }
+
   /** Waits until the process has exited; returns the exit code. */
   async waitForExit (): Promise<number | null> {
     return await this._exited
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -13,6 +13,13 @@
 /** Backends of the split route; the first one has no targets and a different number of tokens per event. */
 const SPLIT_BACKENDS = [{ service: 'small-model', weight: 1 }, { service: 'model', weight: 1_000_000 }]
 
+/** Changes of the fixture's configuration besides those of its routes' common fields. */
+export interface ConfigChanges {
+  /** Routes that are added; fields that they lack are those of the other routes. */
+  readonly routes?: ReadonlyArray<Readonly<Record<string, unknown>>>
+  readonly limits?: Readonly<Record<string, number>>
+}
+
 interface RouteOverrides {
   readonly timeoutMs?: number
   readonly maxAttempts?: number
@@ -26,6 +33,7 @@
   storeAddress = ''
   private readonly _addresses = new Map<string, string>()
   private readonly _versions = new Map<string, string>()
+  private readonly _startedAt = new Map<string, number>()
   private _version = FIRST_VERSION
   private _nextStartedAt = FIRST_STARTED_AT
 
@@ -38,7 +46,7 @@
   }
 
   /** Writes a new version of the configuration. */
-  configure (route: RouteOverrides = {}, extraPrefixes: readonly string[] = []): void {
+  configure (route: RouteOverrides = {}, extraPrefixes: readonly string[] = [], changes: ConfigChanges = {}): void {
     const base = { host: FIXTURE_HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 0, maxAttempts: 2, ...route }
     const stream = { ...base, kind: 'streaming', service: 'model', maxAttempts: 1, retentionS: 60, sessionAffinity: true, targetGapMs: 300 }
     this.store.put('op', 'config', {
@@ -49,14 +57,15 @@
         { ...stream, name: 'split', service: undefined, backends: SPLIT_BACKENDS, pathPrefix: '/turns/split/', retained: false, resumable: false },
         { ...base, name: 'lookup', pathPrefix: '/lookup/', kind: 'idempotent', service: 'desk' },
         { ...base, name: 'booking', pathPrefix: '/booking/', kind: 'non_idempotent', service: 'desk' },
-        ...extraPrefixes.map(prefix => ({ ...base, name: prefix, pathPrefix: prefix, kind: 'idempotent', service: 'desk' }))
+        ...extraPrefixes.map(prefix => ({ ...base, name: prefix, pathPrefix: prefix, kind: 'idempotent', service: 'desk' })),
+        ...(changes.routes ?? []).map(extra => ({ ...(extra.kind === 'streaming' ? stream : base), ...extra }))
       ],
       services: [
         { name: 'model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 4 } },
         { name: 'small-model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 1 } },
         { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }
       ],
-      limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000 }
+      limits: { maxHeaderBytes: 4_096, maxBodyBytes: 65_536, headerTimeoutMs: 1_000, idleTimeoutMs: 15_000, ...changes.limits }
     })
   }
 
@@ -90,6 +99,11 @@
     this._register(standin, this.engines.includes(standin) ? 'model' : 'desk')
   }
 
+  /** Changes the state that the registration of a target states; its start time stays. */
+  setState (standin: EngineStandin, state: 'ready' | 'draining'): void {
+    this._put(standin, this.engines.includes(standin) ? 'model' : 'desk', state)
+  }
+
   /** Registers the plain services at another address. */
   replaceDesks (address: string): void {
     for (const desk of this.desks) {
@@ -112,8 +126,13 @@
   }
 
   private _register (standin: EngineStandin, service: string): void {
+    this._startedAt.set(standin.id, this._nextStartedAt++)
+    this._put(standin, service, 'ready')
+  }
+
+  private _put (standin: EngineStandin, service: string, state: 'ready' | 'draining'): void {
     this.store.put('servers', standin.id, {
-      service, address: this._addresses.get(standin.id), zone: 'here', version: this._versions.get(standin.id) ?? 'v1', slots: 8, state: 'ready', coldLeftMs: 0, callSeq: 1, born: this._nextStartedAt++
+      service, address: this._addresses.get(standin.id), zone: 'here', version: this._versions.get(standin.id) ?? 'v1', slots: 8, state, coldLeftMs: 0, callSeq: 1, born: this._startedAt.get(standin.id)
     })
   }
 }
--- a/tools/platform/StoreStandin.ts
+++ b/tools/platform/StoreStandin.ts
@@ -1,5 +1,6 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { StoreError, StoreFailure, type RowFeed, type RowKey, type StoredRow } from '../../src/core/platform/index.js'
 import { MemoryRowStore } from './MemoryRowStore.js'
 
@@ -12,6 +13,8 @@
 /** HTTP server on loopback that simulates the platform's store. */
 export class StoreStandin {
   readonly rows = new MemoryRowStore()
+  /** Milliseconds before each response, as from another region. */
+  latencyMs = 0
   private readonly _server: Server
 
   constructor () {
@@ -40,6 +43,7 @@
     for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
     const url = new URL(req.url!, 'http://store')
     try {
+      if (this.latencyMs > 0) await sleep(this.latencyMs)
       const { status, body } = await this._respond(url, Buffer.concat(chunks).toString())
       res.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
     } catch (err) {
--- a/tools/soak/Promises.ts
+++ b/tools/soak/Promises.ts
@@ -7,7 +7,15 @@
   version: 'a stream holds events of one software version',
   history: 'a turn goes on from the whole history of its program',
   kept: 'a turn that was answered whole is found again',
-  budget: 'the tokens of a program stay within its budget and the maximum of one turn'
+  budget: 'the tokens of a program stay within its budget and the maximum of one turn',
+  answered: 'a request gets a whole response around planned work',
+  ended: 'a request ends within its time limit',
+  retries: 'a request that crashes targets does not reach more and more of them',
+  served: 'nobody is refused for good',
+  leaving: 'a target that leaves gets nothing new',
+  config: 'a configuration is in force soon after it was written, and stays so',
+  alive: 'a gateway does not end by itself',
+  memory: 'the memory of a gateway is bounded'
 } as const
 export type PromiseName = keyof typeof PROMISES
 
--- a/tools/soak/Soak.ts
+++ b/tools/soak/Soak.ts
@@ -1,27 +1,15 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { Random } from '../measure/Random.js'
-import { GatewayProcess } from '../platform/GatewayProcess.js'
-import { PlatformFixture } from '../platform/PlatformFixture.js'
-import { FaultProxy } from './FaultProxy.js'
-import { PromiseChecks } from './Promises.js'
+import { createDisturbance } from './disturbances/index.js'
 import { SoakCallers } from './SoakCallers.js'
-import { planSoak, type SoakFault } from './SoakPlan.js'
-
-/** Model engines, half of each software version, and plain services. */
-const ENGINES = 4
-const DESKS = 3
-
-/** Milliseconds between two events of a stream; most faults meet streams in progress. */
-const EVENT_GAP_MS = 60
-
-/** Milliseconds before a killed gateway is started again. */
-const DOWN_MS = 400
+import { planSoak, type SoakFault, type SoakFaultName } from './SoakPlan.js'
+import { SoakWorld } from './SoakWorld.js'
 
 /** Milliseconds after the last fault in which a late run of a refused request would show. */
 const SETTLE_MS = 1_500
 
-/** Grace period of gateways that are told to stop, in milliseconds. */
-const GRACE_MS = 3_000
+/** Number of targets that plans know. */
+const TARGETS = 9
 
 /** Options of {@link Soak}. */
 export interface SoakOptions {
@@ -29,33 +17,33 @@
   readonly durationMs: number
   readonly gateways?: number
   readonly callersOfEachKind?: number
+  /** Faults of the plan; all by default. */
+  readonly only?: readonly SoakFaultName[]
 }
 
 /** Runs gateway processes before stand-ins, injects planned faults from outside, and checks what callers and targets see. */
 export class Soak {
-  readonly checks = new PromiseChecks()
   readonly faults: SoakFault[]
-  private readonly _options: Required<SoakOptions>
-  private readonly _fixture = new PlatformFixture()
-  private readonly _proxies: FaultProxy[] = []
-  private readonly _addresses: string[] = []
-  private readonly _gateways: Array<GatewayProcess | undefined> = []
-  private readonly _lines: string[] = []
-  private readonly _random: Random
+  private readonly _options: SoakOptions & { readonly gateways: number, readonly callersOfEachKind: number }
+  private readonly _world: SoakWorld
 
   constructor (options: SoakOptions) {
     this._options = { gateways: 3, callersOfEachKind: 4, ...options }
-    const { seed, durationMs, gateways } = this._options
-    this._random = new Random(seed + 1)
-    this.faults = planSoak({ seed, durationMs, gateways, targets: ENGINES + DESKS })
+    const { seed, durationMs, gateways, only } = this._options
+    this._world = new SoakWorld(seed + 1)
+    this.faults = planSoak({ seed, durationMs, gateways, targets: TARGETS, only })
+  }
+
+  /** Gets what was checked. */
+  get checks () {
+    return this._world.checks
   }
 
   /** Runs the soak to its end; returns the details of broken promises. */
   async run (): Promise<string[]> {
-    await this._start()
-    const callers = new SoakCallers({
-      fixture: this._fixture, random: this._random, checks: this.checks, getAddress: () => this._getAddress()
-    })
+    const world = this._world
+    await world.start(this._options.gateways)
+    const callers = new SoakCallers({ world, random: new Random(this._options.seed + 3) })
     const running = callers.run(this._options.callersOfEachKind)
     try {
       await this._inject()
@@ -63,33 +51,15 @@
     } finally {
       callers.stop()
       await running
-      await Promise.all(this._gateways.map(async gateway => { await this._end(gateway) }))
-      for (const proxy of this._proxies) proxy.close()
-      this._fixture.close()
+      await world.close()
     }
-    callers.checkRuns()
-    return this.checks.getBroken()
+    world.checkRuns()
+    return world.checks.getBroken()
   }
 
   /** Gets the log lines of all gateways, those that were killed included. */
   getLogLines (): string[] {
-    return this._lines
-  }
-
-  private async _start (): Promise<void> {
-    const { gateways } = this._options
-    await this._fixture.start({ engines: ENGINES, desks: DESKS })
-    for (const [at, engine] of this._fixture.engines.entries()) {
-      this._fixture.setEngineVersion(engine, at < ENGINES / 2 ? 'v1' : 'v2')
-      engine.eventGapMs = EVENT_GAP_MS
-    }
-    for (let at = 0; at < gateways; at++) {
-      const proxy = new FaultProxy(this._fixture.storeAddress)
-      this._proxies.push(proxy)
-      this._addresses.push(await proxy.start())
-    }
-    await Promise.all(this._addresses.map(async (_, at) => { await this._launch(at) }))
-    await Promise.all(this._gateways.map(async gateway => { await gateway!.waitUntilReady() }))
+    return this._world.lines
   }
 
   /** Injects the faults at their times; those that last overlap with the next ones. */
@@ -104,63 +74,35 @@
   }
 
   private async _apply (fault: SoakFault): Promise<void> {
-    const { rows } = this._fixture.store
-    const targets = [...this._fixture.engines, ...this._fixture.desks]
-    if (fault.type === 'kill') await this._replace(fault.gateway, fault.signal)
-    else if (fault.type === 'kill-all') await Promise.all(this._gateways.map(async (_, at) => { await this._replace(at, 'SIGKILL') }))
-    else if (fault.type === 'reload') this._gateways[fault.gateway]?.signal('SIGHUP')
+    const { fixture: { store: { rows } }, slots, targets, trouble } = this._world
+    if (fault.type === 'kill') await this._world.replace(slots[fault.gateway]!, fault.signal)
+    else if (fault.type === 'kill-all') await Promise.all(slots.map(async slot => { await this._world.replace(slot, 'SIGKILL') }))
+    else if (fault.type === 'reload') slots[fault.gateway]!.process?.signal('SIGHUP')
     else if (fault.type === 'target') targets[fault.target]!.nextBehaviours.push(fault.behaviour)
-    else if (fault.type === 'pause') {
-      const gateway = this._gateways[fault.gateway]
-      gateway?.signal('SIGSTOP')
-      await sleep(fault.forMs)
-      gateway?.signal('SIGCONT')
-    } else if (fault.type === 'store') {
+    else if (fault.type === 'pause') await this._world.pause(slots[fault.gateway]!, fault.forMs)
+    else if (fault.type === 'store') {
+      const end = trouble.begin()
       rows.failure = fault.failure
       await sleep(fault.forMs)
       rows.failure = undefined
+      end()
     } else if (fault.type === 'link') {
-      this._proxies[fault.gateway]!.setMode(fault.mode)
+      const end = trouble.begin(fault.gateway)
+      slots[fault.gateway]!.proxy.setMode(fault.mode)
       await sleep(fault.forMs)
-      this._proxies[fault.gateway]!.setMode('open')
-    } else await this._leave(fault.target, fault.forMs)
+      slots[fault.gateway]!.proxy.setMode('open')
+      end()
+    } else if (fault.type === 'leave') await this._leave(fault.target, fault.forMs)
+    else await createDisturbance(fault.type, { world: this._world, random: new Random(fault.seed) }).play()
   }
 
   /** Removes the registration of a target for a while. */
   private async _leave (at: number, forMs: number): Promise<void> {
-    const standin = [...this._fixture.engines, ...this._fixture.desks][at]!
-    this._fixture.unregister(standin)
+    const standin = this._world.targets[at]!
+    this._world.fixture.unregister(standin)
+    this._world.setLeaving(standin, true)
     await sleep(forMs)
-    this._fixture.register(standin)
-  }
-
-  /** Ends a gateway by a signal and starts the next process of the same id. */
-  private async _replace (at: number, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
-    const gateway = this._gateways[at]
-    if (gateway === undefined) return
-    this._gateways[at] = undefined
-    gateway.signal(signal)
-    // A paused process receives the signal when it runs again.
-    gateway.signal('SIGCONT')
-    await gateway.waitForExit()
-    await this._end(gateway)
-    await sleep(DOWN_MS)
-    await this._launch(at)
-  }
-
-  private async _launch (at: number): Promise<void> {
-    this._gateways[at] = await GatewayProcess.launch({ id: `gateway-${at}`, storeAddress: this._addresses[at]!, graceMs: GRACE_MS })
-  }
-
-  private async _end (gateway: GatewayProcess | undefined): Promise<void> {
-    if (gateway === undefined) return
-    await gateway.kill()
-    this._lines.push(...gateway.lines)
-  }
-
-  /** Gets the address of a random gateway, whether it is ready or not. */
-  private _getAddress (): string | undefined {
-    const running = this._gateways.filter(gateway => gateway !== undefined)
-    return running.length === 0 ? undefined : running[this._random.int(0, running.length - 1)]!.callerAddress
+    this._world.setLeaving(standin, false)
+    this._world.fixture.register(standin)
   }
 }
--- a/tools/soak/SoakCallers.ts
+++ b/tools/soak/SoakCallers.ts
@@ -1,9 +1,8 @@
 import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Random } from '../measure/Random.js'
-import { callPlatform, type PlatformCall, type PlatformCallResponse } from '../platform/PlatformCaller.js'
-import type { PlatformFixture } from '../platform/PlatformFixture.js'
-import type { PromiseChecks } from './Promises.js'
+import type { PlatformCall, PlatformCallResponse } from '../platform/PlatformCaller.js'
+import type { SoakWorld } from './SoakWorld.js'
 
 /** Tokens that one event of the fixture's model counts for. */
 const TOKENS_PER_EVENT = 4
@@ -20,16 +19,10 @@
 /** Milliseconds between two tries. */
 const RETRY_MS = 150
 
-/** Statuses that state that a request has not run. */
-const NOT_RUN = [429, 503, 408, 421]
-
 /** Options of {@link SoakCallers}. */
 export interface SoakCallersOptions {
-  readonly fixture: PlatformFixture
+  readonly world: SoakWorld
   readonly random: Random
-  readonly checks: PromiseChecks
-  /** Gets the address of a running gateway; undefined if none runs. */
-  readonly getAddress: () => string | undefined
 }
 
 /** Sends requests of all kinds until it is stopped, and checks what callers receive; connections stay open until a gateway is gone. */
@@ -37,12 +30,6 @@
   private readonly _options: SoakCallersOptions
   private readonly _agent = new Agent({ keepAlive: true })
   private _isStopped = false
-  private _nextId = 0
-  /** Bookings that were answered as not run; checked again at the end, since they must not run later either. */
-  private readonly _refusedBookings: string[] = []
-  private readonly _bookings: string[] = []
-  /** Refused turns, by the id of the try. */
-  private readonly _refusedTurns: string[] = []
 
   constructor (options: SoakCallersOptions) {
     this._options = options
@@ -61,15 +48,6 @@
     this._isStopped = true
   }
 
-  /** Checks what the targets have run, after all callers have ended. */
-  checkRuns (): void {
-    const { checks } = this._options
-    for (const id of this._bookings) checks.check('once', this._countRuns(id) <= 1, () => `${id} ran ${this._countRuns(id)} times`)
-    for (const id of [...this._refusedBookings, ...this._refusedTurns]) {
-      checks.check('notRun', this._countRuns(id) === 0, () => `${id} ran ${this._countRuns(id)} times`)
-    }
-  }
-
   private async _repeat (act: () => Promise<void>): Promise<void> {
     while (!this._isStopped) {
       await act.call(this)
@@ -79,10 +57,7 @@
 
   private async _book (): Promise<void> {
     const id = this._createId('booking')
-    this._bookings.push(id)
-    const response = await this._send({ id, path: `/booking/${id}`, body: id })
-    if (NOT_RUN.includes(response.status)) this._refusedBookings.push(id)
-    this._checkWhole(id, `answer to /booking/${id}`, response)
+    this._checkWhole(id, `answer to /booking/${id}`, await this._send({ id, path: `/booking/${id}`, body: id }))
   }
 
   private async _lookUp (): Promise<void> {
@@ -93,12 +68,12 @@
   private _checkWhole (id: string, expected: string, response: PlatformCallResponse): void {
     if (response.status !== 200 || !response.isComplete) return
     const isSigned = response.headers['x-response-signature'] === `signed-${id}`
-    this._options.checks.check('whole', isSigned && response.body === expected, () => `${id} got "${response.body}", signed: ${isSigned}`)
+    this._options.world.checks.check('whole', isSigned && response.body === expected, () => `${id} got "${response.body}", signed: ${isSigned}`)
   }
 
   /** Runs the turns of a program until its budget is spent or a turn fails in all tries. */
   private async _runProgram (): Promise<void> {
-    const { checks } = this._options
+    const { world, world: { checks } } = this._options
     const program = this._createId('program')
     let history = ''
     let previous: string | undefined
@@ -114,10 +89,10 @@
         tokens += events.length * TOKENS_PER_EVENT
         checks.check('budget', tokens <= BUDGET + MAX_TURN_TOKENS, () => `${program} got ${tokens} tokens`)
         checks.check('kept', ![404, 410].includes(response.status), () => `${id} got ${response.status} for ${previous}`)
-        if (NOT_RUN.includes(response.status) || response.status === 402) this._refusedTurns.push(id)
+        if (response.status === 402) world.noteRefused({ id, path: '/turns/kept/a' }, '402')
         if (response.status === 402) return
         if (response.status !== 200) continue
-        for (const run of this._getRuns(id)) {
+        for (const run of world.getRuns(id)) {
           checks.check('history', run.body === history + input, () => `${id} ran with "${run.body}" instead of "${history + input}"`)
         }
         this._checkStream(id, events, response.isComplete)
@@ -139,7 +114,6 @@
       const id = tries === 0 ? first : this._createId('stream')
       const headers: Record<string, string> = begun === undefined ? {} : { resumes: begun, 'last-event-id': String(events.length) }
       const response = await this._send({ id, path: '/turns/resumable/a', body: first, headers })
-      if (NOT_RUN.includes(response.status)) this._refusedTurns.push(id)
       if (response.status !== 200) {
         // A stream that cannot go on starts anew.
         if (begun !== undefined) [begun, events] = [undefined, []]
@@ -155,7 +129,7 @@
 
   /** Checks the events of a stream, over all its tries: `1 v1 first`, `2 v1 second`, and so on. */
   private _checkStream (id: string, events: readonly string[], isComplete: boolean): void {
-    const { checks, fixture } = this._options
+    const { checks, fixture } = this._options.world
     const isOrdered = events.every((event, at) => event.startsWith(`${at + 1} `))
     const isEnd = !isComplete || events.length === fixture.engines[0]!.events.length
     checks.check('order', isOrdered && isEnd, () => `${id}, complete: ${isComplete}: ${JSON.stringify(events)}`)
@@ -164,23 +138,11 @@
   }
 
   private async _send (call: PlatformCall): Promise<PlatformCallResponse> {
-    const address = this._options.getAddress()
-    if (address !== undefined) return await callPlatform(address, { ...call, agent: this._agent })
-    await sleep(RETRY_MS)
-    return { status: 0, headers: {}, body: '', isComplete: false }
-  }
-
-  private _getRuns (id: string) {
-    const { engines, desks } = this._options.fixture
-    return [...engines, ...desks].flatMap(standin => standin.runs.filter(run => run.id === id))
-  }
-
-  private _countRuns (id: string): number {
-    return this._getRuns(id).length
+    return await this._options.world.send({ ...call, agent: this._agent })
   }
 
   private _createId (kind: string): string {
-    return `${kind}-${this._nextId++}`
+    return this._options.world.createId(kind)
   }
 }
 
@@ -190,6 +152,6 @@
 }
 
 /** Gets the whole events of a stream as "id data". */
-function getEvents (body: string): string[] {
+export function getEvents (body: string): string[] {
   return [...body.matchAll(/id: ([0-9]+)\ndata: ([^\n]*)\n\n/g)].map(([, id, data]) => `${id} ${data}`)
 }
--- /dev/null
+++ b/tools/soak/SoakWorld.ts
@@ -0,0 +1,329 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Random } from '../measure/Random.js'
+import type { EngineRun, EngineStandin } from '../platform/EngineStandin.js'
+import { GatewayProcess } from '../platform/GatewayProcess.js'
+import { callPlatform, type PlatformCall, type PlatformCallResponse } from '../platform/PlatformCaller.js'
+import { PlatformFixture, type ConfigChanges } from '../platform/PlatformFixture.js'
+import { FaultProxy } from './FaultProxy.js'
+import { PromiseChecks } from './Promises.js'
+import { TroubleLog } from './TroubleLog.js'
+
+/** Model engines, half of each software version, and plain services. */
+const ENGINES = 6
+const DESKS = 3
+
+/** Milliseconds between two events of a stream; most faults meet streams in progress. */
+const EVENT_GAP_MS = 60
+
+/** Milliseconds before a gateway that has ended is started again. */
+const DOWN_MS = 400
+
+/** Grace period of gateways that are told to stop, in milliseconds; the one of the deployments in tests of the platform. */
+const GRACE_MS = 8_000
+
+/** Time limit of the fixture's routes, in milliseconds; shorter than the grace period, so that a stop can wait for each request. */
+export const ROUTE_TIMEOUT_MS = 6_000
+
+/** Time limit of the route whose requests must end soon, in milliseconds. */
+export const SHORT_TIMEOUT_MS = 1_200
+
+/** Time within which callers must send the head of a request, in milliseconds. */
+export const HEADER_TIMEOUT_MS = 1_000
+
+/** Milliseconds of each response of the store, as from another region. */
+const STORE_LATENCY_MS = 28
+
+/** Resident memory of a gateway on the smallest deployment, in MB, and its heap. */
+const MEMORY_LIMIT_MB = 210
+const HEAP_MB = 120
+
+/** Milliseconds between two readings of the gateways' memory. */
+const MEMORY_INTERVAL_MS = 50
+
+/** Milliseconds for which a target that leaves still serves. */
+export const DRAIN_MS = 2_500
+
+/** Milliseconds within which a connection that the gateway closes may cross a request. */
+const CROSSING_MS = 200
+
+/** Milliseconds after a stop within which the requests of kept connections may be cut at the end of the grace period. */
+const STOP_NOTICE_MS = 3_000
+
+/** Share of the grace period after which a request that was sent within {@link STOP_NOTICE_MS} may be cut. */
+const STOP_SHARE = 5 / 6
+
+/** Time that callers allow for a request by default, in milliseconds. */
+const CALLER_TIMEOUT_MS = 3_000
+
+/** Share of its time limit after which a request may end without a response. */
+const TIMEOUT_SHARE = 0.7
+
+/** Statuses that state that a request has not run. */
+export const NOT_RUN: readonly number[] = [429, 503, 408, 421]
+
+/** Routes of the soak besides those of the fixture. */
+const ROUTES: NonNullable<ConfigChanges['routes']> = [
+  { name: 'single', pathPrefix: '/turns/single/', kind: 'streaming', retained: false, resumable: true, maxAttempts: 1 },
+  { name: 'both', pathPrefix: '/turns/both/', kind: 'streaming', retained: true, resumable: true, maxAttempts: 2 },
+  { name: 'short', pathPrefix: '/short/', kind: 'idempotent', service: 'desk', timeoutMs: SHORT_TIMEOUT_MS }
+]
+
+/** A place for a gateway process, which is started again after each end. */
+export interface GatewaySlot {
+  readonly index: number
+  readonly proxy: FaultProxy
+  readonly storeAddress: string
+  process: GatewayProcess | undefined
+  /** Time at which the process was told to stop. */
+  stoppedAt: number | undefined
+  /** True while the process may end. */
+  isEnding: boolean
+  /** Targets whose notice that they leave the process has passed on, with the time. */
+  readonly noticesAt: Map<string, number>
+}
+
+/** How a request reaches a gateway. */
+export interface SendOptions extends PlatformCall {
+  /** Gateway that gets the request; a random one that runs by default. */
+  readonly slot?: GatewaySlot
+}
+
+/** Gateway processes before stand-ins, with what tests of promises have to know about them. */
+export class SoakWorld {
+  readonly checks = new PromiseChecks()
+  readonly fixture = new PlatformFixture()
+  readonly trouble = new TroubleLog()
+  readonly slots: GatewaySlot[] = []
+  readonly lines: string[] = []
+  isOver = false
+  private readonly _random: Random
+  private readonly _bookings = new Set<string>()
+  /** Statuses of requests that were answered as not run. */
+  private readonly _refused = new Map<string, string>()
+  /** Targets that leave by their row, with the time of the store's acknowledgement. */
+  private readonly _leavingAt = new Map<string, number>()
+  private _nextId = 0
+  private _prefixes: string[] = []
+  private _watching: Promise<void> = Promise.resolve()
+
+  constructor (seed: number) {
+    this._random = new Random(seed)
+  }
+
+  /** Starts the stand-ins and a number of gateways, and waits until they are ready. */
+  async start (gateways: number): Promise<void> {
+    const { fixture } = this
+    await fixture.start({ engines: ENGINES, desks: DESKS })
+    fixture.store.latencyMs = STORE_LATENCY_MS
+    this.configure()
+    for (const [at, engine] of fixture.engines.entries()) {
+      fixture.setEngineVersion(engine, at < ENGINES / 2 ? 'v1' : 'v2')
+      engine.eventGapMs = EVENT_GAP_MS
+    }
+    for (let index = 0; index < gateways; index++) {
+      const proxy = new FaultProxy(fixture.storeAddress)
+      const storeAddress = await proxy.start()
+      this.slots.push({ index, proxy, storeAddress, process: undefined, stoppedAt: undefined, isEnding: false, noticesAt: new Map() })
+    }
+    await Promise.all(this.slots.map(async slot => { await this._launch(slot) }))
+    await Promise.all(this.slots.map(async slot => { await slot.process!.waitUntilReady() }))
+    this._watching = this._watchMemory()
+  }
+
+  /** Ends all processes and stand-ins. */
+  async close (): Promise<void> {
+    this.isOver = true
+    await this._watching
+    await Promise.all(this.slots.map(async slot => { await this._end(slot) }))
+    for (const slot of this.slots) slot.proxy.close()
+    this.fixture.close()
+  }
+
+  /** Gets all targets. */
+  get targets (): EngineStandin[] {
+    return [...this.fixture.engines, ...this.fixture.desks]
+  }
+
+  /** Gets the runs of a request at all targets. */
+  getRuns (id: string): EngineRun[] {
+    return this.targets.flatMap(standin => standin.runs.filter(run => run.id === id))
+  }
+
+  /** Creates an id that no other request has. */
+  createId (kind: string): string {
+    return `${kind}-${this._nextId++}`
+  }
+
+  /** Gets a gateway whose process runs; undefined if none does. */
+  pickSlot (random: Random = this._random, except?: GatewaySlot): GatewaySlot | undefined {
+    const running = this.slots.filter(slot => slot.process !== undefined && slot !== except)
+    return running.length === 0 ? undefined : running[random.int(0, running.length - 1)]
+  }
+
+  /** Writes a new configuration; returns the prefix of a route that it adds. */
+  configure (changes: ConfigChanges & { readonly extraRoutes?: number } = {}): string {
+    const prefix = `/added/${this._prefixes.length}/`
+    this._prefixes = [...this._prefixes, prefix]
+    const many = Array.from({ length: changes.extraRoutes ?? 0 }, (_, at) => `/many/${at}/`)
+    const routes = [...ROUTES, ...(changes.routes ?? [])]
+    this.fixture.configure({ timeoutMs: ROUTE_TIMEOUT_MS }, [...this._prefixes, ...many], { ...changes, routes })
+    return prefix
+  }
+
+  /** Sends a request and checks what can be told of each response, whatever it is for. */
+  async send (options: SendOptions): Promise<PlatformCallResponse> {
+    const slot = options.slot ?? this.pickSlot()
+    const gateway = slot?.process
+    if (slot === undefined || gateway === undefined) {
+      await sleep(CROSSING_MS)
+      return { status: 0, headers: {}, body: '', isComplete: false }
+    }
+    const sentAt = performance.now()
+    if (options.path.startsWith('/booking/')) this._bookings.add(options.id)
+    const response = await callPlatform(gateway.callerAddress, options)
+    if (options.signal === undefined) this._checkAnswered(options, response, slot, sentAt)
+    this._checkLeaving(options.id, slot, gateway, sentAt)
+    if (NOT_RUN.includes(response.status)) this.noteRefused(options, `${response.status} of gateway-${slot.index}, sent at ${Math.round(sentAt)} ms`)
+    return response
+  }
+
+  /** Records that a request was answered as not run, which must hold to the end. */
+  noteRefused ({ id, path }: Pick<PlatformCall, 'id' | 'path'>, reason: string): void {
+    if (path.startsWith('/booking/') || path.startsWith('/turns/')) this._refused.set(id, reason)
+  }
+
+  /** Checks what the targets have run, after all callers have ended. */
+  checkRuns (): void {
+    const counts = new Map<string, number>()
+    for (const run of this.targets.flatMap(standin => standin.runs)) counts.set(run.id, (counts.get(run.id) ?? 0) + 1)
+    const check = (name: 'once' | 'notRun', id: string, max: number): void => {
+      const count = counts.get(id) ?? 0
+      this.checks.check(name, count <= max, () => `${id} ran ${count} times${name === 'notRun' ? ` after ${this._refused.get(id)}` : ''}`)
+    }
+    for (const id of this._bookings) check('once', id, 1)
+    for (const id of this._refused.keys()) check('notRun', id, 0)
+  }
+
+  /** Ends a gateway by a signal and starts the next process of the same id. */
+  async replace (slot: GatewaySlot, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    const gateway = slot.process
+    if (gateway === undefined || slot.isEnding) return
+    slot.isEnding = true
+    if (signal === 'SIGTERM') slot.stoppedAt = performance.now()
+    const end = signal === 'SIGKILL' ? this.trouble.begin(slot.index) : () => {}
+    gateway.signal(signal)
+    // A paused process receives the signal when it runs again.
+    gateway.signal('SIGCONT')
+    if (signal === 'SIGTERM') void sleep(GRACE_MS).then(() => { gateway.signal('SIGKILL') })
+    await gateway.waitForExit()
+    await this._end(slot)
+    await sleep(DOWN_MS)
+    await this._launch(slot)
+    await slot.process!.waitUntilReady().catch(() => {})
+    end()
+  }
+
+  /** Stops the process of a gateway for a while, without its notice. */
+  async pause (slot: GatewaySlot, forMs: number): Promise<void> {
+    const gateway = slot.process
+    if (gateway === undefined) return
+    const end = this.trouble.begin(slot.index)
+    gateway.signal('SIGSTOP')
+    await sleep(forMs)
+    gateway.signal('SIGCONT')
+    slot.noticesAt.clear()
+    end()
+  }
+
+  /** Crashes targets, removes their rows, and starts them again after a while. */
+  async crash (standins: readonly EngineStandin[], downMs: number): Promise<void> {
+    const end = this.trouble.begin()
+    for (const standin of standins) standin.crash()
+    await sleep(downMs / 2)
+    for (const standin of standins) this.fixture.unregister(standin)
+    await sleep(downMs / 2)
+    for (const standin of standins) {
+      await standin.start()
+      this.fixture.register(standin)
+    }
+    end()
+  }
+
+  /** Records that the store knows that a target leaves, or that it doesn't any more. */
+  setLeaving (standin: EngineStandin, isLeaving: boolean): void {
+    if (isLeaving) this._leavingAt.set(standin.id, performance.now())
+    else {
+      this._leavingAt.delete(standin.id)
+      for (const slot of this.slots) slot.noticesAt.delete(standin.id)
+    }
+  }
+
+  /** A request that a target has run must get a whole response, unless something else than planned work explains the end. */
+  private _checkAnswered (call: PlatformCall, response: PlatformCallResponse, slot: GatewaySlot, sentAt: number): void {
+    const now = performance.now()
+    const tookMs = now - sentAt
+    const limitMs = Number(call.headers?.['x-timeout-ms'] ?? CALLER_TIMEOUT_MS)
+    const runs = this.getRuns(call.id)
+    const isAnswered = response.status !== 0 && response.isComplete
+    const hasCrossed = response.status === 0 && runs.length === 0 && tookMs < CROSSING_MS
+    const { stoppedAt } = slot
+    const isLateInStop = stoppedAt !== undefined && sentAt - stoppedAt <= STOP_NOTICE_MS && now - stoppedAt >= STOP_SHARE * GRACE_MS
+    // A process that has been replaced meanwhile was killed, or had stopped.
+    const isExcused = hasCrossed || isLateInStop || tookMs > TIMEOUT_SHARE * limitMs || runs.some(run => run.isBroken) ||
+      !this.trouble.isCalm(slot.index, sentAt)
+    if (!isAnswered && isExcused) return
+    this.checks.check('answered', isAnswered, () =>
+      `${call.id} at gateway-${slot.index} ended with ${response.status} after ${Math.round(tookMs)} ms, runs: ${runs.length}` +
+      (stoppedAt === undefined ? '' : `, ${Math.round(now - stoppedAt)} ms after SIGTERM`))
+  }
+
+  /** Checks that targets that leave get nothing new, and records which notices a gateway has passed on. */
+  private _checkLeaving (id: string, slot: GatewaySlot, gateway: GatewayProcess, sentAt: number): void {
+    for (const standin of this.targets) {
+      const run = standin.runs.findLast(other => other.id === id)
+      if (run === undefined) continue
+      const noticeAt = slot.process === gateway ? slot.noticesAt.get(standin.id) : undefined
+      const rowAt = this._leavingAt.get(standin.id)
+      const isInTouch = this.trouble.isCalm(slot.index, sentAt)
+      const isLate = (noticeAt !== undefined && sentAt > noticeAt + DRAIN_MS) || (rowAt !== undefined && sentAt > rowAt + DRAIN_MS && isInTouch)
+      const place = noticeAt === undefined ? 'in the store' : 'in a response'
+      this.checks.check('leaving', !isLate, () => `${id} ran at ${standin.id}, sent ${Math.round(sentAt - (noticeAt ?? rowAt!))} ms after its notice ${place}`)
+      const isNotice = standin.extraHeaders['server-leaving'] !== undefined
+      if (isNotice && slot.process === gateway && noticeAt === undefined) slot.noticesAt.set(standin.id, performance.now())
+    }
+  }
+
+  private async _launch (slot: GatewaySlot): Promise<void> {
+    const gateway = await GatewayProcess.launch({ id: `gateway-${slot.index}`, storeAddress: slot.storeAddress, graceMs: GRACE_MS, heapMb: HEAP_MB })
+    slot.process = gateway
+    slot.stoppedAt = undefined
+    slot.isEnding = false
+    slot.noticesAt.clear()
+    void gateway.waitForExit().then(async code => {
+      const isExpected = slot.isEnding || this.isOver
+      this.checks.check('alive', isExpected, () => `gateway-${slot.index} ended with ${code}: ${gateway.lines.slice(-3).join(' | ')}`)
+      if (!slot.isEnding && !this.isOver && slot.process === gateway) await this.replace(slot, 'SIGKILL')
+    })
+  }
+
+  private async _end (slot: GatewaySlot): Promise<void> {
+    const gateway = slot.process
+    if (gateway === undefined) return
+    slot.process = undefined
+    await gateway.kill()
+    this.lines.push(...gateway.lines)
+  }
+
+  /** Ends gateways that exceed their memory, as a deployment does. */
+  private async _watchMemory (): Promise<void> {
+    while (!this.isOver) {
+      await sleep(MEMORY_INTERVAL_MS)
+      for (const slot of this.slots) {
+        const mb = slot.isEnding ? undefined : slot.process?.getResidentMb()
+        if (mb === undefined) continue
+        this.checks.check('memory', mb <= MEMORY_LIMIT_MB, () => `gateway-${slot.index} used ${Math.round(mb)} MB of ${MEMORY_LIMIT_MB} MB`)
+        if (mb > MEMORY_LIMIT_MB) void this.replace(slot, 'SIGKILL')
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tools/soak/disturbances/index.ts
@@ -0,0 +1,15 @@
+import type { Disturbance, DisturbanceOptions } from '../Disturbance.js'
+import type { DisturbanceName } from '../SoakPlan.js'
+import { HalfRequests } from './HalfRequests.js'
+import { TargetBehaviours } from './TargetBehaviours.js'
+
+const CREATORS: Record<DisturbanceName, (options: DisturbanceOptions) => Disturbance> = {
+  unframed: options => new TargetBehaviours(options, ['unframed', 'unframed-reset']),
+  'repeated-refusals': options => new TargetBehaviours(options, ['not-run-copied', 'not-run-repeated']),
+  'half-requests': options => new HalfRequests(options)
+}
+
+/** Creates the disturbance of a name. */
+export function createDisturbance (name: DisturbanceName, options: DisturbanceOptions): Disturbance {
+  return CREATORS[name](options)
+}
