--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -118,9 +118,8 @@
     }
     const body = Buffer.concat(chunks).toString()
     const isBroken = !SOUND_BEHAVIOURS.includes(behaviour)
-    const run: EngineRun = {
-      id, method: req.method!, url: req.url!, headers: req.headers, body, isAbandoned: false, isBroken, at: performance.now(), endedAt: undefined
-    }
+    const { method, url, headers } = req
+    const run: EngineRun = { id, method: method!, url: url!, headers, body, isAbandoned: false, isBroken, at: performance.now(), endedAt: undefined }
     this.runs.push(run)
     res.on('close', () => {
       run.isAbandoned = !res.writableFinished
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -285,9 +285,11 @@
       const noticeAt = slot.process === gateway ? slot.noticesAt.get(standin.id) : undefined
       const rowAt = this._leavingAt.get(standin.id)
       const isInTouch = this.trouble.isCalm(slot.index, sentAt)
-      const isLate = (noticeAt !== undefined && sentAt > noticeAt + DRAIN_MS) || (rowAt !== undefined && sentAt > rowAt + DRAIN_MS && isInTouch)
+      const isAfter = (leftAt: number | undefined): boolean => leftAt !== undefined && sentAt > leftAt + DRAIN_MS
+      const isLate = isAfter(noticeAt) || (isAfter(rowAt) && isInTouch)
       const place = noticeAt === undefined ? 'in the store' : 'in a response'
-      this.checks.check('leaving', !isLate, () => `${id} ran at ${standin.id}, sent ${Math.round(sentAt - (noticeAt ?? rowAt!))} ms after its notice ${place}`)
+      this.checks.check('leaving', !isLate, () =>
+        `${id} ran at ${standin.id}, sent ${Math.round(sentAt - (noticeAt ?? rowAt!))} ms after its notice ${place}`)
       const isNotice = standin.extraHeaders['server-leaving'] !== undefined
       if (isNotice && slot.process === gateway && noticeAt === undefined) slot.noticesAt.set(standin.id, performance.now())
     }
--- a/tools/soak/TroubleLog.ts
+++ b/tools/soak/TroubleLog.ts
@@ -18,8 +18,9 @@
     return () => { trouble.endedAt = performance.now() }
   }
 
-  /** Checks that a gateway had no trouble from {@link CONTACT_MS} before one time until now. */
-  isCalm (gateway: number, from: number, now: number): boolean {
-    return this._troubles.every(trouble => (trouble.gateway !== undefined && trouble.gateway !== gateway) || trouble.endedAt < Math.min(from, now) - CONTACT_MS)
+  /** Checks that a gateway had no trouble from {@link CONTACT_MS} before a time until now. */
+  isCalm (gateway: number, from: number): boolean {
+    const troubles = this._troubles.filter(trouble => trouble.gateway === undefined || trouble.gateway === gateway)
+    return troubles.every(trouble => trouble.endedAt < from - CONTACT_MS)
   }
 }
