--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -32,7 +32,7 @@
   /** Time of the request, by the steady clock, in milliseconds. */
   readonly at: number
   /** Time at which the connection or the response ended. */
-  endedAt: number | undefined
+  endedAt?: number
 }
 
 /** HTTP server that simulates a target of the platform: a model engine for streamed turns, a plain service for other paths. */
@@ -119,7 +119,7 @@
     const body = Buffer.concat(chunks).toString()
     const isBroken = !SOUND_BEHAVIOURS.includes(behaviour)
     const { method, url, headers } = req
-    const run: EngineRun = { id, method: method!, url: url!, headers, body, isAbandoned: false, isBroken, at: performance.now(), endedAt: undefined }
+    const run: EngineRun = { id, method: method!, url: url!, headers, body, isAbandoned: false, isBroken, at: performance.now() }
     this.runs.push(run)
     res.on('close', () => {
       run.isAbandoned = !res.writableFinished
--- a/tools/soak/Promises.ts
+++ b/tools/soak/Promises.ts
@@ -20,7 +20,7 @@
 export type PromiseName = keyof typeof PROMISES
 
 /** Number of broken cases that are kept of each promise. */
-const KEPT_CASES = 5
+const KEPT_CASES = 25
 
 /** Counts how often each promise was checked and broken. */
 export class PromiseChecks {
--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -13,7 +13,9 @@
   KillAll: 'kill-all',
   Unframed: 'unframed',
   RepeatedRefusals: 'repeated-refusals',
-  HalfRequests: 'half-requests'
+  HalfRequests: 'half-requests',
+  KeptChannels: 'kept-channels',
+  Silence: 'silence'
 } as const
 export type SoakFaultName = typeof SoakFaultName[keyof typeof SoakFaultName]
 
@@ -22,7 +24,7 @@
 
 /** Faults that break no promise for calm times by their nature: planned work, and what targets may do. */
 const CALM_FAULTS: readonly SoakFaultName[] = [
-  'reload', 'leave', 'target', 'unframed', 'repeated-refusals'
+  'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'silence'
 ]
 
 /** A fault that the soak injects, with the milliseconds after its start. */
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -273,7 +273,7 @@
       !this.trouble.isCalm(slot.index, sentAt)
     if (!isAnswered && isExcused) return
     this.checks.check('answered', isAnswered, () =>
-      `${call.id} at gateway-${slot.index} ended with ${response.status} after ${Math.round(tookMs)} ms, runs: ${runs.length}` +
+      `${call.id} on ${call.path} at gateway-${slot.index} ended with ${response.status} after ${Math.round(tookMs)} ms, runs: ${runs.length}` +
       (stoppedAt === undefined ? '' : `, ${Math.round(now - stoppedAt)} ms after SIGTERM`))
   }
 
--- /dev/null
+++ b/tools/soak/disturbances/KeptChannels.ts
@@ -0,0 +1,63 @@
+import { Agent } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { Disturbance } from '../Disturbance.js'
+import { createSlowResponder, createStreamResponder } from '../responders.js'
+import type { GatewaySlot } from '../SoakWorld.js'
+
+const CALLERS = 6
+
+/** Milliseconds between two callers, and before the planned work that their streams outlast. */
+const CALLER_GAP_MS = 80
+const BEFORE_WORK_MS = 500
+
+/** Events of a stream, and the milliseconds between them; it outlasts the time at which a gateway that stops closes idle connections. */
+const EVENTS = 12
+const EVENT_GAP_MS = { from: 360, to: 390 }
+
+/** Milliseconds between a stream and the next request on its connection. */
+const NEXT_REQUEST_MS = { from: 20, to: 100 }
+
+/** Milliseconds of work of a booking: short as in the stop's last moments, or longer than what is left of the grace period. */
+const WORK_MS = [110, 3_600]
+
+const TIMEOUT_MS = 6_000
+const BOOKINGS = 3
+
+/** Lets callers use connections that outlast planned work: a stop, a reload or a new configuration. */
+export class KeptChannels extends Disturbance {
+  async play (): Promise<void> {
+    const slot = this._world.pickSlot(this._random)
+    if (slot?.process === undefined) return
+    const gapMs = this._random.int(EVENT_GAP_MS.from, EVENT_GAP_MS.to)
+    const workMs = this._pick(WORK_MS)
+    const path = `kept-${gapMs}-${workMs}`
+    const { engines, desks } = this._world.fixture
+    for (const engine of engines) engine.responders.set(`/turns/single/${path}`, createStreamResponder({ events: EVENTS, gapMs }))
+    for (const desk of desks) desk.responders.set(`/booking/${path}`, createSlowResponder(workMs))
+    const callers = Array.from({ length: CALLERS }, async (_, at) => {
+      await sleep(at * CALLER_GAP_MS)
+      await this._call(slot, path)
+    })
+    await sleep(BEFORE_WORK_MS)
+    const work = this._random.int(0, 9)
+    if (work < 6) await this._world.replace(slot, 'SIGTERM')
+    else if (work < 8) slot.process?.signal('SIGHUP')
+    else this._world.configure({ limits: { idleTimeoutMs: this._random.int(5_000, 20_000) } })
+    await Promise.all(callers)
+  }
+
+  private async _call (slot: GatewaySlot, path: string): Promise<void> {
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    const id = this._world.createId('kept-stream')
+    const headers = { 'x-timeout-ms': String(TIMEOUT_MS) }
+    const gateway = slot.process
+    await this._world.send({ id, path: `/turns/single/${path}`, body: id, headers, slot, agent })
+    for (let at = 0; at < BOOKINGS && slot.process === gateway; at++) {
+      await sleep(this._random.int(NEXT_REQUEST_MS.from, NEXT_REQUEST_MS.to))
+      const booking = this._world.createId('kept-booking')
+      const call = { id: booking, path: `/booking/${path}/${booking}`, body: booking, headers }
+      if ((await this._world.send({ ...call, slot, agent })).status !== 200) break
+    }
+    agent.destroy()
+  }
+}
