Soak: crashes of targets, requests that crash them, large and endless responses, resumed turns

Crashes of one target, of a failure domain or of all, while turns with the same input are in progress; requests with and without a body that crash each target; large responses that are broken off; kept turns that are resumed at another gateway; streams without end, also to callers that do not read.

Odd rows, leaving targets, gateways out of step and changes of the configuration are written, not run yet.

--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -15,7 +15,16 @@
   RepeatedRefusals: 'repeated-refusals',
   HalfRequests: 'half-requests',
   KeptChannels: 'kept-channels',
-  Silence: 'silence'
+  Silence: 'silence',
+  Endless: 'endless',
+  Crashes: 'crashes',
+  CrashingRequest: 'crashing-request',
+  LargeBreaks: 'large-breaks',
+  ResumedTurns: 'resumed-turns',
+  OddRows: 'odd-rows',
+  Leaving: 'leaving',
+  OutOfStep: 'out-of-step',
+  Config: 'config'
 } as const
 export type SoakFaultName = typeof SoakFaultName[keyof typeof SoakFaultName]
 
@@ -24,7 +33,8 @@
 
 /** Faults that break no promise for calm times by their nature: planned work, and what targets may do. */
 const CALM_FAULTS: readonly SoakFaultName[] = [
-  'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'silence'
+  'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'silence', 'large-breaks',
+  'odd-rows', 'leaving', 'config'
 ]
 
 /** A fault that the soak injects, with the milliseconds after its start. */
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -43,6 +43,9 @@
 /** Milliseconds for which a target that leaves still serves. */
 export const DRAIN_MS = 2_500
 
+/** Milliseconds within which a configuration is in force. */
+const CONFIG_APPLY_MS = 2_500
+
 /** Milliseconds within which a connection that the gateway closes may cross a request. */
 const CROSSING_MS = 200
 
@@ -55,6 +58,9 @@
 /** Time that callers allow for a request by default, in milliseconds. */
 const CALLER_TIMEOUT_MS = 3_000
 
+/** Milliseconds after its time limit after which a caller closes a connection that still has no end of its response. */
+const GIVE_UP_MS = 1_000
+
 /** Share of its time limit after which a request may end without a response. */
 const TIMEOUT_SHARE = 0.7
 
@@ -102,6 +108,7 @@
   private readonly _refused = new Map<string, string>()
   /** Targets that leave by their row, with the time of the store's acknowledgement. */
   private readonly _leavingAt = new Map<string, number>()
+  private readonly _crashed = new Set<EngineStandin>()
   private _nextId = 0
   private _prefixes: string[] = []
   private _watching: Promise<void> = Promise.resolve()
@@ -180,13 +187,30 @@
     }
     const sentAt = performance.now()
     if (options.path.startsWith('/booking/')) this._bookings.add(options.id)
-    const response = await callPlatform(gateway.callerAddress, options)
+    const limitMs = Number(options.headers?.['x-timeout-ms'] ?? CALLER_TIMEOUT_MS)
+    const giveUp = AbortSignal.timeout(limitMs + GIVE_UP_MS)
+    const signal = options.signal === undefined ? giveUp : AbortSignal.any([options.signal, giveUp])
+    const response = await callPlatform(gateway.callerAddress, { ...options, signal })
+    if (this.trouble.isCalm(slot.index, sentAt)) {
+      this.checks.check('ended', !giveUp.aborted, () => `${options.id} on ${options.path} had not ended ${GIVE_UP_MS} ms after its time limit`)
+    }
     if (options.signal === undefined) this._checkAnswered(options, response, slot, sentAt)
     this._checkLeaving(options.id, slot, gateway, sentAt)
     if (NOT_RUN.includes(response.status)) this.noteRefused(options, `${response.status} of gateway-${slot.index}, sent at ${Math.round(sentAt)} ms`)
     return response
   }
 
+  /** Checks, once the time for it is over, that all gateways in calm times know a route that a configuration added. */
+  async checkConfig (prefix: string): Promise<void> {
+    await sleep(CONFIG_APPLY_MS)
+    await Promise.all(this.slots.map(async slot => {
+      const gateway = slot.process
+      const { status } = await this.send({ id: this.createId('added'), path: `${prefix}a`, slot })
+      if (gateway === undefined || slot.process !== gateway || !this.trouble.isCalm(slot.index, performance.now())) return
+      this.checks.check('config', status !== 404, () => `gateway-${slot.index} does not know ${prefix} ${CONFIG_APPLY_MS} ms after it was written`)
+    }))
+  }
+
   /** Records that a request was answered as not run, which must hold to the end. */
   noteRefused ({ id, path }: Pick<PlatformCall, 'id' | 'path'>, reason: string): void {
     if (path.startsWith('/booking/') || path.startsWith('/turns/')) this._refused.set(id, reason)
@@ -238,13 +262,18 @@
   /** Crashes targets, removes their rows, and starts them again after a while. */
   async crash (standins: readonly EngineStandin[], downMs: number): Promise<void> {
     const end = this.trouble.begin()
-    for (const standin of standins) standin.crash()
+    const crashed = standins.filter(standin => !this._crashed.has(standin))
+    for (const standin of crashed) {
+      this._crashed.add(standin)
+      standin.crash()
+    }
     await sleep(downMs / 2)
-    for (const standin of standins) this.fixture.unregister(standin)
+    for (const standin of crashed) this.fixture.unregister(standin)
     await sleep(downMs / 2)
-    for (const standin of standins) {
+    for (const standin of crashed) {
       await standin.start()
       this.fixture.register(standin)
+      this._crashed.delete(standin)
     }
     end()
   }
--- a/tools/soak/disturbances/KeptChannels.ts
+++ b/tools/soak/disturbances/KeptChannels.ts
@@ -4,11 +4,10 @@
 import { createSlowResponder, createStreamResponder } from '../responders.js'
 import type { GatewaySlot } from '../SoakWorld.js'
 
-const CALLERS = 6
+const CALLERS = 5
 
-/** Milliseconds between two callers, and before the planned work that their streams outlast. */
-const CALLER_GAP_MS = 80
-const BEFORE_WORK_MS = 500
+/** Milliseconds between two callers; with the longer one, a gateway that stops is idle between the last stream and the next booking. */
+const CALLER_GAP_MS = [80, 220]
 
 /** Events of a stream, and the milliseconds between them; it outlasts the time at which a gateway that stops closes idle connections. */
 const EVENTS = 12
@@ -30,15 +29,16 @@
     if (slot?.process === undefined) return
     const gapMs = this._random.int(EVENT_GAP_MS.from, EVENT_GAP_MS.to)
     const workMs = this._pick(WORK_MS)
+    const callerGapMs = this._pick(CALLER_GAP_MS)
     const path = `kept-${gapMs}-${workMs}`
     const { engines, desks } = this._world.fixture
     for (const engine of engines) engine.responders.set(`/turns/single/${path}`, createStreamResponder({ events: EVENTS, gapMs }))
     for (const desk of desks) desk.responders.set(`/booking/${path}`, createSlowResponder(workMs))
     const callers = Array.from({ length: CALLERS }, async (_, at) => {
-      await sleep(at * CALLER_GAP_MS)
+      await sleep(at * callerGapMs)
       await this._call(slot, path)
     })
-    await sleep(BEFORE_WORK_MS)
+    await sleep(CALLERS * callerGapMs)
     const work = this._random.int(0, 9)
     if (work < 6) await this._world.replace(slot, 'SIGTERM')
     else if (work < 8) slot.process?.signal('SIGHUP')
--- a/tools/soak/disturbances/index.ts
+++ b/tools/soak/disturbances/index.ts
@@ -1,7 +1,16 @@
 import type { Disturbance, DisturbanceOptions } from '../Disturbance.js'
 import type { DisturbanceName } from '../SoakPlan.js'
+import { ConfigChanges } from './ConfigChanges.js'
+import { Crashes } from './Crashes.js'
+import { CrashingRequest } from './CrashingRequest.js'
+import { Endless } from './Endless.js'
 import { HalfRequests } from './HalfRequests.js'
 import { KeptChannels } from './KeptChannels.js'
+import { Leaving } from './Leaving.js'
+import { LargeBreaks } from './LargeBreaks.js'
+import { OddRows } from './OddRows.js'
+import { OutOfStep } from './OutOfStep.js'
+import { ResumedTurns } from './ResumedTurns.js'
 import { Silence } from './Silence.js'
 import { TargetBehaviours } from './TargetBehaviours.js'
 
@@ -10,7 +19,16 @@
   'repeated-refusals': options => new TargetBehaviours(options, ['not-run-copied', 'not-run-repeated']),
   'half-requests': options => new HalfRequests(options),
   'kept-channels': options => new KeptChannels(options),
-  silence: options => new Silence(options)
+  silence: options => new Silence(options),
+  endless: options => new Endless(options),
+  crashes: options => new Crashes(options),
+  'crashing-request': options => new CrashingRequest(options),
+  'large-breaks': options => new LargeBreaks(options),
+  'resumed-turns': options => new ResumedTurns(options),
+  'odd-rows': options => new OddRows(options),
+  leaving: options => new Leaving(options),
+  'out-of-step': options => new OutOfStep(options),
+  config: options => new ConfigChanges(options)
 }
 
 /** Creates the disturbance of a name. */
--- a/tools/soak/responders.ts
+++ b/tools/soak/responders.ts
@@ -54,7 +54,8 @@
   run.isBroken = true
   res.writeHead(200, { ...getResponseHeaders(run), 'content-type': 'text/event-stream' })
   const timer = setInterval(() => {
-    for (let bytes = 0; bytes < FLOOD_BYTES && !res.writableNeedDrain; bytes += FLOOD_EVENT.length) res.write(FLOOD_EVENT)
+    if (res.writableNeedDrain) return
+    for (let bytes = 0; bytes < FLOOD_BYTES; bytes += FLOOD_EVENT.length) res.write(FLOOD_EVENT)
   }, FLOOD_INTERVAL_MS)
   res.on('close', () => { clearInterval(timer) })
 }
