--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -178,11 +178,13 @@
 
   private async _stream (run: EngineRun, res: ServerResponse, behaviour: EngineBehaviour): Promise<void> {
     res.writeHead(200, { 'content-type': 'text/event-stream' })
+    // A stream keeps the events with which it began.
+    const { events } = this
     const lastEventId = Number(run.headers['last-event-id'] ?? 0)
-    for (let index = lastEventId; index < this.events.length; index++) {
+    for (let index = lastEventId; index < events.length; index++) {
       if (index === lastEventId + 1) await this.gate
       if (index > lastEventId && this.eventGapMs > 0) await sleep(this.eventGapMs)
-      res.write(`id: ${index + 1}\ndata: ${this.events[index]!}\n\n`)
+      res.write(`id: ${index + 1}\ndata: ${events[index]!}\n\n`)
       if (behaviour === 'trickle' && index === lastEventId) {
         // Sends bytes that complete no event, until the caller closes.
         const timer = setInterval(() => { res.write(':') }, TRICKLE_INTERVAL_MS)
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -89,6 +89,16 @@
     this._register(engine, 'model')
   }
 
+  /** Starts and registers one more model engine, of a software version. */
+  async addEngine (version: string): Promise<EngineStandin> {
+    const id = `engine-${this.engines.length}`
+    this._versions.set(id, version)
+    const engine = await this._addTarget(id, 'model')
+    this.engines.push(engine)
+    this.setEngineVersion(engine, version)
+    return engine
+  }
+
   /** Removes the registration of a target, as when it has left. */
   unregister (standin: EngineStandin): void {
     this.store.rows.apply({ removes: [{ table: 'servers', part: '', key: standin.id }] })
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -278,6 +278,15 @@
     end()
   }
 
+  /** Starts one more model engine of a version, which responds as the others do. */
+  async addEngine (version: string): Promise<EngineStandin> {
+    const [first] = this.fixture.engines
+    const engine = await this.fixture.addEngine(version)
+    engine.eventGapMs = EVENT_GAP_MS
+    for (const [path, respond] of first!.responders) engine.responders.set(path, respond)
+    return engine
+  }
+
   /** Records that the store knows that a target leaves, or that it doesn't any more. */
   setLeaving (standin: EngineStandin, isLeaving: boolean): void {
     if (isLeaving) this._leavingAt.set(standin.id, performance.now())
--- a/tools/soak/disturbances/KeptChannels.ts
+++ b/tools/soak/disturbances/KeptChannels.ts
@@ -6,9 +6,6 @@
 
 const CALLERS = 5
 
-/** Milliseconds between two callers; with the longer one, a gateway that stops is idle between the last stream and the next booking. */
-const CALLER_GAP_MS = [80, 220]
-
 /** Events of a stream, and the milliseconds between them; it outlasts the time at which a gateway that stops closes idle connections. */
 const EVENTS = 12
 const EVENT_GAP_MS = { from: 360, to: 390 }
@@ -16,8 +13,13 @@
 /** Milliseconds between a stream and the next request on its connection. */
 const NEXT_REQUEST_MS = { from: 20, to: 100 }
 
-/** Milliseconds of work of a booking: short as in the stop's last moments, or longer than what is left of the grace period. */
-const WORK_MS = [110, 3_600]
+/** Milliseconds of work of a booking, and between two callers. */
+const KINDS = [
+  // Longer than what is left of the grace period.
+  { workMs: 3_600, callerGapMs: 80 },
+  // Short, and a gateway that stops is idle between the last stream and the next booking.
+  { workMs: 110, callerGapMs: 220 }
+]
 
 const TIMEOUT_MS = 6_000
 const BOOKINGS = 3
@@ -28,8 +30,7 @@
     const slot = this._world.pickSlot(this._random)
     if (slot?.process === undefined) return
     const gapMs = this._random.int(EVENT_GAP_MS.from, EVENT_GAP_MS.to)
-    const workMs = this._pick(WORK_MS)
-    const callerGapMs = this._pick(CALLER_GAP_MS)
+    const { workMs, callerGapMs } = this._pick(KINDS)
     const path = `kept-${gapMs}-${workMs}`
     const { engines, desks } = this._world.fixture
     for (const engine of engines) engine.responders.set(`/turns/single/${path}`, createStreamResponder({ events: EVENTS, gapMs }))
--- a/tools/soak/disturbances/OutOfStep.ts
+++ b/tools/soak/disturbances/OutOfStep.ts
@@ -4,7 +4,9 @@
 import { getEvents } from '../SoakCallers.js'
 import type { GatewaySlot } from '../SoakWorld.js'
 
-const STREAMS = 6
+/** Targets of the new version, and streams that begin after they have joined. */
+const JOINED = 2
+const STREAMS = 8
 const EVENTS = 10
 const EVENT_GAP_MS = 150
 
@@ -29,10 +31,7 @@
     const outOfStep = mode === 'pause' ? this._world.pause(slot, OUT_OF_STEP_MS) : this._cut(slot, mode)
     await sleep(BEFORE_RELEASE_MS)
     const version = `v${this._random.int(3, 1_000_000)}`
-    for (const engine of fixture.engines.slice(0, fixture.engines.length / 2)) {
-      fixture.unregister(engine)
-      fixture.setEngineVersion(engine, version)
-    }
+    const joined = await Promise.all(Array.from({ length: JOINED }, async () => await this._world.addEngine(version)))
     const end = trouble.begin()
     await sleep(BEFORE_STREAMS_MS)
     const streams = Array.from({ length: STREAMS }, async () => { await this._read(path, other, slot) })
@@ -40,6 +39,7 @@
     const replacing = this._world.replace(other, 'SIGKILL')
     await Promise.all([...streams, outOfStep, replacing])
     end()
+    for (const engine of joined) fixture.unregister(engine)
   }
 
   private async _cut (slot: GatewaySlot, mode: 'silent' | 'reset'): Promise<void> {
