--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -15,6 +15,7 @@
   RepeatedRefusals: 'repeated-refusals',
   HalfRequests: 'half-requests',
   KeptChannels: 'kept-channels',
+  Handover: 'handover',
   Silence: 'silence',
   Endless: 'endless',
   Crashes: 'crashes',
@@ -33,7 +34,7 @@
 
 /** Faults that break no promise for calm times by their nature: planned work, and what targets may do. */
 const CALM_FAULTS: readonly SoakFaultName[] = [
-  'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'silence', 'large-breaks',
+  'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'handover', 'silence', 'large-breaks',
   'odd-rows', 'leaving', 'config'
 ]
 
--- a/tools/soak/disturbances/KeptChannels.ts
+++ b/tools/soak/disturbances/KeptChannels.ts
@@ -1,6 +1,6 @@
 import { Agent } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { Disturbance } from '../Disturbance.js'
+import { Disturbance, type DisturbanceOptions } from '../Disturbance.js'
 import { createSlowResponder, createStreamResponder } from '../responders.js'
 import type { GatewaySlot } from '../SoakWorld.js'
 
@@ -14,23 +14,31 @@
 const NEXT_REQUEST_MS = { from: 20, to: 100 }
 
 /** Milliseconds of work of a booking, and between two callers. */
-const KINDS = [
-  // Longer than what is left of the grace period.
-  { workMs: 3_600, callerGapMs: 80 },
-  // Short, and a gateway that stops is idle between the last stream and the next booking.
-  { workMs: 110, callerGapMs: 220 }
-]
+export const KeptBookings = {
+  /** Longer than what is left of the grace period. */
+  Long: { workMs: 3_600, callerGapMs: 80 },
+  /** Short; a gateway that stops is idle between the last stream and the next booking, and hands its reserves over. */
+  Short: { workMs: 110, callerGapMs: 220 }
+} as const
+export type KeptBookings = typeof KeptBookings[keyof typeof KeptBookings]
 
 const TIMEOUT_MS = 6_000
 const BOOKINGS = 3
 
 /** Lets callers use connections that outlast planned work: a stop, a reload or a new configuration. */
 export class KeptChannels extends Disturbance {
+  private readonly _bookings: KeptBookings
+
+  constructor (options: DisturbanceOptions, bookings: KeptBookings) {
+    super(options)
+    this._bookings = bookings
+  }
+
   async play (): Promise<void> {
     const slot = this._world.pickSlot(this._random)
     if (slot?.process === undefined) return
     const gapMs = this._random.int(EVENT_GAP_MS.from, EVENT_GAP_MS.to)
-    const { workMs, callerGapMs } = this._pick(KINDS)
+    const { workMs, callerGapMs } = this._bookings
     const path = `kept-${gapMs}-${workMs}`
     const { engines, desks } = this._world.fixture
     for (const engine of engines) engine.responders.set(`/turns/single/${path}`, createStreamResponder({ events: EVENTS, gapMs }))
--- a/tools/soak/disturbances/index.ts
+++ b/tools/soak/disturbances/index.ts
@@ -5,7 +5,7 @@
 import { CrashingRequest } from './CrashingRequest.js'
 import { Endless } from './Endless.js'
 import { HalfRequests } from './HalfRequests.js'
-import { KeptChannels } from './KeptChannels.js'
+import { KeptBookings, KeptChannels } from './KeptChannels.js'
 import { Leaving } from './Leaving.js'
 import { LargeBreaks } from './LargeBreaks.js'
 import { OddRows } from './OddRows.js'
@@ -18,7 +18,8 @@
   unframed: options => new TargetBehaviours(options, ['unframed', 'unframed-reset']),
   'repeated-refusals': options => new TargetBehaviours(options, ['not-run-copied', 'not-run-repeated']),
   'half-requests': options => new HalfRequests(options),
-  'kept-channels': options => new KeptChannels(options),
+  'kept-channels': options => new KeptChannels(options, KeptBookings.Long),
+  handover: options => new KeptChannels(options, KeptBookings.Short),
   silence: options => new Silence(options),
   endless: options => new Endless(options),
   crashes: options => new Crashes(options),
