--- a/tests/processes/CallerTimeoutTests.ts
+++ b/tests/processes/CallerTimeoutTests.ts
@@ -26,7 +26,7 @@
 
   async function setLimits (limits: { headerTimeoutMs?: number, idleTimeoutMs?: number }): Promise<void> {
     const count = harness.gateway.getEvents('config-adopted').length
-    harness.fixture.configure({}, [], limits)
+    harness.fixture.configure({}, [], { limits: { ...limits } })
     await waitFor(() => harness.gateway.getEvents('config-adopted').length > count)
   }
 
