Answer what is whole, wait for targets in doubt, use leaving ones that serve

Test also that a refused request isn't forwarded. Attempts.next waits as well, and a withheld take-up is refused as unreadable, not as version-gone. A first failed write is followed by a read. * With more than 100 unstored versions none was ever written, since a call holds 100 rows.

Class of the first three: a condition about one thing applied to another (the connection for the request, the first try for all, the list for what can be used). Looked for elsewhere: askOther is asked again and needs no wait; LimitedPlacer takes the same candidates, and a draining target doesn't replace one that has to be waited for.

Open from the review: a whole request that a caller sends after it has read `Connection: close` of a stream that still runs is dropped unread (its own fault); a reset by a target that has answered early is reported as a broken write.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -69,6 +69,8 @@
   readonly warmTarget?: string | undefined
   /** True if the request belongs to a program that targets have already worked for. */
   readonly isInProgress?: boolean
+  /** Waits while it is not certain which targets may send the events of a stream. */
+  readonly awaitTargets?: (stream: BegunStream | undefined) => Promise<unknown>
 }
 
 /** Sends one request to targets, one after the other, until one responds or no further attempt is allowed. */
@@ -101,6 +103,7 @@
         this._refuse(this._runs > 0 ? 'attempts-failed' : 'crashes-targets')
         return undefined
       }
+      await this._options.awaitTargets?.(stream)
       const placed = await this._place(stream, this._runs)
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
@@ -181,8 +184,8 @@
   private _getExcluded (stream: BegunStream | undefined, runs: number): ReadonlySet<string> {
     const { call, route } = this._exchange
     if (this._cancelled.size === 0 || runs + this._cancelled.size < route.maxAttempts) return this._excluded
-    const candidates = this._context.placer.getCandidates(call, route, stream).map(state => state.incarnation)
-    return new Set([...this._excluded, ...candidates.filter(incarnation => !this._cancelled.has(incarnation))])
+    const listed = this._context.placer.getListed(call, route, stream).map(state => state.incarnation)
+    return new Set([...this._excluded, ...listed.filter(incarnation => !this._cancelled.has(incarnation))])
   }
 
   private async _send (
@@ -346,10 +349,15 @@
     else if (placed.type === 'limited') this._refuse('targets-limited', getRetrySeconds(placed.waitMs, this._context.random))
     else if (placed.type === 'overloaded') this._refuse('overloaded', getRetrySeconds(placed.waitMs, this._context.random))
     else if (this._dispatches > 0) this._refuse('retries-exhausted')
+    else if (this._isWithheld(stream)) this._refuse(stream === undefined ? 'no-target' : 'origin-unreadable')
     else if (stream !== undefined) this._refuse('version-gone', null)
     else this._refuse('no-target')
   }
 
+  private _isWithheld (stream: BegunStream | undefined): boolean {
+    return this._context.placer.isWithheld(this._exchange.call, this._exchange.route, stream)
+  }
+
   /** Refuses the request, or breaks its response off; without a time to retry if no later time helps. */
   private _refuse (reason: RefusalReason, retryAfterSeconds: number | null = RETRY_AFTER_SECONDS): void {
     if (this._exchange.hasStarted()) {
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -192,7 +192,8 @@
     const { call, route } = exchange
     const { context } = this._options
     const body = await readHeldBody(req, { maxBytes, held: exchange.held })
-    if (this._connections.get(req.socket).isClosing()) return
+    // A request is refused while its body arrives; one that a refused request follows on the connection is still answered.
+    if (res.headersSent) return
     if (body.isLeft()) {
       if (!exchange.callerDisconnected.aborted) this._refuse(req, res, call.id, body.extract() as Refusal)
       return
--- a/src/io/gateway/LimitedPlacer.ts
+++ b/src/io/gateway/LimitedPlacer.ts
@@ -74,9 +74,13 @@
   async place (req: LimitedPlaceRequest): Promise<LimitedPlacement> {
     const { placer, clock, permits } = this._options
     const { call, route, warmTarget, stream } = req
-    const candidates = placer.getCandidates(call, route, stream).filter(state => !req.excluded.has(state.incarnation))
+    const candidates = placer.getCandidates(call, route, stream, req.excluded)
     const limited = candidates.filter(isLimited)
-    const place = (excluded: ReadonlySet<string>): Placement | undefined => placer.place(call, route, { excluded, warmTarget, stream })
+    const place = (excluded: ReadonlySet<string>): Placement | undefined => {
+      const placement = placer.place(call, route, { excluded, warmTarget, stream })
+      // A target that is draining doesn't replace one that has to be waited for.
+      return placement !== undefined && candidates.includes(placement.state) ? placement : undefined
+    }
     if (limited.length === 0) {
       const placement = place(req.excluded)
       return placement === undefined ? { type: 'no-target' } : { type: 'placed', placement }
@@ -93,8 +97,9 @@
       const maxWaitMs = Math.min(req.maxWaitMs, getTolerance(placement, alternative, clock.now()))
       const askedAt = clock.now()
       const answer = await permits.request(toLimitedTarget(state), state.limit, maxWaitMs)
+      const isGranted = await this._isUsable(state, answer, askedAt, call.id)
       // The target may have begun to drain while the request waited.
-      const isUsable = await this._isUsable(state, answer, askedAt, call.id) && placer.getCandidates(call, route, stream).includes(state)
+      const isUsable = isGranted && placer.getCandidates(call, route, stream, req.excluded).includes(state)
       if (isUsable) return { type: 'placed', placement }
       refused.add(state.incarnation)
     }
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -24,6 +24,13 @@
   readonly stream?: BegunStream | undefined
 }
 
+/** Listed targets that may send the events of a stream. */
+interface ListedTargets {
+  readonly serving: TargetState[]
+  /** Targets that are leaving and serve for some time. */
+  readonly draining: TargetState[]
+}
+
 const NONE: ReadonlySet<string> = new Set()
 
 /** Chooses the target of a request: a backend of its route, then a target of that service. */
@@ -39,34 +46,45 @@
     const { policy, clock } = this._options
     const { excluded = NONE, warmTarget, stream } = options
     const work = { promptTokens: call.promptTokens, promptSegments: call.promptSegments, excluded, warmTarget }
-    return policy.select(this.getCandidates(call, route, stream), work, clock.now())
+    return policy.select(this.getCandidates(call, route, stream, excluded), work, clock.now())
   }
 
   /**
    * Gets the targets of the backend to which a request belongs and that may send the events of its stream.
    *
-   * A target that is draining is one of them only if there are no others, and while it still serves.
+   * A target that is draining is one of them only if there are no others that can be used, and while it still serves.
    */
-  getCandidates (call: CallRequest, route: Route, stream?: BegunStream): TargetState[] {
+  getCandidates (call: CallRequest, route: Route, stream?: BegunStream, excluded: ReadonlySet<string> = NONE): TargetState[] {
     const { isVersionKnown = () => true } = this._options
-    const serving = this._getServing(call, route, stream)
-    return route.isResumable ? serving.filter(({ target }) => isVersionKnown(target, stream)) : serving
+    const { serving, draining } = this._getListed(call, route, stream)
+    const isUsable = ({ target, incarnation }: TargetState): boolean =>
+      !excluded.has(incarnation) && (!route.isResumable || isVersionKnown(target, stream))
+    const usable = serving.filter(isUsable)
+    return usable.length > 0 ? usable : draining.filter(isUsable)
+  }
+
+  /** Gets all targets that may ever be candidates of a request. */
+  getListed (call: CallRequest, route: Route, stream?: BegunStream): TargetState[] {
+    const { serving, draining } = this._getListed(call, route, stream)
+    return [...serving, ...draining]
   }
 
   /** Checks whether a request has no target only because the versions of its targets are not certain. */
   isWithheld (call: CallRequest, route: Route, stream?: BegunStream): boolean {
-    return this.getCandidates(call, route, stream).length === 0 && this._getServing(call, route, stream).length > 0
+    return this.getCandidates(call, route, stream).length === 0 && this.getListed(call, route, stream).length > 0
   }
 
-  private _getServing (call: CallRequest, route: Route, stream: BegunStream | undefined): TargetState[] {
+  private _getListed (call: CallRequest, route: Route, stream: BegunStream | undefined): ListedTargets {
     const { registry, clock } = this._options
     const isOrigin = (backend: Backend): boolean => backend.service === stream?.origin?.service
     const hashKey = call.program?.session ?? call.affinityKey ?? call.id
     const service = route.backends.find(isOrigin)?.service ?? chooseBackend(route.backends, hashKey)
-    if (service === undefined) return []
+    if (service === undefined) return { serving: [], draining: [] }
     const now = clock.now()
-    const serving = registry.getServing(service, now).filter(({ target }) => canContinue(target, stream))
-    return serving.length > 0 ? serving : registry.getDraining(service, now).filter(({ target }) => canContinue(target, stream))
+    return {
+      serving: registry.getServing(service, now).filter(({ target }) => canContinue(target, stream)),
+      draining: registry.getDraining(service, now).filter(({ target }) => canContinue(target, stream))
+    }
   }
 }
 
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -180,10 +180,11 @@
   }
 
   /** Waits until a target is known to have the version that a stream needs; returns false if it is still uncertain in the end. */
-  private async _awaitVersions (exchange: Exchange, stream: BegunStream | undefined): Promise<boolean> {
+  private async _awaitVersions (
+    exchange: Exchange, stream: BegunStream | undefined, deadline = this._getPrepareDeadline(exchange)
+  ): Promise<boolean> {
     const { call, route, callerDisconnected } = exchange
     const { attempts: { placer }, clock, versionGate } = this._options
-    const deadline = this._getPrepareDeadline(exchange)
     const getRemainingMs = (): number => callerDisconnected.aborted ? 0 : deadline - clock.now()
     return await versionGate.wait(call.id, () => placer.isWithheld(call, route, stream), getRemainingMs)
   }
@@ -250,7 +251,11 @@
     const { budgets } = this._options
     const attempts = new Attempts(this._options.attempts, exchange, {
       warmTarget: program === undefined ? undefined : budgets.getWarmTarget(program.id),
-      isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id)
+      isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id),
+      awaitTargets: async stream => {
+        const deadline = Math.min(exchange.deadline, this._options.clock.now() + PREPARE_TIMEOUT_MS)
+        return await this._awaitVersions(exchange, stream, deadline)
+      }
     })
     const getRequest = (): AttemptRequest => ({ body: prompt, lastEventId: progress.lastEventId, stream: progress.stream })
     let attempt = await attempts.next(getRequest())
--- a/src/io/gateway/VersionStore.ts
+++ b/src/io/gateway/VersionStore.ts
@@ -15,6 +15,9 @@
 /** Milliseconds between two checks for versions whose targets have left. */
 export const RETIRE_CHECK_MS = 30_000
 
+/** Largest number of rows that one call of the store may write. */
+const MAX_ROWS_PER_CALL = 100
+
 /** Milliseconds for one check. */
 const RETIRE_TIMEOUT_MS = 2_000
 
@@ -95,13 +98,38 @@
     }
   }
 
+  /** Gets unstored versions for one call of the store. */
+  private _getNextUnstored (): StreamOrigin[] {
+    return this._versions.getUnstored().slice(0, MAX_ROWS_PER_CALL)
+  }
+
+  /** Records the versions that others have stored; for a store that can be read, but rejects writes. */
+  private async _readStored (origins: readonly StreamOrigin[]): Promise<void> {
+    const { access, clock, log } = this._options
+    try {
+      const { rows } = await access.readOnce({ table: VERSION_TABLE, part: '' }, clock.now() + RETIRE_TIMEOUT_MS)
+      const stored = new Set(rows.map(({ key }) => key))
+      for (const origin of origins) if (stored.has(toVersionRow(origin).key)) this._versions.recordStored(origin)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log.warn('versions-not-read', { versions: origins.length, cause: err.message })
+    }
+  }
+
   private async _write (): Promise<void> {
     if (this._isWriting) return
     const { access, clock, log } = this._options
     this._isWriting = true
     try {
-      for (let origins = this._versions.getUnstored(); origins.length > 0; origins = this._versions.getUnstored()) {
-        await access.commitRepeatable({ puts: origins.map(toVersionRow) }, clock.now() + WRITE_TIMEOUT_MS)
+      for (let origins = this._getNextUnstored(); origins.length > 0; origins = this._getNextUnstored()) {
+        const puts = origins.map(toVersionRow)
+        try {
+          await access.commitOnce({ puts }, clock.now() + WRITE_TIMEOUT_MS)
+        } catch (err) {
+          if (!(err instanceof StoreError)) throw err
+          await this._readStored(origins)
+          await access.commitRepeatable({ puts }, clock.now() + WRITE_TIMEOUT_MS)
+        }
         for (const origin of origins) this._versions.recordStored(origin)
         log.info('versions-written', { versions: origins.map(({ service, softwareVersion }) => `${service} ${softwareVersion}`) })
       }
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -1,44 +1,99 @@
 import { expect } from 'earl'
+import { connect } from 'node:net'
+import { setTimeout as sleep } from 'node:timers/promises'
 import { ByteBudget } from '../../../src/core/limits/index.js'
 import { ConfigHolder, RouteKind, type Route } from '../../../src/core/route/index.js'
-import { GatewayMetrics, GatewayServer, type PlainForwarder, type StreamForwarder } from '../../../src/io/gateway/index.js'
+import {
+  GatewayMetrics, GatewayServer, type Exchange, type PlainForwarder, type StreamForwarder
+} from '../../../src/io/gateway/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { PlatformProtocol } from '../../../platform/PlatformProtocol.js'
 import { callPlatform } from '../../../tools/platform/PlatformCaller.js'
 import { FIXTURE_HOST } from '../../../tools/platform/PlatformFixture.js'
 
+const ROUTE: Route = {
+  name: 'lookup',
+  host: FIXTURE_HOST,
+  pathPrefix: '/lookup/',
+  kind: RouteKind.Idempotent,
+  backends: [],
+  timeoutMs: 1_000,
+  objectiveMs: 100,
+  priority: 0,
+  maxAttempts: 1,
+  isRetained: false,
+  retentionMs: 0,
+  isResumable: false,
+  maxGapMs: 100
+}
+
+/** What may follow a whole request on its connection and is refused while the request's body is read. */
+const TAILS: Readonly<Record<string, string>> = {
+  nothing: '',
+  'bytes that are no request': 'garbage\r\n\r\n',
+  'a part of a request without a route': 'POST /nowhere/ HTTP/1.1\r\nHost: x.example\r\nX-Request-Id: r2\r\nContent-Length: 100\r\n\r\nabc',
+  'a part of a body that is too large': `POST /lookup/y HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: r2\r\nContent-Length: 99999\r\n\r\nabc`
+}
+
 describe('GatewayServer', () => {
+  let server: GatewayServer
+
+  afterEach(() => { server.stopListening() })
+
   // The connection was closed without an answer.
   it('should answer a request whose forwarding fails unexpectedly, without a statement that it has not run', async () => {
+    const address = await listen(async () => { throw new Error('unexpected') })
+    const response = await callPlatform(address, { id: 'r1', path: '/lookup/x' })
+    expect([response.status, JSON.parse(response.body).outcome]).toEqual([502, 'unknown'])
+  })
+
+  for (const [name, tail] of Object.entries(TAILS)) {
+    // The request was dropped, with neither an answer nor a refusal, and its connection stayed open.
+    it(`should answer a whole request that is followed by ${name}`, async () => {
+      const forwarded: string[] = []
+      const address = await listen(async exchange => {
+        forwarded.push(exchange.call.id)
+        exchange.refuse({ reason: 'no-target' })
+      })
+      const text = await send(address, [`POST /lookup/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\nhello${tail}`])
+      expect([forwarded, text.match(/HTTP\/1.1 \d+/g)![0]]).toEqual([['r1'], 'HTTP/1.1 503'])
+      expect(server.getInProgress()).toEqual(0)
+    })
+  }
+
+  it('should not forward a request that was refused before its body was whole', async () => {
+    const forwarded: string[] = []
+    const address = await listen(async exchange => { forwarded.push(exchange.call.id) })
+    const head = `POST /nowhere/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: r1\r\nContent-Length: 5\r\n\r\n`
+    const text = await send(address, [`${head}he`, 'llo', `${head.replace('nowhere', 'lookup').replace('r1', 'r2')}hello`])
+    expect([forwarded, text.match(/HTTP\/1.1 \d+/g)]).toEqual([[], ['HTTP/1.1 404']])
+  })
+
+  async function listen (forward: (exchange: Exchange) => Promise<void>): Promise<string> {
     const clock = new SteadyClock()
     const configs = new ConfigHolder()
-    const route: Route = {
-      name: 'lookup',
-      host: FIXTURE_HOST,
-      pathPrefix: '/lookup/',
-      kind: RouteKind.Idempotent,
-      backends: [],
-      timeoutMs: 1_000,
-      objectiveMs: 100,
-      priority: 0,
-      maxAttempts: 1,
-      isRetained: false,
-      retentionMs: 0,
-      isResumable: false,
-      maxGapMs: 100
-    }
     const limits = { headerBytes: 4_096, bodyBytes: 4_096, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
-    configs.applyIfNewer({ version: 1, routes: [route], services: new Map(), limits }, clock.now())
+    configs.applyIfNewer({ version: 1, routes: [ROUTE], services: new Map(), limits }, clock.now())
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const memory = new ByteBudget({ maxBytes: 1_000_000 })
     const metrics = new GatewayMetrics()
     const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
-    const forward = async (): Promise<void> => { throw new Error('unexpected') }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
-    const server = new GatewayServer({ context, plain, streams })
-    const address = await server.listen('127.0.0.1:0')
-    const response = await callPlatform(address, { id: 'r1', path: '/lookup/x' })
-    server.stopListening()
-    expect([response.status, JSON.parse(response.body).outcome]).toEqual([502, 'unknown'])
-  })
+    server = new GatewayServer({ context, plain, streams })
+    return await server.listen('127.0.0.1:0')
+  }
 })
+
+/** Sends parts one after the other and returns what was received. */
+async function send (address: string, parts: readonly string[]): Promise<string> {
+  const [host, port] = address.split(':')
+  const socket = connect(Number(port), host!)
+  let text = ''
+  socket.on('data', data => { text += data.toString() }).on('error', () => {})
+  for (const part of parts) {
+    socket.write(part)
+    await sleep(200)
+  }
+  socket.destroy()
+  return text
+}
--- /dev/null
+++ b/tests/io/gateway/PlacerTests.ts
@@ -0,0 +1,39 @@
+import { expect } from 'earl'
+import type { CallRequest } from '../../../src/core/forward/index.js'
+import type { Route } from '../../../src/core/route/index.js'
+import { RoundRobin, TargetRegistry, type Target } from '../../../src/core/target/index.js'
+import { Placer, VersionGate } from '../../../src/io/gateway/index.js'
+import { DecisionLog } from '../../../src/io/process/index.js'
+
+const CALL = { id: 'r', promptTokens: 0, promptSegments: [] } as unknown as CallRequest
+const ROUTE = { backends: [{ service: 's', weight: 1 }], isResumable: false } as unknown as Route
+const CLOCK = { now: () => 1_100 }
+
+// A target that is leaving and still serves was not used while any other was listed, though none of these could be used.
+describe('Placer', () => {
+  let registry: TargetRegistry
+
+  beforeEach(() => {
+    registry = new TargetRegistry({ drainMs: 2_500 })
+    registry.setAll([createTarget('leaving', 'v1'), createTarget('other', 'v2')], 0)
+    registry.recordLeaving('leaving@1', 1_000)
+  })
+
+  it('should use a leaving target that still serves when the only other one has refused the request', () => {
+    const placer = new Placer({ registry, policy: new RoundRobin(), clock: CLOCK })
+    expect(placer.place(CALL, ROUTE)?.state.incarnation).toEqual('other@1')
+    expect(placer.place(CALL, ROUTE, { excluded: new Set(['other@1']) })?.state.incarnation).toEqual('leaving@1')
+  })
+
+  it('should use a leaving target that still serves when the version of the only other one is not stored', () => {
+    const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
+    const gate = new VersionGate({ versions: { isStored: origin => origin.softwareVersion === 'v1' }, isListCurrent: () => true, log })
+    const isVersionKnown: VersionGate['isKnown'] = (target, stream) => gate.isKnown(target, stream)
+    const placer = new Placer({ registry, policy: new RoundRobin(), clock: CLOCK, isVersionKnown })
+    expect(placer.place(CALL, { ...ROUTE, isResumable: true })?.state.incarnation).toEqual('leaving@1')
+  })
+})
+
+function createTarget (id: string, softwareVersion: string): Target {
+  return { id, bornAt: 1, service: 's', softwareVersion, address: '127.0.0.1:1', failureDomain: 'a', isLeaving: false, slots: 4 }
+}
--- a/tests/io/gateway/VersionStoreTests.ts
+++ b/tests/io/gateway/VersionStoreTests.ts
@@ -1,5 +1,6 @@
 import { expect } from 'earl'
 import { RETIRE_MS, toVersionRow, VERSION_TABLE } from '../../../src/core/origin/index.js'
+import { StoreError, StoreFailure } from '../../../src/core/platform/index.js'
 import type { Target } from '../../../src/core/target/index.js'
 import { StoreAccess, VersionStore } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
@@ -37,6 +38,20 @@
     expect((await find(store)).extract()).toEqual(V1)
   })
 
+  for (const others of [99, 100]) {
+    // With more rows than a call of the store may write, none was ever written.
+    it(`should store a version beside ${others} of another writer`, async () => {
+      const commit = rows.commit.bind(rows)
+      rows.commit = async (transaction, options) => {
+        if ((transaction.puts ?? []).length > 100) throw new StoreError(StoreFailure.Refused, 'too many rows')
+        return await commit(transaction, options)
+      }
+      const store = createStore()
+      store.setTargets([createTarget('v1'), ...Array.from({ length: others }, (_, at) => createTarget(`odd-${at}`))])
+      await waitFor(() => store.isStored(V1))
+    })
+  }
+
   it('should not remove the row of a version that another gateway has seen again', async () => {
     const store = createStore()
     store.setTargets([createTarget('v1')])
--- a/tests/processes/GatewayOutOfStepTests.ts
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -1,5 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
+import { callPlatform } from '../../tools/platform/PlatformCaller.js'
 import { waitFor } from './GatewayHarness.js'
 import { StreamHarness, type BegunStream } from './StreamHarness.js'
 
@@ -9,6 +10,9 @@
 /** Milliseconds for which a gateway stands still. */
 const FREEZE_MS = 2_500
 
+/** Milliseconds for which a gateway stands still within the time limit of a stream. */
+const SHORT_FREEZE_MS = 1_400
+
 /** Milliseconds after a cut at which callers return; shorter than a watch takes to fail. */
 const CUT_MS = 1_500
 
@@ -92,6 +96,30 @@
     expect(tries.joined).toEqual(0)
   })
 
+  // They were aborted at once, since no target could be chosen before the list was read again.
+  it('should continue streams whose target breaks off while the gateway stands still', async () => {
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[1]!])
+    harness.freeze(1)
+    harness.fixture.engines[0]!.crash()
+    await sleep(SHORT_FREEZE_MS)
+    harness.wake(1)
+    harness.releaseTargets()
+    const responses = await Promise.all(streams.map(async stream => await stream.response))
+    expect(responses.filter(response => response.isComplete && response.body.includes('third')).length).toEqual(STREAMS)
+  })
+
+  // All were refused, although every gateway can read that the versions serve.
+  it('should begin streams after a restart while the store rejects the rows of versions that it has', async () => {
+    await waitFor(() => harness.fixture.store.rows.getTableSize('served-versions') > 0)
+    harness.releaseTargets()
+    harness.fixture.store.rows.readOnlyTables.add('served-versions')
+    await harness.restartGateways()
+    const statuses = await Promise.all(Array.from({ length: 5 }, async (_, index) => {
+      return (await callPlatform(harness.gateways[0]!.callerAddress, { id: `n-${index}`, path: '/turns/resumable/a', body: 'in' })).status
+    }))
+    expect(statuses).toEqual([200, 200, 200, 200, 200])
+  })
+
   /** Starts a target again under its id with another version while a gateway stands still, and calls that gateway when it wakes. */
   async function wakeAfterRestart<T> (call: () => Promise<T>): Promise<T> {
     harness.freeze(1)
