--- a/src/io/gateway/readHeldBody.ts
+++ b/src/io/gateway/readHeldBody.ts
@@ -31,7 +31,8 @@
   let chunks: Buffer[] = []
   let size = 0
   try {
-    for await (const chunk of req as AsyncIterable<Buffer>) {
+    // The end of an iteration would destroy the connection, and with it the refusal of a body that is too large.
+    for await (const chunk of req.iterator({ destroyOnReturn: false }) as AsyncIterable<Buffer>) {
       size += chunk.length
       if (size > maxBytes) return tooLarge(maxBytes)
       if (block !== undefined) chunk.copy(block, size - chunk.length)
