Pace the reading of streams, so that endless ones leave processor time to others

What callers saw: beside 50 streams without end a gateway spent 4.09 to 4.3 s of processor time in the 2 s that the route allows (bound: 4 s), so that other requests waited behind them. EndlessStreamTests, events of 4 and 60 KiB on the resumable route without a maximum; two of 16 cases failed here before any change (4.09 s, 4 s).

Cause: nothing limited how fast one stream is read, so such streams saturate the event loop until their route's time limit or 8 MiB each. Tried and left out: fewer copies in BatchWriter (3.52 to 4.01 s) and larger batches (3.45 to 3.98 s), since less work for a byte only means more bytes.

Change: StreamRate paces a stream to 512 KiB a second after a burst of 128 KiB, a multiple of what an engine can produce, over all targets that send parts of it.

A stream within the rate is never paused (TurnTests).

--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { Left, Right, type Either } from 'purify-ts'
 import type { Clock } from '../../core/clock/index.js'
 import { getRetrySeconds } from '../../core/limits/index.js'
@@ -6,7 +7,7 @@
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
 import {
-  EventSplitter, lacksEarlierEvents, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, Transcript, type StreamEvent
+  EventSplitter, lacksEarlierEvents, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, StreamRate, Transcript, type StreamEvent
 } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext, type AttemptRequest } from './Attempts.js'
 import { awaitFirstEvent } from './awaitFirstEvent.js'
@@ -63,6 +64,7 @@
   /** Transcript of a retained turn; undefined on other routes, where nothing of the stream is kept. */
   readonly transcript: Transcript | undefined
   readonly limit: StreamLimit
+  readonly rate: StreamRate
   events: number
   /** Tokens of the events that were sent to the caller. */
   tokens: number
@@ -140,6 +142,7 @@
     const progress: StreamProgress = {
       transcript: exchange.route.isRetained ? new Transcript(prompt) : undefined,
       limit: new StreamLimit({ maxTokens }),
+      rate: new StreamRate(),
       events: 0,
       tokens: 0,
       lastEventId,
@@ -342,6 +345,8 @@
           attempt.response.discard()
           return { cause: `an event exceeds ${MAX_EVENT_BYTES} bytes`, isConnectionLost: false }
         }
+        const pauseMs = progress.rate.add(chunk.length, this._options.clock.now())
+        if (pauseMs > 0) await sleep(pauseMs)
       }
     } catch (err) {
       if (handover.getSuccessor() !== undefined) return undefined
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -2,7 +2,8 @@
 import { BYTES_PER_TRANSACTION, ROWS_PER_TRANSACTION } from '../../../src/core/platform/index.js'
 import {
   ByteBuffer, EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_TURN_BYTES,
-  PARTITIONS_PER_TURN, StreamLimit, toTurnRows, toTurnTransactions, Transcript, type CountedEvent
+  PARTITIONS_PER_TURN, StreamLimit, StreamRate, STREAM_BURST_BYTES, STREAM_BYTES_PER_SECOND, toTurnRows, toTurnTransactions, Transcript,
+  type CountedEvent
 } from '../../../src/core/turn/index.js'
 
 describe('EventSplitter', () => {
@@ -80,6 +81,24 @@
   })
 })
 
+// Fails when targets that send without end take the processor from all other requests.
+describe('StreamRate', () => {
+  it('should pause a stream that is sent faster than its rate, and none that is slower', () => {
+    const rate = new StreamRate()
+    const chunkBytes = 1_024
+    const slow = Array.from({ length: 400 }, (_, at) => rate.add(chunkBytes, at * 2))
+    expect(slow.every(pauseMs => pauseMs === 0)).toEqual(true)
+    let now = 10_000
+    let received = 0
+    while (now < 20_000) {
+      now += rate.add(chunkBytes, now)
+      received += chunkBytes
+    }
+    expect(received <= 10 * STREAM_BYTES_PER_SECOND + STREAM_BURST_BYTES + chunkBytes).toEqual(true)
+    expect(received >= 10 * STREAM_BYTES_PER_SECOND).toEqual(true)
+  })
+})
+
 describe('ByteBuffer', () => {
   it('should return the appended bytes, also after they were taken', () => {
     const buffer = new ByteBuffer()
