Count crashes that coincide once, and forget those of answered requests

What callers saw (users' runs, BUDGET): requests that crash each engine that runs them went on doing so as long as there were several at once. Played again: four such requests, two services of eight targets, two gateways, each again 0.5 s after its answer, 10 s.

Cause: CrashEvidence dropped the crashes of two targets that go down within 500 ms for two requests, with no bound on how often. Class: evidence that is dropped because it may be explained otherwise.

Change: crashes that coincide count once within the window against each of their requests; two crashes are related only by a request that was sent to one after its loss at the other; a complete answer clears the request at all gateways (rows removed, log line suspect-cleared).

Why it works: a request that crashes targets is lost in each of its rounds and never answered, so three rounds refuse it; one that was only in progress counts once per outage, and its next answer clears it.

Test changed: "should not be suspected when a failure domain goes down" asserted that such crashes are no evidence at all, which is the fault. It now asserts that nothing is refused, with further rows for one and two domains, a popular request and a crashing request beside them. "should be recognized when it is retried" states when the retry was sent.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -39,9 +39,14 @@
   return (body === undefined ? digest : digest.update(body)).digest('hex')
 }
 
+/** Gets the key of the row that shares a crash with all gateways. */
+export function getSuspectKey (digest: string, incarnation: string): RowKey {
+  return { table: SUSPECT_TABLE, part: '', key: `${digest}${SEPARATOR}${incarnation}` }
+}
+
 /** Gets the row that shares a crash with all gateways; writing it twice has no further effect. */
 export function toSuspectRow (digest: string, incarnation: string): RowPut {
-  return { table: SUSPECT_TABLE, part: '', key: `${digest}${SEPARATOR}${incarnation}`, value: Buffer.alloc(0) }
+  return { ...getSuspectKey(digest, incarnation), value: Buffer.alloc(0) }
 }
 
 interface Suspect {
@@ -53,7 +58,7 @@
  * Tracks which requests crashed targets.
  *
  * Handles a request that crashes each target that runs it and is retried at any gateway: after a few crashes it is refused instead. The
- * refusal ends, after which one further crash renews it for twice the time.
+ * refusal ends, after which one further crash renews it for twice the time. A request that a target answers crashes none.
  */
 export class SuspectList {
   private readonly _suspects = new Map<string, Suspect>()
@@ -81,6 +86,19 @@
     return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, now)
   }
 
+  /** Removes the crash in a row that a gateway has removed. */
+  removeRow (key: RowKey): void {
+    const [digest = '', incarnation = ''] = key.key.split(SEPARATOR)
+    this._suspects.get(digest)?.incarnations.delete(incarnation)
+  }
+
+  /** Removes a request that a target has answered; returns the incarnations whose crashes were recorded for it. */
+  clear (digest: string): string[] {
+    const incarnations = [...this._suspects.get(digest)?.incarnations ?? []]
+    this._suspects.delete(digest)
+    return incarnations
+  }
+
   /** Checks whether a request has to be refused. */
   isRefused (digest: string | undefined, now: number): boolean {
     const suspect = digest === undefined ? undefined : this._suspects.get(digest)
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -48,6 +48,8 @@
 export interface Attempt {
   readonly state: TargetState
   readonly response: TargetResponse
+  /** Time at which the request was sent, by the steady clock. */
+  readonly sentAt: number
   /** Records that the first chunk of the response has arrived; further calls do nothing. */
   readonly recordFirstChunk: () => void
   /** Records that the attempt is over. */
@@ -142,7 +144,7 @@
   recordMove (from: Attempt, to: Attempt, silentMs: number, failure: ResponseFailure | undefined): void {
     const { log, metrics } = this._context
     this._recordRun(from.state, failure?.cause ?? `no event for ${Math.round(silentMs)} ms`)
-    if (failure?.isConnectionLost === true) this._recordSuspect(from.state)
+    if (failure?.isConnectionLost === true) this._recordSuspect(from)
     metrics.streamSilences.inc({ outcome: 'moved' })
     log.info('stream-moved', { req: this._exchange.call.id, from: from.state.incarnation, target: to.state.incarnation, silentMs: Math.round(silentMs) })
   }
@@ -154,11 +156,17 @@
     log.info('stream-went-on', { req: this._exchange.call.id, target: attempt.state.incarnation, silentMs: Math.round(silentMs) })
   }
 
+  /** Records that a target has answered the request completely, so that it crashes none. */
+  recordAnswer (): void {
+    const { suspectDigest, call } = this._exchange
+    if (suspectDigest !== undefined) void this._context.suspects.clear(suspectDigest, call.id)
+  }
+
   /** Records that the latest response could not be relayed; returns whether another target may be tried, and refuses the request if not. */
   handleFailure (attempt: Attempt, failure: ResponseFailure): boolean {
     const isAbortedLocally = this._exchange.callerDisconnected.aborted || this._exchange.getRemainingMs() <= 0
     this._recordRun(attempt.state, failure.cause, !isAbortedLocally)
-    if (failure.isConnectionLost && !isAbortedLocally) this._recordSuspect(attempt.state)
+    if (failure.isConnectionLost && !isAbortedLocally) this._recordSuspect(attempt)
     if (this._exchange.callerDisconnected.aborted) return false
     if (failure.isFinal !== true) return this._canRetry()
     this._refuse('attempts-failed')
@@ -246,7 +254,7 @@
         this._recordNotRun(state, `status ${response.head.status}`, false, cancelled)
         return undefined
       }
-      return { state, response, ...progress }
+      return { state, response, sentAt, ...progress }
     } catch (err) {
       progress.finish()
       if (!(err instanceof TargetError)) throw err
@@ -254,7 +262,7 @@
       else if (err.isNotRun) this._recordNotRun(state, err.message, !signal.aborted, cancelled)
       else {
         this._recordRun(state, err.message, !signal.aborted)
-        if (!signal.aborted) this._recordSuspect(state)
+        if (!signal.aborted) this._recordSuspect({ state, sentAt })
       }
       return undefined
     }
@@ -306,10 +314,11 @@
   }
 
   /** Records that the connection to a target was lost while it ran the request; a request that crashes several is refused. */
-  private _recordSuspect (state: TargetState): void {
+  private _recordSuspect ({ state, sentAt }: Pick<Attempt, 'state' | 'sentAt'>): void {
     const { suspectDigest, call } = this._exchange
     if (suspectDigest === undefined) return
-    void this._context.suspects.record({ digest: suspectDigest, incarnation: state.incarnation, others: state.getInFlight() }, call.id)
+    const { incarnation } = state
+    void this._context.suspects.record({ digest: suspectDigest, incarnation, others: state.getInFlight(), sentAt }, call.id)
   }
 
   private _eject (state: TargetState, isUnreachable: boolean): void {
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -260,7 +260,10 @@
       table: SUSPECT_TABLE,
       waitMs: SUSPECT_WATCH_MS,
       onRows: rows => { for (const row of rows) suspects.applyRow(row) },
-      onChange: change => { if (change.type === 'put') suspects.applyRow(change.row) }
+      onChange: change => {
+        if (change.type === 'put') suspects.applyRow(change.row)
+        else suspects.applyRemoval(change.key)
+      }
     })
   }
 
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -23,7 +23,10 @@
       if (attempt === undefined) return
       const failure = await relayBody(exchange, attempt)
       attempt.finish()
-      if (failure === undefined) return
+      if (failure === undefined) {
+        attempts.recordAnswer()
+        return
+      }
       if (!attempts.handleFailure(attempt, failure)) return
     }
   }
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError, type RowKey } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow, type CrashRecord, type LostRequest
+  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow, type CrashRecord, type LostRequest
 } from '../../core/suspect/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { ExpiringRows } from './ExpiringRows.js'
@@ -46,6 +46,22 @@
     await Promise.all(this._evidence.evaluate(clock.now()).map(async crash => { await this._share(crash) }))
   }
 
+  /** Forgets the crashes of a request that a target has answered, at all gateways: the request did not cause them. */
+  async clear (digest: string, requestId: string): Promise<void> {
+    this._evidence.clear(digest)
+    const incarnations = this._list.clear(digest)
+    if (incarnations.length === 0) return
+    const { access, clock, log } = this._options
+    log.info('suspect-cleared', { req: requestId, digest, crashes: incarnations.length })
+    const removes = incarnations.map(incarnation => getSuspectKey(digest, incarnation))
+    try {
+      await access.commitRepeatable({ removes }, clock.now() + WRITE_TIMEOUT_MS)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log.warn('suspect-not-cleared', { digest, cause: err.message })
+    }
+  }
+
   /** Removes the rows of crashes that have expired. */
   async removeExpired (): Promise<void> {
     await this._expiring.removeExpired()
@@ -57,7 +73,7 @@
     log.info('crash-counted', { digest, lifetime: incarnation })
     if (isRefused) log.warn('suspect-confirmed', { digest, lifetime: incarnation })
     const row = toSuspectRow(digest, incarnation)
-    this._expiring.add([{ table: row.table, part: row.part, key: row.key }], SUSPECT_RETENTION_MS)
+    this._expiring.add([getSuspectKey(digest, incarnation)], SUSPECT_RETENTION_MS)
     try {
       await access.commitRepeatable({ puts: [row] }, clock.now() + WRITE_TIMEOUT_MS)
     } catch (err) {
@@ -66,6 +82,11 @@
     }
   }
 
+  /** Applies the removal of a row. */
+  applyRemoval (key: RowKey): void {
+    this._list.removeRow(key)
+  }
+
   /** Applies a row that another gateway wrote. */
   applyRow (key: RowKey): void {
     if (this._list.addRow(key, this._options.clock.now())) this._options.log.warn('suspect-confirmed', { row: key.key })
--- a/tests/core/suspect/SuspectListTests.ts
+++ b/tests/core/suspect/SuspectListTests.ts
@@ -1,10 +1,14 @@
 import { expect } from 'earl'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectDigest, REFUSAL_MS, SUSPECT_RETENTION_MS, SuspectList, toSuspectRow, type LostRequest
+  CRASH_WINDOW_MS, CrashEvidence, getSuspectDigest, getSuspectKey, REFUSAL_MS, SUSPECT_RETENTION_MS, SuspectList, toSuspectRow,
+  type LostRequest
 } from '../../../src/core/suspect/index.js'
 
-/** Requests that are lost at times in milliseconds: the digest, the incarnation, and the others in progress there. */
-type Losses = ReadonlyArray<readonly [at: number, digest: string, incarnation: string, others?: number]>
+/** Requests that are lost at times in milliseconds: the digest, the incarnation, the others in progress there, and the time of sending. */
+type Losses = ReadonlyArray<readonly [at: number, digest: string, incarnation: string, others?: number, sentAt?: number]>
+
+/** Milliseconds before a loss at which a request was sent, unless stated. */
+const SENT_BEFORE_MS = 1_000
 
 /** Adds losses in order and gets the evidence as `digest incarnation`. */
 function evaluate (losses: Losses): string[] {
@@ -13,15 +17,74 @@
   const collect = (now: number): void => {
     for (const { digest, incarnation } of evidence.evaluate(now)) records.push(`${digest} ${incarnation}`)
   }
-  for (const [at, digest, incarnation, others = 0] of losses) {
+  for (const [at, digest, incarnation, others = 0, sentAt = at - SENT_BEFORE_MS] of losses) {
     collect(at)
-    const lost: LostRequest = { digest, incarnation, others }
+    const lost: LostRequest = { digest, incarnation, others, sentAt }
     evidence.add(lost, at)
   }
   collect(Infinity)
   return records
 }
 
+/** Adds losses in order and gets the requests that are refused in the end. */
+function getRefused (losses: Losses): string[] {
+  const list = new SuspectList()
+  for (const record of evaluate(losses)) {
+    const [digest, incarnation] = record.split(' ')
+    list.add(digest!, incarnation!, 0)
+  }
+  return [...new Set(losses.map(([, digest]) => digest))].filter(digest => list.isRefused(digest, 0)).sort()
+}
+
+/** Losses of requests that each crash another target at nearly the same time and come again; the target takes a plain request with it. */
+function crashTogether (requests: readonly string[], rounds: number): Losses {
+  return Array.from({ length: rounds }).flatMap((_, round) => requests.flatMap((request, at) => {
+    const now = round * 600 + at * 40
+    const target = `${request}${round}`
+    return [[now, request, target, 1], [now + 1, `plain ${target}`, target]] as const
+  }))
+}
+
+/** Losses of all requests that are in progress at the targets of a failure domain; each target has the popular request as well. */
+function loseDomain (startedAt: number, name: string): Losses {
+  return Array.from({ length: 6 }).flatMap((_, at) => {
+    const target = `${name}${at}`
+    return [[startedAt + at * 80, `turn ${target}`, target, 1], [startedAt + at * 80 + 1, 'popular', target]] as const
+  })
+}
+
+// A request that crashes targets is stopped (BUDGET), and one that was only in progress is not refused for good (LOST).
+describe('requests that were in progress at targets that crash', () => {
+  const cases: ReadonlyArray<readonly [name: string, losses: Losses, refused: readonly string[]]> = [
+    ['refuse one request that crashes a target at a time', crashTogether(['p1'], 3), ['p1']],
+    ['refuse each of several requests that crash targets at once', crashTogether(['p1', 'p2', 'p3', 'p4'], 3), ['p1', 'p2', 'p3', 'p4']],
+    ['refuse no request after two crashes at once with others', crashTogether(['p1', 'p2', 'p3', 'p4'], 2), []],
+    ['refuse no request of a failure domain that goes down', loseDomain(0, 'a'), []],
+    ['refuse no request of two failure domains that go down in turn', [...loseDomain(0, 'a'), ...loseDomain(2_000, 'b')], []],
+    ['refuse only the one that goes on when a failure domain goes down beside it', [...crashTogether(['p1'], 3), ...loseDomain(1_250, 'a')], ['p1']]
+  ]
+  for (const [name, losses, refused] of cases) {
+    it(`should ${name}`, () => { expect(getRefused([...losses].sort(([a], [b]) => a - b))).toEqual([...refused]) })
+  }
+
+  it('should be cleared by a complete answer, before and after the crash is evaluated', () => {
+    const evidence = new CrashEvidence()
+    evidence.add({ digest: 'x', incarnation: 'a', others: 0, sentAt: 0 }, 0)
+    evidence.clear('x')
+    expect(evidence.evaluate(CRASH_WINDOW_MS)).toEqual([])
+    const list = new SuspectList()
+    for (const incarnation of ['a', 'b', 'c']) list.add('x', incarnation, 0)
+    expect([list.clear('x'), list.isRefused('x', 0), list.clear('x')]).toEqual([['a', 'b', 'c'], false, []])
+  })
+
+  it('should be cleared when another gateway has removed a crash', () => {
+    const list = new SuspectList()
+    for (const incarnation of ['a', 'b', 'c']) list.add('x', incarnation, 0)
+    list.removeRow(getSuspectKey('x', 'b'))
+    expect(list.isRefused('x', 0)).toEqual(false)
+  })
+})
+
 // RULES.md, BUDGET: a request that crashes the engines that run it is not run any more after three crashes.
 describe('a request that crashes targets', () => {
   it('should be refused after three incarnations of targets, whichever gateways recorded it', () => {
@@ -38,7 +101,7 @@
   })
 
   it('should be recognized when it is retried at once, and each target takes other requests with it', () => {
-    const losses: Losses = [[0, 'poison', 'a', 2], [1, 'x', 'a', 1], [2, 'y', 'a'], [60, 'poison', 'b', 1], [61, 'z', 'b']]
+    const losses: Losses = [[0, 'poison', 'a', 2], [1, 'x', 'a', 1], [2, 'y', 'a'], [60, 'poison', 'b', 1, 1], [61, 'z', 'b']]
     expect(evaluate(losses).filter(record => record.startsWith('poison'))).toEqual(['poison a', 'poison b'])
   })
 
@@ -58,8 +121,13 @@
 
 // RULES.md, LOST: nothing that was accepted is refused for good.
 describe('a request that was in progress at targets that crash for another reason', () => {
-  it('should not be suspected when a failure domain goes down', () => {
-    expect(evaluate([[0, 'x', 'a'], [3, 'y', 'b'], [40, 'z', 'c'], [CRASH_WINDOW_MS, 'w', 'd']])).toEqual([])
+  it('should not be refused when a failure domain goes down', () => {
+    expect(getRefused([[0, 'x', 'a'], [3, 'y', 'b'], [40, 'z', 'c'], [CRASH_WINDOW_MS, 'w', 'd']])).toEqual([])
+  })
+
+  it('should count once when it is in progress at several targets of a failure domain', () => {
+    const losses: Losses = [[0, 'x', 'a'], [3, 'y', 'b'], [40, 'x', 'c'], [60, 'x', 'd']]
+    expect(evaluate(losses).filter(record => record.startsWith('x'))).toEqual(['x a'])
   })
 
   it('should not be suspected when its connection is lost and the target goes on with others', () => {
