Join a stream only to the events that follow it

Cause: only the status of the next response was checked. Class: a response taken for a part by its place in the exchange.

Change: a continuation needs the media type of the response that the caller has and a first event with a larger id; comments before it are skipped, and a body without any event of the stream is a failure of that target. The same for the handover of a silent stream, before that stream is given up.

--- a/src/core/forward/CallProtocol.ts
+++ b/src/core/forward/CallProtocol.ts
@@ -29,6 +29,8 @@
   readonly headers: readonly string[]
   /** Id of the request, as stated in the response; a response without the id of its request is not relayed. */
   readonly requestId: string | undefined
+  /** Media type of the body in lower case, without parameters; undefined when it is not stated. */
+  readonly mediaType: string | undefined
   /** True when the response has the signature of a target. */
   readonly isSigned: boolean
   /** True when the target states that it did not run the request. */
--- a/src/core/turn/index.ts
+++ b/src/core/turn/index.ts
@@ -1,4 +1,5 @@
 export * from './ByteBuffer.js'
+export * from './Continuation.js'
 export * from './ContinuedTurn.js'
 export * from './EventSplitter.js'
 export * from './StreamLimit.js'
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -7,7 +7,8 @@
 import { getCallerWaitMs, isRepeatable } from '../../core/route/index.js'
 import type { Target } from '../../core/target/index.js'
 import {
-  EventSplitter, lacksEarlierEvents, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn, StreamLimit, StreamRate, Transcript, type StreamEvent
+  EventSplitter, getContinuationFailure, isNextEvent, isProgress, lacksEarlierEvents, MAX_EVENT_BYTES, MAX_TURN_BYTES, shouldRunTurn,
+  StreamLimit, StreamRate, Transcript, type ContinuedStream, type StreamEvent
 } from '../../core/turn/index.js'
 import { Attempts, getMaxPermitWait, type ResponseFailure, type Attempt, type AttemptContext, type AttemptRequest } from './Attempts.js'
 import { awaitFirstEvent } from './awaitFirstEvent.js'
@@ -60,7 +61,7 @@
 }
 
 /** Progress of one stream while it is relayed, over all attempts. */
-interface StreamProgress {
+interface StreamProgress extends ContinuedStream {
   /** Transcript of a retained turn; undefined on other routes, where nothing of the stream is kept. */
   readonly transcript: Transcript | undefined
   readonly limit: StreamLimit
@@ -68,6 +69,7 @@
   events: number
   /** Tokens of the events that were sent to the caller. */
   tokens: number
+  mediaType: string | undefined
   lastEventId: string | undefined
   lastEventAt: number
   /** The stream as its caller has it; undefined before the first event. */
@@ -79,6 +81,7 @@
   readonly exchange: Exchange
   readonly attempts: Attempts
   readonly attempt: Attempt
+  readonly progress: StreamProgress
   /** Gets the request by which another target continues the stream. */
   readonly getRequest: () => AttemptRequest
 }
@@ -145,6 +148,7 @@
       rate: new StreamRate(),
       events: 0,
       tokens: 0,
+      mediaType: undefined,
       lastEventId,
       lastEventAt: exchange.startedAt,
       stream
@@ -265,7 +269,7 @@
     for (;;) {
       if (attempt === undefined) return
       const isStream = attempt.response.head.status === 200 || exchange.hasStarted()
-      const handover = this._createHandover({ exchange, attempts, attempt, getRequest })
+      const handover = this._createHandover({ exchange, attempts, attempt, progress, getRequest })
       let failure: ResponseFailure | undefined
       try {
         failure = isStream ? await this._relay({ exchange, attempts, attempt, progress, handover }) : await relayBody(exchange, attempt)
@@ -295,10 +299,10 @@
     }
   }
 
-  private _createHandover ({ exchange, attempts, attempt, getRequest }: HandoverContext): StreamHandover {
+  private _createHandover ({ exchange, attempts, attempt, progress, getRequest }: HandoverContext): StreamHandover {
     return new StreamHandover({
       limitMs: getCallerWaitMs(exchange.route) * SILENCE_SHARE,
-      askOther: async cancelled => await askOther(attempts, getRequest(), cancelled),
+      askOther: async cancelled => await askOther({ attempts, progress, request: getRequest(), cancelled }),
       dropOther: (other, cancelled) => { attempts.dropOther(other, 'the stream has moved already', cancelled) },
       endCurrent: attempt.response.discard,
       onError: err => { this._options.attempts.log.warn('stream-not-moved', { req: exchange.call.id, cause: err instanceof Error ? err.stack : String(err) }) }
@@ -308,13 +312,15 @@
   /** Relays the events of one attempt; returns the failure that interrupted the stream, or undefined when it is complete or has moved. */
   private async _relay ({ exchange, attempts, attempt, progress, handover }: StreamRelay): Promise<ResponseFailure | undefined> {
     const { head, body } = attempt.response
-    const failure = head.status === 200 ? getHeadFailure(attempt) : `status ${head.status} instead of 200 when the stream was resumed`
+    const isContinuation = exchange.hasStarted()
+    const failure = getHeadFailure(attempt) ?? (isContinuation ? getContinuationFailure(progress, head) : undefined)
     if (failure !== undefined) {
       attempt.response.discard()
       return { cause: failure, isConnectionLost: false }
     }
     const splitter = new EventSplitter()
     let isFirst = true
+    let hasOther = false
     const tokensPerEvent = this._options.getTokensPerEvent(attempt.state.target.service)
     try {
       for await (const chunk of body) {
@@ -322,14 +328,26 @@
         for (const event of splitter.add(chunk)) {
           // What the former target still sends would come twice.
           if (handover.getSuccessor() !== undefined) return undefined
-          const isProgress = event.data !== undefined || event.id !== ''
-          if (isProgress && handover.stop()) attempts.recordGoingOn(attempt, this._options.clock.now() - progress.lastEventAt)
+          if (isContinuation && isFirst) {
+            if (!isProgress(event)) {
+              hasOther = true
+              continue
+            }
+            if (!isNextEvent(progress, event)) {
+              attempt.response.discard()
+              return { cause: `event ${event.id} does not follow event ${progress.lastEventId!}`, isConnectionLost: false }
+            }
+          }
+          if (isProgress(event) && handover.stop()) attempts.recordGoingOn(attempt, this._options.clock.now() - progress.lastEventAt)
           const excess = getExcess(progress, event, event.data === undefined ? 0 : tokensPerEvent)
           if (excess !== undefined) {
             attempt.response.discard()
             return { cause: excess, isConnectionLost: false, isFinal: true }
           }
-          if (!exchange.hasStarted()) exchange.start(head)
+          if (!exchange.hasStarted()) {
+            exchange.start(head)
+            progress.mediaType = head.mediaType
+          }
           attempt.recordFirstChunk()
           progress.stream ??= this._begin(exchange, attempt.state.target)
           progress.events++
@@ -340,7 +358,7 @@
           progress.lastEventAt = now
           if (event.id !== '') progress.lastEventId = event.id
           await exchange.write(event.bytes)
-          if (isProgress && isRepeatable(exchange.route)) handover.start()
+          if (isProgress(event) && isRepeatable(exchange.route)) handover.start()
         }
         if (splitter.isTooLong()) {
           attempt.response.discard()
@@ -353,6 +371,7 @@
       if (handover.getSuccessor() !== undefined) return undefined
       return { cause: err instanceof Error ? err.message : String(err), isConnectionLost: true }
     }
+    if (isFirst && hasOther) return { cause: 'the response has no event of the stream', isConnectionLost: false }
     if (splitter.getRemainder().length > 0 || progress.events === 0) return { cause: 'the stream ended within an event', isConnectionLost: true }
     return undefined
   }
@@ -375,15 +394,23 @@
   }
 }
 
+interface AskOptions {
+  readonly attempts: Attempts
+  readonly progress: StreamProgress
+  readonly request: AttemptRequest
+  readonly cancelled: AbortSignal
+}
+
 /** Asks another target to continue a stream; undefined if none has sent an event of it. */
-async function askOther (attempts: Attempts, request: AttemptRequest, cancelled: AbortSignal): Promise<Attempt | undefined> {
+async function askOther ({ attempts, progress, request, cancelled }: AskOptions): Promise<Attempt | undefined> {
   const other = await attempts.askOther(request, cancelled)
   if (other === undefined) return undefined
   const { head, body } = other.response
   try {
-    const failure = head.status === 200 ? getHeadFailure(other) : `status ${head.status} instead of 200 when the stream was resumed`
+    const failure = getHeadFailure(other) ?? getContinuationFailure(progress, head)
     if (failure !== undefined) throw new Error(failure)
-    return { ...other, response: { ...other.response, body: await awaitFirstEvent(body, MAX_OVERLAP_MS) } }
+    const isExpected = (event: StreamEvent): boolean => isNextEvent(progress, event)
+    return { ...other, response: { ...other.response, body: await awaitFirstEvent(body, MAX_OVERLAP_MS, isExpected) } }
   } catch (err) {
     attempts.dropOther(other, err instanceof Error ? err.message : String(err), cancelled)
     return undefined
--- a/src/io/gateway/awaitFirstEvent.ts
+++ b/src/io/gateway/awaitFirstEvent.ts
@@ -1,12 +1,14 @@
-import { EventSplitter } from '../../core/turn/index.js'
+import { EventSplitter, isProgress, type StreamEvent } from '../../core/turn/index.js'
 
 /**
  * Reads a stream up to its first complete event; resolves with a body that begins with what was read.
  *
- * Rejects when the stream breaks off before, or sends no event within `timeoutMs`. A stream that ends without any event is complete: its
- * caller may have all of them.
+ * Rejects when the stream breaks off before, sends no event within `timeoutMs`, or begins with another event than expected. A stream that
+ * ends without any event is complete: its caller may have all of them.
  */
-export async function awaitFirstEvent (body: AsyncIterable<Buffer>, timeoutMs: number): Promise<AsyncIterable<Buffer>> {
+export async function awaitFirstEvent (
+  body: AsyncIterable<Buffer>, timeoutMs: number, isExpected: (event: StreamEvent) => boolean = () => true
+): Promise<AsyncIterable<Buffer>> {
   const iterator = body[Symbol.asyncIterator]()
   const splitter = new EventSplitter()
   const chunks: Buffer[] = []
@@ -19,7 +21,9 @@
       const result = await Promise.race([iterator.next(), timeout])
       if (result.done === true) break
       chunks.push(result.value)
-      if ([...splitter.add(result.value)].some(event => event.data !== undefined)) break
+      const first = [...splitter.add(result.value)].find(isProgress)
+      if (first !== undefined && !isExpected(first)) throw new Error(`the event ${first.id} does not continue the stream`)
+      if (first !== undefined) break
       if (splitter.isTooLong()) throw new Error('the first event is too long')
     }
   } finally {
