Choose the target again when a request has waited too long for its connection

Cause: the time is stated, and the target chosen, before the connection opens; nothing looked at the age of both before the write.

Change: ResponseHandler asks before the write whether the request is current; after 400 ms it isn't, nothing is sent, and the target is chosen again without being ejected.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -20,6 +20,13 @@
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
 const RETRY_AFTER_SECONDS = 0.3
 
+/**
+ * Milliseconds for which a request may wait for its connection, also while the process stands still.
+ *
+ * Less than the 500 by which the time that it states may be too long. Later, its target is chosen again: it may have left or be full.
+ */
+const MAX_SEND_DELAY_MS = 400
+
 /** Dependencies that the attempts of all requests share. */
 export interface AttemptContext {
   readonly clock: Clock
@@ -235,9 +242,11 @@
     const isDetached = route.kind === RouteKind.NonIdempotent
     const abort = new AttemptAbort({ timeoutMs, callerDisconnected: isDetached ? undefined : this._exchange.callerDisconnected, cancelled })
     const { signal } = abort
+    const isCurrent = (): boolean => clock.now() - sentAt <= MAX_SEND_DELAY_MS
     const progress = this._track(placement, sentAt, abort)
     try {
-      const response = await client.send({ call, body, signal, isRepeated, dispatch: { target: state.target, timeoutMs, lastEventId } })
+      const dispatch = { target: state.target, timeoutMs, lastEventId }
+      const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
       this._context.leaving.recordResponse(state, response.head, call.id)
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
@@ -259,8 +268,11 @@
       progress.finish()
       if (!(err instanceof TargetError)) throw err
       if (cancelled?.aborted === true) this._recordCancelled(state, !err.isNotRun)
-      else if (err.isNotRun) this._recordNotRun(state, err.message, !signal.aborted, cancelled)
-      else {
+      else if (err.isNotRun) {
+        if (!isRepeated) this._addresses.delete(state.target.address)
+        if (!err.isUnreachable) this._excluded.delete(state.incarnation)
+        this._recordNotRun(state, err.message, !signal.aborted && err.isUnreachable, cancelled)
+      } else {
         this._recordRun(state, err.message, !signal.aborted)
         if (!signal.aborted) this._recordSuspect({ state, sentAt })
       }
--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -24,6 +24,8 @@
   /** Id of the request, which its response states. */
   readonly requestId: string
   readonly signal: AbortSignal
+  /** Checks whether the request may still be written. */
+  readonly isCurrent: () => boolean
   /** Decodes the head of a response; headers are names and values in alternation. */
   readonly decode: (status: number, headers: readonly string[]) => ResponseHead
 }
@@ -32,6 +34,8 @@
 export class ResponseHandler implements Dispatcher.DispatchHandler, ConnectionReader {
   /** True as soon as the request may have been written to a connection. */
   isSent = false
+  /** True when the request was not written because it had waited too long for a connection. */
+  isOutdated = false
   readonly response: Promise<TargetResponse>
   private _resolve: (response: TargetResponse) => void = () => {}
   private _reject: (err: Error) => void = () => {}
@@ -73,6 +77,10 @@
 
   onRequestStart (controller: Dispatcher.DispatchController): void {
     this._controller = controller
+    if (this._err === undefined && !this._options.isCurrent()) {
+      this.isOutdated = true
+      this._fail(new Error('The request waited too long for its connection.'))
+    }
     // A request that was aborted while it waited for a connection is not written.
     if (this._err !== undefined) {
       controller.abort(this._err)
--- a/src/io/gateway/TargetClient.ts
+++ b/src/io/gateway/TargetClient.ts
@@ -22,11 +22,11 @@
   /** True when the target accepted no connection. */
   readonly isUnreachable: boolean
 
-  constructor (message: string, isNotRun: boolean) {
+  constructor (message: string, { isNotRun, isUnreachable = isNotRun }: { isNotRun: boolean, isUnreachable?: boolean }) {
     super(message)
     this.name = 'TargetError'
     this.isNotRun = isNotRun
-    this.isUnreachable = isNotRun
+    this.isUnreachable = isUnreachable
   }
 }
 
@@ -36,6 +36,8 @@
   readonly dispatch: DispatchOptions
   readonly body: Buffer | undefined
   readonly signal: AbortSignal
+  /** Checks when the request is about to be written whether its headers and the choice of its target still hold. */
+  readonly isCurrent: () => boolean
   /** True when the address has received the request before; a late copy of its first response has the same id. */
   readonly isRepeated: boolean
 }
@@ -53,9 +55,9 @@
 
   /** Sends a request and resolves when the head of the response has arrived; rejects with a {@link TargetError}. */
   async send (request: TargetRequest): Promise<TargetResponse> {
-    const { call, dispatch, body, signal, isRepeated } = request
+    const { call, dispatch, body, signal, isCurrent, isRepeated } = request
     const decode = (status: number, headers: readonly string[]): ResponseHead => this._protocol.decodeResponse(status, headers)
-    const handler = new ResponseHandler({ requestId: call.id, signal, decode })
+    const handler = new ResponseHandler({ requestId: call.id, signal, isCurrent, decode })
     try {
       // The agent sends the path unchanged; a URL object would normalize it.
       const agent = isRepeated ? this._singleUseAgent : this._agent
@@ -71,7 +73,8 @@
       agent.dispatch(options, handler)
       return await handler.response
     } catch (err) {
-      throw new TargetError(err instanceof Error ? err.message : String(err), !handler.isSent)
+      const isNotRun = !handler.isSent
+      throw new TargetError(err instanceof Error ? err.message : String(err), { isNotRun, isUnreachable: isNotRun && !handler.isOutdated })
     }
   }
 
--- a/tests/io/gateway/TargetClientTests.ts
+++ b/tests/io/gateway/TargetClientTests.ts
@@ -97,6 +97,16 @@
     expect(err instanceof TargetError && err.isNotRun).toEqual(true)
   })
 
+  // After a pause between the choice of a target and the write, it would state a time that has passed or reach a target that has left.
+  it('should not write a request that is outdated when its connection has opened', async () => {
+    const ids: string[] = []
+    await target.start((_socket, { id }) => { ids.push(id) })
+    const err = await send(() => false).catch((reason: unknown) => reason)
+    expect(err instanceof TargetError && [err.isNotRun, err.isUnreachable]).toEqual([true, false])
+    await sleep(END_DELAY_MS)
+    expect(ids).toEqual([])
+  })
+
   for (const [name, { head, body, end, isWhole, isRead }] of Object.entries(RESPONSES)) {
     it(`should ${isWhole ? 'deliver a response' : 'fail on a response that was broken off'}: ${name}`, async () => {
       await target.start((socket, { id }) => { void writeResponse(socket, `HTTP/1.${head.replace('ID', id)}\r\n\r\n${body}`, end) })
@@ -108,12 +118,12 @@
     })
   }
 
-  async function send (): ReturnType<TargetClient['send']> {
+  async function send (isCurrent = (): boolean => true): ReturnType<TargetClient['send']> {
     const call = createCall('r1')
     const location = { address: target.address, failureDomain: 'here' }
     const instance = { id: 'i1', bornAt: 1, service: 's', softwareVersion: 'v1', ...location, isLeaving: false, slots: 1 }
     const dispatch = { target: instance, timeoutMs: 1_000 }
-    return await client.send({ call, dispatch, body: undefined, signal: new AbortController().signal, isRepeated: false })
+    return await client.send({ call, dispatch, body: undefined, signal: new AbortController().signal, isCurrent, isRepeated: false })
   }
 })
 
