Refuse a request that crashed three targets for a second first, and longer only if it goes on

What callers saw (LOST): a turn that three outages in a row took with them was refused for a minute (503, crashes-targets), although its targets were back; all six tries of its callers fell into that time.

Cause: three crashes without an answer refused a request for 60 s, whatever they were. An outage that hits a request that is alone three times looks like a request that crashes targets. Class: a gateway remembers longer than the cause lasts.

Change: the refusals last 1 s, 3 s, 30 s, 5 min and 15 min. Only the crash of a run that followed a refusal renews it; what was in progress then doesn't. The end follows from the times of the crashes alone. A request that was refused before counts at once, without the window of 500 ms, so that its caller's next try at another gateway isn't run as well. Retry-After states the rest of the refusal.

Why it works: the try after the first refusal tells the two apart, by its answer (all is forgotten) or by another crash.

Cost: a request that crashes targets reaches two or three more of them than before.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -7,8 +7,13 @@
 /** Number of crashed target incarnations at which a request is refused. */
 export const REFUSE_AFTER_INCARNATIONS = 3
 
-/** Milliseconds after its third crash for which a request is refused; doubled with each further one. It ends, as it may be harmless. */
-export const REFUSAL_MS = 60_000
+/**
+ * Milliseconds for which a request is refused: after the third crash, after the first one of a run that followed that refusal, and so on.
+ *
+ * The first two are short, because three outages in a row may take a request with them that did not cause them; callers try for longer than
+ * the first lasts. The others are so long that a request that crashes targets reaches few more of them.
+ */
+export const REFUSAL_MS = [1_000, 3_000, 30_000, 300_000, 900_000] as const
 
 /** Milliseconds after its latest crash for which a request is remembered. */
 export const SUSPECT_RETENTION_MS = 900_000
@@ -71,15 +76,15 @@
 }
 
 interface Suspect {
-  readonly incarnations: Set<string>
-  latestAt: number
+  /** Times of the crashes by the steady clock, by the target's incarnation. */
+  readonly crashes: Map<string, number>
 }
 
 /**
  * Tracks which requests crashed targets.
  *
  * Handles a request that crashes each target that runs it and is retried at any gateway: after a few crashes it is refused instead. The
- * refusal ends, after which one further crash renews it for twice the time. A request that a target answers crashes none.
+ * refusal ends, after which a further crash renews it for longer. A request that a target answers crashes none.
  */
 export class SuspectList {
   private readonly _suspects = new Map<string, Suspect>()
@@ -87,10 +92,9 @@
   /** Records that a request crashed a target; returns true if the request is refused from now on. */
   add (digest: string, incarnation: string, now: number): boolean {
     const known = this._suspects.get(digest)
-    const suspect = known === undefined || isForgotten(known, now) ? { incarnations: new Set<string>(), latestAt: now } : known
-    if (suspect.incarnations.has(incarnation)) return false
-    suspect.incarnations.add(incarnation)
-    suspect.latestAt = now
+    const suspect: Suspect = known === undefined || isForgotten(known, now) ? { crashes: new Map() } : known
+    if (suspect.crashes.has(incarnation)) return false
+    suspect.crashes.set(incarnation, now)
     // The latest is moved to the end, so that the oldest is evicted.
     this._suspects.delete(digest)
     this._suspects.set(digest, suspect)
@@ -98,7 +102,12 @@
       const [oldest] = this._suspects.keys()
       this._suspects.delete(oldest!)
     }
-    return suspect.incarnations.size >= REFUSE_AFTER_INCARNATIONS
+    return this.getRefusedMs(digest, now) > 0
+  }
+
+  /** Checks whether a crash is recorded. */
+  has (digest: string, incarnation: string): boolean {
+    return this._suspects.get(digest)?.crashes.has(incarnation) ?? false
   }
 
   /** Adds the crash in a row that a gateway wrote; returns true if the request is refused from now on. */
@@ -110,24 +119,41 @@
   /** Removes the crash in a row that a gateway has removed. */
   removeRow (key: RowKey): void {
     const [digest = '', incarnation = ''] = key.key.split(SEPARATOR)
-    this._suspects.get(digest)?.incarnations.delete(incarnation)
+    this._suspects.get(digest)?.crashes.delete(incarnation)
   }
 
   /** Removes a request that a target has answered; returns the incarnations whose crashes were recorded for it. */
   clear (digest: string): string[] {
-    const incarnations = [...this._suspects.get(digest)?.incarnations ?? []]
+    const incarnations = [...this._suspects.get(digest)?.crashes.keys() ?? []]
     this._suspects.delete(digest)
     return incarnations
   }
 
-  /** Checks whether a request has to be refused. */
-  isRefused (digest: string | undefined, now: number): boolean {
-    const suspect = digest === undefined ? undefined : this._suspects.get(digest)
-    if (suspect === undefined || suspect.incarnations.size < REFUSE_AFTER_INCARNATIONS || isForgotten(suspect, now)) return false
-    return now - suspect.latestAt < REFUSAL_MS * 2 ** (suspect.incarnations.size - REFUSE_AFTER_INCARNATIONS)
+  /** Checks whether a request has crashed so many targets that it is refused, unless its refusal has ended. */
+  isConfirmed (digest: string, now: number): boolean {
+    const suspect = this._suspects.get(digest)
+    return suspect !== undefined && suspect.crashes.size >= REFUSE_AFTER_INCARNATIONS && !isForgotten(suspect, now)
+  }
+
+  /** Gets the milliseconds for which a request is refused from now on; 0 if it may be run. */
+  getRefusedMs (digest: string, now: number): number {
+    return this.isConfirmed(digest, now) ? Math.max(0, getRefusedUntil(this._suspects.get(digest)!) - now) : 0
+  }
+}
+
+/** Gets the end of the latest refusal. It follows from the times of the crashes alone, so that it is the same at all gateways. */
+function getRefusedUntil ({ crashes }: Suspect): number {
+  const times = [...crashes.values()].sort((a, b) => a - b)
+  let until = times[REFUSE_AFTER_INCARNATIONS - 1]! + REFUSAL_MS[0]
+  let refusals = 1
+  for (const time of times.slice(REFUSE_AFTER_INCARNATIONS)) {
+    // Runs that were in progress when the refusal began do not renew it.
+    if (time < until) continue
+    until = time + REFUSAL_MS[Math.min(refusals++, REFUSAL_MS.length - 1)]!
   }
+  return until
 }
 
-function isForgotten (suspect: Suspect, now: number): boolean {
-  return now - suspect.latestAt >= SUSPECT_RETENTION_MS
+function isForgotten ({ crashes }: Suspect, now: number): boolean {
+  return now - Math.max(...crashes.values()) >= SUSPECT_RETENTION_MS
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -108,8 +108,10 @@
     const { callerDisconnected } = this._exchange
     for (;;) {
       if (callerDisconnected.aborted) return undefined
-      if (this._isSuspect()) {
-        this._refuse(this._runs > 0 ? 'attempts-failed' : 'crashes-targets')
+      const refusedMs = this._getRefusedMs()
+      if (refusedMs > 0) {
+        if (this._runs > 0) this._refuse('attempts-failed')
+        else this._refuse('crashes-targets', Math.max(RETRY_AFTER_SECONDS, refusedMs / 1_000))
         return undefined
       }
       await this._options.awaitTargets?.(stream)
@@ -133,7 +135,7 @@
   async askOther ({ body, lastEventId, stream }: AttemptRequest, cancelled: AbortSignal): Promise<Attempt | undefined> {
     // The latest attempt counts as a run: its target may have generated all that the caller has received.
     const runs = this._runs + 1
-    if (this._decideRetry(runs).type !== 'retry' || this._isSuspect()) return undefined
+    if (this._decideRetry(runs).type !== 'retry' || this._getRefusedMs() > 0) return undefined
     const placed = await this._place(stream, runs)
     if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
     return await this._send(placed.placement, body, lastEventId, cancelled)
@@ -334,10 +336,10 @@
     void this._context.suspects.record({ digests, incarnation: state.incarnation, others: state.getInFlight(), sentAt }, call.id)
   }
 
-  /** Checks whether the request has crashed several targets and must not be run now. */
-  private _isSuspect (): boolean {
+  /** Gets the milliseconds for which the request must not be run because it has crashed several targets. */
+  private _getRefusedMs (): number {
     const { suspect } = this._exchange
-    return suspect !== undefined && this._context.suspects.isRefused(suspect.digests)
+    return suspect === undefined ? 0 : this._context.suspects.getRefusedMs(suspect.digests)
   }
 
   private _eject (state: TargetState, isUnreachable: boolean): void {
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -32,17 +32,22 @@
     this._expiring = new ExpiringRows({ access, clock, log, failureEvent: 'suspects-not-removed' })
   }
 
-  /** Checks whether a request must not be run any more. */
-  isRefused ({ request, input }: SuspectDigests): boolean {
+  /** Gets the milliseconds for which a request must not be run; 0 if it may be. */
+  getRefusedMs ({ request, input }: SuspectDigests): number {
     const now = this._options.clock.now()
-    return this._list.isRefused(request, now) || this._list.isRefused(input, now)
+    return Math.max(this._list.getRefusedMs(request, now), input === undefined ? 0 : this._list.getRefusedMs(input, now))
   }
 
   /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
   async record (lost: LostRequest, requestId: string): Promise<void> {
     const { clock, log } = this._options
-    this._evidence.add(lost, clock.now())
-    log.info('connection-lost', { req: requestId, digests: lost.digests, lifetime: lost.incarnation, others: lost.others })
+    const { digests, incarnation, others } = lost
+    const now = clock.now()
+    this._evidence.add(lost, now)
+    log.info('connection-lost', { req: requestId, digests, lifetime: incarnation, others })
+    // A request that was refused before counts at once, so that its caller's next try at another gateway does not run as well.
+    const confirmed = digests.filter(digest => this._list.isConfirmed(digest, now))
+    await Promise.all(confirmed.map(async digest => { await this._share({ digest, incarnation }) }))
     // A timer may fire a millisecond early by the steady clock.
     await sleep(CRASH_WINDOW_MS + 1)
     await Promise.all(this._evidence.evaluate(clock.now()).map(async crash => { await this._share(crash) }))
@@ -73,6 +78,7 @@
 
   private async _share ({ digest, incarnation }: CrashRecord): Promise<void> {
     const { access, clock, log } = this._options
+    if (this._list.has(digest, incarnation)) return
     const isRefused = this._list.add(digest, incarnation, clock.now())
     log.info('crash-counted', { digest, lifetime: incarnation })
     if (isRefused) log.warn('suspect-confirmed', { digest, lifetime: incarnation })
--- a/tests/processes/SuspectPromisesTests.ts
+++ b/tests/processes/SuspectPromisesTests.ts
@@ -66,6 +66,15 @@
   'a new program each time': at => `program-${at}`
 }
 
+/** Tries of a turn that are lost, each at two targets, and tries later. */
+const LOSSES = 3
+
+/** How three tries of one turn are lost while no other request is in progress. */
+const LONE_LOSSES: Readonly<Record<string, (world: SuspectWorld) => Promise<unknown>>> = {
+  'targets crashed': async world => { await world.crash(world.fixture.engines, 300) },
+  'its connection was reset': async () => {}
+}
+
 describe('gateways that remember requests which were lost at targets', () => {
   let world: SuspectWorld
 
@@ -94,6 +103,26 @@
     })
   }
 
+  // LOST: a turn that was lost three times in a row, with nothing else in progress, was refused for a minute.
+  for (const [name, disturb] of Object.entries(LONE_LOSSES)) {
+    for (const [programs, getProgram] of Object.entries(REPEATS)) {
+      it(`should serve a turn that was lost three times, by ${programs}, because ${name}`, async () => {
+        world.turnPath = '/turns/resumable/x'
+        for (let at = 0; at < LOSSES; at++) {
+          for (const engine of world.fixture.engines) engine.nextBehaviours.push('break-off')
+          await world.send(world.turnPath, 'continue', getProgramHeaders(getProgram(at)))
+          for (const engine of world.fixture.engines) engine.nextBehaviours.length = 0
+          await disturb(world)
+          // Longer than targets are ejected after a failure, so that each try reaches other ones.
+          await sleep(700)
+        }
+        await sleep(CONTACT_MS)
+        for (let at = 0; at < LOSSES; at++) await world.sendTurn(getProgram(LOSSES + at), 'continue')
+        expect(world.turns.map(({ statuses }) => statuses)).toEqual([[200], [200], [200]])
+      })
+    }
+  }
+
   // BUDGET: repeats under new programs and sessions were never recognized.
   for (const [name, getProgram] of Object.entries(REPEATS)) {
     for (const hasOutage of [false, true]) {
