Keep the time of a crash over restarts, and remove the rows of gateways that have ended

Rows whose gateway had ended stayed in the store for good and were read as new crashes every 15 minutes.

Cause: the row of a crash had no time; a gateway took the time of reading for that of the crash, and only the gateway that wrote a row removed it.

Change: the row states the time of the store's steady clock (PROTOCOL.md: `nowMs`, "a steady clock"), which reads and watches pass on; StoreTime converts it to that of the process. Rows that are older than their retention are removed by any gateway that reads the table; so are rows without a time, as earlier versions wrote them.

Why it works: all gateways compute the end of a refusal from the same times, whenever they were started.

--- a/src/core/platform/RowStore.ts
+++ b/src/core/platform/RowStore.ts
@@ -56,6 +56,8 @@
   readonly rows: readonly StoredRow[]
   /** Latest version of the store at the time of the snapshot. */
   readonly version: number
+  /** Milliseconds of the store's steady clock; undefined if the response states none. */
+  readonly timeMs?: number | undefined
 }
 
 /** Change of a row that a watch reports. */
@@ -65,7 +67,13 @@
 
 /** Response to a watch. */
 export type RowFeed =
-  | { readonly type: 'changes', readonly changes: readonly RowChange[], readonly version: number }
+  | {
+    readonly type: 'changes'
+    readonly changes: readonly RowChange[]
+    readonly version: number
+    /** Milliseconds of the store's steady clock; undefined if the response states none. */
+    readonly timeMs?: number | undefined
+  }
   /** The changes after the requested version are no longer stored; the table has to be read again. */
   | { readonly type: 'gap' }
 
--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -49,7 +49,7 @@
  * against each of their requests.
  */
 export class CrashEvidence {
-  private readonly _crashes: Crash[] = []
+  private _crashes: Crash[] = []
 
   /** Adds a lost request. */
   add (request: LostRequest, now: number): void {
--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -71,13 +71,32 @@
 }
 
 /** Gets the row that shares a crash with all gateways; writing it twice has no further effect. */
-export function toSuspectRow (digest: string, incarnation: string): RowPut {
-  return { ...getSuspectKey(digest, incarnation), value: Buffer.alloc(0) }
+export function toSuspectRow (digest: string, incarnation: string, storeTime: number | undefined): RowPut {
+  const value = storeTime === undefined ? Buffer.alloc(0) : Buffer.from(String(Math.round(storeTime)))
+  return { ...getSuspectKey(digest, incarnation), value }
 }
 
-interface Suspect {
-  /** Times of the crashes by the steady clock, by the target's incarnation. */
-  readonly crashes: Map<string, number>
+/** Gets the time of the store at which the crash of a row was counted; undefined if the row does not state it. */
+export function getSuspectTime (value: Uint8Array): number | undefined {
+  const text = Buffer.from(value).toString()
+  return /^\d{1,16}$/.test(text) ? Number(text) : undefined
+}
+
+interface Crash {
+  /** Time at which it was counted, by the steady clock. */
+  readonly at: number
+  /** True once the store has shown its row. */
+  isStored: boolean
+}
+
+/** Crashes of one request, by the target's incarnation. */
+type Suspect = Map<string, Crash>
+
+/** A crash that the store has shown. */
+export interface StoredCrash {
+  readonly key: RowKey
+  /** Time at which it was counted, by the steady clock. */
+  readonly at: number
 }
 
 /**
@@ -88,62 +107,79 @@
  */
 export class SuspectList {
   private readonly _suspects = new Map<string, Suspect>()
+  /** Number of crashes of each incarnation, so that the response of one without any costs nothing. */
+  private readonly _crashesOf = new Map<string, number>()
 
   /** Records that a request crashed a target; returns true if the request is refused from now on. */
-  add (digest: string, incarnation: string, now: number): boolean {
+  add (digest: string, incarnation: string, at: number, isStored = false): boolean {
     const known = this._suspects.get(digest)
-    const suspect: Suspect = known === undefined || isForgotten(known, now) ? { crashes: new Map() } : known
-    if (suspect.crashes.has(incarnation)) return false
-    suspect.crashes.set(incarnation, now)
+    if (known !== undefined && isForgotten(known, at)) this.clear(digest)
+    const crashes: Suspect = this._suspects.get(digest) ?? new Map()
+    const crash = crashes.get(incarnation)
+    if (crash !== undefined) {
+      crash.isStored ||= isStored
+      return false
+    }
+    crashes.set(incarnation, { at, isStored })
+    this._crashesOf.set(incarnation, (this._crashesOf.get(incarnation) ?? 0) + 1)
     // The latest is moved to the end, so that the oldest is evicted.
     this._suspects.delete(digest)
-    this._suspects.set(digest, suspect)
+    this._suspects.set(digest, crashes)
     if (this._suspects.size > MAX_SUSPECTS) {
       const [oldest] = this._suspects.keys()
-      this._suspects.delete(oldest!)
+      this.clear(oldest!)
     }
-    return this.getRefusedMs(digest, now) > 0
+    return this.getRefusedMs(digest, at) > 0
   }
 
   /** Checks whether a crash is recorded. */
   has (digest: string, incarnation: string): boolean {
-    return this._suspects.get(digest)?.crashes.has(incarnation) ?? false
+    return this._suspects.get(digest)?.has(incarnation) ?? false
   }
 
-  /** Adds the crash in a row that a gateway wrote; returns true if the request is refused from now on. */
-  addRow (key: RowKey, now: number): boolean {
+  /** Adds a crash that the store has shown; returns true if the request is refused from now on. */
+  addStored ({ key, at }: StoredCrash): boolean {
     const [digest, incarnation] = key.key.split(SEPARATOR)
-    return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, now)
+    return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, at, true)
   }
 
   /** Removes the crash in a row that a gateway has removed. */
-  removeRow (key: RowKey): void {
-    const [digest = '', incarnation = ''] = key.key.split(SEPARATOR)
-    this._suspects.get(digest)?.crashes.delete(incarnation)
+  removeRow ({ key }: RowKey): void {
+    const [digest = '', incarnation = ''] = key.split(SEPARATOR)
+    this._remove(digest, incarnation)
   }
 
   /** Removes a request that a target has answered; returns the incarnations whose crashes were recorded for it. */
   clear (digest: string): string[] {
-    const incarnations = [...this._suspects.get(digest)?.crashes.keys() ?? []]
-    this._suspects.delete(digest)
+    const incarnations = [...this._suspects.get(digest)?.keys() ?? []]
+    for (const incarnation of incarnations) this._remove(digest, incarnation)
     return incarnations
   }
 
   /** Checks whether a request has crashed so many targets that it is refused, unless its refusal has ended. */
   isConfirmed (digest: string, now: number): boolean {
-    const suspect = this._suspects.get(digest)
-    return suspect !== undefined && suspect.crashes.size >= REFUSE_AFTER_INCARNATIONS && !isForgotten(suspect, now)
+    const crashes = this._suspects.get(digest)
+    return crashes !== undefined && crashes.size >= REFUSE_AFTER_INCARNATIONS && !isForgotten(crashes, now)
   }
 
   /** Gets the milliseconds for which a request is refused from now on; 0 if it may be run. */
   getRefusedMs (digest: string, now: number): number {
     return this.isConfirmed(digest, now) ? Math.max(0, getRefusedUntil(this._suspects.get(digest)!) - now) : 0
   }
+
+  private _remove (digest: string, incarnation: string): void {
+    const crashes = this._suspects.get(digest)
+    if (crashes?.delete(incarnation) !== true) return
+    if (crashes.size === 0) this._suspects.delete(digest)
+    const others = this._crashesOf.get(incarnation)! - 1
+    if (others === 0) this._crashesOf.delete(incarnation)
+    else this._crashesOf.set(incarnation, others)
+  }
 }
 
 /** Gets the end of the latest refusal. It follows from the times of the crashes alone, so that it is the same at all gateways. */
-function getRefusedUntil ({ crashes }: Suspect): number {
-  const times = [...crashes.values()].sort((a, b) => a - b)
+function getRefusedUntil (crashes: Suspect): number {
+  const times = [...crashes.values()].map(({ at }) => at).sort((a, b) => a - b)
   let until = times[REFUSE_AFTER_INCARNATIONS - 1]! + REFUSAL_MS[0]
   let refusals = 1
   for (const time of times.slice(REFUSE_AFTER_INCARNATIONS)) {
@@ -154,6 +190,6 @@
   return until
 }
 
-function isForgotten ({ crashes }: Suspect, now: number): boolean {
-  return now - Math.max(...crashes.values()) >= SUSPECT_RETENTION_MS
+function isForgotten (crashes: Suspect, now: number): boolean {
+  return now - Math.max(...[...crashes.values()].map(({ at }) => at)) >= SUSPECT_RETENTION_MS
 }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -259,11 +259,8 @@
       log,
       table: SUSPECT_TABLE,
       waitMs: SUSPECT_WATCH_MS,
-      onRows: rows => { for (const row of rows) suspects.applyRow(row) },
-      onChange: change => {
-        if (change.type === 'put') suspects.applyRow(change.row)
-        else suspects.applyRemoval(change.key)
-      }
+      onRows: (rows, timeMs) => { suspects.applyRows(rows, timeMs) },
+      onChange: (change, timeMs) => { suspects.applyChange(change, timeMs) }
     })
   }
 
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -1,8 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
-import { StoreError, type RowKey } from '../../core/platform/index.js'
+import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
+  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
   type CrashRecord, type LostRequest, type SuspectDigests
 } from '../../core/suspect/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -25,6 +25,7 @@
   private readonly _evidence = new CrashEvidence()
   private readonly _list = new SuspectList()
   private readonly _expiring: ExpiringRows
+  private readonly _storeTime = new StoreTime()
 
   constructor (options: SuspectStoreOptions) {
     const { access, clock, log } = options
@@ -55,19 +56,13 @@
 
   /** Forgets the crashes of a request that a target has answered, at all gateways: the request did not cause them. */
   async clear ({ request, input }: SuspectDigests, requestId: string): Promise<void> {
-    const { access, clock, log } = this._options
+    const { log } = this._options
     for (const digest of input === undefined ? [request] : [request, input]) {
       this._evidence.clear(digest)
       const incarnations = this._list.clear(digest)
       if (incarnations.length === 0) continue
       log.info('suspect-cleared', { req: requestId, digest, crashes: incarnations.length })
-      const removes = incarnations.map(incarnation => getSuspectKey(digest, incarnation))
-      try {
-        await access.commitRepeatable({ removes }, clock.now() + WRITE_TIMEOUT_MS)
-      } catch (err) {
-        if (!(err instanceof StoreError)) throw err
-        log.warn('suspect-not-cleared', { digest, cause: err.message })
-      }
+      await this._remove(incarnations.map(incarnation => getSuspectKey(digest, incarnation)))
     }
   }
 
@@ -82,7 +77,7 @@
     const isRefused = this._list.add(digest, incarnation, clock.now())
     log.info('crash-counted', { digest, lifetime: incarnation })
     if (isRefused) log.warn('suspect-confirmed', { digest, lifetime: incarnation })
-    const row = toSuspectRow(digest, incarnation)
+    const row = toSuspectRow(digest, incarnation, this._storeTime.toStoreTime(clock.now()))
     this._expiring.add([getSuspectKey(digest, incarnation)], SUSPECT_RETENTION_MS)
     try {
       await access.commitRepeatable({ puts: [row] }, clock.now() + WRITE_TIMEOUT_MS)
@@ -92,13 +87,44 @@
     }
   }
 
-  /** Applies the removal of a row. */
-  applyRemoval (key: RowKey): void {
-    this._list.removeRow(key)
+  /** Applies all rows of the table: those of earlier lives keep their time, and those that were removed unseen end. */
+  applyRows (rows: readonly StoredRow[], timeMs: number | undefined): void {
+    const now = this._options.clock.now()
+    this._storeTime.record(timeMs, now)
+    // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
+    const isExpired = (row: StoredRow): boolean => now - (this._getCrashTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
+    for (const row of rows) if (!isExpired(row)) this._applyRow(row)
+    const expired = rows.filter(isExpired)
+    if (expired.length > 0) void this._remove(expired)
+  }
+
+  /** Applies a change that another gateway made. */
+  applyChange (change: RowChange, timeMs: number | undefined): void {
+    this._storeTime.record(timeMs, this._options.clock.now())
+    if (change.type === 'put') this._applyRow(change.row)
+    else this._list.removeRow(change.key)
   }
 
-  /** Applies a row that another gateway wrote. */
-  applyRow (key: RowKey): void {
-    if (this._list.addRow(key, this._options.clock.now())) this._options.log.warn('suspect-confirmed', { row: key.key })
+  private _applyRow (row: StoredRow): void {
+    const { key } = row
+    if (this._list.addStored({ key: row, at: this._getCrashTime(row) ?? this._options.clock.now() })) this._options.log.warn('suspect-confirmed', { row: key })
+  }
+
+  /** Gets the time at which the crash of a row was counted, by the steady clock of this process; undefined if it is not known. */
+  private _getCrashTime ({ value }: StoredRow): number | undefined {
+    const storeTime = getSuspectTime(value)
+    const time = storeTime === undefined ? undefined : this._storeTime.toLocalTime(storeTime)
+    return time === undefined ? undefined : Math.min(time, this._options.clock.now())
+  }
+
+  private async _remove (keys: readonly RowKey[]): Promise<void> {
+    const { access, clock, log } = this._options
+    const removes = keys.slice(0, ROWS_PER_TRANSACTION).map(({ table, part, key }) => ({ table, part, key }))
+    try {
+      await access.commitRepeatable({ removes }, clock.now() + WRITE_TIMEOUT_MS)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log.warn('suspects-not-removed', { rows: removes.length, cause: err.message })
+    }
   }
 }
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -25,10 +25,10 @@
   readonly clock: Clock
   readonly log: DecisionLog
   readonly table: string
-  /** Called with all rows of the table after each complete read. */
-  readonly onRows: (rows: readonly StoredRow[]) => void
+  /** Called with all rows of the table after each complete read, and the time of the store's steady clock. */
+  readonly onRows: (rows: readonly StoredRow[], timeMs: number | undefined) => void
   /** Called with each change that a watch reports. */
-  readonly onChange: (change: RowChange) => void
+  readonly onChange: (change: RowChange, timeMs: number | undefined) => void
   /** Milliseconds for which the store may delay the response to a watch. */
   readonly waitMs?: number
   /** Gets the end of the latest pause of the process; the table is read again after each. */
@@ -111,8 +111,8 @@
   private async _readAll (): Promise<void> {
     const { access, clock, table } = this._options
     const startedAt = clock.now()
-    const { rows, version } = await access.read({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
-    this._notify(() => { this._options.onRows(rows) })
+    const { rows, version, timeMs } = await access.read({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
+    this._notify(() => { this._options.onRows(rows, timeMs) })
     this._version = version
     this._readAt = startedAt
     this._confirmedAt = startedAt
@@ -127,7 +127,7 @@
       this._readAt = -Infinity
       return
     }
-    for (const change of feed.changes) this._notify(() => { this._options.onChange(change) })
+    for (const change of feed.changes) this._notify(() => { this._options.onChange(change, feed.timeMs) })
     this._version = feed.version
     this._confirmedAt = startedAt
   }
--- a/src/io/peer/rowCodec.ts
+++ b/src/io/peer/rowCodec.ts
@@ -17,13 +17,14 @@
 
 /** Response to a watch, with values in base64. */
 export type EncodedFeed =
-  | { readonly type: 'changes', readonly changes: EncodedChange[], readonly version: number }
+  | { readonly type: 'changes', readonly changes: EncodedChange[], readonly version: number, readonly timeMs?: number | undefined }
   | { readonly type: 'gap' }
 
 /** Rows read from the store, with values in base64. */
 export interface EncodedSnapshot {
   readonly rows: EncodedRow[]
   readonly version: number
+  readonly timeMs?: number | undefined
 }
 
 /** Encodes a transaction. */
@@ -52,12 +53,12 @@
 
 /** Encodes rows read from the store. */
 export function encodeSnapshot (snapshot: RowSnapshot): EncodedSnapshot {
-  return { rows: snapshot.rows.map(encodeRow), version: snapshot.version }
+  return { ...snapshot, rows: snapshot.rows.map(encodeRow) }
 }
 
 /** Decodes rows read from the store. */
 export function decodeSnapshot (encoded: EncodedSnapshot): RowSnapshot {
-  return { rows: encoded.rows.map(decodeRow), version: encoded.version }
+  return { ...encoded, rows: encoded.rows.map(decodeRow) }
 }
 
 /** Encodes the response to a watch. */
--- a/tests/core/suspect/SuspectListTests.ts
+++ b/tests/core/suspect/SuspectListTests.ts
@@ -1,7 +1,6 @@
 import { expect } from 'earl'
 import {
   CRASH_WINDOW_MS, CrashEvidence, getSuspectDigests, getSuspectKey, InputsInProgress, REFUSAL_MS, SUSPECT_RETENTION_MS, SuspectList,
-  toSuspectRow,
   type LostRequest, type SuspectIdentity
 } from '../../../src/core/suspect/index.js'
 
@@ -99,9 +98,9 @@
   it('should be refused after three incarnations of targets, whichever gateways recorded it', () => {
     const list = new SuspectList()
     expect(list.add('d', 'i-1@1', 0)).toEqual(false)
-    expect(list.addRow(toSuspectRow('d', 'i-1@2'), 0)).toEqual(false)
+    expect(list.addStored({ key: getSuspectKey('d', 'i-1@2'), at: 0 })).toEqual(false)
     expect(list.getRefusedMs('d', 0)).toEqual(0)
-    expect(list.addRow(toSuspectRow('d', 'i-2@1'), 0)).toEqual(true)
+    expect(list.addStored({ key: getSuspectKey('d', 'i-2@1'), at: 0 })).toEqual(true)
     expect(list.getRefusedMs('d', 0)).toBeGreaterThan(0)
   })
 
--- /dev/null
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -0,0 +1,94 @@
+import { expect } from 'earl'
+import { ManualClock } from '../../../src/core/clock/index.js'
+import { CRASH_WINDOW_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests } from '../../../src/core/suspect/index.js'
+import { StoreAccess, SuspectStore } from '../../../src/io/gateway/index.js'
+import { DecisionLog } from '../../../src/io/process/index.js'
+import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
+
+/** Milliseconds by which the store's clock is ahead of the one of the first gateway. */
+const STORE_AHEAD_MS = 5_000_000
+
+/** Milliseconds by which the clock of a restarted gateway is ahead. */
+const RESTART_AHEAD_MS = 70_000
+
+const DIGESTS: SuspectDigests = { request: 'request', input: 'input' }
+
+/** A gateway's suspects with a clock of its own. */
+interface SuspectGateway {
+  readonly clock: ManualClock
+  readonly suspects: SuspectStore
+}
+
+describe('SuspectStore', () => {
+  let rows: MemoryRowStore
+  let first: SuspectGateway
+  /** Clocks of all gateways, which advance together. */
+  let clocks: ManualClock[]
+
+  beforeEach(async () => {
+    rows = new MemoryRowStore()
+    clocks = []
+    first = createGateway(0)
+    rows.getTimeMs = () => first.clock.now() + STORE_AHEAD_MS
+    await read(first)
+  })
+
+  // BUDGET and LOST: each crash counted as one at the time of the restart, so that ended refusals began anew, and long ones became short.
+  it('should go on with a refusal, and not begin it anew, after a restart of all gateways', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    const refusedMs = first.suspects.getRefusedMs(DIGESTS)
+    expect(refusedMs).toEqual(REFUSAL_MS[0])
+    advance(refusedMs - 1)
+    const second = createGateway(RESTART_AHEAD_MS)
+    await read(second)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(1)
+    advance(1)
+    const third = createGateway(2 * RESTART_AHEAD_MS)
+    await read(third)
+    expect(third.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+    // Counts at once, as the request was refused before.
+    await crash(third, 'd')
+    const fourth = createGateway(3 * RESTART_AHEAD_MS)
+    await read(fourth)
+    expect(fourth.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[1] - CRASH_WINDOW_MS)
+  })
+
+  // The rows of a gateway that had ended stayed in the store, and were read again as new ones.
+  it('should remove the rows of crashes that are too old, also those of other gateways and without a time', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    rows.apply({ puts: [{ table: SUSPECT_TABLE, part: '', key: 'request/d', value: Buffer.alloc(0) }] })
+    const second = createGateway(RESTART_AHEAD_MS)
+    advance(SUSPECT_RETENTION_MS - 2 * CRASH_WINDOW_MS - 1)
+    await read(second)
+    expect(rows.getTableSize(SUSPECT_TABLE)).toEqual(6)
+    advance(2 * CRASH_WINDOW_MS + 1)
+    await read(second)
+    expect(rows.getTableSize(SUSPECT_TABLE)).toEqual(0)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+  })
+
+  function createGateway (aheadMs: number): SuspectGateway {
+    const clock = new ManualClock((clocks[0]?.now() ?? 0) + aheadMs)
+    clocks.push(clock)
+    const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
+    const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
+    return { clock, suspects: new SuspectStore({ access, clock, log }) }
+  }
+
+  function advance (ms: number): void {
+    for (const clock of clocks) clock.advanceTo(clock.now() + ms)
+  }
+
+  async function read ({ suspects }: SuspectGateway): Promise<void> {
+    const snapshot = await rows.read({ table: SUSPECT_TABLE, part: '' })
+    suspects.applyRows(snapshot.rows, snapshot.timeMs)
+  }
+
+  /** Loses a request at a target; the crash counts after the window. */
+  async function crash ({ clock, suspects }: SuspectGateway, incarnation: string): Promise<void> {
+    const digests = [DIGESTS.request, DIGESTS.input!]
+    const counted = suspects.record({ digests, incarnation, others: 0, sentAt: clock.now() }, 'r1')
+    advance(CRASH_WINDOW_MS)
+    await counted
+  }
+})
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -5,6 +5,9 @@
   type StoredRow, type StorePartition
 } from '../../src/core/platform/index.js'
 
+/** Milliseconds for which the store has run before this process. */
+const STARTED_MS_AGO = 1_000_000
+
 interface RowEntry {
   readonly key: RowKey
   /** Undefined for a removed row. */
@@ -26,6 +29,9 @@
   /** Partitions whose calls are refused, or time out at the caller without a response. */
   readonly failedPartitions = new Map<string, 'refused' | 'silent'>()
 
+  /** Gets the milliseconds of the store's steady clock. */
+  getTimeMs: () => number = () => Math.round(performance.now()) + STARTED_MS_AGO
+
   /** Tables to which commits are refused. */
   readonly readOnlyTables = new Set<string>()
 
@@ -46,7 +52,7 @@
     await this._failIfPartitionUnavailable(range, options)
     const rows = [...this._entries.values()].flatMap(entry => isInRange(entry, range) ? [toRow(entry)] : [])
     rows.sort((a, b) => a.key < b.key ? -1 : 1)
-    return { rows, version: this._version }
+    return { rows, version: this._version, timeMs: this.getTimeMs() }
   }
 
   async watch (table: string, after: number, waitMs: number): Promise<RowFeed> {
@@ -55,7 +61,7 @@
     if (after < this._historyStart) return { type: 'gap' }
     if (this._getChanges(table, after).length === 0) await this._waitForChange(waitMs)
     this._failIfUnavailable()
-    return { type: 'changes', changes: this._getChanges(table, after), version: this._version }
+    return { type: 'changes', changes: this._getChanges(table, after), version: this._version, timeMs: this.getTimeMs() }
   }
 
   /** Applies a transaction if its conditions hold, even while {@link failure} is set. */
--- a/tools/platform/StoreStandin.ts
+++ b/tools/platform/StoreStandin.ts
@@ -64,11 +64,11 @@
     if (url.pathname === '/v1/rows-tx') return await this._commit(JSON.parse(body) as WireTransaction)
     const table = query.get('table')!
     if (url.pathname === '/v1/rows-get') {
-      const { rows, version } = await this.rows.read({ table, part: query.get('part') ?? '', from: query.get('from') ?? undefined, to: query.get('to') ?? undefined })
-      return { status: 200, body: { rows: rows.map(toWire), morePages: false, rowVersion: version, nowMs: 1 } }
+      const { rows, version, timeMs } = await this.rows.read({ table, part: query.get('part') ?? '', from: query.get('from') ?? undefined, to: query.get('to') ?? undefined })
+      return { status: 200, body: { rows: rows.map(toWire), morePages: false, rowVersion: version, nowMs: timeMs } }
     }
     const feed = await this.rows.watch(table, Number(query.get('after')), Number(query.get('waitMs')))
-    return feed.type === 'gap' ? { status: 410, body: {} } : { status: 200, body: { rows: toWireChanges(feed), rowVersion: feed.version, nowMs: 1 } }
+    return feed.type === 'gap' ? { status: 410, body: {} } : { status: 200, body: { rows: toWireChanges(feed), rowVersion: feed.version, nowMs: feed.timeMs } }
   }
 
   private async _commit (wire: WireTransaction): Promise<{ status: number, body: unknown }> {
@@ -78,7 +78,7 @@
       removes: wire.remove
     })
     if (result.type === 'conflict') return { status: 412, body: { rows: result.rows.map(toWire) } }
-    return { status: 200, body: { rowVersion: result.version, nowMs: 1 } }
+    return { status: 200, body: { rowVersion: result.version, nowMs: this.rows.getTimeMs() } }
   }
 }
 
