Forget crashes whose rows were removed while the watch had a gap

What callers would see (LOST): a gateway that missed the removal of the rows of an answered request (after a compaction, or without its connection to the store) went on refusing it, while the others served it.

Cause: a complete read of the table added rows but removed none. Found by the list of related paths, not seen by callers.

Change: a complete read also ends the crashes that the store had shown before and does not show any more. Crashes that are not written yet stay.

Evidence: SuspectStoreTests "should not refuse a request that was cleared during a gap of the watch" fails without the change, and "should keep crashes that it could not share yet when it reads the table" holds beside it.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -143,6 +143,16 @@
     return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, at, true)
   }
 
+  /** Removes the crashes that the store has shown before and does not show any more. */
+  retainStored (keys: readonly RowKey[]): void {
+    const shown = new Set(keys.map(({ key }) => key))
+    for (const [digest, crashes] of this._suspects) {
+      for (const [incarnation, { isStored }] of crashes) {
+        if (isStored && !shown.has(getSuspectKey(digest, incarnation).key)) this._remove(digest, incarnation)
+      }
+    }
+  }
+
   /** Removes the crash in a row that a gateway has removed. */
   removeRow ({ key }: RowKey): void {
     const [digest = '', incarnation = ''] = key.split(SEPARATOR)
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -91,6 +91,7 @@
   applyRows (rows: readonly StoredRow[], timeMs: number | undefined): void {
     const now = this._options.clock.now()
     this._storeTime.record(timeMs, now)
+    this._list.retainStored(rows)
     // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
     const isExpired = (row: StoredRow): boolean => now - (this._getCrashTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
     for (const row of rows) if (!isExpired(row)) this._applyRow(row)
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -67,6 +67,26 @@
     expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(0)
   })
 
+  // LOST: a gateway whose watch had a gap when a request was cleared went on refusing it.
+  it('should not refuse a request that was cleared during a gap of the watch', async () => {
+    const second = createGateway(RESTART_AHEAD_MS)
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    await read(second)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
+    await first.suspects.clear(DIGESTS, 'r1')
+    await read(second)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+  })
+
+  it('should keep crashes that it could not share yet when it reads the table', async () => {
+    rows.readOnlyTables.add(SUSPECT_TABLE)
+    for (const incarnation of ['a', 'b', 'c']) void crash(first, incarnation)
+    await delay(CRASH_WINDOW_MS + 100)
+    await read(first)
+    expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
+    rows.readOnlyTables.clear()
+  })
+
   function createGateway (aheadMs: number): SuspectGateway {
     const clock = new ManualClock((clocks[0]?.now() ?? 0) + aheadMs)
     clocks.push(clock)
@@ -92,3 +112,7 @@
     await counted
   }
 })
+
+async function delay (ms: number): Promise<void> {
+  await new Promise(resolve => { setTimeout(resolve, ms) })
+}
