Forget the crash of a target that responds to a later request

What callers would see (LOST): three connections that were reset on the way, each the only one in use at its target, refused a request as one that crashes targets, although all three targets went on.

Cause: a lost connection counts as a crash if at least half of the requests in progress at the target are lost with it; of a single one that is always so, and nothing took it back. Class as before: the memory outlives what shows that it is wrong.

A target that has crashed comes back as another incarnation (PROTOCOL.md: "Each start of an engine is a new lifetime"). A misdirected request (421) was answered by another target and shows nothing. A target without any crash costs one look-up.

Why it works: the promise that the memory is for concerns targets that go down; one that answers has not.

--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -71,6 +71,12 @@
     for (const crash of this._crashes) crash.losses.delete(digest)
   }
 
+  /** Removes the crash of an incarnation that has responded to a request that was sent after it. */
+  disprove (incarnation: string, sentAt: number): void {
+    if (this._crashes.length === 0) return
+    this._crashes = this._crashes.filter(crash => crash.incarnation !== incarnation || crash.startedAt > sentAt)
+  }
+
   /** Gets the evidence of the crashes whose window is over and that were not evaluated yet. */
   evaluate (now: number): CrashRecord[] {
     const records: CrashRecord[] = []
--- a/src/core/suspect/InputsInProgress.ts
+++ b/src/core/suspect/InputsInProgress.ts
@@ -18,7 +18,8 @@
     let uses = this._uses.get(input)
     if (uses === undefined) this._uses.set(input, uses = new Set())
     const use: InputUse = { isShared: uses.size > 0 }
-    for (const other of uses) other.isShared = true
+    // Among several all are marked already.
+    if (uses.size === 1) for (const other of uses) other.isShared = true
     uses.add(use)
     return use
   }
--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -159,6 +159,14 @@
     this._remove(digest, incarnation)
   }
 
+  /** Removes the crashes of an incarnation until a time since which it has responded; returns the keys of their rows. */
+  removeIncarnation (incarnation: string, until: number): RowKey[] {
+    if (!this._crashesOf.has(incarnation)) return []
+    const digests = [...this._suspects].flatMap(([digest, crashes]) => (crashes.get(incarnation)?.at ?? Infinity) <= until ? digest : [])
+    for (const digest of digests) this._remove(digest, incarnation)
+    return digests.map(digest => getSuspectKey(digest, incarnation))
+  }
+
   /** Removes a request that a target has answered; returns the incarnations whose crashes were recorded for it. */
   clear (digest: string): string[] {
     const incarnations = [...this._suspects.get(digest)?.keys() ?? []]
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -259,6 +259,7 @@
         return undefined
       }
       this._context.limits.recordResponse(state, response.head, sentAt, call.id)
+      if (!response.head.isMisdirected) this._context.suspects.recordResponse(state.incarnation, sentAt)
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -87,6 +87,18 @@
     rows.readOnlyTables.clear()
   })
 
+  // LOST: three connections that were reset at targets which went on refused a request.
+  it('should forget the crash of a target that responds to a later request, at all gateways', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    first.suspects.recordResponse('c', first.clock.now() - 1)
+    expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
+    first.suspects.recordResponse('c', first.clock.now())
+    expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+    const second = createGateway(RESTART_AHEAD_MS)
+    await read(second)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+  })
+
   function createGateway (aheadMs: number): SuspectGateway {
     const clock = new ManualClock((clocks[0]?.now() ?? 0) + aheadMs)
     clocks.push(clock)
