Call a peer again within a second after it is back

What callers would see (LOST): after a peer had been away for 20 s, other gateways did not call it for up to 16 s more (30 s at most). Its permits were missing, so that limited targets were not used or requests were refused (targets-limited); so were its loans while the store was away, and its unused grants when a program's budget was nearly spent, which then got a 402 too early.

Cause: the back-off of a peer doubled with each failed call and ended by time alone; nothing looked whether the peer was back. Class: a memory that outlasts its cause.

Change: a call that is skipped starts a check of the peer (a procedure without effect, 200 ms, once a second at most, nobody waits for it); a response ends the back-off. The next back-off is still longer until a call succeeds. Log line peer-back.

Evidence: PeerPoolTests "should call a peer again within a second after it is back" fails on the code before (the call at 20 s after five failures is skipped), and holds. Beside it the opposite: a peer that stays away is called as seldom as before, and checked 15 times in 15 s; one that responds to checks and fails calls costs one call a second.

Why it works: the back-off is there so that requests don't wait for peers that are gone; a check that no request waits for tells both apart.

Older gateways do not know the procedure, so that their back-off ends by time as before.

--- a/src/io/peer/PeerPool.ts
+++ b/src/io/peer/PeerPool.ts
@@ -13,10 +13,18 @@
 /** Longest back-off, in milliseconds; the peer's machine may have been removed permanently. */
 const MAX_PEER_BACKOFF_MS = 30_000
 
+/** Milliseconds between two checks whether a peer that is not called responds again. */
+const CHECK_INTERVAL_MS = 1_000
+
+/** Time-out of a check, in milliseconds: that of the shortest call, which a peer that is too slow for it would fail again. */
+const CHECK_TIMEOUT_MS = 200
+
 /** Options of {@link PeerPool}. */
 export interface PeerPoolOptions {
   readonly clock: Clock
   readonly log: DecisionLog
+  /** Resolves if a peer responds; calls a procedure without effect by default. */
+  readonly check?: PeerCall<unknown>
 }
 
 /** Options of {@link PeerPool.call}. */
@@ -33,12 +41,17 @@
   readonly client: PeerClient
   backoffMs: number
   backoffUntil: number
+  checkedAt: number
 }
 
 /** A call of a procedure; the options are passed on to it. */
 export type PeerCall<T> = (procedures: PeerClient['procedures'], options: { readonly signal: AbortSignal }) => Promise<T>
 
-/** Keeps a client of each peer, and calls none that failed recently. */
+/**
+ * Keeps a client of each peer, and calls none that failed recently.
+ *
+ * A peer that is not called is checked without a request that waits for it, so that it is called again soon after it is back.
+ */
 export class PeerPool {
   private readonly _options: PeerPoolOptions
   private readonly _peers = new Map<string, PeerState>()
@@ -53,7 +66,8 @@
       const existing = this._peers.get(peer.id)
       if (existing?.peer.address === peer.address) continue
       void existing?.client.close()
-      this._peers.set(peer.id, { peer, client: new PeerClient(peer), backoffMs: PEER_BACKOFF_MS, backoffUntil: -Infinity })
+      const client = new PeerClient(peer)
+      this._peers.set(peer.id, { peer, client, backoffMs: PEER_BACKOFF_MS, backoffUntil: -Infinity, checkedAt: -Infinity })
     }
   }
 
@@ -62,7 +76,11 @@
     const { clock, log } = this._options
     const { subject, timeoutMs = PEER_TIMEOUT_MS, ignoresBackoff = false } = options
     const state = this._peers.get(id)
-    if (state === undefined || (!ignoresBackoff && clock.now() < state.backoffUntil)) return undefined
+    if (state === undefined) return undefined
+    if (!ignoresBackoff && clock.now() < state.backoffUntil) {
+      void this._check(state)
+      return undefined
+    }
     try {
       const result = await call(state.client.procedures, { signal: createTimeoutSignal(timeoutMs) })
       state.backoffMs = PEER_BACKOFF_MS
@@ -78,4 +96,24 @@
       return undefined
     }
   }
+
+  /** Ends the back-off of a peer that responds; the next one is still longer, until a call succeeds. */
+  private async _check (state: PeerState): Promise<void> {
+    const { clock, log, check = checkPeer } = this._options
+    const startedAt = clock.now()
+    if (startedAt - state.checkedAt < CHECK_INTERVAL_MS) return
+    state.checkedAt = startedAt
+    try {
+      await check(state.client.procedures, { signal: createTimeoutSignal(CHECK_TIMEOUT_MS) })
+    } catch {
+      // The call that failed was logged; the next check follows while calls are wanted.
+      return
+    }
+    const leftMs = Math.round(state.backoffUntil - clock.now())
+    if (leftMs <= 0) return
+    state.backoffUntil = -Infinity
+    log.info('peer-back', { peer: state.peer.id, leftMs })
+  }
 }
+
+const checkPeer: PeerCall<unknown> = async (procedures, options) => await procedures.check.query(undefined, options)
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -92,6 +92,7 @@
     read: t.procedure.input(READ).mutation(async ({ input }) => {
       return encodeSnapshot(await relay(async () => await direct.read(input, input)))
     }),
+    check: t.procedure.query(() => true),
     lend: t.procedure.input(LOAN).mutation(({ input }) => options.reserves.lend(input)),
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
     closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.closeReserve(input.program)),
--- a/tests/io/peer/PeerPoolTests.ts
+++ b/tests/io/peer/PeerPoolTests.ts
@@ -14,10 +14,18 @@
 describe('PeerPool', () => {
   let clock: ManualClock
   let pool: PeerPool
+  let isBack: boolean
+  let checks: number
 
   beforeEach(() => {
     clock = new ManualClock()
-    pool = new PeerPool({ clock, log: new DecisionLog({ process: 'test', id: 'a', isSilent: true }) })
+    isBack = false
+    checks = 0
+    const check: PeerCall<void> = async () => {
+      checks++
+      if (!isBack) throw new Error('failed')
+    }
+    pool = new PeerPool({ clock, log: new DecisionLog({ process: 'test', id: 'a', isSilent: true }), check })
     pool.setPeers([{ id: 'b', address: '127.0.0.1:9', failureDomain: 'here' }])
   })
 
@@ -48,6 +56,31 @@
     expect(await call(succeed)).toEqual('done')
   })
 
+  // LOST: a peer that had been away for 20 s was not called for up to 16 s more, so that its permits, loans and unused grants were missing.
+  it('should call a peer again within a second after it is back, however long it was away', async () => {
+    for (clock.time of [0, 1_000, 3_000, 7_000, 15_000]) await call(fail)
+    expect(await call(succeed)).toEqual(undefined)
+    clock.time = 20_000
+    isBack = true
+    expect(await call(succeed)).toEqual(undefined)
+    expect(await call(succeed)).toEqual('done')
+  })
+
+  // Callers do not wait for peers that are gone: calls fail as seldom as before, and checks are not awaited and limited.
+  it('should not call a peer that is still away, and check it once a second while calls are wanted', async () => {
+    for (clock.time of [0, 1_000, 3_000, 7_000, 15_000]) await call(fail)
+    for (clock.time = 15_100; clock.time < 30_000; clock.time += 100) expect(await call(succeed)).toEqual(undefined)
+    expect(checks).toEqual(15)
+  })
+
+  it('should not call a peer that responds to checks and fails calls more often than one that is away, by more than the checks', async () => {
+    isBack = true
+    let calls = 0
+    for (clock.time = 0; clock.time < 20_000; clock.time += 100) await call(async () => { calls++; throw new Error('failed') })
+    // The first one, and one a second.
+    expect(calls).toBeLessThanOrEqual(21)
+  })
+
   // A loan that is not settled counts in full, so its settlement is sent to a peer that failed a moment ago too.
   it('should call a peer that failed recently if asked to', async () => {
     await call(fail)
