Suspects: digests and rows in files of their own

SuspectList.ts held the digests, the rows and the list. A comment in GatewayServer stood above another member.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -1,14 +1,11 @@
-import { createHash } from 'node:crypto'
-import type { RowKey, RowPut } from '../platform/index.js'
-
-/** Table of crashes: one row for each request and incarnation of a target that crashed while it ran the request. */
-export const SUSPECT_TABLE = 'suspects'
+import type { RowKey } from '../platform/index.js'
+import { decodeSuspectKey, getSuspectKey } from './SuspectRows.js'
 
 /** Number of crashed target incarnations at which a request is refused. */
 export const REFUSE_AFTER_INCARNATIONS = 3
 
 /**
- * Milliseconds for which a request is refused: after the third crash, after the first one of a run that followed that refusal, and so on.
+ * Milliseconds for which a request is refused after its third crash, after the first crash that follows that refusal, and so on.
  *
  * The first two are short, because three outages in a row may take a request with them that did not cause them; callers try for longer than
  * the first lasts. The others are so long that a request that crashes targets reaches few more of them.
@@ -21,67 +18,6 @@
 /** Maximum number of requests that are kept; the oldest are evicted. */
 const MAX_SUSPECTS = 10_000
 
-/** Separator of digest and incarnation in a row's key. */
-const SEPARATOR = '/'
-
-/** What identifies a request across retries. */
-export interface SuspectIdentity {
-  /** Address of the caller's connection. */
-  readonly address: string
-  /** Id of the program, if one is named. */
-  readonly program: string | undefined
-  readonly method: string
-  readonly host: string
-  /** Path and query. */
-  readonly target: string
-  /** Id of the turn that a turn continues from, since later turns often have the same input. */
-  readonly previousTurn: string | undefined
-  readonly body: Buffer | undefined
-}
-
-/** Digests under which the crashes of a request are counted. */
-export interface SuspectDigests {
-  /** Identifies the request of one program, or of one address where no program is named. */
-  readonly request: string
-  /**
-   * Identifies the same path and body from one address, in any program and after any turn; undefined without a program.
-   *
-   * A caller may send a request again in a new program. Unrelated programs may also have an input in common, so that a crash counts here
-   * only against a request that is alone, see {@link InputsInProgress}.
-   */
-  readonly input: string | undefined
-}
-
-/** Gets the digests that identify a request across retries. */
-export function getSuspectDigests (identity: SuspectIdentity): SuspectDigests {
-  const { address, program, method, host, target, previousTurn, body } = identity
-  const content = body === undefined ? null : createHash('sha1').update(body).digest('hex')
-  const toDigest = (...caller: ReadonlyArray<string | null>): string => {
-    return createHash('sha1').update(JSON.stringify([...caller, method, host, target, content])).digest('hex')
-  }
-  return {
-    request: toDigest('request', program ?? address, previousTurn ?? null),
-    input: program === undefined ? undefined : toDigest('input', address)
-  }
-}
-
-/** Gets the key of the row that shares a crash with all gateways. */
-export function getSuspectKey (digest: string, incarnation: string): RowKey {
-  return { table: SUSPECT_TABLE, part: '', key: `${digest}${SEPARATOR}${incarnation}` }
-}
-
-/** Gets the row that shares a crash with all gateways; writing it twice has no further effect. */
-export function toSuspectRow (digest: string, incarnation: string, storeTime: number | undefined): RowPut {
-  const value = storeTime === undefined ? Buffer.alloc(0) : Buffer.from(String(Math.round(storeTime)))
-  return { ...getSuspectKey(digest, incarnation), value }
-}
-
-/** Gets the time of the store at which the crash of a row was counted; undefined if the row does not state it. */
-export function getSuspectTime (value: Uint8Array): number | undefined {
-  const text = Buffer.from(value).toString()
-  return /^\d{1,16}$/.test(text) ? Number(text) : undefined
-}
-
 interface Crash {
   /** Time at which it was counted, by the steady clock. */
   readonly at: number
@@ -110,7 +46,7 @@
   /** Number of crashes of each incarnation, so that the response of one without any costs nothing. */
   private readonly _crashesOf = new Map<string, number>()
 
-  /** Records that a request crashed a target; returns true if the request is refused from now on. */
+  /** Records that a request crashed a target, at a time by the steady clock; returns true if the request is refused from then on. */
   add (digest: string, incarnation: string, at: number, isStored = false): boolean {
     const known = this._suspects.get(digest)
     if (known !== undefined && isForgotten(known, at)) this.clear(digest)
@@ -139,8 +75,8 @@
 
   /** Adds a crash that the store has shown; returns true if the request is refused from now on. */
   addStored ({ key, at }: StoredCrash): boolean {
-    const [digest, incarnation] = key.key.split(SEPARATOR)
-    return digest !== undefined && incarnation !== undefined && this.add(digest, incarnation, at, true)
+    const crash = decodeSuspectKey(key)
+    return crash !== undefined && this.add(crash.digest, crash.incarnation, at, true)
   }
 
   /** Removes the crashes that the store has shown before and does not show any more. */
@@ -154,9 +90,9 @@
   }
 
   /** Removes the crash in a row that a gateway has removed. */
-  removeRow ({ key }: RowKey): void {
-    const [digest = '', incarnation = ''] = key.split(SEPARATOR)
-    this._remove(digest, incarnation)
+  removeRow (key: RowKey): void {
+    const crash = decodeSuspectKey(key)
+    if (crash !== undefined) this._remove(crash.digest, crash.incarnation)
   }
 
   /** Removes the crashes of an incarnation until a time since which it has responded; returns the keys of their rows. */
--- a/src/core/suspect/index.ts
+++ b/src/core/suspect/index.ts
@@ -1,3 +1,5 @@
 export * from './CrashEvidence.js'
 export * from './InputsInProgress.js'
+export * from './SuspectDigests.js'
 export * from './SuspectList.js'
+export * from './SuspectRows.js'
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -57,8 +57,8 @@
   private readonly _parser: Server
   private readonly _connections: CallerConnections
   private _inProgress = 0
-  /** Set once the gateway is stopping. */
   private readonly _inputs = new InputsInProgress()
+  /** Set once the gateway is stopping. */
   private _stop: StopSchedule | undefined
 
   constructor (options: GatewayServerOptions) {
