Keep the rows of crashes while the time of the store is not known

What callers would see (BUDGET): a gateway that reads the table for the first time through a peer of an earlier version, which does not pass the time on, removed all rows, and requests that crash targets ran again.

Change: rows expire only once a response has stated the time. A crash that counts at once no longer holds up the evaluation of others while the store is slow.

Evidence: SuspectStoreTests "should keep the rows of crashes while the time of the store is not known" fails without the condition, holds with it.

--- a/src/core/platform/StoreTime.ts
+++ b/src/core/platform/StoreTime.ts
@@ -7,6 +7,11 @@
     if (timeMs !== undefined) this._offsetMs = timeMs - now
   }
 
+  /** Checks whether a response has stated the time. */
+  isKnown (): boolean {
+    return this._offsetMs !== undefined
+  }
+
   /** Gets the time of the store for a time of this process; undefined before a response has stated one. */
   toStoreTime (time: number): number | undefined {
     return this._offsetMs === undefined ? undefined : time + this._offsetMs
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -48,10 +48,11 @@
     log.info('connection-lost', { req: requestId, digests, lifetime: incarnation, others })
     // A request that was refused before counts at once, so that its caller's next try at another gateway does not run as well.
     const confirmed = digests.filter(digest => this._list.isConfirmed(digest, now))
-    await Promise.all(confirmed.map(async digest => { await this._share({ digest, incarnation }) }))
+    const isShared = Promise.all(confirmed.map(async digest => { await this._share({ digest, incarnation }) }))
     // A timer may fire a millisecond early by the steady clock.
     await sleep(CRASH_WINDOW_MS + 1)
     await Promise.all(this._evidence.evaluate(clock.now()).map(async crash => { await this._share(crash) }))
+    await isShared
   }
 
   /** Forgets the crashes of a request that a target has answered, at all gateways: the request did not cause them. */
@@ -103,8 +104,8 @@
     this._list.retainStored(rows)
     // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
     const isExpired = (row: StoredRow): boolean => now - (this._getCrashTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
-    for (const row of rows) if (!isExpired(row)) this._applyRow(row)
-    const expired = rows.filter(isExpired)
+    const expired = this._storeTime.isKnown() ? rows.filter(isExpired) : []
+    for (const row of rows) if (!expired.includes(row)) this._applyRow(row)
     if (expired.length > 0) void this._remove(expired)
   }
 
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -67,6 +67,16 @@
     expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(0)
   })
 
+  // A gateway that reads the table through a peer of an earlier version does not learn the time.
+  it('should keep the rows of crashes while the time of the store is not known', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    const second = createGateway(RESTART_AHEAD_MS)
+    second.suspects.applyRows((await rows.read({ table: SUSPECT_TABLE, part: '' })).rows, undefined)
+    expect(second.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
+    await delay(50)
+    expect(rows.getTableSize(SUSPECT_TABLE)).toEqual(6)
+  })
+
   // LOST: a gateway whose watch had a gap when a request was cleared went on refusing it.
   it('should not refuse a request that was cleared during a gap of the watch', async () => {
     const second = createGateway(RESTART_AHEAD_MS)
