A response takes a crash back only within its window

What callers would see (BUDGET): a request that crashes targets reached them in 4 and 5 tries later than contactMs after its third crash (3 allowed).

A response of an incarnation took its crash back at any later time. A target that is back under its id may respond before a gateway has read the row of its new incarnation, so that the crash of the former one was taken back at all gateways.

Crashed targets are back "after some seconds" (PROTOCOL.md). Log line crash-disproved is gone.

--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -71,10 +71,18 @@
     for (const crash of this._crashes) crash.losses.delete(digest)
   }
 
-  /** Removes the crash of an incarnation that has responded to a request that was sent after it. */
+  /**
+   * Removes the crash of an incarnation that has responded to a request that was sent after it, within the window.
+   *
+   * Later, a target may have started again under its id before this gateway has learned of its new incarnation.
+   */
   disprove (incarnation: string, sentAt: number): void {
     if (this._crashes.length === 0) return
-    this._crashes = this._crashes.filter(crash => crash.incarnation !== incarnation || crash.startedAt > sentAt)
+    const isDisproved = (crash: Crash): boolean => {
+      const sentAfterMs = sentAt - crash.startedAt
+      return crash.incarnation === incarnation && !crash.isEvaluated && sentAfterMs >= 0 && sentAfterMs < CRASH_WINDOW_MS
+    }
+    this._crashes = this._crashes.filter(crash => !isDisproved(crash))
   }
 
   /** Gets the evidence of the crashes whose window is over and that were not evaluated yet. */
--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -43,8 +43,6 @@
  */
 export class SuspectList {
   private readonly _suspects = new Map<string, Suspect>()
-  /** Number of crashes of each incarnation, so that the response of one without any costs nothing. */
-  private readonly _crashesOf = new Map<string, number>()
 
   /** Records that a request crashed a target, at a time by the steady clock; returns true if the request is refused from then on. */
   add (digest: string, incarnation: string, at: number, isStored = false): boolean {
@@ -57,7 +55,6 @@
       return false
     }
     crashes.set(incarnation, { at, isStored })
-    this._crashesOf.set(incarnation, (this._crashesOf.get(incarnation) ?? 0) + 1)
     // The latest is moved to the end, so that the oldest is evicted.
     this._suspects.delete(digest)
     this._suspects.set(digest, crashes)
@@ -95,14 +92,6 @@
     if (crash !== undefined) this._remove(crash.digest, crash.incarnation)
   }
 
-  /** Removes the crashes of an incarnation until a time since which it has responded; returns the keys of their rows. */
-  removeIncarnation (incarnation: string, until: number): RowKey[] {
-    if (!this._crashesOf.has(incarnation)) return []
-    const digests = [...this._suspects].flatMap(([digest, crashes]) => (crashes.get(incarnation)?.at ?? Infinity) <= until ? digest : [])
-    for (const digest of digests) this._remove(digest, incarnation)
-    return digests.map(digest => getSuspectKey(digest, incarnation))
-  }
-
   /** Removes a request that a target has answered; returns the incarnations whose crashes were recorded for it. */
   clear (digest: string): string[] {
     const incarnations = [...this._suspects.get(digest)?.keys() ?? []]
@@ -125,9 +114,6 @@
     const crashes = this._suspects.get(digest)
     if (crashes?.delete(incarnation) !== true) return
     if (crashes.size === 0) this._suspects.delete(digest)
-    const others = this._crashesOf.get(incarnation)! - 1
-    if (others === 0) this._crashesOf.delete(incarnation)
-    else this._crashesOf.set(incarnation, others)
   }
 }
 
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -67,13 +67,9 @@
     }
   }
 
-  /** Forgets the crashes of an incarnation that has responded to a request that was sent after them: only connections were lost. */
+  /** Records that an incarnation has responded to a request, so that a connection that it lost before was no crash. */
   recordResponse (incarnation: string, sentAt: number): void {
     this._evidence.disprove(incarnation, sentAt)
-    const keys = this._list.removeIncarnation(incarnation, sentAt)
-    if (keys.length === 0) return
-    this._options.log.info('crash-disproved', { lifetime: incarnation, crashes: keys.length })
-    void this._remove(keys)
   }
 
   /** Removes the rows of crashes that have expired. */
