Test stand-ins do not listen again after their test

Cause: a target that crashes near the end of a test or soak is started again after it was closed, and its server keeps mocha from exiting. That this is what held it is only suspected: not seen before, not reproduced. Change: start() after close() does nothing.

--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -69,6 +69,7 @@
   /** Refusals that are written once more before the next response on their connection. */
   private readonly _repeatedRefusals = new WeakMap<Socket, string>()
   private _port = 0
+  private _isClosed = false
 
   constructor (id: string) {
     this.id = id
@@ -82,6 +83,8 @@
 
   /** Starts the server on a free port; returns host and port. */
   async start (): Promise<string> {
+    // A crash may be over after its test; a server that listens then would keep the process from ending.
+    if (this._isClosed) return `127.0.0.1:${this._port}`
     await new Promise<void>(resolve => this._server.listen(this._port, '127.0.0.1', resolve))
     this._port = (this._server.address() as AddressInfo).port
     return `127.0.0.1:${this._port}`
@@ -89,6 +92,7 @@
 
   /** Stops the server and closes its connections. */
   close (): void {
+    this._isClosed = true
     this._server.close()
     this._server.closeAllConnections()
   }
