Log when a gateway stops waiting for a request, and when a target is gone

Cause of the change: a request that runs at a target without its gateway waiting for it (time over, caller gone, stream moved, answer not usable) left no line of its own, and neither did the end of a target that was not leaving. So logs could not tell an end in silence from a slow target.

Change: `run-left` (request, incarnation, why, how long it waited, when bytes last came from the target) and `target-ended` (incarnation, row removed or replaced). The targets' states know when they were last heard, and whether they are silent. No decision reads this yet.

--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -13,8 +13,21 @@
 /** Milliseconds that a request takes at most to reach its target: the time-out of a new connection, and the network. */
 const DISPATCH_MS = 600
 
+/** How the store has shown that an incarnation is gone that was not leaving. */
+export const TargetEndCause = {
+  /** Its row was removed; a target that leaves unannounced still serves. */
+  Removed: 'removed',
+  /** Another incarnation has its id. */
+  Replaced: 'replaced'
+} as const
+export type TargetEndCause = typeof TargetEndCause[keyof typeof TargetEndCause]
+
 /** Options of {@link TargetRegistry}. */
 export interface TargetRegistryOptions {
+  /** Called when an incarnation is gone that was not leaving, unless an outage of the store may have removed its row. */
+  readonly onEnded?: (state: TargetState, cause: TargetEndCause) => void
+  /** Called when an incarnation is listed that was not before. */
+  readonly onListed?: (incarnation: string) => void
   /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
   readonly drainMs?: number
 }
@@ -27,10 +40,12 @@
   private readonly _missing = new Set<string>()
   private readonly _leaving = new LeavingTargets()
   private readonly _drainMs: number
+  private readonly _options: TargetRegistryOptions
   private _isStoreUnavailable = false
   private _reregisterUntil = -Infinity
 
   constructor (options: TargetRegistryOptions = {}) {
+    this._options = options
     this._drainMs = options.drainMs ?? 0
   }
 
@@ -44,11 +59,13 @@
     const existing = this._states.get(target.id)
     const incarnation = getIncarnationKey(target)
     const isReplaced = existing?.incarnation !== incarnation || existing.target.address !== target.address
+    if (existing !== undefined && existing.incarnation !== incarnation) this._notifyEnded(existing, TargetEndCause.Replaced)
     if (isReplaced) this._forgetUnknown(existing?.target)
     if (target.isLeaving) this._leaving.add(incarnation, { since: changedAfter, isStated: false })
     else this._leaving.withdraw(incarnation)
     if (isReplaced) {
       this._states.set(target.id, new TargetState(target, this._getBestPace(target.service)))
+      this._options.onListed?.(incarnation)
       return true
     }
     const isChanged = existing.target.isLeaving !== target.isLeaving
@@ -62,6 +79,8 @@
       if (this._states.has(id)) this._missing.add(id)
       return
     }
+    const state = this._states.get(id)
+    if (state !== undefined) this._notifyEnded(state, TargetEndCause.Removed)
     this._delete(id)
   }
 
@@ -123,6 +142,10 @@
     return [...this._states.values()].filter(state => state.target.service === service)
   }
 
+  private _notifyEnded (state: TargetState, cause: TargetEndCause): void {
+    if (this._leaving.getSince(state.incarnation) === undefined) this._options.onEnded?.(state, cause)
+  }
+
   private _delete (id: string): void {
     this._forgetUnknown(this._states.get(id)?.target)
     this._states.delete(id)
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -18,6 +18,9 @@
 /** Half-life in milliseconds of an observed delay; the decay makes a target that was slow eligible again. */
 const DELAY_HALF_LIFE_MS = 2_000
 
+/** Milliseconds without a byte from a target where a request waits, after which it counts as silent; most first bytes come sooner. */
+const SILENT_AFTER_MS = 1_000
+
 /** State of one incarnation of a target, as observed by this gateway's requests to it. */
 export class TargetState {
   readonly incarnation: string
@@ -33,6 +36,11 @@
   private _excessMs = 0
   private _observedAt = -Infinity
   private _permitAt = -Infinity
+  private _heardAt = -Infinity
+  /** Time since which requests have waited without a byte, while some are in progress. */
+  private _waitingSince = -Infinity
+  /** True if requests have ended without a byte for longer than {@link SILENT_AFTER_MS}. */
+  private _hasFallenSilent = false
 
   /** @param bestPace - Best pace of the target's service. */
   constructor (target: Target, bestPace = new BestPace()) {
@@ -71,8 +79,26 @@
     this._permitAt = now + waitMs
   }
 
+  /** Gets the time at which the last bytes arrived from the target; -Infinity before the first. */
+  getHeardAt (): number {
+    return this._heardAt
+  }
+
+  /** Checks whether the target has sent nothing for some time although a request waited. */
+  isSilent (now: number): boolean {
+    return this._hasFallenSilent || (this._inFlight > 0 && now - this._waitingSince >= SILENT_AFTER_MS)
+  }
+
+  /** Records that bytes have arrived from the target. */
+  recordHeard (now: number): void {
+    this._heardAt = now
+    this._waitingSince = now
+    this._hasFallenSilent = false
+  }
+
   /** Records that a request is sent to the target. */
-  recordStart (prefillMs: number): void {
+  recordStart (prefillMs: number, now: number): void {
+    if (this._inFlight === 0) this._waitingSince = now
     this._inFlight++
     this._pendingPrefillMs += prefillMs
   }
@@ -83,7 +109,8 @@
   }
 
   /** Records that a request at the target has completed. */
-  recordCompletion (): void {
+  recordCompletion (now: number): void {
+    this._hasFallenSilent = this.isSilent(now)
     this._inFlight--
   }
 
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -57,12 +57,19 @@
   readonly response: TargetResponse
   /** Time at which the request was sent, by the steady clock. */
   readonly sentAt: number
+  /** True if the target had sent nothing for some time when the request was sent. */
+  readonly wasSilent: boolean
+  /** Records that bytes of the response have arrived. */
+  readonly recordReceived: () => void
   /** Records that the first chunk of the response has arrived; further calls do nothing. */
   readonly recordFirstChunk: () => void
   /** Records that the attempt is over. */
   readonly finish: () => void
 }
 
+/** What is known of a request that was sent to a target. */
+type Run = Pick<Attempt, 'state' | 'sentAt' | 'wasSilent'>
+
 /** What the next attempt sends. */
 export interface AttemptRequest {
   readonly body: Buffer | undefined
@@ -145,6 +152,7 @@
   dropOther (other: Attempt, cause: string, cancelled: AbortSignal): void {
     other.response.discard()
     other.finish()
+    this._recordLeft(other, cause)
     if (cancelled.aborted) this._recordCancelled(other.state, true)
     else this._recordRun(other.state, cause)
   }
@@ -152,8 +160,10 @@
   /** Records that a stream has moved from the target of an attempt to another one, because of its silence or a failure after it. */
   recordMove (from: Attempt, to: Attempt, silentMs: number, failure: ResponseFailure | undefined): void {
     const { log, metrics } = this._context
-    this._recordRun(from.state, failure?.cause ?? `no event for ${Math.round(silentMs)} ms`)
+    const cause = failure?.cause ?? `no event for ${Math.round(silentMs)} ms`
+    this._recordRun(from.state, cause)
     if (failure?.isConnectionLost === true) this._recordSuspect(from)
+    else this._recordLeft(from, cause)
     metrics.streamSilences.inc({ outcome: 'moved' })
     log.info('stream-moved', { req: this._exchange.call.id, from: from.state.incarnation, target: to.state.incarnation, silentMs: Math.round(silentMs) })
   }
@@ -176,6 +186,7 @@
     const isAbortedLocally = this._exchange.callerDisconnected.aborted || this._exchange.getRemainingMs() <= 0
     this._recordRun(attempt.state, failure.cause, !isAbortedLocally)
     if (failure.isConnectionLost && !isAbortedLocally) this._recordSuspect(attempt)
+    else this._recordLeft(attempt, failure.cause)
     if (this._exchange.callerDisconnected.aborted) return false
     if (failure.isFinal !== true) return this._canRetry()
     this._refuse('attempts-failed')
@@ -212,6 +223,7 @@
     const { call, route, configVersion } = this._exchange
     const { state } = placement
     const sentAt = clock.now()
+    const run: Run = { state, sentAt, wasSilent: state.isSilent(sentAt) }
     const timeoutMs = this._exchange.getRemainingMs()
     this._dispatches++
     this._excluded.add(state.incarnation)
@@ -249,13 +261,17 @@
     try {
       const dispatch = { target: state.target, timeoutMs, lastEventId }
       const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
+      // Another target may have the address.
+      if (!response.head.isMisdirected) progress.recordReceived()
       this._context.leaving.recordResponse(state, response.head, call.id)
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
         response.discard()
         progress.finish()
         const { requestId, status } = response.head
-        this._recordRun(state, `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`)
+        const cause = `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`
+        this._recordRun(state, cause)
+        this._recordLeft(run, cause)
         return undefined
       }
       this._context.limits.recordResponse(state, response.head, sentAt, call.id)
@@ -266,10 +282,11 @@
         this._recordNotRun(state, `status ${response.head.status}`, false, cancelled)
         return undefined
       }
-      return { state, response, sentAt, ...progress }
+      return { ...run, response, ...progress }
     } catch (err) {
       progress.finish()
       if (!(err instanceof TargetError)) throw err
+      if (!err.isNotRun && signal.aborted) this._recordLeft(run, err.message)
       if (cancelled?.aborted === true) this._recordCancelled(state, !err.isNotRun)
       else if (err.isNotRun) {
         if (!isRepeated) this._addresses.delete(state.target.address)
@@ -277,17 +294,19 @@
         this._recordNotRun(state, err.message, !signal.aborted && err.isUnreachable, cancelled)
       } else {
         this._recordRun(state, err.message, !signal.aborted)
-        if (!signal.aborted) this._recordSuspect({ state, sentAt })
+        if (!signal.aborted) this._recordSuspect(run)
       }
       return undefined
     }
   }
 
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
-  private _track (placement: Placement, sentAt: number, abort: AttemptAbort): { recordFirstChunk: () => void, finish: () => void } {
+  private _track (
+    placement: Placement, sentAt: number, abort: AttemptAbort
+  ): Pick<Attempt, 'recordReceived' | 'recordFirstChunk' | 'finish'> {
     const { clock } = this._context
     const { state, prefillMs, predictedMs } = placement
-    state.recordStart(prefillMs)
+    state.recordStart(prefillMs, sentAt)
     let isPrefilling = true
     const endPrefill = (): boolean => {
       if (!isPrefilling) return false
@@ -296,11 +315,12 @@
       return true
     }
     return {
+      recordReceived: () => { state.recordHeard(clock.now()) },
       recordFirstChunk: () => { if (endPrefill()) state.recordResponse(Math.max(0, clock.now() - sentAt - predictedMs), clock.now()) },
       finish: () => {
         abort.close()
         endPrefill()
-        state.recordCompletion()
+        state.recordCompletion(clock.now())
       }
     }
   }
@@ -329,7 +349,7 @@
   }
 
   /** Records that the connection to a target was lost while it ran the request; a request that crashes several is refused. */
-  private _recordSuspect ({ state, sentAt }: Pick<Attempt, 'state' | 'sentAt'>): void {
+  private _recordSuspect ({ state, sentAt }: Run): void {
     const { suspect, call } = this._exchange
     if (suspect === undefined) return
     const { digests: { request, input }, inputUse } = suspect
@@ -337,6 +357,14 @@
     void this._context.suspects.record({ digests, incarnation: state.incarnation, others: state.getInFlight(), sentAt }, call.id)
   }
 
+  /** Records that this gateway has stopped waiting for a target that may still run the request. */
+  private _recordLeft ({ state, sentAt }: Run, cause: string): void {
+    const { clock, log } = this._context
+    const now = clock.now()
+    const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(now - state.getHeardAt()) : undefined
+    log.info('run-left', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs: Math.round(now - sentAt), heardMsAgo })
+  }
+
   /** Gets the milliseconds for which the request must not be run because it has crashed several targets. */
   private _getRefusedMs (): number {
     const { suspect } = this._exchange
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -12,7 +12,7 @@
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
-import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetState } from '../../core/target/index.js'
+import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetEndCause, type TargetState } from '../../core/target/index.js'
 import {
   BudgetPeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore,
   TurnPeers
@@ -123,7 +123,7 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
-    this._registry = new TargetRegistry({ drainMs: settings.drainMs })
+    this._registry = new TargetRegistry({ drainMs: settings.drainMs, onEnded: (state, cause) => { this._onTargetEnded(state, cause) } })
     this._pauses = new PauseDetector(clock)
     const { id, failureDomain, regions } = settings
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
@@ -378,6 +378,13 @@
     this._onTargetsApplied()
   }
 
+  /** Handles that a target is gone which was not leaving. */
+  private _onTargetEnded (state: TargetState, cause: TargetEndCause): void {
+    const { clock, log } = this._options
+    const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(clock.now() - state.getHeardAt()) : undefined
+    log.info('target-ended', { target: state.incarnation, cause, heardMsAgo, inFlight: state.getInFlight() })
+  }
+
   private _decodeTarget (row: StoredRow): Target | undefined {
     const { tables, log, metrics } = this._options
     const target = tables.decodeTarget(row)
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -46,6 +46,7 @@
   try {
     for await (const chunk of body) {
       exchange.recordReceived()
+      attempt.recordReceived()
       size += chunk.length
       if (size > MAX_RESPONSE_BYTES) {
         discard()
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -325,6 +325,7 @@
     try {
       for await (const chunk of body) {
         exchange.recordReceived()
+        attempt.recordReceived()
         for (const event of splitter.add(chunk)) {
           // What the former target still sends would come twice.
           if (handover.getSuccessor() !== undefined) return undefined
--- a/tests/core/target/CostPlacementTests.ts
+++ b/tests/core/target/CostPlacementTests.ts
@@ -30,7 +30,7 @@
 
   it('should avoid a target with pending prefill', () => {
     const states = [toState('a', 'here'), toState('b', 'near')]
-    states[0]!.recordStart(100)
+    states[0]!.recordStart(100, 0)
     expect(place(createPolicy(), states, [])?.state.target.id).toEqual('b')
     states[0]!.recordPrefillEnd(100)
     expect(place(createPolicy(), states, [])?.state.target.id).toEqual('a')
@@ -75,7 +75,7 @@
       const policy = createPolicy()
       const placement = place(policy, states, program.segments, at, program.target.incarnation)!
       const { state, prefillMs } = placement
-      state.recordStart(prefillMs)
+      state.recordStart(prefillMs, 0)
       const promptTokens = program.segments.reduce((sum, segment) => sum + segment.tokens, 0)
       allTokens += promptTokens
       readTokens += state === program.target ? program.segments.at(-1)!.tokens : promptTokens
--- a/tests/core/target/TargetRegistryTests.ts
+++ b/tests/core/target/TargetRegistryTests.ts
@@ -48,6 +48,43 @@
     expect(registry.getServing('model', 0)[0]!.prefixCache.getCachedTokens([{ id: 'p', tokens: 10 }])).toEqual(0)
   })
 
+  describe('with a target that is gone', () => {
+    let ends: string[]
+    let registry: TargetRegistry
+
+    beforeEach(() => {
+      ends = []
+      registry = new TargetRegistry({ onEnded: ({ incarnation }, cause) => { ends.push(`${incarnation} ${cause}`) } })
+      registry.set(target)
+    })
+
+    it('should report the removal of its row, once', () => {
+      registry.remove('i-1', 0)
+      registry.setAll([], 1)
+      expect(ends).toEqual(['i-1@5 removed'])
+    })
+
+    it('should report that another incarnation has its id', () => {
+      registry.set({ ...target, bornAt: 6 })
+      expect(ends).toEqual(['i-1@5 replaced'])
+    })
+
+    it('should not report one that was leaving', () => {
+      registry.set({ ...target, isLeaving: true })
+      registry.remove('i-1', 0)
+      expect(ends).toEqual([])
+    })
+
+    it('should not report one whose row was removed during an outage of the store', () => {
+      registry.recordStoreUnavailable()
+      registry.remove('i-1', 0)
+      registry.recordStoreAvailable(1)
+      registry.setAll([], 2)
+      expect(registry.getServing('model', 2 + REREGISTER_MS)).toEqual([])
+      expect(ends).toEqual([])
+    })
+  })
+
   describe('with a target that states that it is leaving', () => {
     const INCARNATION = 'i-1@5'
     const DRAIN_MS = 2_500
