Reproduce requests that crash targets in silence, or late, or together

What callers see (BUDGET): a request that crashes targets goes on reaching them, later than contactMs after its third crash.

Change: one table of tests of processes with both promises. Eleven forms of a crash (SuspectForms.ts): reset, silent, silent and back under its id, after its caller has left, one connection only, one by one, after an answer 500; copies at the same time, new programs. Ten forms in which a target holds a request past its time and crashes none: slow, standing still, behind a cut, cut off from the store, replaced later, started again later, leaving with and without notice, down with its failure domain, its row gone while the store is away. Stand-ins can fall silent, stand still and be replaced.

--- a/tests/processes/SuspectPromisesTests.ts
+++ b/tests/processes/SuspectPromisesTests.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { REFUSE_AFTER_INCARNATIONS } from '../../src/core/suspect/index.js'
+import { CRASH_FORMS, HELD_TIMEOUT_MS, HOLD_FORMS, type CrashForm } from './SuspectForms.js'
 import { getProgramHeaders, SuspectWorld, type Programs } from './SuspectWorld.js'
 
 /** `contactMs` of the sites, in milliseconds: until then turns may be refused after a disturbance, and requests that crash targets run. */
@@ -18,11 +19,15 @@
 
 /** Milliseconds for which a request that crashes targets comes again and again, and between an answer and the next try. */
 const POISON_MS = 12_000
+const POISON_FORM_MS = 25_000
 const RETURN_MS = 500
 
 /** Milliseconds after which a crashed target is back. */
 const DOWN_MS = 1_500
 
+/** Requests that targets hold past their time, by path. */
+const HELD = ['/lookup/held', '/turns/resumable/held']
+
 /** Requests that crash each target that runs them, by path. */
 const POISON = ['/lookup/p1', '/lookup/p2', '/turns/resumable/p3', '/turns/kept/p4']
 
@@ -144,6 +149,65 @@
     }
   }
 
+  // BUDGET: only the loss of its own connection counted against a request, while it waited; copies of one reached targets together.
+  for (const [name, form] of Object.entries(CRASH_FORMS)) {
+    it(`should stop requests whose targets ${name}`, async () => {
+      await restartWith(form.gateways)
+      const { forMs = POISON_FORM_MS, copies = 1, hasNewPrograms = false, leaveAfterMs } = form
+      for (const target of world.getTargets()) {
+        for (const path of POISON) target.responders.set(path, (run, res, crashed) => { void form.crash(world, crashed, res, run.id) })
+      }
+      const endsAt = performance.now() + forMs
+      const getProgram = (at: number): string => hasNewPrograms ? `program-${at}` : 'program'
+      await world.sendPlain(Promise.all(POISON.map(async (path, caller) => {
+        await sendAgain(path, at => getProgram(at) + caller, endsAt, { copies, leaveAfterMs })
+      })))
+      expect(POISON.map(path => ({ path, late: countLateRuns(path) })).filter(({ late }) => late > MAX_LATE_RUNS)).toEqual([])
+    }).timeout(90_000)
+  }
+
+  // LOST: the opposite of the forms above.
+  for (const [name, { act, isNeverRefused }] of Object.entries(HOLD_FORMS)) {
+    it(`should serve requests that were held past their time three times by targets that ${name}`, async () => {
+      const acts: Array<Promise<unknown>> = []
+      const holds = new Map(HELD.map(path => [path, 0]))
+      for (const path of HELD) {
+        for (const target of world.getTargets()) {
+          target.responders.set(path, (run, res, holder) => {
+            const count = holds.get(path)! + 1
+            holds.set(path, count)
+            if (count <= LOSSES) acts.push(act(world, holder))
+            else res.writeHead(200, { 'x-request-id': run.id, 'x-response-signature': 's' }).end('id: 1\ndata: served\n\n')
+          })
+        }
+      }
+      const headers = { ...getProgramHeaders('held'), 'x-timeout-ms': String(HELD_TIMEOUT_MS) }
+      const statuses: number[] = []
+      await world.sendPlain((async () => {
+        await Promise.all(HELD.map(async path => {
+          // A try may meet a target that the form has taken away, and is not held then.
+          while (holds.get(path)! < LOSSES) {
+            await world.send(path, 'x', headers)
+            await sleep(RETURN_MS)
+          }
+        }))
+        await Promise.all(acts)
+        await sleep(CONTACT_MS)
+        for (const path of HELD) for (let at = 0; at < LOSSES; at++) statuses.push((await world.send(path, 'x', headers)).res.status)
+      })())
+      expect(statuses).toEqual(statuses.map(() => 200))
+      if (isNeverRefused) expect(world.countRefused()).toEqual(0)
+    })
+  }
+
+  /** Starts another world if the one that is running has another number of gateways. */
+  async function restartWith (gateways: number | undefined): Promise<void> {
+    if (gateways === undefined) return
+    await world.stop()
+    world = new SuspectWorld(gateways)
+    await world.start()
+  }
+
   function expectServed (since: number): void {
     expect(world.getLostTurns(since)).toEqual([])
     const { first, later } = world.getServedShares(since)
@@ -151,10 +215,15 @@
     expect(later).toBeGreaterThanOrEqual(MIN_SERVED_SHARE * first)
   }
 
-  async function sendAgain (path: string, getProgram: (at: number) => string, endsAt: number): Promise<void> {
+  /** Sends a request again and again; its copies reach gateways at the same time. */
+  async function sendAgain (
+    path: string, getProgram: (at: number) => string, endsAt: number, { copies = 1, leaveAfterMs }: Pick<CrashForm, 'copies' | 'leaveAfterMs'> = {}
+  ): Promise<void> {
     for (let at = 0; performance.now() < endsAt; at++) {
-      const program = getProgram(at)
-      await world.send(path, 'x', path.startsWith('/turns/') ? getProgramHeaders(program) : {})
+      const headers = path.startsWith('/turns/') ? getProgramHeaders(getProgram(at)) : {}
+      await Promise.all(Array.from({ length: copies }, async () => {
+        await world.send(path, 'x', headers, leaveAfterMs === undefined ? undefined : AbortSignal.timeout(leaveAfterMs))
+      }))
       await sleep(RETURN_MS)
     }
   }
--- a/tests/processes/SuspectWorld.ts
+++ b/tests/processes/SuspectWorld.ts
@@ -5,8 +5,8 @@
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 import { waitFor } from './GatewayHarness.js'
 
-/** Ids of the gateways. */
-const GATEWAYS = ['gateway-1', 'gateway-2']
+/** Number of gateways unless stated. */
+const GATEWAYS = 2
 
 /** Model engines, in failure domains of equal size. */
 const ENGINES = 9
@@ -26,6 +26,18 @@
 const MIN_RESEND_MS = 100
 const MAX_RESEND_MS = 400
 
+/** Milliseconds between two plain requests. */
+const PLAIN_GAP_MS = 25
+
+/** How a target is replaced. */
+export interface Replacement {
+  readonly end: () => void | Promise<void>
+  /** Milliseconds after its end after which its row is removed. */
+  readonly removedMs: number
+  /** Milliseconds after its end after which another target is registered. */
+  readonly downMs: number
+}
+
 /** A turn of a program with all of its tries. */
 export interface SentTurn {
   readonly program: string
@@ -43,23 +55,28 @@
   readonly input: string
 }
 
-/** Two gateways with targets in failure domains, callers that send programs, and crashes from outside. */
+/** Gateways with targets in failure domains, callers that send programs, and crashes from outside. */
 export class SuspectWorld {
   readonly fixture = new PlatformFixture()
   readonly gateways: GatewayProcess[] = []
   readonly turns: SentTurn[] = []
   /** Path of the turns of programs. */
   turnPath = '/turns/kept/x'
+  private readonly _ids: readonly string[]
   private readonly _down = new Set<EngineStandin>()
   private _isClosed = false
   private _requests = 0
   private _programs = 0
 
+  constructor (gateways = GATEWAYS) {
+    this._ids = Array.from({ length: gateways }, (_, at) => `gateway-${at + 1}`)
+  }
+
   /** Starts the stand-ins and the gateways. */
   async start (): Promise<void> {
     await this.fixture.start({ engines: ENGINES, desks: DESKS })
     for (const engine of this.fixture.engines) engine.eventGapMs = EVENT_GAP_MS
-    for (const id of GATEWAYS) this.gateways.push(await this._startGateway(id))
+    this.gateways.push(...await Promise.all(this._ids.map(async id => await this._startGateway(id))))
     await waitFor(() => this.gateways.every(gateway => gateway.getEvents('peers-known').length > 0))
   }
 
@@ -73,7 +90,7 @@
   /** Kills all gateways at once and starts them again. */
   async restartGateways (): Promise<void> {
     for (const gateway of this.gateways.splice(0)) await gateway.kill()
-    this.gateways.push(...await Promise.all(GATEWAYS.map(async id => await this._startGateway(id))))
+    this.gateways.push(...await Promise.all(this._ids.map(async id => await this._startGateway(id))))
   }
 
   /** Gets all targets. */
@@ -86,6 +103,28 @@
     return this.fixture.engines.filter((_, at) => at % DOMAINS === index)
   }
 
+  /** Gets the targets of a service that are in the failure domain of one, itself included. */
+  getNeighbours (target: EngineStandin): EngineStandin[] {
+    const service = this.fixture.engines.includes(target) ? this.fixture.engines : this.fixture.desks
+    return service.filter((_, at) => at % DOMAINS === service.indexOf(target) % DOMAINS)
+  }
+
+  /** Checks whether a target has ended or is down. */
+  isDown (target: EngineStandin): boolean {
+    return this._down.has(target)
+  }
+
+  /** Ends a target, removes its row, and starts another one with a new id in its place; does nothing if it has ended. */
+  async replace (target: EngineStandin, { end, removedMs, downMs }: Replacement): Promise<void> {
+    if (this._down.has(target)) return
+    this._down.add(target)
+    await end()
+    await Promise.all([
+      sleep(removedMs).then(() => { this.fixture.unregister(target) }),
+      sleep(downMs).then(async () => { if (!this._isClosed) await this.fixture.addReplacement(target) })
+    ])
+  }
+
   /** Crashes targets together and starts them again after some time; targets that are down are left out. */
   async crash (targets: readonly EngineStandin[], downMs: number): Promise<void> {
     const crashed = targets.filter(target => !this._down.has(target))
@@ -103,13 +142,35 @@
   }
 
   /** Sends a request to the gateways in turn. */
-  async send (path: string, body: string | undefined, headers: Record<string, string>): Promise<{ id: string, res: PlatformCallResponse }> {
+  async send (
+    path: string, body: string | undefined, headers: Record<string, string>, signal?: AbortSignal
+  ): Promise<{ id: string, res: PlatformCallResponse }> {
     const at = ++this._requests
     const id = `r${at}`
-    const res = await callPlatform(this.gateways[at % this.gateways.length]!.callerAddress, { id, path, body, headers })
+    const res = await callPlatform(this.gateways[at % this.gateways.length]!.callerAddress, { id, path, body, headers, signal })
     return { id, res }
   }
 
+  /** Sends lookups and short streams, each once, until a promise resolves. */
+  async sendPlain (until: Promise<unknown>): Promise<void> {
+    const state = { isOver: false }
+    const over = until.finally(() => { state.isOver = true })
+    const sent: Array<Promise<unknown>> = []
+    while (!state.isOver) {
+      const at = sent.length
+      const path = at % 2 === 0 ? `/lookup/plain${at}` : `/turns/resumable/plain${at}`
+      sent.push(this.send(path, `plain ${at}`, at % 2 === 0 ? {} : getProgramHeaders(`plain${at}`)))
+      await sleep(PLAIN_GAP_MS)
+    }
+    await Promise.all(sent)
+    await over
+  }
+
+  /** Gets the number of requests that gateways refused because they crash targets. */
+  countRefused (): number {
+    return this.gateways.flatMap(gateway => gateway.getEvents('refused')).filter(({ reason }) => reason === 'crashes-targets').length
+  }
+
   /** Sends a turn with a retry after each refusal, and again from its start when all tries failed; returns the id that was answered. */
   async sendTurn (program: string, input: string, previous?: string): Promise<string | undefined> {
     const turn: SentTurn = { program, startedAt: performance.now(), isLater: previous !== undefined, tries: [], statuses: [] }
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -70,12 +70,17 @@
   private readonly _repeatedRefusals = new WeakMap<Socket, string>()
   private _port = 0
   private _isClosed = false
+  private _isSilent = false
+  /** Resolves when a frozen target goes on; undefined while it is not frozen. */
+  private _frozen: Promise<void> | undefined
 
   constructor (id: string) {
     this.id = id
     this._server = createServer((req, res) => { void this._serve(req, res) })
     this._server.on('connection', socket => {
       this._sockets.add(socket)
+      if (this._isSilent) mute(socket)
+      if (this._frozen !== undefined) socket.cork()
       socket.on('error', () => {})
       socket.on('close', () => { this._sockets.delete(socket) })
     })
@@ -85,6 +90,7 @@
   async start (): Promise<string> {
     // A crash may be over after its test; a server that listens then would keep the process from ending.
     if (this._isClosed) return `127.0.0.1:${this._port}`
+    this._isSilent = false
     await new Promise<void>(resolve => this._server.listen(this._port, '127.0.0.1', resolve))
     this._port = (this._server.address() as AddressInfo).port
     return `127.0.0.1:${this._port}`
@@ -104,7 +110,39 @@
     for (const socket of this._sockets) socket.resetAndDestroy()
   }
 
+  /** Sends nothing any more and runs no further request, while all connections stay open. */
+  silence (): void {
+    for (const run of this.runs) if (run.endedAt === undefined) run.isBroken = true
+    this._isSilent = true
+    // Otherwise Node.js closes connections that are idle.
+    this._server.keepAliveTimeout = 0
+    for (const socket of this._sockets) mute(socket)
+  }
+
+  /** Falls silent, and resets its connections one after the other within some time. */
+  async crashInTurn (withinMs: number): Promise<void> {
+    const sockets = [...this._sockets]
+    this._server.close()
+    this.silence()
+    for (const socket of sockets) {
+      socket.resetAndDestroy()
+      await sleep(withinMs / sockets.length)
+    }
+  }
+
+  /** Sends nothing and runs no further request for a while; then goes on where it stopped. */
+  async freeze (forMs: number): Promise<void> {
+    const frozen = [...this._sockets]
+    for (const socket of frozen) socket.cork()
+    this._frozen = sleep(forMs)
+    await this._frozen
+    this._frozen = undefined
+    for (const socket of this._sockets) while (socket.writableCorked > 0) socket.uncork()
+  }
+
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
+    if (this._isSilent) return
+    await this._frozen
     const chunks: Buffer[] = []
     try {
       for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
@@ -236,3 +274,8 @@
     res.end()
   }
 }
+
+/** Drops all that is written to a connection, and keeps it open. */
+function mute (socket: Socket): void {
+  Object.assign(socket, { write: () => true, end: () => socket, destroySoon: () => {} })
+}
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -100,6 +100,16 @@
     return engine
   }
 
+  /** Starts and registers a target in the place of another one, with a new id and at a new address; it responds as that one does. */
+  async addReplacement (standin: EngineStandin): Promise<EngineStandin> {
+    const standins = this.engines.includes(standin) ? this.engines : this.desks
+    const replacement = await this._addTarget(`${standin.id.split('+')[0]!}+${standins.length}`, standins === this.engines ? 'model' : 'desk')
+    replacement.eventGapMs = standin.eventGapMs
+    for (const [path, respond] of standin.responders) replacement.responders.set(path, respond)
+    standins.push(replacement)
+    return replacement
+  }
+
   /** Registers a model engine with another software version; its events state the version. */
   setEngineVersion (engine: EngineStandin, version: string): void {
     this._versions.set(engine.id, version)
