Count the end of a target against requests that nobody awaits any more

What callers saw (BUDGET): a request under which targets ended in silence, or whose caller had left, was never refused and went on reaching targets.

Cause: evidence was taken from the request's own connection, and only while its gateway waited. A target that falls silent loses no connection; one that ends after the caller has left, the time is over or the stream has moved loses one that is gone already. The class: evidence from one's own connection only, where the end of a peer is learned later or from elsewhere.

Change: a gateway keeps the runs that it has stopped waiting for (OpenRuns) until it is known whether their target went on. They count when the target's other connections are lost within half a second, or when the store shows that the target is gone and not leaving: its row removed, or another incarnation under its id. Copies that ran at the same time count once, as with a failure domain. What was inferred is taken back when the incarnation is listed again or responds. An answer of 5xx does not clear a request: it may be the last that a target sends.

Why it works: each end is known by its row after three report intervals, so the third one is known before contactMs is over.

--- a/src/core/route/RouteConfig.ts
+++ b/src/core/route/RouteConfig.ts
@@ -9,6 +9,8 @@
   readonly isModel: boolean
   /** Number of tokens that each event of a stream contains; 1 for plain services. */
   readonly tokensPerEvent: number
+  /** Path on which a target responds as soon as it can, whatever its health is. */
+  readonly livenessPath: string
 }
 
 /** Limits on the requests of callers. */
--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -1,19 +1,21 @@
+import { LEFT_GRACE_MS, mayHaveEnded, OpenRuns, type OpenRun, type SentRun } from './OpenRuns.js'
+
 /** Milliseconds within which targets that go down count as going down together, and all requests of one target as lost with it. */
 export const CRASH_WINDOW_MS = 500
 
 /** Share of the requests in progress at a target that have to be lost for its crash; fewer are connections that were lost on the way. */
 const MIN_LOST_SHARE = 0.5
 
+/** Milliseconds for which a crash is kept: longer than the rows of targets that went down together take to expire. */
+const KEEP_MS = 10_000
+
+/** Maximum number of incarnations whose inferred ends are kept, which a sign of life takes back. */
+const MAX_INFERRED = 1_000
+
 /** A request whose connection to a target was lost while the target ran it. */
-export interface LostRequest {
-  /** Digests under which a crash counts against the request. */
-  readonly digests: readonly string[]
-  /** Incarnation of the target. */
-  readonly incarnation: string
+export interface LostRequest extends SentRun {
   /** Other requests that are in progress at the target. */
   readonly others: number
-  /** Time at which it was sent to the target, by the steady clock. */
-  readonly sentAt: number
 }
 
 /** A crash that counts against a request. */
@@ -22,7 +24,7 @@
   readonly incarnation: string
 }
 
-/** When a request was first sent to a target that crashed, and when its connection was first lost there. */
+/** When a request was first sent to a target that crashed, and when it was first lost there, or not awaited any more. */
 interface Loss {
   readonly sentAt: number
   readonly lostAt: number
@@ -33,42 +35,65 @@
   readonly startedAt: number
   /** Requests in progress at the target when the first one was lost. */
   readonly inProgress: number
+  readonly lost: Array<{ readonly request: LostRequest, readonly at: number }>
   /** Requests that were lost, by each of their digests. */
   readonly losses: Map<string, Loss>
   /** Digests against which the crash counts. */
   readonly counted: Set<string>
-  lost: number
   isEvaluated: boolean
 }
 
 /**
- * Decides which lost connections are evidence that a request crashes targets.
+ * Decides what is evidence that a request crashes targets.
  *
- * A connection that is lost while the target goes on with its other requests is none. Targets that go down together, with no request that
- * was retried at the second after the first, may have gone down with their failure domain or because of several requests: they count once
- * against each of their requests.
+ * The end of a target shows in two ways. Most of its connections are lost at once; one that is lost while the target goes on with its other
+ * requests is no evidence. Or the store shows it later, after an end in silence, or when nobody waited for the request any more; it counts
+ * unless the target has sent anything since.
+ *
+ * Targets that go down together, with no request that was retried at the second after the first, may have gone down with their failure
+ * domain or because of several requests: they count once against each of their requests.
  */
 export class CrashEvidence {
   private _crashes: Crash[] = []
+  private readonly _open = new OpenRuns()
+  private readonly _inferred = new Map<string, CrashRecord[]>()
 
   /** Adds a lost request. */
   add (request: LostRequest, now: number): void {
-    const { digests, incarnation, others, sentAt } = request
+    const { incarnation, others } = request
     let crash = this._crashes.find(known => known.incarnation === incarnation && now - known.startedAt <= CRASH_WINDOW_MS)
     if (crash === undefined) {
-      crash = { incarnation, startedAt: now, inProgress: others + 1, losses: new Map(), counted: new Set(), lost: 0, isEvaluated: false }
+      crash = createCrash(incarnation, now, others + 1)
       this._crashes.push(crash)
     }
-    for (const digest of digests) {
-      const earlier = crash.losses.get(digest)
-      crash.losses.set(digest, { sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt), lostAt: earlier?.lostAt ?? now })
-    }
-    crash.lost++
+    crash.lost.push({ request, at: now })
+    addLosses(crash, { ...request, leftAt: now })
+  }
+
+  /** Adds a run that its gateway does not wait for any more, although it has no answer. */
+  addLeft (run: OpenRun): void {
+    this._open.add(run)
+  }
+
+  /** Gets the runs of a request that a target may still have. */
+  getOpen (digest: string): OpenRun[] {
+    return this._open.getOf(digest)
+  }
+
+  /** Checks whether a target that was last heard at a time may have ended because of a run that nobody awaits. */
+  hasSuspects (incarnation: string, heardAt: number): boolean {
+    return this._open.getAt(incarnation).some(run => mayHaveEnded(run, heardAt))
+  }
+
+  /** Records that a target goes on, so that what it ran before has not ended it. */
+  recordAlive (incarnation: string): void {
+    this._open.removeAt(incarnation)
   }
 
   /** Removes a request that a target has answered from the crashes that were not evaluated yet. */
   clear (digest: string): void {
     for (const crash of this._crashes) crash.losses.delete(digest)
+    this._open.removeOf(digest)
   }
 
   /**
@@ -91,7 +116,12 @@
     for (const crash of this._crashes) {
       if (crash.isEvaluated || now - crash.startedAt < CRASH_WINDOW_MS) continue
       crash.isEvaluated = true
-      if (!isCrash(crash)) continue
+      if (!isCrash(crash)) {
+        // The target may have reset one connection before it fell silent.
+        for (const { request, at } of crash.lost) this._open.add({ ...request, leftAt: at })
+        continue
+      }
+      for (const run of this._open.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
       const isAmbiguous = this._crashes.some(other => isUnrelated(crash, other))
       for (const digest of crash.losses.keys()) {
         if (isAmbiguous && this._crashes.some(other => other.counted.has(digest) && isTogether(crash, other))) continue
@@ -99,13 +129,66 @@
         records.push({ digest, incarnation: crash.incarnation })
       }
     }
-    while (this._crashes.length > 0 && now - this._crashes[0]!.startedAt > 2 * CRASH_WINDOW_MS) this._crashes.shift()
+    this._removeOld(now)
+    return records
+  }
+
+  /** Gets the evidence of the end of an incarnation that the store has shown, and that was last heard at a time. */
+  infer (incarnation: string, heardAt: number, now: number): CrashRecord[] {
+    const crash = createCrash(incarnation, now, 0)
+    const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && isCrash(known))
+    for (const run of this._open.getAt(incarnation)) {
+      if (mayHaveEnded(run, heardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
+    }
+    this._open.removeAt(incarnation)
+    crash.isEvaluated = true
+    for (const [digest, loss] of crash.losses) {
+      // Runs at the same time may have ended with the failure domain of their targets.
+      const isCounted = this._crashes.some(other => other.counted.has(digest) && !isRetry(loss, other.losses.get(digest)))
+      if (!isCounted) crash.counted.add(digest)
+    }
+    const records = [...crash.counted].map(digest => ({ digest, incarnation }))
+    if (records.length > 0) {
+      this._crashes.push(crash)
+      this._inferred.set(incarnation, [...this._inferred.get(incarnation) ?? [], ...records])
+      if (this._inferred.size > MAX_INFERRED) this._inferred.delete(this._inferred.keys().next().value!)
+    }
+    return records
+  }
+
+  /** Gets the evidence that a sign of life of an incarnation takes back, because its end was only inferred. */
+  takeBack (incarnation: string): CrashRecord[] {
+    const records = this._inferred.get(incarnation) ?? []
+    if (records.length > 0) {
+      this._inferred.delete(incarnation)
+      this._crashes = this._crashes.filter(crash => crash.incarnation !== incarnation)
+    }
     return records
   }
+
+  private _removeOld (now: number): void {
+    while (this._crashes.length > 0 && now - this._crashes[0]!.startedAt > KEEP_MS) this._crashes.shift()
+  }
+}
+
+function createCrash (incarnation: string, startedAt: number, inProgress: number): Crash {
+  return { incarnation, startedAt, inProgress, lost: [], losses: new Map(), counted: new Set(), isEvaluated: false }
+}
+
+function addLosses ({ losses }: Crash, { digests, sentAt, leftAt }: OpenRun): void {
+  for (const digest of digests) {
+    const earlier = losses.get(digest)
+    losses.set(digest, { sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt), lostAt: earlier?.lostAt ?? leftAt })
+  }
 }
 
 function isCrash (crash: Crash): boolean {
-  return crash.lost >= crash.inProgress * MIN_LOST_SHARE
+  return crash.lost.length >= crash.inProgress * MIN_LOST_SHARE
+}
+
+/** Checks whether a target may still have had a run when it crashed. */
+function isDuring (run: OpenRun, crash: Crash): boolean {
+  return run.sentAt <= crash.startedAt && run.leftAt >= crash.startedAt - LEFT_GRACE_MS
 }
 
 /** Checks whether one loss of a request was of its retry after the other. */
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -4,6 +4,7 @@
 import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
+import type { SentRun } from '../../core/suspect/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { AttemptAbort } from './AttemptAbort.js'
@@ -20,6 +21,9 @@
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
 const RETRY_AFTER_SECONDS = 0.3
 
+/** Lowest status by which a target states that it has failed. */
+const FIRST_FAILURE_STATUS = 500
+
 /**
  * Milliseconds for which a request may wait for its connection, also while the process stands still.
  *
@@ -175,10 +179,12 @@
     log.info('stream-went-on', { req: this._exchange.call.id, target: attempt.state.incarnation, silentMs: Math.round(silentMs) })
   }
 
-  /** Records that a target has answered the request completely, so that it crashes none. */
-  recordAnswer (): void {
+  /** Records that a target has answered the request completely, so that it crashes none; a failure may be the last that a target sends. */
+  recordAnswer (attempt: Attempt): void {
     const { suspect, call } = this._exchange
-    if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
+    const { status } = attempt.response.head
+    if (status >= FIRST_FAILURE_STATUS) this._recordLeft(attempt, `status ${status}`)
+    else if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
   }
 
   /** Records that the latest response could not be relayed; returns whether another target may be tried, and refuses the request if not. */
@@ -349,20 +355,30 @@
   }
 
   /** Records that the connection to a target was lost while it ran the request; a request that crashes several is refused. */
-  private _recordSuspect ({ state, sentAt }: Run): void {
-    const { suspect, call } = this._exchange
-    if (suspect === undefined) return
+  private _recordSuspect (run: Run): void {
+    const { suspects } = this._context
+    const sent = this._getSentRun(run)
+    if (sent !== undefined) void suspects.record({ ...sent, others: run.state.getInFlight() }, this._exchange.call.id)
+  }
+
+  /** Gets the run as evidence; undefined if the request can't be recognized again. */
+  private _getSentRun ({ state, sentAt, wasSilent }: Run): SentRun | undefined {
+    const { suspect } = this._exchange
+    if (suspect === undefined) return undefined
     const { digests: { request, input }, inputUse } = suspect
     const digests = input === undefined || inputUse?.isShared === true ? [request] : [request, input]
-    void this._context.suspects.record({ digests, incarnation: state.incarnation, others: state.getInFlight(), sentAt }, call.id)
+    return { digests, incarnation: state.incarnation, sentAt, wasSilent }
   }
 
   /** Records that this gateway has stopped waiting for a target that may still run the request. */
-  private _recordLeft ({ state, sentAt }: Run, cause: string): void {
-    const { clock, log } = this._context
+  private _recordLeft (run: Run, cause: string): void {
+    const { clock, log, suspects } = this._context
+    const { state, sentAt } = run
     const now = clock.now()
     const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(now - state.getHeardAt()) : undefined
     log.info('run-left', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs: Math.round(now - sentAt), heardMsAgo })
+    const sent = this._getSentRun(run)
+    if (sent !== undefined) suspects.recordLeft(sent)
   }
 
   /** Gets the milliseconds for which the request must not be run because it has crashed several targets. */
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -12,7 +12,7 @@
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
-import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type PlacementPolicy, type Target, type TargetEndCause, type TargetState } from '../../core/target/index.js'
+import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type LivenessProbe, type PlacementPolicy, type Target, type TargetEndCause, type TargetState } from '../../core/target/index.js'
 import {
   BudgetPeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore,
   TurnPeers
@@ -59,6 +59,7 @@
   readonly protocol: CallProtocol
   readonly tables: PlatformTables
   readonly caches: CacheSource
+  readonly probe: LivenessProbe
   /** Unique name of this run of the process. */
   readonly incarnation: string
   readonly random: () => number
@@ -123,7 +124,11 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
-    this._registry = new TargetRegistry({ drainMs: settings.drainMs, onEnded: (state, cause) => { this._onTargetEnded(state, cause) } })
+    this._registry = new TargetRegistry({
+      drainMs: settings.drainMs,
+      onEnded: (state, cause) => { this._onTargetEnded(state, cause) },
+      onListed: incarnation => { this._suspects.recordListed(incarnation) }
+    })
     this._pauses = new PauseDetector(clock)
     const { id, failureDomain, regions } = settings
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
@@ -196,7 +201,13 @@
       clock,
       isVersionKnown: (target, stream) => versionGate.isKnown(target, stream)
     })
-    const suspects = new SuspectStore({ access, clock, log })
+    const suspects = new SuspectStore({
+      access,
+      clock,
+      log,
+      findTarget: incarnation => this._registry.find(incarnation),
+      isAlive: async ({ target }) => await this._isAlive(target)
+    })
     this._suspects = suspects
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
@@ -383,6 +394,12 @@
     const { clock, log } = this._options
     const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(clock.now() - state.getHeardAt()) : undefined
     log.info('target-ended', { target: state.incarnation, cause, heardMsAgo, inFlight: state.getInFlight() })
+    this._runInBackground('suspects', async () => { await this._suspects.recordEnd(state, cause) })
+  }
+
+  private async _isAlive (target: Target): Promise<boolean> {
+    const service = this._configs.get()?.getService(target.service)
+    return service !== undefined && await this._options.probe.isAlive(target, service.livenessPath)
   }
 
   private _decodeTarget (row: StoredRow): Target | undefined {
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -24,7 +24,7 @@
       const failure = await relayBody(exchange, attempt)
       attempt.finish()
       if (failure === undefined) {
-        attempts.recordAnswer()
+        attempts.recordAnswer(attempt)
         return
       }
       if (!attempts.handleFailure(attempt, failure)) return
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -285,7 +285,7 @@
         attempt = successor
         continue
       }
-      if (failure === undefined) attempts.recordAnswer()
+      if (failure === undefined) attempts.recordAnswer(attempt)
       if (failure === undefined && !isStream) return
       if (failure === undefined) {
         // Unspent tokens are released before the turn is saved, so that a slow store doesn't block other turns of the program.
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -3,8 +3,9 @@
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
   CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
-  type CrashRecord, type LostRequest, type SuspectDigests
+  type CrashRecord, type LostRequest, type SentRun, type SuspectDigests
 } from '../../core/suspect/index.js'
+import { TargetEndCause, type TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { ExpiringRows } from './ExpiringRows.js'
 import type { StoreAccess } from './StoreAccess.js'
@@ -12,11 +13,24 @@
 /** Milliseconds for which writing a crash to the store is retried. */
 const WRITE_TIMEOUT_MS = 10_000
 
+/** Maximum number of incarnations that are kept after their end, for requests that still wait for them. */
+const MAX_ENDED = 1_000
+
 /** Options of {@link SuspectStore}. */
 export interface SuspectStoreOptions {
   readonly access: StoreAccess
   readonly clock: Clock
   readonly log: DecisionLog
+  /** Gets a target by its incarnation; undefined if it is not listed. */
+  readonly findTarget: (incarnation: string) => TargetState | undefined
+  /** Checks whether a target responds, listed or not. */
+  readonly isAlive: (state: TargetState) => Promise<boolean>
+}
+
+/** A target that is gone, with how the store has shown it. */
+interface EndedTarget {
+  readonly state: TargetState
+  readonly cause: TargetEndCause
 }
 
 /** Shares between gateways which requests have crashed targets. */
@@ -26,6 +40,7 @@
   private readonly _list = new SuspectList()
   private readonly _expiring: ExpiringRows
   private readonly _storeTime = new StoreTime()
+  private readonly _ended = new Map<string, EndedTarget>()
 
   constructor (options: SuspectStoreOptions) {
     const { access, clock, log } = options
@@ -34,9 +49,30 @@
   }
 
   /** Gets the milliseconds for which a request must not be run; 0 if it may be. */
-  getRefusedMs ({ request, input }: SuspectDigests): number {
+  getRefusedMs (digests: SuspectDigests): number {
     const now = this._options.clock.now()
-    return Math.max(this._list.getRefusedMs(request, now), input === undefined ? 0 : this._list.getRefusedMs(input, now))
+    return Math.max(...getAll(digests).map(digest => this._list.getRefusedMs(digest, now)))
+  }
+
+  /** Records that this gateway does not wait any more for a target that may still run a request. */
+  recordLeft (run: SentRun): void {
+    this._evidence.addLeft({ ...run, leftAt: this._options.clock.now() })
+    const ended = this._ended.get(run.incarnation)
+    if (ended !== undefined) void this._infer(ended)
+  }
+
+  /** Records that a target is gone that was not leaving: what it ran and nobody awaits may have crashed it. */
+  async recordEnd (state: TargetState, cause: TargetEndCause): Promise<void> {
+    const ended: EndedTarget = { state, cause }
+    this._ended.set(state.incarnation, ended)
+    if (this._ended.size > MAX_ENDED) this._ended.delete(this._ended.keys().next().value!)
+    await this._infer(ended)
+  }
+
+  /** Records that an incarnation is listed, so that an end that was inferred was none. */
+  recordListed (incarnation: string): void {
+    this._ended.delete(incarnation)
+    this._takeBack(incarnation)
   }
 
   /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
@@ -56,9 +92,9 @@
   }
 
   /** Forgets the crashes of a request that a target has answered, at all gateways: the request did not cause them. */
-  async clear ({ request, input }: SuspectDigests, requestId: string): Promise<void> {
+  async clear (digests: SuspectDigests, requestId: string): Promise<void> {
     const { log } = this._options
-    for (const digest of input === undefined ? [request] : [request, input]) {
+    for (const digest of getAll(digests)) {
       this._evidence.clear(digest)
       const incarnations = this._list.clear(digest)
       if (incarnations.length === 0) continue
@@ -70,6 +106,8 @@
   /** Records that an incarnation has responded to a request, so that a connection that it lost before was no crash. */
   recordResponse (incarnation: string, sentAt: number): void {
     this._evidence.disprove(incarnation, sentAt)
+    // One that was replaced may have been so before this gateway knew; then the next incarnation has responded.
+    if (this._ended.get(incarnation)?.cause === TargetEndCause.Removed) this._takeBack(incarnation)
   }
 
   /** Removes the rows of crashes that have expired. */
@@ -93,13 +131,39 @@
     }
   }
 
+  /** Infers from the end of a target which requests may have crashed it. */
+  private async _infer ({ state, cause }: EndedTarget): Promise<void> {
+    const { clock, log, isAlive, findTarget } = this._options
+    const { incarnation } = state
+    if (!this._evidence.hasSuspects(incarnation, state.getHeardAt())) return
+    // A target that leaves unannounced has no row, but still serves.
+    if (cause === TargetEndCause.Removed && await isAlive(state)) {
+      log.info('target-alive', { target: incarnation })
+      this._evidence.recordAlive(incarnation)
+      return
+    }
+    if (findTarget(incarnation) !== undefined) return
+    const crashes = this._evidence.infer(incarnation, state.getHeardAt(), clock.now())
+    await Promise.all(crashes.map(async crash => { await this._share(crash) }))
+  }
+
+  /** Takes back what was inferred from the end of an incarnation that lives. */
+  private _takeBack (incarnation: string): void {
+    const crashes = this._evidence.takeBack(incarnation)
+    if (crashes.length === 0) return
+    this._options.log.info('crash-taken-back', { lifetime: incarnation, digests: crashes.map(({ digest }) => digest) })
+    const keys = crashes.map(({ digest }) => getSuspectKey(digest, incarnation))
+    for (const key of keys) this._list.removeRow(key)
+    void this._remove(keys)
+  }
+
   /** Applies all rows of the table: those of earlier lives keep their time, and those that were removed unseen end. */
   applyRows (rows: readonly StoredRow[], timeMs: number | undefined): void {
     const now = this._options.clock.now()
     this._storeTime.record(timeMs, now)
     this._list.retainStored(rows)
     // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
-    const isExpired = (row: StoredRow): boolean => now - (this._getCrashTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
+    const isExpired = (row: StoredRow): boolean => now - (this._getRowTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
     const expired = this._storeTime.isKnown() ? rows.filter(isExpired) : []
     for (const row of rows) if (!expired.includes(row)) this._applyRow(row)
     if (expired.length > 0) void this._remove(expired)
@@ -113,12 +177,12 @@
   }
 
   private _applyRow (row: StoredRow): void {
-    const { key } = row
-    if (this._list.addStored({ key: row, at: this._getCrashTime(row) ?? this._options.clock.now() })) this._options.log.warn('suspect-confirmed', { row: key })
+    const { clock, log } = this._options
+    if (this._list.addStored({ key: row, at: this._getRowTime(row) ?? clock.now() })) log.warn('suspect-confirmed', { row: row.key })
   }
 
-  /** Gets the time at which the crash of a row was counted, by the steady clock of this process; undefined if it is not known. */
-  private _getCrashTime ({ value }: StoredRow): number | undefined {
+  /** Gets the time that a row states, by the steady clock of this process; undefined if it is not known. */
+  private _getRowTime ({ value }: StoredRow): number | undefined {
     const storeTime = getSuspectTime(value)
     const time = storeTime === undefined ? undefined : this._storeTime.toLocalTime(storeTime)
     return time === undefined ? undefined : Math.min(time, this._options.clock.now())
@@ -135,3 +199,7 @@
     }
   }
 }
+
+function getAll ({ request, input }: SuspectDigests): string[] {
+  return input === undefined ? [request] : [request, input]
+}
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -1,6 +1,9 @@
 import { expect } from 'earl'
 import { ManualClock } from '../../../src/core/clock/index.js'
-import { CRASH_WINDOW_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests } from '../../../src/core/suspect/index.js'
+import {
+  CRASH_WINDOW_MS, LEFT_GRACE_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests
+} from '../../../src/core/suspect/index.js'
+import { TargetState } from '../../../src/core/target/index.js'
 import { StoreAccess, SuspectStore } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
@@ -11,11 +14,18 @@
 /** Milliseconds by which the clock of a restarted gateway is ahead. */
 const RESTART_AHEAD_MS = 70_000
 
+/** Milliseconds in which a target's row expires, roughly. */
+const EXPIRY_MS = 3_000
+
 const DIGESTS: SuspectDigests = { request: 'request', input: 'input' }
 
 /** A gateway's suspects with a clock of its own. */
 interface SuspectGateway {
   readonly clock: ManualClock
+  /** Listed targets. */
+  readonly targets: Map<string, TargetState>
+  /** Incarnations that respond when they are asked. */
+  readonly alive: Set<string>
   readonly suspects: SuspectStore
 }
 
@@ -119,12 +129,83 @@
     expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
   })
 
+  // BUDGET: targets that ended in silence, or after their gateway had stopped waiting, were not counted.
+  it('should count a target that is gone after its gateway has stopped waiting', async () => {
+    for (const incarnation of ['a', 'b', 'c']) {
+      const state = hold(first, incarnation)
+      advance(EXPIRY_MS)
+      first.targets.delete(state.incarnation)
+      await first.suspects.recordEnd(state, 'removed')
+    }
+    expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
+  })
+
+  it('should count a target that is gone before its gateway has stopped waiting', async () => {
+    for (const incarnation of ['a', 'b', 'c']) {
+      const state = listTarget(first, incarnation)
+      advance(EXPIRY_MS)
+      first.targets.delete(state.incarnation)
+      await first.suspects.recordEnd(state, 'removed')
+      first.suspects.recordLeft({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: first.clock.now() - EXPIRY_MS })
+      await delay(20)
+    }
+    expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
+  })
+
+  // LOST: the opposite.
+  it('should not count targets that respond, that were heard later, or that are listed again', async () => {
+    for (const incarnation of ['a', 'b', 'c', 'd', 'e', 'f']) {
+      const state = hold(first, incarnation)
+      if (incarnation < 'c') first.alive.add(state.incarnation)
+      advance(LEFT_GRACE_MS + 1)
+      if (incarnation === 'c' || incarnation === 'd') state.recordHeard(first.clock.now())
+      advance(EXPIRY_MS)
+      first.targets.delete(state.incarnation)
+      await first.suspects.recordEnd(state, incarnation === 'd' ? 'replaced' : 'removed')
+      if (incarnation >= 'e') first.suspects.recordListed(state.incarnation)
+    }
+    await delay(50)
+    expect([first.suspects.getRefusedMs(DIGESTS), rows.getTableSize(SUSPECT_TABLE)]).toEqual([0, 0])
+  })
+
+  it('should take back a target that was taken for gone when it responds, but not one that was replaced', async () => {
+    for (const incarnation of ['a', 'b', 'c']) {
+      const state = hold(first, incarnation)
+      advance(EXPIRY_MS)
+      first.targets.delete(state.incarnation)
+      await first.suspects.recordEnd(state, incarnation === 'c' ? 'replaced' : 'removed')
+    }
+    first.suspects.recordResponse('c@1', first.clock.now())
+    expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
+    first.suspects.recordResponse('a@1', first.clock.now())
+    expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(0)
+  })
+
+  function listTarget ({ targets }: SuspectGateway, id: string): TargetState {
+    const state = new TargetState({
+      id, bornAt: 1, service: 'desk', softwareVersion: 'v1', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: false, slots: 8
+    })
+    targets.set(state.incarnation, state)
+    return state
+  }
+
+  /** Sends a request to a target for which the gateway stops waiting at once. */
+  function hold (gateway: SuspectGateway, id: string): TargetState {
+    const state = listTarget(gateway, id)
+    gateway.suspects.recordLeft({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: gateway.clock.now() })
+    return state
+  }
+
   function createGateway (aheadMs: number): SuspectGateway {
     const clock = new ManualClock((clocks[0]?.now() ?? 0) + aheadMs)
     clocks.push(clock)
     const log = new DecisionLog({ process: 'test', id: 'a', isSilent: true })
     const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
-    return { clock, suspects: new SuspectStore({ access, clock, log }) }
+    const targets = new Map<string, TargetState>()
+    const alive = new Set<string>()
+    const findTarget = (incarnation: string): TargetState | undefined => targets.get(incarnation)
+    const isAlive = async ({ target, incarnation }: TargetState): Promise<boolean> => alive.has(incarnation) || alive.has(target.id)
+    return { clock, targets, alive, suspects: new SuspectStore({ access, clock, log, findTarget, isAlive }) }
   }
 
   function advance (ms: number): void {
--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -8,6 +8,9 @@
 /** Milliseconds between two parts of a response without a length, so that the first one arrives before a reset. */
 const UNFRAMED_GAP_MS = 30
 
+/** Paths on which a target states its health and its load. */
+const HEALTH_PATHS: readonly string[] = ['/health', '/v1/report']
+
 /** Behaviour of a stand-in for one request. */
 export type EngineBehaviour = 'answer' | 'reset' | 'break-off' | 'not-run' | 'unsigned' | 'other-request' | 'refuse-unproved' | 'hang' | 'cut-length' | 'fail' | 'trickle' |
   'pause' | 'pause-reset' | 'pause-end' | 'pause-go-reset' | 'head-hang' | 'stall' | 'interim-leaving' |
@@ -155,6 +158,10 @@
       res.writeHead(421, { 'x-instance-id': this.id, 'x-request-id': id }).end()
       return
     }
+    if (HEALTH_PATHS.includes(req.url!)) {
+      res.writeHead(200, { 'x-instance-id': this.id, 'content-length': '0' }).end()
+      return
+    }
     this.arrivals.push(performance.now())
     if (this.requestsPerSecond !== undefined) res.setHeader('server-limit', String(this.requestsPerSecond))
     if (this.statesLeaving) res.setHeader('server-leaving', '1')
