Do not compare crashes with inferred ends by the time at which these were learned

An inferred end has the time at which the store has shown it, which says nothing about when the target ended, but crashes within half a second of it counted as together with it. And runs that nobody awaited were added to a crash only when it was evaluated, after others had been compared with it.

Change: inferred ends are compared by the times of their runs only, and runs are added to all open crashes first.

--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -40,6 +40,8 @@
   readonly losses: Map<string, Loss>
   /** Digests against which the crash counts. */
   readonly counted: Set<string>
+  /** True if the store has shown the end, whose time is not known. */
+  readonly isInferred: boolean
   isEvaluated: boolean
 }
 
@@ -61,9 +63,10 @@
   /** Adds a lost request. */
   add (request: LostRequest, now: number): void {
     const { incarnation, others } = request
-    let crash = this._crashes.find(known => known.incarnation === incarnation && now - known.startedAt <= CRASH_WINDOW_MS)
+    const recent = this._crashes.filter(known => !known.isInferred && now - known.startedAt <= CRASH_WINDOW_MS)
+    let crash = recent.find(known => known.incarnation === incarnation)
     if (crash === undefined) {
-      crash = createCrash(incarnation, now, others + 1)
+      crash = createCrash(incarnation, now, { inProgress: others + 1 })
       this._crashes.push(crash)
     }
     crash.lost.push({ request, at: now })
@@ -113,6 +116,8 @@
   /** Gets the evidence of the crashes whose window is over and that were not evaluated yet. */
   evaluate (now: number): CrashRecord[] {
     const records: CrashRecord[] = []
+    // Before any is compared with the others.
+    for (const crash of this._crashes) if (!crash.isEvaluated) this._addLeftRuns(crash)
     for (const crash of this._crashes) {
       if (crash.isEvaluated || now - crash.startedAt < CRASH_WINDOW_MS) continue
       crash.isEvaluated = true
@@ -121,7 +126,6 @@
         for (const { request, at } of crash.lost) this._open.add({ ...request, leftAt: at })
         continue
       }
-      for (const run of this._open.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
       const isAmbiguous = this._crashes.some(other => isUnrelated(crash, other))
       for (const digest of crash.losses.keys()) {
         if (isAmbiguous && this._crashes.some(other => other.counted.has(digest) && isTogether(crash, other))) continue
@@ -135,13 +139,12 @@
 
   /** Gets the evidence of the end of an incarnation that the store has shown, and that was last heard at a time. */
   infer (incarnation: string, heardAt: number, now: number): CrashRecord[] {
-    const crash = createCrash(incarnation, now, 0)
-    const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && isCrash(known))
+    const crash = createCrash(incarnation, now, { inProgress: 0, isInferred: true })
+    const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && !known.isInferred && isCrash(known))
     for (const run of this._open.getAt(incarnation)) {
       if (mayHaveEnded(run, heardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
     }
     this._open.removeAt(incarnation)
-    crash.isEvaluated = true
     for (const [digest, loss] of crash.losses) {
       // Runs at the same time may have ended with the failure domain of their targets.
       const isCounted = this._crashes.some(other => other.counted.has(digest) && !isRetry(loss, other.losses.get(digest)))
@@ -166,13 +169,20 @@
     return records
   }
 
+  /** Adds the runs that nobody awaited when a target crashed, and that it may still have had. */
+  private _addLeftRuns (crash: Crash): void {
+    for (const run of this._open.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
+  }
+
   private _removeOld (now: number): void {
     while (this._crashes.length > 0 && now - this._crashes[0]!.startedAt > KEEP_MS) this._crashes.shift()
   }
 }
 
-function createCrash (incarnation: string, startedAt: number, inProgress: number): Crash {
-  return { incarnation, startedAt, inProgress, lost: [], losses: new Map(), counted: new Set(), isEvaluated: false }
+function createCrash (
+  incarnation: string, startedAt: number, { inProgress, isInferred = false }: { inProgress: number, isInferred?: boolean }
+): Crash {
+  return { incarnation, startedAt, inProgress, isInferred, lost: [], losses: new Map(), counted: new Set(), isEvaluated: isInferred }
 }
 
 function addLosses ({ losses }: Crash, { digests, sentAt, leftAt }: OpenRun): void {
@@ -197,7 +207,7 @@
 }
 
 function isTogether (crash: Crash, other: Crash): boolean {
-  return Math.abs(other.startedAt - crash.startedAt) <= CRASH_WINDOW_MS
+  return !other.isInferred && Math.abs(other.startedAt - crash.startedAt) <= CRASH_WINDOW_MS
 }
 
 /** Checks whether another target went down together with one, and no request was retried at one of them after the other. */
