Try a request that has crashed targets again one caller at a time

What callers saw (BUDGET): copies of a request that crashes targets reached one target each, at the moment at which its refusal of 1 s or 3 s ended; a request whose target ended in silence ran again and again until that end was known.

Cause: the end of a refusal let every copy at every gateway run, and nothing waited for the outcome of one. The class: a probe after a refusal that is not one probe.

Change: after a refusal, a request that has crashed three targets needs a trial: a row in the table of suspects that one gateway writes on the condition that nobody else has it. The trial ends with an answer, which clears the request; with a crash, in the same transaction as its row; or when its target, which gave no answer, is known to go on. Others wait 0.3 s for the outcome and are refused after that (Retry-After 0.5 s). While the store can't decide, the request is refused. Gateways learn of trials by the watch of the table, so that only one call of the store is made by each. Streams of such a request do not move to a second target.

Why it works: from the third crash on at most one run at a time is possible over all gateways, and each run's outcome is known before the next.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -4,7 +4,7 @@
 import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
-import type { SentRun } from '../../core/suspect/index.js'
+import type { SentRun, Trial } from '../../core/suspect/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { AttemptAbort } from './AttemptAbort.js'
@@ -107,6 +107,8 @@
   /** Dispatches of {@link askOther} that did not run; they leave as many for a failure of the present target. */
   private _notRunAsks = 0
   private _runs = 0
+  /** Set when the request has crashed several targets and this gateway may try it. */
+  private _trial: Trial | undefined
 
   constructor (context: AttemptContext, exchange: Exchange, options: AttemptsOptions = {}) {
     this._context = context
@@ -119,7 +121,7 @@
     const { callerDisconnected } = this._exchange
     for (;;) {
       if (callerDisconnected.aborted) return undefined
-      const refusedMs = this._getRefusedMs()
+      const refusedMs = await this._admit()
       if (refusedMs > 0) {
         if (this._runs > 0) this._refuse('attempts-failed')
         else this._refuse('crashes-targets', Math.max(RETRY_AFTER_SECONDS, refusedMs / 1_000))
@@ -146,7 +148,7 @@
   async askOther ({ body, lastEventId, stream }: AttemptRequest, cancelled: AbortSignal): Promise<Attempt | undefined> {
     // The latest attempt counts as a run: its target may have generated all that the caller has received.
     const runs = this._runs + 1
-    if (this._decideRetry(runs).type !== 'retry' || this._getRefusedMs() > 0) return undefined
+    if (this._decideRetry(runs).type !== 'retry' || this._isConfirmedSuspect()) return undefined
     const placed = await this._place(stream, runs)
     if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
     return await this._send(placed.placement, body, lastEventId, cancelled)
@@ -187,6 +189,11 @@
     else if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
   }
 
+  /** Records that the request is over. */
+  close (): void {
+    if (this._trial !== undefined) void this._context.suspects.endTrial(this._trial)
+  }
+
   /** Records that the latest response could not be relayed; returns whether another target may be tried, and refuses the request if not. */
   handleFailure (attempt: Attempt, failure: ResponseFailure): boolean {
     const isAbortedLocally = this._exchange.callerDisconnected.aborted || this._exchange.getRemainingMs() <= 0
@@ -381,10 +388,21 @@
     if (sent !== undefined) suspects.recordLeft(sent)
   }
 
-  /** Gets the milliseconds for which the request must not be run because it has crashed several targets. */
-  private _getRefusedMs (): number {
+  /** Gets the milliseconds for which the request must not be run because it has crashed several targets; begins a trial if it needs one. */
+  private async _admit (): Promise<number> {
+    const { suspects } = this._context
+    const { suspect, call } = this._exchange
+    if (suspect === undefined) return 0
+    if (this._trial !== undefined) return suspects.getRefusedMs(suspect.digests)
+    const admission = await suspects.admit(suspect.digests, call.id)
+    if (admission.type === 'refused') return admission.refusedMs
+    this._trial = admission.trial
+    return 0
+  }
+
+  private _isConfirmedSuspect (): boolean {
     const { suspect } = this._exchange
-    return suspect === undefined ? 0 : this._context.suspects.getRefusedMs(suspect.digests)
+    return suspect !== undefined && this._context.suspects.isConfirmed(suspect.digests)
   }
 
   private _eject (state: TargetState, isUnreachable: boolean): void {
--- a/src/io/gateway/PlainForwarder.ts
+++ b/src/io/gateway/PlainForwarder.ts
@@ -18,16 +18,20 @@
   /** Forwards a request and relays its response. */
   async forward (exchange: Exchange, body: Buffer | undefined): Promise<void> {
     const attempts = new Attempts(this._context, exchange)
-    for (;;) {
-      const attempt = await attempts.next({ body })
-      if (attempt === undefined) return
-      const failure = await relayBody(exchange, attempt)
-      attempt.finish()
-      if (failure === undefined) {
-        attempts.recordAnswer(attempt)
-        return
+    try {
+      for (;;) {
+        const attempt = await attempts.next({ body })
+        if (attempt === undefined) return
+        const failure = await relayBody(exchange, attempt)
+        attempt.finish()
+        if (failure === undefined) {
+          attempts.recordAnswer(attempt)
+          return
+        }
+        if (!attempts.handleFailure(attempt, failure)) return
       }
-      if (!attempts.handleFailure(attempt, failure)) return
+    } finally {
+      attempts.close()
     }
   }
 }
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -86,6 +86,16 @@
   readonly getRequest: () => AttemptRequest
 }
 
+/** A request whose attempts are relayed. */
+interface RelayedRequest {
+  readonly exchange: Exchange
+  readonly attempts: Attempts
+  readonly prompt: Buffer
+  readonly progress: StreamProgress
+  /** Called once all events were relayed, before the turn is saved. */
+  readonly onEventsRelayed: () => void
+}
+
 /** One attempt whose events are relayed. */
 interface StreamRelay {
   readonly exchange: Exchange
@@ -264,6 +274,15 @@
         return await this._awaitVersions(exchange, stream, deadline)
       }
     })
+    try {
+      await this._relayUntilEnd({ exchange, attempts, prompt, progress, onEventsRelayed })
+    } finally {
+      attempts.close()
+    }
+  }
+
+  /** Relays the attempts of a request, one after the other, until the stream is complete or no further attempt is allowed. */
+  private async _relayUntilEnd ({ exchange, attempts, prompt, progress, onEventsRelayed }: RelayedRequest): Promise<void> {
     const getRequest = (): AttemptRequest => ({ body: prompt, lastEventId: progress.lastEventId, stream: progress.stream })
     let attempt = await attempts.next(getRequest())
     for (;;) {
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,17 +2,33 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
-  type CrashRecord, type LostRequest, type SentRun, type SuspectDigests
+  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, LEFT_GRACE_MS, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
+  type CrashRecord, type LostRequest, type SentRun, type SuspectDigests, type Trial
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { ExpiringRows } from './ExpiringRows.js'
 import type { StoreAccess } from './StoreAccess.js'
+import { TrialStore } from './TrialStore.js'
 
 /** Milliseconds for which writing a crash to the store is retried. */
 const WRITE_TIMEOUT_MS = 10_000
 
+/** Milliseconds after its request for which the outcome of a trial is awaited; the row of a target expires in less. */
+const OUTCOME_TIMEOUT_MS = 8_000
+
+/** Milliseconds between two looks for the outcome of a trial. */
+const OUTCOME_POLL_MS = 250
+
+/** Milliseconds for which a request waits while it is tried elsewhere: most answers of plain services and removals of rows take less. */
+const TRIAL_WAIT_MS = 300
+
+/** Milliseconds between two looks whether a request may be tried. */
+const TRIAL_POLL_MS = 25
+
+/** Milliseconds after which a caller may return while its request is tried elsewhere. */
+const TRIAL_RETRY_MS = 500
+
 /** Maximum number of incarnations that are kept after their end, for requests that still wait for them. */
 const MAX_ENDED = 1_000
 
@@ -33,6 +49,11 @@
   readonly cause: TargetEndCause
 }
 
+/** Whether a request may be sent to a target. */
+export type Admission =
+  | { readonly type: 'admitted', readonly trial?: Trial }
+  | { readonly type: 'refused', readonly refusedMs: number }
+
 /** Shares between gateways which requests have crashed targets. */
 export class SuspectStore {
   private readonly _options: SuspectStoreOptions
@@ -40,11 +61,14 @@
   private readonly _list = new SuspectList()
   private readonly _expiring: ExpiringRows
   private readonly _storeTime = new StoreTime()
+  private readonly _trials: TrialStore
   private readonly _ended = new Map<string, EndedTarget>()
 
   constructor (options: SuspectStoreOptions) {
     const { access, clock, log } = options
     this._options = options
+    const getRowTime = (row: StoredRow): number => this._getRowTime(row) ?? clock.now()
+    this._trials = new TrialStore({ access, clock, log, storeTime: this._storeTime, getRowTime })
     this._expiring = new ExpiringRows({ access, clock, log, failureEvent: 'suspects-not-removed' })
   }
 
@@ -54,6 +78,52 @@
     return Math.max(...getAll(digests).map(digest => this._list.getRefusedMs(digest, now)))
   }
 
+  /** Checks whether a request has crashed so many targets that only one of its copies may be run at a time. */
+  isConfirmed (digests: SuspectDigests): boolean {
+    const now = this._options.clock.now()
+    return getAll(digests).some(digest => this._list.isConfirmed(digest, now))
+  }
+
+  /**
+   * Decides whether a request may be run; one that has crashed several targets needs a trial, which {@link endTrial} ends.
+   *
+   * While it is tried elsewhere it waits for the outcome for a short time.
+   */
+  async admit (digests: SuspectDigests, requestId: string): Promise<Admission> {
+    for (let waitedMs = 0; ; waitedMs += TRIAL_POLL_MS) {
+      const now = this._options.clock.now()
+      const confirmed = getAll(digests).filter(digest => this._list.isConfirmed(digest, now))
+      if (confirmed.length === 0) return { type: 'admitted' }
+      const refusedMs = this.getRefusedMs(digests)
+      if (refusedMs > 0) return { type: 'refused', refusedMs }
+      const trial = await this._trials.begin(confirmed, requestId)
+      if (trial !== undefined) return { type: 'admitted', trial }
+      const isWaiting = waitedMs < TRIAL_WAIT_MS && this._trials.isBegun(confirmed)
+      if (!isWaiting) return { type: 'refused', refusedMs: TRIAL_RETRY_MS }
+      await sleep(TRIAL_POLL_MS)
+    }
+  }
+
+  /** Ends the trial of a request that is over, as soon as it is known whether a target that has run it goes on. */
+  async endTrial (trial: Trial): Promise<void> {
+    const { clock } = this._options
+    const deadline = clock.now() + OUTCOME_TIMEOUT_MS
+    let isAsked = false
+    while (this._trials.isHeld(trial) && clock.now() < deadline) {
+      const open = trial.digests.flatMap(digest => this._evidence.getOpen(digest))
+      if (open.length === 0) break
+      const isDue = open.every(({ leftAt }) => clock.now() > leftAt + LEFT_GRACE_MS)
+      if (isDue) {
+        await Promise.all([...new Set(open.map(({ incarnation }) => incarnation))].map(async incarnation => {
+          await this._checkAlive(incarnation, !isAsked)
+        }))
+        isAsked = true
+      }
+      await sleep(OUTCOME_POLL_MS)
+    }
+    await this._trials.end(trial)
+  }
+
   /** Records that this gateway does not wait any more for a target that may still run a request. */
   recordLeft (run: SentRun): void {
     this._evidence.addLeft({ ...run, leftAt: this._options.clock.now() })
@@ -97,9 +167,10 @@
     for (const digest of getAll(digests)) {
       this._evidence.clear(digest)
       const incarnations = this._list.clear(digest)
-      if (incarnations.length === 0) continue
+      const trial = this._trials.take(digest)
+      if (incarnations.length === 0 && trial.length === 0) continue
       log.info('suspect-cleared', { req: requestId, digest, crashes: incarnations.length })
-      await this._remove(incarnations.map(incarnation => getSuspectKey(digest, incarnation)))
+      await this._remove([...trial, ...incarnations.map(incarnation => getSuspectKey(digest, incarnation))])
     }
   }
 
@@ -124,7 +195,7 @@
     const row = toSuspectRow(digest, incarnation, this._storeTime.toStoreTime(clock.now()))
     this._expiring.add([getSuspectKey(digest, incarnation)], SUSPECT_RETENTION_MS)
     try {
-      await access.commitRepeatable({ puts: [row] }, clock.now() + WRITE_TIMEOUT_MS)
+      await access.commitRepeatable({ puts: [row], removes: this._trials.take(digest) }, clock.now() + WRITE_TIMEOUT_MS)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       log.warn('suspect-not-shared', { digest, lifetime: incarnation, cause: err.message })
@@ -147,6 +218,15 @@
     await Promise.all(crashes.map(async crash => { await this._share(crash) }))
   }
 
+  /** Checks whether a target that may still have a run goes on, by what it sent or by asking it. */
+  private async _checkAlive (incarnation: string, mayAsk: boolean): Promise<void> {
+    const { findTarget, isAlive } = this._options
+    const state = findTarget(incarnation)
+    if (state === undefined) return
+    const isSuspect = this._evidence.hasSuspects(incarnation, state.getHeardAt())
+    if (!isSuspect || (mayAsk && await isAlive(state))) this._evidence.recordAlive(incarnation)
+  }
+
   /** Takes back what was inferred from the end of an incarnation that lives. */
   private _takeBack (incarnation: string): void {
     const crashes = this._evidence.takeBack(incarnation)
@@ -162,6 +242,7 @@
     const now = this._options.clock.now()
     this._storeTime.record(timeMs, now)
     this._list.retainStored(rows)
+    this._trials.retainStored(rows)
     // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
     const isExpired = (row: StoredRow): boolean => now - (this._getRowTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
     const expired = this._storeTime.isKnown() ? rows.filter(isExpired) : []
@@ -173,10 +254,14 @@
   applyChange (change: RowChange, timeMs: number | undefined): void {
     this._storeTime.record(timeMs, this._options.clock.now())
     if (change.type === 'put') this._applyRow(change.row)
-    else this._list.removeRow(change.key)
+    else {
+      this._list.removeRow(change.key)
+      this._trials.removeRow(change.key)
+    }
   }
 
   private _applyRow (row: StoredRow): void {
+    if (this._trials.applyRow(row)) return
     const { clock, log } = this._options
     if (this._list.addStored({ key: row, at: this._getRowTime(row) ?? clock.now() })) log.warn('suspect-confirmed', { row: row.key })
   }
--- /dev/null
+++ b/src/io/gateway/TrialStore.ts
@@ -0,0 +1,141 @@
+import { randomUUID } from 'node:crypto'
+import type { Clock } from '../../core/clock/index.js'
+import { StoreError, StoreFailure, type RowCommit, type RowKey, type StoredRow, type StoreTime } from '../../core/platform/index.js'
+import { getTrialHolder, getTrialKey, SuspectTrials, toTrialRow, type Trial } from '../../core/suspect/index.js'
+import type { DecisionLog } from '../process/index.js'
+import type { StoreAccess } from './StoreAccess.js'
+
+/** Milliseconds for which a caller waits for its trial to begin. */
+const BEGIN_TIMEOUT_MS = 1_000
+
+/** Tries to write the row of a trial: its response may be lost, or the row of a trial that is over may have changed. */
+const BEGIN_TRIES = 3
+
+/** Milliseconds for which the removal of a trial's row is retried; after it the trial ends by its time. */
+const END_TIMEOUT_MS = 10_000
+
+/** Options of {@link TrialStore}. */
+export interface TrialStoreOptions {
+  readonly access: StoreAccess
+  readonly clock: Clock
+  readonly log: DecisionLog
+  readonly storeTime: StoreTime
+  /** Gets the time of the store that a row states, by the steady clock; the present if it states none. */
+  readonly getRowTime: (row: StoredRow) => number
+}
+
+/** Lets one gateway at a time try a request again that has crashed several targets. */
+export class TrialStore {
+  private readonly _options: TrialStoreOptions
+  private readonly _trials = new SuspectTrials()
+  private readonly _id = randomUUID()
+  private _count = 0
+
+  constructor (options: TrialStoreOptions) {
+    this._options = options
+  }
+
+  /**
+   * Begins a trial of a request; undefined if it is being tried elsewhere.
+   *
+   * Also undefined while the store can't decide it: the request has crashed several targets, and all gateways could try it then.
+   */
+  async begin (digests: readonly string[], requestId: string): Promise<Trial | undefined> {
+    const { clock, log } = this._options
+    const now = clock.now()
+    if (this.isBegun(digests)) return undefined
+    const trial: Trial = { holder: `${this._id}-${++this._count}`, digests }
+    const versions = new Map(digests.map(digest => [digest, this._trials.getVersion(digest)]))
+    // Other requests of this gateway don't ask the store meanwhile.
+    for (const digest of digests) this._trials.set(digest, { holder: trial.holder, startedAt: now, version: 0 })
+    const version = await this._write(trial, versions, now + BEGIN_TIMEOUT_MS)
+    if (version !== undefined) log.info('trial-begun', { req: requestId, digests })
+    for (const digest of digests) {
+      if (version !== undefined) this._trials.set(digest, { holder: trial.holder, startedAt: now, version })
+      else if (this._holds(trial, digest)) this._trials.remove(digest)
+    }
+    return version === undefined ? undefined : trial
+  }
+
+  /** Checks whether a request is being tried, as far as this gateway knows. */
+  isBegun (digests: readonly string[]): boolean {
+    const now = this._options.clock.now()
+    return digests.some(digest => this._trials.getHolder(digest, now) !== undefined)
+  }
+
+  /** Checks whether a trial is neither over nor replaced. */
+  isHeld (trial: Trial): boolean {
+    return trial.digests.some(digest => this._holds(trial, digest))
+  }
+
+  /** Ends a trial, so that the request can be tried again. */
+  async end (trial: Trial): Promise<void> {
+    const { access, clock, log } = this._options
+    const held = trial.digests.filter(digest => this._holds(trial, digest))
+    if (held.length === 0) return
+    const conditions = held.map(digest => ({ ...getTrialKey(digest), version: this._trials.getVersion(digest) }))
+    for (const digest of held) this._trials.remove(digest)
+    try {
+      await access.commitRepeatable({ conditions, removes: held.map(getTrialKey) }, clock.now() + END_TIMEOUT_MS)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+      log.warn('trial-not-ended', { digests: held, cause: err.message })
+    }
+  }
+
+  /** Ends the trial of a request by this gateway as part of another transaction; returns the rows that it has to remove. */
+  take (digest: string): RowKey[] {
+    if (this._trials.getHolder(digest, this._options.clock.now())?.startsWith(this._id) !== true) return []
+    this._trials.remove(digest)
+    return [getTrialKey(digest)]
+  }
+
+  /** Applies a row that the store shows; returns whether it is one of a trial. */
+  applyRow (row: StoredRow): boolean {
+    return this._trials.apply(row, this._options.getRowTime(row))
+  }
+
+  /** Applies the removal of a row. */
+  removeRow (key: RowKey): void {
+    this._trials.removeRow(key)
+  }
+
+  /** Removes the trials that the store does not show. */
+  retainStored (keys: readonly RowKey[]): void {
+    this._trials.retainStored(keys)
+  }
+
+  private _holds ({ holder }: Trial, digest: string): boolean {
+    return this._trials.getHolder(digest, this._options.clock.now()) === holder
+  }
+
+  /** Writes the rows of a trial; returns their version, or undefined if another trial has them. */
+  private async _write (trial: Trial, versions: Map<string, number>, deadline: number): Promise<number | undefined> {
+    const { access, clock, log, storeTime } = this._options
+    const puts = trial.digests.map(digest => toTrialRow(digest, trial.holder, storeTime.toStoreTime(clock.now())))
+    for (let at = 0; at < BEGIN_TRIES; at++) {
+      const conditions = [...versions].map(([digest, version]) => ({ ...getTrialKey(digest), version }))
+      let result: RowCommit
+      try {
+        result = await access.commitOnce({ conditions, puts }, deadline)
+      } catch (err) {
+        if (!(err instanceof StoreError)) throw err
+        log.warn('trial-not-written', { digests: trial.digests, cause: err.message })
+        if (err.failure === StoreFailure.NoResponse) continue
+        return undefined
+      }
+      if (result.type === 'committed') return result.version
+      const { rows } = result
+      // The response to an earlier try was lost.
+      if (rows.length > 0 && rows.every(row => getTrialHolder(row.value) === trial.holder)) return rows[0]!.version
+      for (const digest of trial.digests) {
+        const row = rows.find(({ key }) => key === getTrialKey(digest).key)
+        versions.set(digest, row?.version ?? 0)
+        if (row !== undefined) this._trials.apply(row, this._options.getRowTime(row))
+      }
+      const now = clock.now()
+      if (trial.digests.some(digest => ![undefined, trial.holder].includes(this._trials.getHolder(digest, now)))) return undefined
+    }
+    return undefined
+  }
+}
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { ManualClock } from '../../../src/core/clock/index.js'
 import {
-  CRASH_WINDOW_MS, LEFT_GRACE_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests
+  CRASH_WINDOW_MS, LEFT_GRACE_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests, type Trial
 } from '../../../src/core/suspect/index.js'
 import { TargetState } from '../../../src/core/target/index.js'
 import { StoreAccess, SuspectStore } from '../../../src/io/gateway/index.js'
@@ -129,6 +129,47 @@
     expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
   })
 
+  // BUDGET: a request that had ended targets was refused, and then run by all callers at once.
+  it('should let one request at a time try again after a refusal, until its outcome is known', async () => {
+    const second = createGateway(RESTART_AHEAD_MS)
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    await read(second)
+    expect((await first.suspects.admit(DIGESTS, 'r1')).type).toEqual('refused')
+    advance(REFUSAL_MS[0])
+    const admission = await admit(first)
+    expect((await second.suspects.admit(DIGESTS, 'r2')).type).toEqual('refused')
+    // A target that ends counts at once, and ends the trial in the same transaction.
+    await crash(first, 'd')
+    await first.suspects.endTrial(admission)
+    expect([first.suspects.getRefusedMs(DIGESTS), rows.getTableSize(SUSPECT_TABLE)]).toEqual([REFUSAL_MS[1] - CRASH_WINDOW_MS, 8])
+    advance(REFUSAL_MS[1])
+    await read(second)
+    await admit(second)
+    await second.suspects.clear(DIGESTS, 'r3')
+    expect([(await second.suspects.admit(DIGESTS, 'r4')).type, rows.getTableSize(SUSPECT_TABLE)]).toEqual(['admitted', 0])
+  })
+
+  it('should let the next request try when a trial has reached no target', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    advance(REFUSAL_MS[0])
+    await first.suspects.endTrial(await admit(first))
+    await admit(createGateway(RESTART_AHEAD_MS), true)
+  })
+
+  it('should keep a trial until its target, which did not answer in time, is known to go on', async () => {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    advance(REFUSAL_MS[0])
+    const trial = await admit(first)
+    hold(first, 'd')
+    const ended = first.suspects.endTrial(trial)
+    advance(LEFT_GRACE_MS)
+    expect((await first.suspects.admit(DIGESTS, 'r2')).type).toEqual('refused')
+    first.alive.add('d')
+    advance(1)
+    await ended
+    await admit(first)
+  })
+
   // BUDGET: targets that ended in silence, or after their gateway had stopped waiting, were not counted.
   it('should count a target that is gone after its gateway has stopped waiting', async () => {
     for (const incarnation of ['a', 'b', 'c']) {
@@ -181,6 +222,14 @@
     expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(0)
   })
 
+  /** Begins a trial. */
+  async function admit (gateway: SuspectGateway, isUnread = false): Promise<Trial> {
+    if (isUnread) await read(gateway)
+    const admission = await gateway.suspects.admit(DIGESTS, 'r1')
+    if (admission.type === 'refused' || admission.trial === undefined) throw new Error(`The request was ${admission.type}.`)
+    return admission.trial
+  }
+
   function listTarget ({ targets }: SuspectGateway, id: string): TargetState {
     const state = new TargetState({
       id, bornAt: 1, service: 'desk', softwareVersion: 'v1', address: '10.0.0.1:80', failureDomain: 'here', isLeaving: false, slots: 8
