Soak: requests that crash targets in drawn forms, and requests that targets hold past their time

Change: `crash-forms` draws how the end of a target looks (reset, silent, own connection first, after an answer 500), how many callers send the request and whether they leave before; `held-requests` is its opposite (slow targets, ones that stand still, expire or leave unannounced). Both promises are checked as before: `retries` and `served`. Targets that are down are known to all disturbances; two that crashed one target started it twice, which ended the soak.

--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -20,6 +20,8 @@
   Endless: 'endless',
   Crashes: 'crashes',
   CrashingRequest: 'crashing-request',
+  CrashForms: 'crash-forms',
+  HeldRequests: 'held-requests',
   LargeBreaks: 'large-breaks',
   ResumedTurns: 'resumed-turns',
   OddRows: 'odd-rows',
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -101,6 +101,8 @@
   readonly trouble = new TroubleLog()
   readonly slots: GatewaySlot[] = []
   readonly lines: string[] = []
+  /** Targets that have ended and are not started again yet. */
+  readonly down = new Set<EngineStandin>()
   isOver = false
   private readonly _random: Random
   private readonly _bookings = new Set<string>()
@@ -108,7 +110,6 @@
   private readonly _refused = new Map<string, string>()
   /** Targets that leave by their row, with the time of the store's acknowledgement. */
   private readonly _leavingAt = new Map<string, number>()
-  private readonly _crashed = new Set<EngineStandin>()
   private _nextId = 0
   private _prefixes: string[] = []
   private _watching: Promise<void> = Promise.resolve()
@@ -262,9 +263,9 @@
   /** Crashes targets, removes their rows, and starts them again after a while. */
   async crash (standins: readonly EngineStandin[], downMs: number): Promise<void> {
     const end = this.trouble.begin()
-    const crashed = standins.filter(standin => !this._crashed.has(standin))
+    const crashed = standins.filter(standin => !this.down.has(standin))
     for (const standin of crashed) {
-      this._crashed.add(standin)
+      this.down.add(standin)
       standin.crash()
     }
     await sleep(downMs / 2)
@@ -273,7 +274,7 @@
     for (const standin of crashed) {
       await standin.start()
       this.fixture.register(standin)
-      this._crashed.delete(standin)
+      this.down.delete(standin)
     }
     end()
   }
--- a/tools/soak/disturbances/CrashingRequest.ts
+++ b/tools/soak/disturbances/CrashingRequest.ts
@@ -1,5 +1,6 @@
+import type { ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { EngineResponder } from '../../platform/EngineStandin.js'
+import type { EngineResponder, EngineRun, EngineStandin } from '../../platform/EngineStandin.js'
 import { Disturbance } from '../Disturbance.js'
 import { CONTACT_MS } from '../TroubleLog.js'
 
@@ -12,43 +13,62 @@
 const RETRY_MS = 400
 const DURATION_MS = 12_000
 
+/** How a request that crashes targets is sent, and how its targets end. */
+export interface CrashingForm {
+  /** Callers that send it at the same time. */
+  readonly copies: number
+  /** Milliseconds after which its callers leave; undefined if they stay. */
+  readonly leaveAfterMs: number | undefined
+  /** Ends a target that runs the request, and removes its row if it is gone for long. */
+  readonly end: (desk: EngineStandin, run: EngineRun, res: ServerResponse) => Promise<void>
+}
+
 /** Sends a request, with or without a body, that crashes each target that runs it, again and again. */
 export class CrashingRequest extends Disturbance {
   private readonly _crashedAt: number[] = []
-  private readonly _down = new Set<string>()
+  private _lateTries = 0
 
   async play (): Promise<void> {
     const path = `/lookup/crash-${this._random.int(0, 1_000_000)}`
     const body = this._random.int(0, 2) === 0 ? 'crash' : undefined
-    for (const desk of this._world.fixture.desks) desk.responders.set(path, this._crash)
-    let late = 0
+    const form = this._drawForm()
+    const respond: EngineResponder = (run, res, desk) => { void this._crash(form, desk, run, res) }
+    for (const desk of this._world.fixture.desks) desk.responders.set(path, respond)
     for (const startedAt = performance.now(); performance.now() - startedAt < DURATION_MS;) {
-      const slot = this._world.pickSlot(this._random)
-      const id = this._world.createId('crash')
-      const sentAt = performance.now()
-      await this._world.send({ id, path, body, slot, headers: { 'x-timeout-ms': '1500' } })
-      const knownAt = this._crashedAt[KNOWN_AFTER - 1]
-      const isLate = knownAt !== undefined && sentAt > knownAt + CONTACT_MS
-      if (isLate && slot !== undefined && this._world.trouble.isCalm(slot.index, sentAt)) {
-        if (this._world.getRuns(id).length > 0) late++
-        const count = late
-        this._world.checks.check('retries', count <= MAX_LATE_TRIES, () =>
-          `${path} ${body ?? 'without a body'} reached targets in ${count} tries, after ${this._crashedAt.length} crashes`)
-      }
+      await Promise.all(Array.from({ length: form.copies }, async () => { await this._try(path, body, form) }))
       await sleep(RETRY_MS)
     }
   }
 
-  private readonly _crash: EngineResponder = (run, _res, desk) => {
+  /** Draws how the request is sent and how its targets end. */
+  protected _drawForm (): CrashingForm {
+    return { copies: 1, leaveAfterMs: undefined, end: async desk => { desk.crash() } }
+  }
+
+  private async _try (path: string, body: string | undefined, { leaveAfterMs }: CrashingForm): Promise<void> {
+    const slot = this._world.pickSlot(this._random)
+    const id = this._world.createId('crash')
+    const sentAt = performance.now()
+    const signal = leaveAfterMs === undefined ? {} : { signal: AbortSignal.timeout(leaveAfterMs) }
+    await this._world.send({ id, path, body, slot, headers: { 'x-timeout-ms': '1500' }, ...signal })
+    const knownAt = this._crashedAt[KNOWN_AFTER - 1]
+    const isLate = knownAt !== undefined && sentAt > knownAt + CONTACT_MS
+    if (!isLate || slot === undefined || !this._world.trouble.isCalm(slot.index, sentAt)) return
+    if (this._world.getRuns(id).length > 0) this._lateTries++
+    const count = this._lateTries
+    this._world.checks.check('retries', count <= MAX_LATE_TRIES, () =>
+      `${path} ${body ?? 'without a body'} reached targets in ${count} tries, after ${this._crashedAt.length} crashes`)
+  }
+
+  private async _crash ({ end }: CrashingForm, desk: EngineStandin, run: EngineRun, res: ServerResponse): Promise<void> {
     run.isBroken = true
     this._crashedAt.push(performance.now())
-    if (this._down.has(desk.id)) return
-    this._down.add(desk.id)
-    desk.crash()
-    void sleep(DOWN_MS).then(async () => {
-      await desk.start()
-      this._world.fixture.register(desk)
-      this._down.delete(desk.id)
-    })
+    if (this._world.down.has(desk)) return
+    this._world.down.add(desk)
+    await end(desk, run, res)
+    await sleep(DOWN_MS)
+    await desk.start()
+    this._world.fixture.register(desk)
+    this._world.down.delete(desk)
   }
 }
--- a/tools/soak/disturbances/index.ts
+++ b/tools/soak/disturbances/index.ts
@@ -2,9 +2,11 @@
 import type { DisturbanceName } from '../SoakPlan.js'
 import { ConfigChanges } from './ConfigChanges.js'
 import { Crashes } from './Crashes.js'
+import { CrashForms } from './CrashForms.js'
 import { CrashingRequest } from './CrashingRequest.js'
 import { Endless } from './Endless.js'
 import { HalfRequests } from './HalfRequests.js'
+import { HeldRequests } from './HeldRequests.js'
 import { KeptBookings, KeptChannels } from './KeptChannels.js'
 import { Leaving } from './Leaving.js'
 import { LargeBreaks } from './LargeBreaks.js'
@@ -24,6 +26,8 @@
   endless: options => new Endless(options),
   crashes: options => new Crashes(options),
   'crashing-request': options => new CrashingRequest(options),
+  'crash-forms': options => new CrashForms(options),
+  'held-requests': options => new HeldRequests(options),
   'large-breaks': options => new LargeBreaks(options),
   'resumed-turns': options => new ResumedTurns(options),
   'odd-rows': options => new OddRows(options),
