--- a/tools/platform/EngineStandin.ts
+++ b/tools/platform/EngineStandin.ts
@@ -145,7 +145,11 @@
 
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     if (this._isSilent) return
-    await this._frozen
+    if (this._frozen !== undefined) {
+      await this._frozen
+      // A target drops the requests whose connection was closed meanwhile.
+      if (req.socket.destroyed || this._isSilent) return
+    }
     const chunks: Buffer[] = []
     try {
       for await (const chunk of req as AsyncIterable<Buffer>) chunks.push(chunk)
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -101,10 +101,12 @@
   readonly trouble = new TroubleLog()
   readonly slots: GatewaySlot[] = []
   readonly lines: string[] = []
-  /** Targets that have ended and are not started again yet. */
-  readonly down = new Set<EngineStandin>()
   isOver = false
   private readonly _random: Random
+  /** Targets that have ended and are not started again yet. */
+  private readonly _down = new Set<EngineStandin>()
+  /** Time at which the last of them was started again. */
+  private _upAt = -Infinity
   private readonly _bookings = new Set<string>()
   /** Statuses of requests that were answered as not run. */
   private readonly _refused = new Map<string, string>()
@@ -260,21 +262,41 @@
     end()
   }
 
+  /** Records that a target ends; returns false if it has ended already. */
+  beginDown (standin: EngineStandin): boolean {
+    if (this._down.has(standin)) return false
+    this._down.add(standin)
+    return true
+  }
+
+  /** Records that a target has started again. */
+  endDown (standin: EngineStandin): void {
+    this._down.delete(standin)
+    this._upAt = performance.now()
+  }
+
+  /** Checks whether a target has ended and is not started again yet. */
+  isDown (standin: EngineStandin): boolean {
+    return this._down.has(standin)
+  }
+
+  /** Checks that no target was down since a time. */
+  wereTargetsUp (from: number): boolean {
+    return this._down.size === 0 && this._upAt < from
+  }
+
   /** Crashes targets, removes their rows, and starts them again after a while. */
   async crash (standins: readonly EngineStandin[], downMs: number): Promise<void> {
     const end = this.trouble.begin()
-    const crashed = standins.filter(standin => !this.down.has(standin))
-    for (const standin of crashed) {
-      this.down.add(standin)
-      standin.crash()
-    }
+    const crashed = standins.filter(standin => this.beginDown(standin))
+    for (const standin of crashed) standin.crash()
     await sleep(downMs / 2)
     for (const standin of crashed) this.fixture.unregister(standin)
     await sleep(downMs / 2)
     for (const standin of crashed) {
       await standin.start()
       this.fixture.register(standin)
-      this.down.delete(standin)
+      this.endDown(standin)
     }
     end()
   }
--- a/tools/soak/disturbances/CrashingRequest.ts
+++ b/tools/soak/disturbances/CrashingRequest.ts
@@ -62,13 +62,13 @@
 
   private async _crash ({ end }: CrashingForm, desk: EngineStandin, run: EngineRun, res: ServerResponse): Promise<void> {
     run.isBroken = true
+    // Copies that run at one target end it once.
+    if (!this._world.beginDown(desk)) return
     this._crashedAt.push(performance.now())
-    if (this._world.down.has(desk)) return
-    this._world.down.add(desk)
     await end(desk, run, res)
     await sleep(DOWN_MS)
     await desk.start()
     this._world.fixture.register(desk)
-    this._world.down.delete(desk)
+    this._world.endDown(desk)
   }
 }
--- a/tools/soak/disturbances/HeldRequests.ts
+++ b/tools/soak/disturbances/HeldRequests.ts
@@ -52,7 +52,8 @@
     await this._world.send({ id, path, slot, headers: { 'x-timeout-ms': String(TIMEOUT_MS) } })
     await sleep(RETRY_MS)
     if (this._world.getRuns(id).length > 0) return true
-    return this._world.trouble.isCalm(slot.index, sentAt) ? false : undefined
+    const isCalm = this._world.trouble.isCalm(slot.index, sentAt) && this._world.wereTargetsUp(sentAt - CONTACT_MS)
+    return isCalm ? false : undefined
   }
 
   private readonly _goOn = async (): Promise<void> => {}
@@ -66,15 +67,22 @@
   /** Removes the row of a target that lives, as when it does not reach the store, and writes it again. */
   private readonly _expire = async (desk: EngineStandin): Promise<void> => {
     await sleep(EXPIRY_MS)
+    // A target that another disturbance has crashed meanwhile writes no row.
+    if (this._world.isDown(desk)) return
     this._world.fixture.unregister(desk)
     await sleep(AWAY_MS - EXPIRY_MS)
-    this._world.fixture.setState(desk, 'ready')
+    if (!this._world.isDown(desk)) this._world.fixture.setState(desk, 'ready')
   }
 
   /** Lets a target leave unannounced, which serves on for a while, and start again. */
   private readonly _leave = async (desk: EngineStandin): Promise<void> => {
+    if (this._world.isDown(desk)) return
     this._world.fixture.unregister(desk)
     await sleep(AWAY_MS)
+    if (!this._world.beginDown(desk)) return
+    desk.crash()
+    await desk.start()
     this._world.fixture.register(desk)
+    this._world.endDown(desk)
   }
 }
