Keep fewer targets after their end, and compute the time since a target was heard in one place

Cause: the states of up to 1,000 targets that had ended were kept, each with what it had cached, for requests that may still wait for them; these wait for seconds. `getHeardMsAgo` replaces two copies. Measured: lint and build; no run of its own.

--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -84,6 +84,11 @@
     return this._heardAt
   }
 
+  /** Gets the whole milliseconds since the last bytes arrived from the target; undefined before the first. */
+  getHeardMsAgo (now: number): number | undefined {
+    return Number.isFinite(this._heardAt) ? Math.round(now - this._heardAt) : undefined
+  }
+
   /** Checks whether the target has sent nothing for some time although a request waited. */
   isSilent (now: number): boolean {
     return this._hasFallenSilent || (this._inFlight > 0 && now - this._waitingSince >= SILENT_AFTER_MS)
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -382,8 +382,8 @@
     const { clock, log, suspects } = this._context
     const { state, sentAt } = run
     const now = clock.now()
-    const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(now - state.getHeardAt()) : undefined
-    log.info('run-left', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs: Math.round(now - sentAt), heardMsAgo })
+    const waitedMs = Math.round(now - sentAt)
+    log.info('run-left', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs, heardMsAgo: state.getHeardMsAgo(now) })
     const sent = this._getSentRun(run)
     if (sent !== undefined) suspects.recordLeft(sent)
   }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -12,7 +12,10 @@
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
-import { CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry, type CacheSource, type LivenessProbe, type PlacementPolicy, type Target, type TargetEndCause, type TargetState } from '../../core/target/index.js'
+import {
+  CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry,
+  type CacheSource, type LivenessProbe, type PlacementPolicy, type Target, type TargetEndCause, type TargetState
+} from '../../core/target/index.js'
 import {
   BudgetPeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore,
   TurnPeers
@@ -392,8 +395,7 @@
   /** Handles that a target is gone which was not leaving. */
   private _onTargetEnded (state: TargetState, cause: TargetEndCause): void {
     const { clock, log } = this._options
-    const heardMsAgo = Number.isFinite(state.getHeardAt()) ? Math.round(clock.now() - state.getHeardAt()) : undefined
-    log.info('target-ended', { target: state.incarnation, cause, heardMsAgo, inFlight: state.getInFlight() })
+    log.info('target-ended', { target: state.incarnation, cause, heardMsAgo: state.getHeardMsAgo(clock.now()), inFlight: state.getInFlight() })
     this._runInBackground('suspects', async () => { await this._suspects.recordEnd(state, cause) })
   }
 
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -29,8 +29,8 @@
 /** Milliseconds after which a caller may return while its request is tried elsewhere. */
 const TRIAL_RETRY_MS = 500
 
-/** Maximum number of incarnations that are kept after their end, for requests that still wait for them. */
-const MAX_ENDED = 1_000
+/** Maximum number of incarnations that are kept after their end with their state, for requests that still wait for them. */
+const MAX_ENDED = 100
 
 /** Options of {@link SuspectStore}. */
 export interface SuspectStoreOptions {
