Do not take the next incarnation of a target for the one that ended

Cause: a target is "heard" by any byte from its address. Between its return and the read of its new row, gateways send to it as its former incarnation, whose answers then spoke against the end, and a trial was released because the next incarnation responded.

Change: for a target whose incarnation has changed, only bytes on connections count that were open when the run was left (TargetState.getHeardOnOpenAt); a trial waits until the list of targets is confirmed after an answer to the question whether one lives.

--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -1,4 +1,4 @@
-import { LEFT_GRACE_MS, mayHaveEnded, OpenRuns, type OpenRun, type SentRun } from './OpenRuns.js'
+import { LEFT_GRACE_MS, mayHaveEnded, OpenRuns, type GetHeardAt, type OpenRun, type SentRun } from './OpenRuns.js'
 
 /** Milliseconds within which targets that go down count as going down together, and all requests of one target as lost with it. */
 export const CRASH_WINDOW_MS = 500
@@ -83,9 +83,9 @@
     return this._open.getOf(digest)
   }
 
-  /** Checks whether a target that was last heard at a time may have ended because of a run that nobody awaits. */
-  hasSuspects (incarnation: string, heardAt: number): boolean {
-    return this._open.getAt(incarnation).some(run => mayHaveEnded(run, heardAt))
+  /** Checks whether a target may have ended because of a run that nobody awaits. */
+  hasSuspects (incarnation: string, getHeardAt: GetHeardAt): boolean {
+    return this._open.getAt(incarnation).some(run => mayHaveEnded(run, getHeardAt))
   }
 
   /** Records that a target goes on, so that what it ran before has not ended it. */
@@ -137,12 +137,12 @@
     return records
   }
 
-  /** Gets the evidence of the end of an incarnation that the store has shown, and that was last heard at a time. */
-  infer (incarnation: string, heardAt: number, now: number): CrashRecord[] {
+  /** Gets the evidence of the end of an incarnation that the store has shown. */
+  infer (incarnation: string, getHeardAt: GetHeardAt, now: number): CrashRecord[] {
     const crash = createCrash(incarnation, now, { inProgress: 0, isInferred: true })
     const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && !known.isInferred && isCrash(known))
     for (const run of this._open.getAt(incarnation)) {
-      if (mayHaveEnded(run, heardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
+      if (mayHaveEnded(run, getHeardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
     }
     this._open.removeAt(incarnation)
     for (const [digest, loss] of crash.losses) {
--- a/src/core/suspect/OpenRuns.ts
+++ b/src/core/suspect/OpenRuns.ts
@@ -73,7 +73,10 @@
   }
 }
 
-/** Checks whether a target that was last heard at a time may have ended because of a run. */
-export function mayHaveEnded (run: OpenRun, heardAt: number): boolean {
-  return run.wasSilent !== true && heardAt <= run.leftAt + LEFT_GRACE_MS
+/** Gets the time of the last sign of life of the process that a target was at a time; -Infinity if there is none. */
+export type GetHeardAt = (time: number) => number
+
+/** Checks whether a target may have ended because of a run. */
+export function mayHaveEnded (run: OpenRun, getHeardAt: GetHeardAt): boolean {
+  return run.wasSilent !== true && getHeardAt(run.leftAt) <= run.leftAt + LEFT_GRACE_MS
 }
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -21,6 +21,15 @@
 /** Milliseconds without a byte from a target where a request waits, after which it counts as silent; most first bytes come sooner. */
 const SILENT_AFTER_MS = 1_000
 
+/** Maximum number of connections whose times are kept; those that were heard the longest ago are dropped. */
+const MAX_CONNECTIONS = 64
+
+/** When bytes first and last arrived on a connection. */
+interface HeardTimes {
+  readonly firstAt: number
+  readonly lastAt: number
+}
+
 /** State of one incarnation of a target, as observed by this gateway's requests to it. */
 export class TargetState {
   readonly incarnation: string
@@ -37,6 +46,7 @@
   private _observedAt = -Infinity
   private _permitAt = -Infinity
   private _heardAt = -Infinity
+  private readonly _heard = new Map<object, HeardTimes>()
   /** Time since which requests have waited without a byte, while some are in progress. */
   private _waitingSince = -Infinity
   /** True if requests have ended without a byte for longer than {@link SILENT_AFTER_MS}. */
@@ -84,6 +94,16 @@
     return this._heardAt
   }
 
+  /**
+   * Gets the time at which the last bytes arrived on a connection that was open at a time; -Infinity if none did.
+   *
+   * They come from the process that ran then. A new connection may lead to the next incarnation at the same address before this gateway has
+   * learned of it.
+   */
+  getHeardOnOpenAt (time: number): number {
+    return Math.max(-Infinity, ...[...this._heard.values()].flatMap(({ firstAt, lastAt }) => firstAt <= time ? [lastAt] : []))
+  }
+
   /** Gets the whole milliseconds since the last bytes arrived from the target; undefined before the first. */
   getHeardMsAgo (now: number): number | undefined {
     return Number.isFinite(this._heardAt) ? Math.round(now - this._heardAt) : undefined
@@ -94,8 +114,13 @@
     return this._hasFallenSilent || (this._inFlight > 0 && now - this._waitingSince >= SILENT_AFTER_MS)
   }
 
-  /** Records that bytes have arrived from the target. */
-  recordHeard (now: number): void {
+  /** Records that bytes have arrived from the target on a connection. */
+  recordHeard (now: number, connection: object): void {
+    const firstAt = this._heard.get(connection)?.firstAt ?? now
+    // Moved to the end, so that the first is the one that was heard the longest ago.
+    this._heard.delete(connection)
+    this._heard.set(connection, { firstAt, lastAt: now })
+    if (this._heard.size > MAX_CONNECTIONS) this._heard.delete(this._heard.keys().next().value!)
     this._heardAt = now
     this._waitingSince = now
     this._hasFallenSilent = false
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -274,8 +274,9 @@
     try {
       const dispatch = { target: state.target, timeoutMs, lastEventId }
       const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
+      const recordReceived = (): void => { state.recordHeard(clock.now(), response.connection) }
       // Another target may have the address.
-      if (!response.head.isMisdirected) progress.recordReceived()
+      if (!response.head.isMisdirected) recordReceived()
       this._context.leaving.recordResponse(state, response.head, call.id)
       // Without its id, a response may be a late copy of an earlier one on the same connection.
       if (response.head.requestId !== call.id) {
@@ -295,7 +296,7 @@
         this._recordNotRun(state, `status ${response.head.status}`, false, cancelled)
         return undefined
       }
-      return { ...run, response, ...progress }
+      return { ...run, response, recordReceived, ...progress }
     } catch (err) {
       progress.finish()
       if (!(err instanceof TargetError)) throw err
@@ -314,9 +315,7 @@
   }
 
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
-  private _track (
-    placement: Placement, sentAt: number, abort: AttemptAbort
-  ): Pick<Attempt, 'recordReceived' | 'recordFirstChunk' | 'finish'> {
+  private _track (placement: Placement, sentAt: number, abort: AttemptAbort): Pick<Attempt, 'recordFirstChunk' | 'finish'> {
     const { clock } = this._context
     const { state, prefillMs, predictedMs } = placement
     state.recordStart(prefillMs, sentAt)
@@ -328,7 +327,6 @@
       return true
     }
     return {
-      recordReceived: () => { state.recordHeard(clock.now()) },
       recordFirstChunk: () => { if (endPrefill()) state.recordResponse(Math.max(0, clock.now() - sentAt - predictedMs), clock.now()) },
       finish: () => {
         abort.close()
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -209,7 +209,8 @@
       clock,
       log,
       findTarget: incarnation => this._registry.find(incarnation),
-      isAlive: async ({ target }) => await this._isAlive(target)
+      isAlive: async ({ target }) => await this._isAlive(target),
+      confirmTargets: async () => await this._confirmTargets()
     })
     this._suspects = suspects
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -15,6 +15,8 @@
 export interface TargetResponse {
   readonly head: ResponseHead
   readonly body: AsyncIterable<Buffer>
+  /** Identifies the TCP connection on which the response arrives. */
+  readonly connection: object
   /** Discards the rest of the response and closes its connection. */
   readonly discard: () => void
 }
@@ -99,7 +101,8 @@
       return
     }
     const head = this._decode(status, headers)
-    this._resolve({ head, body: this._read(), discard: () => { this._abort(new Error('The response was discarded.')) } })
+    const connection = this._connection?.getSocket() ?? this
+    this._resolve({ head, body: this._read(), connection, discard: () => { this._abort(new Error('The response was discarded.')) } })
     // The response to this request may still follow, and would be read as the response to the next one on the connection.
     if (head.requestId !== this._options.requestId) this._abort(new Error('The response belongs to another request.'))
   }
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -3,7 +3,7 @@
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
   CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, LEFT_GRACE_MS, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
-  type CrashRecord, type LostRequest, type SentRun, type SuspectDigests, type Trial
+  type CrashRecord, type GetHeardAt, type LostRequest, type SentRun, type SuspectDigests, type Trial
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -41,6 +41,8 @@
   readonly findTarget: (incarnation: string) => TargetState | undefined
   /** Checks whether a target responds, listed or not. */
   readonly isAlive: (state: TargetState) => Promise<boolean>
+  /** Waits until the list of targets is confirmed by a read that begins later than now, or a time-out. */
+  readonly confirmTargets: () => Promise<unknown>
 }
 
 /** A target that is gone, with how the store has shown it. */
@@ -206,7 +208,9 @@
   private async _infer ({ state, cause }: EndedTarget): Promise<void> {
     const { clock, log, isAlive, findTarget } = this._options
     const { incarnation } = state
-    if (!this._evidence.hasSuspects(incarnation, state.getHeardAt())) return
+    // The next incarnation at the same address may have been heard before this gateway knew of it.
+    const getHeardAt: GetHeardAt = time => cause === TargetEndCause.Replaced ? state.getHeardOnOpenAt(time) : state.getHeardAt()
+    if (!this._evidence.hasSuspects(incarnation, getHeardAt)) return
     // A target that leaves unannounced has no row, but still serves.
     if (cause === TargetEndCause.Removed && await isAlive(state)) {
       log.info('target-alive', { target: incarnation })
@@ -214,17 +218,20 @@
       return
     }
     if (findTarget(incarnation) !== undefined) return
-    const crashes = this._evidence.infer(incarnation, state.getHeardAt(), clock.now())
+    const crashes = this._evidence.infer(incarnation, getHeardAt, clock.now())
     await Promise.all(crashes.map(async crash => { await this._share(crash) }))
   }
 
   /** Checks whether a target that may still have a run goes on, by what it sent or by asking it. */
   private async _checkAlive (incarnation: string, mayAsk: boolean): Promise<void> {
-    const { findTarget, isAlive } = this._options
+    const { findTarget, isAlive, confirmTargets } = this._options
     const state = findTarget(incarnation)
     if (state === undefined) return
-    const isSuspect = this._evidence.hasSuspects(incarnation, state.getHeardAt())
-    if (!isSuspect || (mayAsk && await isAlive(state))) this._evidence.recordAlive(incarnation)
+    const isSuspect = this._evidence.hasSuspects(incarnation, time => state.getHeardOnOpenAt(time))
+    if (isSuspect && !(mayAsk && await isAlive(state))) return
+    // The next incarnation at the same address may have responded.
+    if (isSuspect) await confirmTargets()
+    if (findTarget(incarnation) !== undefined) this._evidence.recordAlive(incarnation)
   }
 
   /** Takes back what was inferred from the end of an incarnation that lives. */
--- a/src/io/gateway/TargetConnection.ts
+++ b/src/io/gateway/TargetConnection.ts
@@ -24,6 +24,7 @@
  */
 export class TargetConnection extends Client {
   private _reader: ConnectionReader | undefined
+  private _socket: Socket | undefined
 
   constructor (origin: string | URL, options: Client.Options) {
     const connect = options.connect as buildConnector.connector
@@ -44,12 +45,18 @@
     return super.dispatch(options, handler)
   }
 
+  /** Gets what identifies the TCP connection in use; another one follows when it has ended. */
+  getSocket (): object | undefined {
+    return this._socket
+  }
+
   /** Sets the reader whose request is sent on the connection now. */
   setReader (reader: ConnectionReader): void {
     this._reader = reader
   }
 
   private _watch (socket: Socket): void {
+    this._socket = socket
     socket.on('error', (err: NodeJS.ErrnoException) => { if (err.code === 'ECONNRESET') err.code = RESET_CODE })
     // Node.js reports the reset of a connection that is not being read as its end; only a connection that was reset has no peer then.
     socket.on('end', () => { this._reader?.onConnectionEnd(socket.remoteAddress === undefined) })
--- a/tests/core/suspect/CrashEvidenceTests.ts
+++ b/tests/core/suspect/CrashEvidenceTests.ts
@@ -54,7 +54,7 @@
   const endedAt = isLeft ? sentAt + waitMs + endMs : sentAt + endMs
   const isLost = form === 'reset' || form === 'reset-one'
   const leftAt = isLost ? endedAt : sentAt + waitMs + (form === 'silent' ? endMs : 0)
-  const infer: Sight = { at: Math.max(endedAt + expiryMs, leftAt), see: (evidence, now) => evidence.infer(incarnation, endedAt, now) }
+  const infer: Sight = { at: Math.max(endedAt + expiryMs, leftAt), see: (evidence, now) => evidence.infer(incarnation, () => endedAt, now) }
   const evaluate: Sight = { at: endedAt + CRASH_WINDOW_MS, see: (evidence, now) => evidence.evaluate(now) }
   const lose = (digests: readonly string[], others: number): Sight => ({
     at: endedAt,
@@ -118,7 +118,7 @@
         const heardAt = leftAt + heardMs
         return [
           { at: leftAt, see: evidence => { evidence.addLeft(run); return [] } },
-          { at: heardAt + endMs, see: (evidence, time) => evidence.infer(run.incarnation, heardAt, time) }
+          { at: heardAt + endMs, see: (evidence, time) => evidence.infer(run.incarnation, () => heardAt, time) }
         ]
       })
       expect(countCrashes(sights)).toEqual(0)
@@ -141,7 +141,7 @@
   it('should not count a target that was silent before it was sent', () => {
     const evidence = new CrashEvidence()
     evidence.addLeft({ digests: ['x'], incarnation: 'a', sentAt: 0, leftAt: 1_000, wasSilent: true })
-    expect(evidence.infer('a', -Infinity, 4_000)).toEqual([])
+    expect(evidence.infer('a', () => -Infinity, 4_000)).toEqual([])
   })
 
   it('should not count a target to which it was sent after its end had been seen', () => {
@@ -149,7 +149,7 @@
     evidence.add({ digests: ['plain'], incarnation: 'a', sentAt: 0, others: 0 }, 100)
     evidence.evaluate(100 + CRASH_WINDOW_MS)
     evidence.addLeft({ digests: ['x'], incarnation: 'a', sentAt: 101, leftAt: 1_000 })
-    expect(evidence.infer('a', -Infinity, 4_000)).toEqual([])
+    expect(evidence.infer('a', () => -Infinity, 4_000)).toEqual([])
   })
 
   it('should not count a target that ended longer after the gateway had stopped waiting than it works on', () => {
@@ -162,7 +162,7 @@
   it('should be taken back, once, when an incarnation lives that was taken for gone', () => {
     const evidence = new CrashEvidence()
     evidence.addLeft({ digests: ['x', 'y'], incarnation: 'a', sentAt: 0, leftAt: 1_000 })
-    const counted = evidence.infer('a', 0, 4_000)
+    const counted = evidence.infer('a', () => 0, 4_000)
     expect(counted.map(({ digest }) => digest)).toEqual(['x', 'y'])
     expect([evidence.takeBack('b'), evidence.takeBack('a'), evidence.takeBack('a')]).toEqual([[], counted, []])
   })
@@ -172,6 +172,6 @@
     for (const digest of ['x', 'y']) evidence.addLeft({ digests: [digest], incarnation: digest, sentAt: 0, leftAt: 1_000 })
     evidence.clear('x')
     evidence.recordAlive('y')
-    expect([evidence.infer('x', 0, 4_000), evidence.infer('y', 0, 4_000), evidence.getOpen('x'), evidence.getOpen('y')]).toEqual([[], [], [], []])
+    expect([evidence.infer('x', () => 0, 4_000), evidence.infer('y', () => 0, 4_000), evidence.getOpen('x'), evidence.getOpen('y')]).toEqual([[], [], [], []])
   })
 })
--- a/tests/core/target/TargetStateTests.ts
+++ b/tests/core/target/TargetStateTests.ts
@@ -19,7 +19,7 @@
     state.recordStart(0, 0)
     state.recordCompletion(1_000)
     expect(getSilence(1_000, 9_000)).toEqual([true, true])
-    state.recordHeard(9_000)
+    state.recordHeard(9_000, {})
     expect(getSilence(9_000, 20_000)).toEqual([false, false])
   })
 
@@ -32,7 +32,21 @@
   it('should not be silent while it sends to other requests', () => {
     state.recordStart(0, 0)
     state.recordStart(0, 0)
-    for (let now = 500; now <= 5_000; now += 500) state.recordHeard(now)
+    for (let now = 500; now <= 5_000; now += 500) state.recordHeard(now, {})
     expect(getSilence(5_999, 6_000)).toEqual([false, true])
   })
 })
+
+// BUDGET: a target that had ended and was back under its id hid its end, as its gateways had not read its new row yet.
+describe('TargetState of a target that is heard on several connections', () => {
+  it('should tell the process that was there at a time from one that may be its next incarnation', () => {
+    const state = new TargetState(TARGET)
+    const [first, second] = [{}, {}]
+    expect(state.getHeardOnOpenAt(0)).toEqual(-Infinity)
+    state.recordHeard(100, first)
+    state.recordHeard(200, first)
+    state.recordHeard(1_000, second)
+    expect([state.getHeardOnOpenAt(99), state.getHeardOnOpenAt(300), state.getHeardOnOpenAt(1_000), state.getHeardAt()])
+      .toEqual([-Infinity, 200, 1_000, 1_000])
+  })
+})
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -196,10 +196,12 @@
   // LOST: the opposite.
   it('should not count targets that respond, that were heard later, or that are listed again', async () => {
     for (const incarnation of ['a', 'b', 'c', 'd', 'e', 'f']) {
+      const connection = {}
       const state = hold(first, incarnation)
+      state.recordHeard(first.clock.now(), connection)
       if (incarnation < 'c') first.alive.add(state.incarnation)
       advance(LEFT_GRACE_MS + 1)
-      if (incarnation === 'c' || incarnation === 'd') state.recordHeard(first.clock.now())
+      if (incarnation === 'c' || incarnation === 'd') state.recordHeard(first.clock.now(), connection)
       advance(EXPIRY_MS)
       first.targets.delete(state.incarnation)
       await first.suspects.recordEnd(state, incarnation === 'd' ? 'replaced' : 'removed')
@@ -209,6 +211,18 @@
     expect([first.suspects.getRefusedMs(DIGESTS), rows.getTableSize(SUSPECT_TABLE)]).toEqual([0, 0])
   })
 
+  // BUDGET: a target that had ended and was back under its id hid its end.
+  it('should count a target whose next incarnation was heard before its row was read', async () => {
+    for (const incarnation of ['a', 'b', 'c']) {
+      const state = hold(first, incarnation)
+      advance(EXPIRY_MS)
+      state.recordHeard(first.clock.now(), {})
+      first.targets.delete(state.incarnation)
+      await first.suspects.recordEnd(state, 'replaced')
+    }
+    expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
+  })
+
   it('should take back a target that was taken for gone when it responds, but not one that was replaced', async () => {
     for (const incarnation of ['a', 'b', 'c']) {
       const state = hold(first, incarnation)
@@ -254,7 +268,8 @@
     const alive = new Set<string>()
     const findTarget = (incarnation: string): TargetState | undefined => targets.get(incarnation)
     const isAlive = async ({ target, incarnation }: TargetState): Promise<boolean> => alive.has(incarnation) || alive.has(target.id)
-    return { clock, targets, alive, suspects: new SuspectStore({ access, clock, log, findTarget, isAlive }) }
+    const suspects = new SuspectStore({ access, clock, log, findTarget, isAlive, confirmTargets: async () => {} })
+    return { clock, targets, alive, suspects }
   }
 
   function advance (ms: number): void {
