--- a/src/core/suspect/OpenRuns.ts
+++ b/src/core/suspect/AbandonedRuns.ts
@@ -1,11 +1,11 @@
 /** Milliseconds after a gateway has stopped waiting for a request within which a target ends its work on it. */
-export const LEFT_GRACE_MS = 500
+export const ABANDONED_GRACE_MS = 500
 
 /** Milliseconds for which a run is kept: three intervals in which targets report, and the delay of the watch, several times over. */
-const OPEN_RUN_MS = 15_000
+const ABANDONED_RUN_MS = 15_000
 
 /** Maximum number of runs that are kept; the oldest are dropped. */
-const MAX_OPEN_RUNS = 10_000
+const MAX_ABANDONED_RUNS = 10_000
 
 /** A request that was sent to a target. */
 export interface SentRun {
@@ -20,20 +20,20 @@
 }
 
 /** A run that its gateway does not wait for any more, although it has no answer. */
-export interface OpenRun extends SentRun {
+export interface AbandonedRun extends SentRun {
   /** Time at which the gateway stopped waiting, by the steady clock. */
-  readonly leftAt: number
+  readonly abandonedAt: number
 }
 
 /** Runs that gateways have stopped waiting for, until it is known whether their targets went on. */
-export class OpenRuns {
-  private readonly _runs = new Set<OpenRun>()
-  private readonly _byDigest = new Map<string, Set<OpenRun>>()
+export class AbandonedRuns {
+  private readonly _runs = new Set<AbandonedRun>()
+  private readonly _byDigest = new Map<string, Set<AbandonedRun>>()
 
   /** Adds a run. */
-  add (run: OpenRun): void {
+  add (run: AbandonedRun): void {
     for (const oldest of this._runs) {
-      if (this._runs.size < MAX_OPEN_RUNS && run.leftAt - oldest.leftAt < OPEN_RUN_MS) break
+      if (this._runs.size < MAX_ABANDONED_RUNS && run.abandonedAt - oldest.abandonedAt < ABANDONED_RUN_MS) break
       this._remove(oldest)
     }
     this._runs.add(run)
@@ -45,12 +45,12 @@
   }
 
   /** Gets the runs at an incarnation. */
-  getAt (incarnation: string): OpenRun[] {
+  getAt (incarnation: string): AbandonedRun[] {
     return [...this._runs].filter(run => run.incarnation === incarnation)
   }
 
   /** Gets the runs of a request. */
-  getOf (digest: string): OpenRun[] {
+  getOf (digest: string): AbandonedRun[] {
     return [...this._byDigest.get(digest) ?? []]
   }
 
@@ -64,7 +64,7 @@
     for (const run of this.getOf(digest)) this._remove(run)
   }
 
-  private _remove (run: OpenRun): void {
+  private _remove (run: AbandonedRun): void {
     this._runs.delete(run)
     for (const digest of run.digests) {
       const runs = this._byDigest.get(digest)
@@ -77,6 +77,6 @@
 export type GetHeardAt = (time: number) => number
 
 /** Checks whether a target may have ended because of a run. */
-export function mayHaveEnded (run: OpenRun, getHeardAt: GetHeardAt): boolean {
-  return run.wasSilent !== true && getHeardAt(run.leftAt) <= run.leftAt + LEFT_GRACE_MS
+export function mayHaveEnded (run: AbandonedRun, getHeardAt: GetHeardAt): boolean {
+  return run.wasSilent !== true && getHeardAt(run.abandonedAt) <= run.abandonedAt + ABANDONED_GRACE_MS
 }
--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -1,4 +1,4 @@
-import { LEFT_GRACE_MS, mayHaveEnded, OpenRuns, type GetHeardAt, type OpenRun, type SentRun } from './OpenRuns.js'
+import { ABANDONED_GRACE_MS, mayHaveEnded, AbandonedRuns, type GetHeardAt, type AbandonedRun, type SentRun } from './AbandonedRuns.js'
 
 /** Milliseconds within which targets that go down count as going down together, and all requests of one target as lost with it. */
 export const CRASH_WINDOW_MS = 500
@@ -57,7 +57,7 @@
  */
 export class CrashEvidence {
   private _crashes: Crash[] = []
-  private readonly _open = new OpenRuns()
+  private readonly _abandoned = new AbandonedRuns()
   private readonly _inferred = new Map<string, CrashRecord[]>()
 
   /** Adds a lost request. */
@@ -70,33 +70,33 @@
       this._crashes.push(crash)
     }
     crash.lost.push({ request, at: now })
-    addLosses(crash, { ...request, leftAt: now })
+    addLosses(crash, { ...request, abandonedAt: now })
   }
 
   /** Adds a run that its gateway does not wait for any more, although it has no answer. */
-  addLeft (run: OpenRun): void {
-    this._open.add(run)
+  addAbandoned (run: AbandonedRun): void {
+    this._abandoned.add(run)
   }
 
   /** Gets the runs of a request that a target may still have. */
-  getOpen (digest: string): OpenRun[] {
-    return this._open.getOf(digest)
+  getAbandoned (digest: string): AbandonedRun[] {
+    return this._abandoned.getOf(digest)
   }
 
   /** Checks whether a target may have ended because of a run that nobody awaits. */
   hasSuspects (incarnation: string, getHeardAt: GetHeardAt): boolean {
-    return this._open.getAt(incarnation).some(run => mayHaveEnded(run, getHeardAt))
+    return this._abandoned.getAt(incarnation).some(run => mayHaveEnded(run, getHeardAt))
   }
 
   /** Records that a target goes on, so that what it ran before has not ended it. */
   recordAlive (incarnation: string): void {
-    this._open.removeAt(incarnation)
+    this._abandoned.removeAt(incarnation)
   }
 
   /** Removes a request that a target has answered from the crashes that were not evaluated yet. */
   clear (digest: string): void {
     for (const crash of this._crashes) crash.losses.delete(digest)
-    this._open.removeOf(digest)
+    this._abandoned.removeOf(digest)
   }
 
   /**
@@ -117,13 +117,13 @@
   evaluate (now: number): CrashRecord[] {
     const records: CrashRecord[] = []
     // Before any is compared with the others.
-    for (const crash of this._crashes) if (!crash.isEvaluated) this._addLeftRuns(crash)
+    for (const crash of this._crashes) if (!crash.isEvaluated) this._addAbandonedRuns(crash)
     for (const crash of this._crashes) {
       if (crash.isEvaluated || now - crash.startedAt < CRASH_WINDOW_MS) continue
       crash.isEvaluated = true
       if (!isCrash(crash)) {
         // The target may have reset one connection before it fell silent.
-        for (const { request, at } of crash.lost) this._open.add({ ...request, leftAt: at })
+        for (const { request, at } of crash.lost) this._abandoned.add({ ...request, abandonedAt: at })
         continue
       }
       const isAmbiguous = this._crashes.some(other => isUnrelated(crash, other))
@@ -141,10 +141,10 @@
   infer (incarnation: string, getHeardAt: GetHeardAt, now: number): CrashRecord[] {
     const crash = createCrash(incarnation, now, { inProgress: 0, isInferred: true })
     const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && !known.isInferred && isCrash(known))
-    for (const run of this._open.getAt(incarnation)) {
+    for (const run of this._abandoned.getAt(incarnation)) {
       if (mayHaveEnded(run, getHeardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
     }
-    this._open.removeAt(incarnation)
+    this._abandoned.removeAt(incarnation)
     for (const [digest, loss] of crash.losses) {
       // Runs at the same time may have ended with the failure domain of their targets.
       const isCounted = this._crashes.some(other => other.counted.has(digest) && !isRetry(loss, other.losses.get(digest)))
@@ -160,7 +160,7 @@
   }
 
   /** Gets the evidence that a sign of life of an incarnation takes back, because its end was only inferred. */
-  takeBack (incarnation: string): CrashRecord[] {
+  retract (incarnation: string): CrashRecord[] {
     const records = this._inferred.get(incarnation) ?? []
     if (records.length > 0) {
       this._inferred.delete(incarnation)
@@ -170,8 +170,8 @@
   }
 
   /** Adds the runs that nobody awaited when a target crashed, and that it may still have had. */
-  private _addLeftRuns (crash: Crash): void {
-    for (const run of this._open.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
+  private _addAbandonedRuns (crash: Crash): void {
+    for (const run of this._abandoned.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
   }
 
   private _removeOld (now: number): void {
@@ -185,10 +185,10 @@
   return { incarnation, startedAt, inProgress, isInferred, lost: [], losses: new Map(), counted: new Set(), isEvaluated: isInferred }
 }
 
-function addLosses ({ losses }: Crash, { digests, sentAt, leftAt }: OpenRun): void {
+function addLosses ({ losses }: Crash, { digests, sentAt, abandonedAt }: AbandonedRun): void {
   for (const digest of digests) {
     const earlier = losses.get(digest)
-    losses.set(digest, { sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt), lostAt: earlier?.lostAt ?? leftAt })
+    losses.set(digest, { sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt), lostAt: earlier?.lostAt ?? abandonedAt })
   }
 }
 
@@ -197,8 +197,8 @@
 }
 
 /** Checks whether a target may still have had a run when it crashed. */
-function isDuring (run: OpenRun, crash: Crash): boolean {
-  return run.sentAt <= crash.startedAt && run.leftAt >= crash.startedAt - LEFT_GRACE_MS
+function isDuring (run: AbandonedRun, crash: Crash): boolean {
+  return run.sentAt <= crash.startedAt && run.abandonedAt >= crash.startedAt - ABANDONED_GRACE_MS
 }
 
 /** Checks whether one loss of a request was of its retry after the other. */
--- a/src/core/suspect/index.ts
+++ b/src/core/suspect/index.ts
@@ -1,6 +1,6 @@
+export * from './AbandonedRuns.js'
 export * from './CrashEvidence.js'
 export * from './InputsInProgress.js'
-export * from './OpenRuns.js'
 export * from './SuspectDigests.js'
 export * from './SuspectList.js'
 export * from './SuspectRows.js'
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -158,7 +158,7 @@
   dropOther (other: Attempt, cause: string, cancelled: AbortSignal): void {
     other.response.discard()
     other.finish()
-    this._recordLeft(other, cause)
+    this._recordAbandoned(other, cause)
     if (cancelled.aborted) this._recordCancelled(other.state, true)
     else this._recordRun(other.state, cause)
   }
@@ -169,7 +169,7 @@
     const cause = failure?.cause ?? `no event for ${Math.round(silentMs)} ms`
     this._recordRun(from.state, cause)
     if (failure?.isConnectionLost === true) this._recordSuspect(from)
-    else this._recordLeft(from, cause)
+    else this._recordAbandoned(from, cause)
     metrics.streamSilences.inc({ outcome: 'moved' })
     log.info('stream-moved', { req: this._exchange.call.id, from: from.state.incarnation, target: to.state.incarnation, silentMs: Math.round(silentMs) })
   }
@@ -185,7 +185,7 @@
   recordAnswer (attempt: Attempt): void {
     const { suspect, call } = this._exchange
     const { status } = attempt.response.head
-    if (status >= FIRST_FAILURE_STATUS) this._recordLeft(attempt, `status ${status}`)
+    if (status >= FIRST_FAILURE_STATUS) this._recordAbandoned(attempt, `status ${status}`)
     else if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
   }
 
@@ -199,7 +199,7 @@
     const isAbortedLocally = this._exchange.callerDisconnected.aborted || this._exchange.getRemainingMs() <= 0
     this._recordRun(attempt.state, failure.cause, !isAbortedLocally)
     if (failure.isConnectionLost && !isAbortedLocally) this._recordSuspect(attempt)
-    else this._recordLeft(attempt, failure.cause)
+    else this._recordAbandoned(attempt, failure.cause)
     if (this._exchange.callerDisconnected.aborted) return false
     if (failure.isFinal !== true) return this._canRetry()
     this._refuse('attempts-failed')
@@ -285,7 +285,7 @@
         const { requestId, status } = response.head
         const cause = `the response with status ${status} has ${requestId === undefined ? 'no request id' : `the id of request ${requestId}`}`
         this._recordRun(state, cause)
-        this._recordLeft(run, cause)
+        this._recordAbandoned(run, cause)
         return undefined
       }
       this._context.limits.recordResponse(state, response.head, sentAt, call.id)
@@ -300,7 +300,7 @@
     } catch (err) {
       progress.finish()
       if (!(err instanceof TargetError)) throw err
-      if (!err.isNotRun && signal.aborted) this._recordLeft(run, err.message)
+      if (!err.isNotRun && signal.aborted) this._recordAbandoned(run, err.message)
       if (cancelled?.aborted === true) this._recordCancelled(state, !err.isNotRun)
       else if (err.isNotRun) {
         if (!isRepeated) this._addresses.delete(state.target.address)
@@ -376,14 +376,14 @@
   }
 
   /** Records that this gateway has stopped waiting for a target that may still run the request. */
-  private _recordLeft (run: Run, cause: string): void {
+  private _recordAbandoned (run: Run, cause: string): void {
     const { clock, log, suspects } = this._context
     const { state, sentAt } = run
     const now = clock.now()
     const waitedMs = Math.round(now - sentAt)
-    log.info('run-left', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs, heardMsAgo: state.getHeardMsAgo(now) })
+    log.info('attempt-abandoned', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs, heardMsAgo: state.getHeardMsAgo(now) })
     const sent = this._getSentRun(run)
-    if (sent !== undefined) suspects.recordLeft(sent)
+    if (sent !== undefined) suspects.recordAbandoned(sent)
   }
 
   /** Gets the milliseconds for which the request must not be run because it has crashed several targets; begins a trial if it needs one. */
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, LEFT_GRACE_MS, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
+  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
   type CrashRecord, type GetHeardAt, type LostRequest, type SentRun, type SuspectDigests, type Trial
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
@@ -112,9 +112,9 @@
     const deadline = clock.now() + OUTCOME_TIMEOUT_MS
     let isAsked = false
     while (this._trials.isHeld(trial) && clock.now() < deadline) {
-      const open = trial.digests.flatMap(digest => this._evidence.getOpen(digest))
+      const open = trial.digests.flatMap(digest => this._evidence.getAbandoned(digest))
       if (open.length === 0) break
-      const isDue = open.every(({ leftAt }) => clock.now() > leftAt + LEFT_GRACE_MS)
+      const isDue = open.every(({ abandonedAt }) => clock.now() > abandonedAt + ABANDONED_GRACE_MS)
       if (isDue) {
         await Promise.all([...new Set(open.map(({ incarnation }) => incarnation))].map(async incarnation => {
           await this._checkAlive(incarnation, !isAsked)
@@ -127,8 +127,8 @@
   }
 
   /** Records that this gateway does not wait any more for a target that may still run a request. */
-  recordLeft (run: SentRun): void {
-    this._evidence.addLeft({ ...run, leftAt: this._options.clock.now() })
+  recordAbandoned (run: SentRun): void {
+    this._evidence.addAbandoned({ ...run, abandonedAt: this._options.clock.now() })
     const ended = this._ended.get(run.incarnation)
     if (ended !== undefined) void this._infer(ended)
   }
@@ -144,7 +144,7 @@
   /** Records that an incarnation is listed, so that an end that was inferred was none. */
   recordListed (incarnation: string): void {
     this._ended.delete(incarnation)
-    this._takeBack(incarnation)
+    this._retract(incarnation)
   }
 
   /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
@@ -180,7 +180,7 @@
   recordResponse (incarnation: string, sentAt: number): void {
     this._evidence.disprove(incarnation, sentAt)
     // One that was replaced may have been so before this gateway knew; then the next incarnation has responded.
-    if (this._ended.get(incarnation)?.cause === TargetEndCause.Removed) this._takeBack(incarnation)
+    if (this._ended.get(incarnation)?.cause === TargetEndCause.Removed) this._retract(incarnation)
   }
 
   /** Removes the rows of crashes that have expired. */
@@ -235,10 +235,10 @@
   }
 
   /** Takes back what was inferred from the end of an incarnation that lives. */
-  private _takeBack (incarnation: string): void {
-    const crashes = this._evidence.takeBack(incarnation)
+  private _retract (incarnation: string): void {
+    const crashes = this._evidence.retract(incarnation)
     if (crashes.length === 0) return
-    this._options.log.info('crash-taken-back', { lifetime: incarnation, digests: crashes.map(({ digest }) => digest) })
+    this._options.log.info('crash-retracted', { lifetime: incarnation, digests: crashes.map(({ digest }) => digest) })
     const keys = crashes.map(({ digest }) => getSuspectKey(digest, incarnation))
     for (const key of keys) this._list.removeRow(key)
     void this._remove(keys)
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -1,9 +1,9 @@
 import { expect } from 'earl'
 import { ManualClock } from '../../../src/core/clock/index.js'
 import {
-  CRASH_WINDOW_MS, LEFT_GRACE_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests, type Trial
+  CRASH_WINDOW_MS, ABANDONED_GRACE_MS, REFUSAL_MS, SUSPECT_RETENTION_MS, SUSPECT_TABLE, type SuspectDigests, type Trial
 } from '../../../src/core/suspect/index.js'
-import { TargetState } from '../../../src/core/target/index.js'
+import { TargetState, type TargetEndCause } from '../../../src/core/target/index.js'
 import { StoreAccess, SuspectStore } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
@@ -162,7 +162,7 @@
     const trial = await admit(first)
     hold(first, 'd')
     const ended = first.suspects.endTrial(trial)
-    advance(LEFT_GRACE_MS)
+    advance(ABANDONED_GRACE_MS)
     expect((await first.suspects.admit(DIGESTS, 'r2')).type).toEqual('refused')
     first.alive.add('d')
     advance(1)
@@ -175,8 +175,7 @@
     for (const incarnation of ['a', 'b', 'c']) {
       const state = hold(first, incarnation)
       advance(EXPIRY_MS)
-      first.targets.delete(state.incarnation)
-      await first.suspects.recordEnd(state, 'removed')
+      await end(first, state, 'removed')
     }
     expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
   })
@@ -185,9 +184,8 @@
     for (const incarnation of ['a', 'b', 'c']) {
       const state = listTarget(first, incarnation)
       advance(EXPIRY_MS)
-      first.targets.delete(state.incarnation)
-      await first.suspects.recordEnd(state, 'removed')
-      first.suspects.recordLeft({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: first.clock.now() - EXPIRY_MS })
+      await end(first, state, 'removed')
+      first.suspects.recordAbandoned({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: first.clock.now() - EXPIRY_MS })
       await delay(20)
     }
     expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
@@ -200,11 +198,10 @@
       const state = hold(first, incarnation)
       state.recordHeard(first.clock.now(), connection)
       if (incarnation < 'c') first.alive.add(state.incarnation)
-      advance(LEFT_GRACE_MS + 1)
+      advance(ABANDONED_GRACE_MS + 1)
       if (incarnation === 'c' || incarnation === 'd') state.recordHeard(first.clock.now(), connection)
       advance(EXPIRY_MS)
-      first.targets.delete(state.incarnation)
-      await first.suspects.recordEnd(state, incarnation === 'd' ? 'replaced' : 'removed')
+      await end(first, state, incarnation === 'd' ? 'replaced' : 'removed')
       if (incarnation >= 'e') first.suspects.recordListed(state.incarnation)
     }
     await delay(50)
@@ -217,8 +214,7 @@
       const state = hold(first, incarnation)
       advance(EXPIRY_MS)
       state.recordHeard(first.clock.now(), {})
-      first.targets.delete(state.incarnation)
-      await first.suspects.recordEnd(state, 'replaced')
+      await end(first, state, 'replaced')
     }
     expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(REFUSAL_MS[0])
   })
@@ -227,8 +223,7 @@
     for (const incarnation of ['a', 'b', 'c']) {
       const state = hold(first, incarnation)
       advance(EXPIRY_MS)
-      first.targets.delete(state.incarnation)
-      await first.suspects.recordEnd(state, incarnation === 'c' ? 'replaced' : 'removed')
+      await end(first, state, incarnation === 'c' ? 'replaced' : 'removed')
     }
     first.suspects.recordResponse('c@1', first.clock.now())
     expect(first.suspects.getRefusedMs(DIGESTS)).toBeGreaterThan(0)
@@ -255,10 +250,16 @@
   /** Sends a request to a target for which the gateway stops waiting at once. */
   function hold (gateway: SuspectGateway, id: string): TargetState {
     const state = listTarget(gateway, id)
-    gateway.suspects.recordLeft({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: gateway.clock.now() })
+    gateway.suspects.recordAbandoned({ digests: [DIGESTS.request], incarnation: state.incarnation, sentAt: gateway.clock.now() })
     return state
   }
 
+  /** Ends a target as the store shows it. */
+  async function end ({ targets, suspects }: SuspectGateway, state: TargetState, cause: TargetEndCause): Promise<void> {
+    targets.delete(state.incarnation)
+    await suspects.recordEnd(state, cause)
+  }
+
   function createGateway (aheadMs: number): SuspectGateway {
     const clock = new ManualClock((clocks[0]?.now() ?? 0) + aheadMs)
     clocks.push(clock)
--- a/tests/processes/SuspectForms.ts
+++ b/tests/processes/SuspectForms.ts
@@ -29,11 +29,11 @@
   readonly forMs?: number
 }
 
-const reset: CrashForm['crash'] = async (world, target) => {
+async function reset (world: SuspectWorld, target: EngineStandin): Promise<void> {
   await world.replace(target, { end: () => { target.crash() }, removedMs: EXPIRY_MS, downMs: DOWN_MS })
 }
 
-const fallSilent: CrashForm['crash'] = async (world, target) => {
+async function fallSilent (world: SuspectWorld, target: EngineStandin): Promise<void> {
   await world.replace(target, { end: () => { target.silence() }, removedMs: EXPIRY_MS, downMs: DOWN_MS })
 }
 
@@ -56,20 +56,20 @@
     leaveAfterMs: 60,
     crash: async (world, target) => {
       await sleep(100)
-      await reset(world, target, undefined as never, '')
+      await reset(world, target)
     }
   },
   'fall silent 40 ms after the caller has left': {
     leaveAfterMs: 60,
     crash: async (world, target) => {
       await sleep(100)
-      await fallSilent(world, target, undefined as never, '')
+      await fallSilent(world, target)
     }
   },
   'reset only its connection and fall silent': {
-    crash: async (world, target, res, id) => {
+    crash: async (world, target, res) => {
       res.socket?.resetAndDestroy()
-      await fallSilent(world, target, res, id)
+      await fallSilent(world, target)
     }
   },
   'reset their connections one after the other': {
@@ -81,7 +81,7 @@
     crash: async (world, target, res, id) => {
       res.writeHead(500, { 'x-request-id': id, 'x-response-signature': 's', 'content-length': '6' }).end('failed')
       await sleep(20)
-      await reset(world, target, res, id)
+      await reset(world, target)
     }
   }
 }
@@ -148,7 +148,7 @@
   'go down in silence with their failure domain': {
     isNeverRefused: false,
     act: async (world, target) => {
-      const replace = async (neighbour: EngineStandin): Promise<void> => { await fallSilent(world, neighbour, undefined as never, '') }
+      const replace = async (neighbour: EngineStandin): Promise<void> => { await fallSilent(world, neighbour) }
       await Promise.all(world.getNeighbours(target).map(replace))
     }
   },
--- a/tests/processes/SuspectPromisesTests.ts
+++ b/tests/processes/SuspectPromisesTests.ts
@@ -195,7 +195,7 @@
         await sleep(CONTACT_MS)
         for (const path of HELD) for (let at = 0; at < LOSSES; at++) statuses.push((await world.send(path, 'x', headers)).res.status)
       })())
-      expect(statuses).toEqual(statuses.map(() => 200))
+      expect(statuses).toEqual(Array.from({ length: HELD.length * LOSSES }, () => 200))
       if (isNeverRefused) expect(world.countRefused()).toEqual(0)
     })
   }
