Avoid targets that have lately failed, and ask a second target when the first does not respond

Change: a failure score with a half-life of 2 s for each target, whose cost is 500 ms a point for requests that must not be repeated and 50 ms for others; time-outs without a byte count; gateways report failures to the target's lender, which notifies all once two gateways saw one; a repeatable plain request is sent to a second target at its latency objective, for at most a tenth of these requests.

--- a/src/core/forward/RetryPolicy.ts
+++ b/src/core/forward/RetryPolicy.ts
@@ -6,6 +6,20 @@
 /** Shortest time to the deadline, in milliseconds, for which a further attempt is made. */
 export const MIN_ATTEMPT_MS = 20
 
+/** Share of the remaining time after which a second target is asked at the latest, so that it has as long as the first. */
+const RESPONSE_LIMIT_SHARE = 0.5
+
+/**
+ * Gets the milliseconds for which the response of a repeatable request is awaited before a second target is asked as well.
+ *
+ * Answers targets that accept requests and hang while they report themselves healthy: their requests would wait until the deadline.
+ *
+ * @param objectiveMs - Milliseconds within which a response is on time; most sound targets respond sooner.
+ */
+export function getResponseLimitMs (objectiveMs: number, remainingMs: number): number {
+  return Math.min(objectiveMs, remainingMs * RESPONSE_LIMIT_SHARE)
+}
+
 /** Earlier dispatches of a request and the bounds on further ones. */
 export interface AttemptHistory {
   /** Number of times that the request was dispatched to a target. */
--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -30,7 +30,7 @@
 
 /**
  * Places requests by predicted time to the first byte: prefill of the uncached prompt, load, network distance, recent delay and the wait
- * for a permit of a target that limits its request rate.
+ * for a permit of a target that limits its request rate; and by what a failure of a target that has lately failed would cost.
  *
  * Handles conversations whose prompts grow with every turn: a target that has the earlier turns cached prefills only the new tokens.
  * The recent delay accounts for targets that are slowed by neighbouring workloads, which the gateway cannot observe.
@@ -47,14 +47,20 @@
     const eligible = getEligible(candidates, req, now)
     const start = Math.floor(this._options.random() * eligible.length)
     let best: Placement | undefined
+    let bestCostMs = Infinity
     for (let offset = 0; offset < eligible.length; offset++) {
-      const estimate = this._estimate(eligible[(start + offset) % eligible.length]!, req, now)
-      if (best === undefined || estimate.predictedMs < best.predictedMs) best = estimate
+      const state = eligible[(start + offset) % eligible.length]!
+      const failureMs = state.health.getCostMs(now, req.isRepeatable)
+      const estimate = this._estimate(state, req, now, failureMs)
+      const costMs = estimate.predictedMs + failureMs
+      if (costMs >= bestCostMs) continue
+      best = estimate
+      bestCostMs = costMs
     }
     return best
   }
 
-  private _estimate (state: TargetState, req: PlacementRequest, now: number): Placement {
+  private _estimate (state: TargetState, req: PlacementRequest, now: number, failureMs: number): Placement {
     const cached = getCachedTokens(state, req)
     const prefillMs = Math.max(0, req.promptTokens - cached) * PREFILL_MS_PER_TOKEN
     const loadMs = state.getInFlight() * WAIT_MS_PER_REQUEST / state.target.slots + state.getPendingPrefillMs()
@@ -71,6 +77,7 @@
         loadMs: Math.round(loadMs),
         distanceMs,
         excessMs: Math.round(excessMs),
+        ...(failureMs > 0 && { failureMs: Math.round(failureMs) }),
         ...(permitWaitMs > 0 && { permitWaitMs: Math.round(permitWaitMs) })
       }
     }
--- a/src/core/target/PlacementPolicy.ts
+++ b/src/core/target/PlacementPolicy.ts
@@ -9,6 +9,8 @@
   readonly warmTarget: string | undefined
   /** Keys of the incarnations that the request was already sent to. */
   readonly excluded: ReadonlySet<string>
+  /** True if the request may run again when its response is lost. */
+  readonly isRepeatable: boolean
 }
 
 /** The target selected for a request, with the inputs of the decision for logs. */
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -2,6 +2,7 @@
 import { PrefixCacheTracker } from './PrefixCacheTracker.js'
 import { RequestLimit } from './RequestLimit.js'
 import { BestPace, StreamPace } from './StreamPace.js'
+import { TargetHealth } from './TargetHealth.js'
 
 /** Consecutive failures after which a target is ejected. */
 export const EJECT_AFTER_FAILURES = 3
@@ -36,6 +37,7 @@
   readonly prefixCache = new PrefixCacheTracker()
   readonly limit = new RequestLimit()
   readonly pace: StreamPace
+  readonly health = new TargetHealth()
   target: Target
   private _inFlight = 0
   private _pendingPrefillMs = 0
@@ -148,6 +150,7 @@
   recordResponse (excessMs: number, now: number): void {
     this._failures = 0
     this._ejections = 0
+    this.health.recordResponse(now)
     const previousMs = this.getExcessMs(now)
     this._excessMs = Math.max(0, previousMs + AVERAGE_WEIGHT * (excessMs - previousMs))
     this._observedAt = now
@@ -155,6 +158,7 @@
 
   /** Records a failure and returns the milliseconds of the ejection, or 0; an unreachable target is ejected immediately. */
   recordFailure (now: number, isUnreachable: boolean): number {
+    this.health.recordFailure(now)
     this._failures++
     if (!isUnreachable && this._failures < EJECT_AFTER_FAILURES) return 0
     const ejectionMs = Math.min(EJECTION_CAP_MS, EJECTION_MS * 2 ** this._ejections)
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry, type RetryDecision } from '../../core/forward/index.js'
+import { decideRetry, getResponseLimitMs, type RetryDecision } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
-import { getMaxPermitWaitMs, getRetrySeconds } from '../../core/limits/index.js'
+import { getMaxPermitWaitMs, getRetrySeconds, type RetryBudget } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
 import type { SentRun, Trial } from '../../core/suspect/index.js'
@@ -14,7 +14,9 @@
 import type { LimitedPlacer, LimitedPlacement } from './LimitedPlacer.js'
 import type { Placer } from './Placer.js'
 import type { TargetResponse } from './ResponseHandler.js'
+import { StreamHandover } from './StreamHandover.js'
 import type { SuspectStore } from './SuspectStore.js'
+import type { TargetFailures } from './TargetFailures.js'
 import type { TargetLimits } from './TargetLimits.js'
 import { TargetError, type TargetClient } from './TargetClient.js'
 
@@ -40,6 +42,9 @@
   readonly limitedPlacer: LimitedPlacer
   readonly limits: TargetLimits
   readonly leaving: LeavingNotices
+  readonly failures: TargetFailures
+  /** Limits the requests that are sent to a second target while the first has not responded. */
+  readonly secondAttempts: RetryBudget
   /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
   readonly random: () => number
   readonly client: TargetClient
@@ -74,6 +79,14 @@
 /** What is known of a request that was sent to a target. */
 type Run = Pick<Attempt, 'state' | 'sentAt' | 'wasSilent'>
 
+/** How a request is sent. */
+interface SendOptions {
+  /** Aborted when the response is no longer needed. */
+  readonly cancelled?: AbortSignal
+  /** True if the response of another target is still expected. */
+  readonly isOther?: boolean
+}
+
 /** What the next attempt sends. */
 export interface AttemptRequest {
   readonly body: Buffer | undefined
@@ -134,7 +147,7 @@
         this._refuseUnplaced(placed, stream)
         return undefined
       }
-      const attempt = await this._send(placed.placement, body, lastEventId)
+      const attempt = await this._sendUntilDue(placed.placement, { body, lastEventId, stream })
       if (attempt !== undefined) return attempt
       if (!this._canRetry()) return undefined
     }
@@ -151,7 +164,7 @@
     if (this._decideRetry(runs).type !== 'retry' || this._isConfirmedSuspect()) return undefined
     const placed = await this._place(stream, runs)
     if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
-    return await this._send(placed.placement, body, lastEventId, cancelled)
+    return await this._send(placed.placement, { body, lastEventId }, { cancelled, isOther: true })
   }
 
   /** Discards the response of a target that was asked but does not continue the stream. */
@@ -229,8 +242,41 @@
     return new Set([...this._excluded, ...listed.filter(incarnation => !this._cancelled.has(incarnation))])
   }
 
+  /** Sends a request; one that may be repeated is also sent to a second target if the first has not responded when it should have. */
+  private async _sendUntilDue (placement: Placement, req: AttemptRequest): Promise<Attempt | undefined> {
+    const { route } = this._exchange
+    const { secondAttempts, metrics, log } = this._context
+    if (route.kind !== RouteKind.Idempotent || route.maxAttempts < 2) return await this._send(placement, req)
+    secondAttempts.recordAttempt()
+    const first = new AbortController()
+    let hasAsked = false
+    const handover = new StreamHandover({
+      limitMs: getResponseLimitMs(route.objectiveMs, this._exchange.getRemainingMs()),
+      askOther: async signal => {
+        if (!hasAsked && !secondAttempts.tryConsume()) return undefined
+        hasAsked = true
+        return await this.askOther(req, signal)
+      },
+      dropOther: (other, cancelled) => { this.dropOther(other, 'the first target has responded', cancelled) },
+      endCurrent: () => { first.abort() },
+      onError: err => { log.warn('second-attempt-failed', { req: this._exchange.call.id, cause: String(err) }) }
+    })
+    handover.start()
+    try {
+      const attempt = await this._send(placement, req, { cancelled: first.signal })
+      if (attempt === undefined && !first.signal.aborted) await handover.settle()
+      const successor = handover.getSuccessor()
+      if (successor !== undefined && attempt !== undefined) this.dropOther(attempt, 'a second target has responded', first.signal)
+      const result = successor ?? attempt
+      if (hasAsked) metrics.secondAttempts.inc({ outcome: successor !== undefined ? 'second' : attempt !== undefined ? 'first' : 'none' })
+      return result
+    } finally {
+      handover.stop()
+    }
+  }
+
   private async _send (
-    placement: Placement, body: Buffer | undefined, lastEventId: string | undefined, cancelled?: AbortSignal
+    placement: Placement, { body, lastEventId }: AttemptRequest, { cancelled, isOther = false }: SendOptions = {}
   ): Promise<Attempt | undefined> {
     const { clock, log, client, metrics } = this._context
     const { call, route, configVersion } = this._exchange
@@ -293,19 +339,22 @@
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
-        this._recordNotRun(state, `status ${response.head.status}`, false, cancelled)
+        this._recordNotRun(state, `status ${response.head.status}`, false, isOther)
         return undefined
       }
       return { ...run, response, recordReceived, ...progress }
     } catch (err) {
       progress.finish()
       if (!(err instanceof TargetError)) throw err
-      if (!err.isNotRun && signal.aborted) this._recordAbandoned(run, err.message)
+      if (!err.isNotRun && signal.aborted) {
+        this._recordAbandoned(run, err.message)
+        this._recordSilence(run)
+      }
       if (cancelled?.aborted === true) this._recordCancelled(state, !err.isNotRun)
       else if (err.isNotRun) {
         if (!isRepeated) this._addresses.delete(state.target.address)
         if (!err.isUnreachable) this._excluded.delete(state.incarnation)
-        this._recordNotRun(state, err.message, !signal.aborted && err.isUnreachable, cancelled)
+        this._recordNotRun(state, err.message, !signal.aborted && err.isUnreachable, isOther)
       } else {
         this._recordRun(state, err.message, !signal.aborted)
         if (!signal.aborted) this._recordSuspect(run)
@@ -336,9 +385,9 @@
     }
   }
 
-  private _recordNotRun (state: TargetState, cause: string, isUnreachable: boolean, cancelled: AbortSignal | undefined): void {
-    if (isUnreachable) this._eject(state, true)
-    if (cancelled !== undefined) {
+  private _recordNotRun (state: TargetState, cause: string, isUnreachable: boolean, isOther: boolean): void {
+    if (isUnreachable) this._context.failures.recordFailure(state, true)
+    if (isOther) {
       this._notRunAsks++
       // A full target may have room when it is asked again.
       if (!isUnreachable) this._excluded.delete(state.incarnation)
@@ -355,7 +404,7 @@
 
   private _recordRun (state: TargetState, cause: string, isFailure = true): void {
     this._runs++
-    if (isFailure) this._eject(state, false)
+    if (isFailure) this._context.failures.recordFailure(state, false)
     this._recordRetry(state, 'answer-broken', cause)
   }
 
@@ -386,6 +435,12 @@
     if (sent !== undefined) suspects.recordAbandoned(sent)
   }
 
+  /** Records that the target has sent nothing at all since a request was sent that it should have responded to. */
+  private _recordSilence ({ state, sentAt }: Run): void {
+    const isDue = this._context.clock.now() - sentAt >= this._exchange.route.objectiveMs
+    if (isDue && state.getHeardAt() < sentAt) this._context.failures.recordSilence(state)
+  }
+
   /** Gets the milliseconds for which the request must not be run because it has crashed several targets; begins a trial if it needs one. */
   private async _admit (): Promise<number> {
     const { suspects } = this._context
@@ -403,14 +458,6 @@
     return suspect !== undefined && this._context.suspects.isConfirmed(suspect.digests)
   }
 
-  private _eject (state: TargetState, isUnreachable: boolean): void {
-    const { clock, log, metrics } = this._context
-    const ms = state.recordFailure(clock.now(), isUnreachable)
-    if (ms === 0) return
-    metrics.ejections.inc()
-    log.warn('target-ejected', { target: state.incarnation, address: state.target.address, forMs: ms, isUnreachable })
-  }
-
   private _recordRetry (state: TargetState, reason: RetryReason, cause: string): void {
     this._context.metrics.addRetry(reason)
     this._context.log.info('attempt-failed', { req: this._exchange.call.id, target: state.incarnation, send: this._dispatches, reason, cause })
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -6,19 +6,19 @@
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
-import { ByteBudget, LenderRanking, PermitLedger } from '../../core/limits/index.js'
+import { ByteBudget, LenderRanking, PermitLedger, RetryBudget } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
 import {
-  CostPlacement, LeastOutstanding, RoundRobin, TargetRegistry,
+  CostPlacement, FailureReports, LeastOutstanding, RoundRobin, TargetRegistry,
   type CacheSource, type LivenessProbe, type PlacementPolicy, type Target, type TargetEndCause, type TargetState
 } from '../../core/target/index.js'
 import {
-  BudgetPeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers, RelayedStore,
-  TurnPeers
+  BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
+  RelayedStore, TurnPeers
 } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
@@ -36,6 +36,7 @@
 import { SuspectStore } from './SuspectStore.js'
 import { TableWatch } from './TableWatch.js'
 import { TargetClient } from './TargetClient.js'
+import { TargetFailures } from './TargetFailures.js'
 import { TargetLimits } from './TargetLimits.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
 import { VersionGate } from './VersionGate.js'
@@ -154,6 +155,22 @@
     const leavingPeers = new LeavingPeers({
       pool, clock, localId: id, ranking: lenders, applyLeaving: (target, statedAt) => leaving.apply(target, statedAt)
     })
+    const failures = new TargetFailures({
+      registry: this._registry,
+      clock,
+      log,
+      metrics,
+      localId: id,
+      publish: (target, failure) => { void failurePeers.publish(target, failure) }
+    })
+    const failurePeers = new FailurePeers({
+      pool,
+      clock,
+      localId: id,
+      ranking: lenders,
+      reports: new FailureReports(),
+      applyFailures: (target, failedAt) => failures.apply(target, failedAt)
+    })
     const permits = new PermitPeers({
       pool, clock, localId: id, ranking: lenders, ledger: new PermitLedger(clock), getLimit: target => limits.get(target), applyStatement
     })
@@ -165,6 +182,7 @@
       permits,
       limits: limitPeers,
       leaving: leavingPeers,
+      failures: failurePeers,
       returnUnused,
       getCachedTurn: turn => this._turns.getCached(turn),
       getOrigin: stream => this._origins.getRemembered(stream)
@@ -215,7 +233,20 @@
     this._suspects = suspects
     const limitedPlacer = new LimitedPlacer({ placer, permits, limits, clock, log, metrics })
     const { random } = options
-    const attempts = { clock, log, metrics, placer, limitedPlacer, limits, leaving, random, suspects, client: new TargetClient(protocol) }
+    const attempts = {
+      clock,
+      log,
+      metrics,
+      placer,
+      limitedPlacer,
+      limits,
+      leaving,
+      failures,
+      secondAttempts: new RetryBudget(),
+      random,
+      suspects,
+      client: new TargetClient(protocol)
+    }
     this._turns = new TurnStore({ access, clock, log, rowBytes, peers: new TurnPeers({ pool, ranking, clock }) })
     this._origins = new OriginStore({
       access,
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -16,6 +16,8 @@
   readonly ejections = this._counter('wisteria_ejections_total', 'Targets that get no work for a while.', [])
   readonly limitedSends = this._counter('wisteria_limited_sends_total', 'Requests sent to targets that limit their request rate.', [])
   readonly leavingNotices = this._counter('wisteria_leaving_notices_total', 'Targets that stated that they are leaving, by whether a response or a peer said so first.', ['source'])
+  readonly failureNotices = this._counter('wisteria_failure_notices_total', 'Targets that count as doubtful because several gateways saw failures.', [])
+  readonly secondAttempts = this._counter('wisteria_second_attempts_total', 'Requests sent to a second target while the first had not responded, by which one did, or that none was free.', ['outcome'])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly originLookups = this._counter('wisteria_origin_lookups_total', 'Streams whose callers sent another try, by where their origin was found.', ['source'])
   readonly streamSilences = this._counter('wisteria_stream_silences_total', 'Streams whose target sent no event for half of the time that callers wait, by whether another target took the stream over.', ['outcome'])
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallRequest } from '../../core/forward/index.js'
 import { canContinue, type BegunStream } from '../../core/origin/index.js'
-import type { Backend, Route } from '../../core/route/index.js'
+import { isRepeatable, type Backend, type Route } from '../../core/route/index.js'
 import type { Placement, PlacementPolicy, Target, TargetRegistry, TargetState } from '../../core/target/index.js'
 
 /** Options of {@link Placer}. */
@@ -45,7 +45,8 @@
   place (call: CallRequest, route: Route, options: PlaceOptions = {}): Placement | undefined {
     const { policy, clock } = this._options
     const { excluded = NONE, warmTarget, stream } = options
-    const work = { promptTokens: call.promptTokens, promptSegments: call.promptSegments, excluded, warmTarget }
+    const { promptTokens, promptSegments } = call
+    const work = { promptTokens, promptSegments, excluded, warmTarget, isRepeatable: isRepeatable(route) }
     return policy.select(this.getCandidates(call, route, stream, excluded), work, clock.now())
   }
 
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -3,6 +3,7 @@
 import type { StreamOrigin } from '../../core/origin/index.js'
 import { StoreError, StoreFailure, type RowStore } from '../../core/platform/index.js'
 import type { ReserveLender } from '../../core/reserve/index.js'
+import type { FailurePeers } from './FailurePeers.js'
 import type { LeavingPeers } from './LeavingPeers.js'
 import type { LimitPeers } from './LimitPeers.js'
 import { MAX_STREAMS_PER_CALL } from './OriginPeers.js'
@@ -48,6 +49,8 @@
 
 const LEAVING_NOTICE = z.object({ target: LIMITED_TARGET, statedAgoMs: z.number().nonnegative() })
 
+const FAILURE_NOTICE = z.object({ target: LIMITED_TARGET, reporter: z.string(), failedAgoMs: z.number().nonnegative() })
+
 const SETTLEMENT = z.object({ loan: z.string(), spent: z.number().nonnegative() })
 
 /** Options of {@link createPeerRouter}. */
@@ -64,6 +67,8 @@
   readonly limits: Pick<LimitPeers, 'receiveReport' | 'receiveNotice'>
   /** Receives that targets have stated that they are leaving. */
   readonly leaving: Pick<LeavingPeers, 'receiveReport' | 'receiveNotice'>
+  /** Receives that targets have failed. */
+  readonly failures: Pick<FailurePeers, 'receiveReport' | 'receiveNotice'>
   /** Returns this gateway's unused grants of a program's budget to the store. */
   readonly returnUnused: (program: string) => Promise<void>
   /** Gets the transcript up to a stored turn if this gateway has cached it. */
@@ -101,6 +106,8 @@
     notifyLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveNotice(input) }),
     reportLeaving: t.procedure.input(LEAVING_NOTICE).mutation(({ input }) => { options.leaving.receiveReport(input) }),
     notifyLeaving: t.procedure.input(LEAVING_NOTICE).mutation(({ input }) => { options.leaving.receiveNotice(input) }),
+    reportFailure: t.procedure.input(FAILURE_NOTICE).mutation(({ input }) => { options.failures.receiveReport(input) }),
+    notifyFailure: t.procedure.input(FAILURE_NOTICE).mutation(({ input }) => { options.failures.receiveNotice(input) }),
     returnUnused: t.procedure.input(PROGRAM).mutation(async ({ input }) => { await options.returnUnused(input.program) }),
     getTurn: t.procedure.input(TURN).query(({ input }) => ({ transcript: options.getCachedTurn(input.turn)?.toString('base64') ?? null })),
     getOrigins: t.procedure.input(STREAMS).mutation(({ input }) => input.streams.map(stream => options.getOrigin(stream) ?? null)),
--- a/src/io/peer/TargetNewsPeers.ts
+++ b/src/io/peer/TargetNewsPeers.ts
@@ -38,7 +38,7 @@
     const { ranking, localId, pool } = this._news
     for (const lender of ranking.getLenders(target)) {
       if (lender === localId) {
-        await this._notifyPeers(target, statement)
+        await this.receiveLocal(target, statement)
         return
       }
       const notice = this.encode(target, statement, this._news.clock.now())
@@ -52,7 +52,7 @@
 
   /** Applies a statement reported to this gateway as the target's lender, and notifies the others if it is news. */
   receiveReport (notice: Notice): void {
-    if (this.receiveNotice(notice)) void this._notifyPeers(notice.target, this.decode(notice, this._news.clock.now()))
+    if (this.receiveNotice(notice)) void this.notifyPeers(notice.target, this.decode(notice, this._news.clock.now()))
   }
 
   /** Applies a statement that the target's lender has passed on; returns whether it is news. */
@@ -60,6 +60,11 @@
     return this.apply(notice.target, this.decode(notice, this._news.clock.now()))
   }
 
+  /** Handles a statement of this gateway's own as the target's lender; it was applied before. */
+  protected async receiveLocal (target: LimitedTarget, statement: Statement): Promise<void> {
+    await this.notifyPeers(target, statement)
+  }
+
   /** Converts a statement to what is passed on now. */
   protected abstract encode (target: LimitedTarget, statement: Statement, now: number): Notice
   /** Converts what arrived now to a statement. */
@@ -71,7 +76,8 @@
   /** Sends a notice to a peer that doesn't pass it on. */
   protected abstract notify (procedures: PeerClient['procedures'], notice: Notice, options: TargetNewsCallOptions): Promise<void>
 
-  private async _notifyPeers (target: LimitedTarget, statement: Statement): Promise<void> {
+  /** Notifies all other gateways. */
+  protected async notifyPeers (target: LimitedTarget, statement: Statement): Promise<void> {
     const { ranking, localId, pool, clock } = this._news
     const notice = this.encode(target, statement, clock.now())
     const others = ranking.getPeers().filter(({ id }) => id !== localId)
--- a/src/io/peer/index.ts
+++ b/src/io/peer/index.ts
@@ -1,4 +1,5 @@
 export * from './BudgetPeers.js'
+export * from './FailurePeers.js'
 export * from './LedgerHandover.js'
 export * from './LeavingPeers.js'
 export * from './LimitPeers.js'
--- a/tests/core/target/CostPlacementTests.ts
+++ b/tests/core/target/CostPlacementTests.ts
@@ -95,8 +95,8 @@
 }
 
 function place (
-  policy: PlacementPolicy, states: TargetState[], segments: PromptSegment[], now = 0, warmTarget?: string
+  policy: PlacementPolicy, states: TargetState[], segments: PromptSegment[], now = 0, warmTarget?: string, isRepeatable = true
 ): Placement | undefined {
   const promptTokens = segments.reduce((sum, segment) => sum + segment.tokens, 0)
-  return policy.select(states, { promptTokens, promptSegments: segments, excluded: new Set(), warmTarget }, now)
+  return policy.select(states, { promptTokens, promptSegments: segments, excluded: new Set(), warmTarget, isRepeatable }, now)
 }
--- a/tests/io/gateway/CacheLearnerTests.ts
+++ b/tests/io/gateway/CacheLearnerTests.ts
@@ -24,7 +24,7 @@
     isKnown = true
     await learning
     const policy = new CostPlacement({ failureDomain: 'here', regions: { here: 'home' }, random: () => 0 })
-    const work = { promptTokens: 6_600, promptSegments: [...SEGMENTS, { id: 'new', tokens: 40 }], excluded: new Set<string>(), warmTarget: undefined }
+    const work = { promptTokens: 6_600, promptSegments: [...SEGMENTS, { id: 'new', tokens: 40 }], excluded: new Set<string>(), warmTarget: undefined, isRepeatable: true }
     expect(policy.select(states, work, 0)?.state.target.id).toEqual('warm')
   })
 })
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -28,6 +28,7 @@
       permits: { lend: () => ({ type: 'refused', waitMs: 0 }) },
       limits: { receiveReport: () => {}, receiveNotice: () => false },
       leaving: { receiveReport: () => {}, receiveNotice: () => false },
+      failures: { receiveReport: () => {}, receiveNotice: () => false },
       returnUnused: async () => {},
       getCachedTurn: () => undefined,
       getOrigin: () => undefined
