--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -6,7 +6,7 @@
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
-import { ByteBudget, LenderRanking, PermitLedger, RetryBudget } from '../../core/limits/index.js'
+import { ByteBudget, DEFAULT_RETRY_RESERVE, LenderRanking, PermitLedger, RetryBudget } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
@@ -242,7 +242,7 @@
       limits,
       leaving,
       failures,
-      secondAttempts: new RetryBudget(),
+      secondAttempts: new RetryBudget({ initial: DEFAULT_RETRY_RESERVE }),
       random,
       suspects,
       client: new TargetClient(protocol)
