Decode workspaces and the key of a request

Cause: the operator's configuration may hold workspaces with keys, which the gateway did not read. Change: decodeConfig reads tenants and public routes, and keeps only digests of keys; WorkspaceIndex finds the workspace of a key, scopeId gives ids that workspaces do not share. Api-Key and X-Tenant of a caller are not forwarded. Nothing checks keys yet.

--- a/src/core/forward/CallProtocol.ts
+++ b/src/core/forward/CallProtocol.ts
@@ -20,6 +20,8 @@
   readonly lastEventId?: string | undefined
   /** Priority among the requests at the target, 0 the highest; omitted for the default of the target. */
   readonly priority?: number
+  /** Name of the workspace that sends the request; undefined without one. */
+  readonly workspace?: string | undefined
 }
 
 /** Decoded head of a target's response. */
--- a/src/core/forward/CallRequest.ts
+++ b/src/core/forward/CallRequest.ts
@@ -33,6 +33,8 @@
   /** Key of the object that the request concerns; targets that handled it recently are faster. */
   readonly affinityKey: string | undefined
   readonly program: ProgramInfo | undefined
+  /** Key by which the caller identifies its workspace; undefined without one, or with several. It must not be logged or forwarded. */
+  readonly apiKey: string | undefined
   readonly promptTokens: number
   /** Largest number of tokens that the response may have. */
   readonly maxOutputTokens: number
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -42,6 +42,8 @@
   'body-timeout': notRun(408, 'The body did not arrive in time.', 'Check the path between the caller and the entry.'),
   'key-missing': notRun(401, 'No key was presented.', 'The caller sends `authorization: Bearer <workspace>.<secret>`.'),
   'key-wrong': notRun(401, 'The key is not valid.', 'Compare the key with the workspace in the documents; rotate it if it leaked.'),
+  'key-unknown': notRun(401, 'No workspace holds the presented key.', 'Compare the key of the caller with `tenants` of the configuration in force.'),
+  'keys-unconfirmed': notRun(503, 'The gateway cannot confirm at the moment which keys are valid.', 'Check the connections of the gateway to the store and to its peers.'),
   'program-unknown': notRun(404, 'No such program for this workspace.', 'Check [[program]] and workspace.programs in the documents.'),
   'service-unknown': notRun(404, 'No such service or operation.', 'Check [[service]] and its operations in the documents.'),
   'route-unknown': notRun(404, 'No such path.', 'The caller corrects its path.'),
--- a/src/core/route/Route.ts
+++ b/src/core/route/Route.ts
@@ -41,6 +41,8 @@
   readonly isResumable: boolean
   /** Longest gap between two events of a stream, in milliseconds, that counts as on time. */
   readonly maxGapMs: number
+  /** True when requests need no key, and belong to no workspace. */
+  readonly isPublic: boolean
 }
 
 /** Checks whether a request of a route may run more than once. */
--- a/src/core/route/RouteConfig.ts
+++ b/src/core/route/RouteConfig.ts
@@ -1,3 +1,4 @@
+import type { KeyedWorkspace } from '../workspace/index.js'
 import type { Route } from './Route.js'
 
 /** Configuration of a service. */
@@ -27,4 +28,6 @@
   readonly routes: readonly Route[]
   readonly services: ReadonlyMap<string, ServiceConfig>
   readonly limits: CallerLimits
+  /** Workspaces, one of whose keys every request needs on routes that are not public; undefined where requests need no key. */
+  readonly workspaces?: readonly KeyedWorkspace[] | undefined
 }
--- a/src/core/route/RouteTable.ts
+++ b/src/core/route/RouteTable.ts
@@ -1,13 +1,17 @@
+import { WorkspaceIndex } from '../workspace/index.js'
 import type { Route } from './Route.js'
 import type { RouteConfig, ServiceConfig } from './RouteConfig.js'
 
 /** Looks up the routes and services of one configuration version. */
 export class RouteTable {
   readonly config: RouteConfig
+  /** Finds the workspaces of keys; undefined where requests need no key. */
+  readonly workspaces: WorkspaceIndex | undefined
   private readonly _byHost = new Map<string, Route[]>()
 
   constructor (config: RouteConfig) {
     this.config = config
+    this.workspaces = config.workspaces === undefined ? undefined : new WorkspaceIndex(config.workspaces)
     for (const route of config.routes) {
       const routes = this._byHost.get(route.host)
       if (routes === undefined) this._byHost.set(route.host, [route])
--- /dev/null
+++ b/src/core/workspace/index.ts
@@ -0,0 +1,3 @@
+export * from './scopeId.js'
+export * from './Workspace.js'
+export * from './WorkspaceIndex.js'
--- a/tests/core/route/RouteTableTests.ts
+++ b/tests/core/route/RouteTableTests.ts
@@ -37,6 +37,7 @@
     objectiveMs: 1,
     priority: 0,
     maxAttempts: 1,
+    isPublic: false,
     isRetained: false,
     retentionMs: 0,
     isResumable: false,
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -21,6 +21,7 @@
   objectiveMs: 100,
   priority: 0,
   maxAttempts: 1,
+  isPublic: false,
   isRetained: false,
   retentionMs: 0,
   isResumable: false,
--- a/tests/io/gateway/LimitedPlacerTests.ts
+++ b/tests/io/gateway/LimitedPlacerTests.ts
@@ -21,6 +21,7 @@
   maxOutputTokens: 0,
   promptSegments: [],
   previousTurn: undefined,
+  apiKey: undefined,
   lastEventId: undefined,
   resumedStream: undefined
 }
@@ -35,6 +36,7 @@
   objectiveMs: 300,
   priority: 0,
   maxAttempts: 1,
+  isPublic: false,
   isRetained: false,
   retentionMs: 0,
   isResumable: false,
--- a/tests/platform/PlatformProtocolTests.ts
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -24,6 +24,7 @@
       promptTokens: 1_460,
       maxOutputTokens: 80,
       promptSegments: [{ id: '5c', tokens: 800 }, { id: '91', tokens: 410 }],
+      apiKey: undefined,
       previousTurn: 't0',
       lastEventId: '7',
       resumedStream: 'r0'
