Check the key of each request and keep the state of workspaces apart

Cause: with workspaces in the configuration, a request needs a key, and turns, budgets, stream origins and crash digests belong to a workspace. Change: KeyGate decides by the newest configuration when the head has arrived, after the body and before the first attempt. A key is unknown only by a read that begins after the request (ConfigConfirmation), and after a pause no key is served before such a read. RelayedStore.checkDirect notices a silent connection in one time-out. Ids of kept state are scoped by Exchange.scope.

--- a/src/core/explain/LogLine.ts
+++ b/src/core/explain/LogLine.ts
@@ -1,3 +1,5 @@
+import { unscopeId } from '../workspace/index.js'
+
 /** One line of a gateway's log: a decision that touches a request, or a change of what the gateway believes. */
 export interface LogLine {
   /** Milliseconds since the Unix epoch, by the clock of the gateway. */
@@ -20,7 +22,7 @@
 /** Gets a field of a line if it is a string. */
 export function getText ({ fields }: LogLine, key: string): string | undefined {
   const value = fields[key]
-  return typeof value === 'string' ? value : undefined
+  return typeof value === 'string' ? unscopeId(value) : undefined
 }
 
 /** Parses a line, after any prefix that a log collector puts before it; returns undefined for other or incomplete lines. */
--- a/src/core/workspace/scopeId.ts
+++ b/src/core/workspace/scopeId.ts
@@ -13,6 +13,9 @@
 /** Longest scoped id in bytes; the store accepts row keys of 200 bytes, and the row of a turn adds `/` and four digits. */
 export const MAX_SCOPED_BYTES = 195
 
+/** A scoped id that holds the caller's id. */
+const SCOPED = /^w~(?:-|[0-9a-f]{16})~(.*)$/s
+
 /** Tags by workspace, so that each name is hashed once for each configuration. */
 const tags = new WeakMap<Workspace, string>()
 
@@ -36,3 +39,8 @@
   tags.set(workspace, tag)
   return tag
 }
+
+/** Gets the id that a caller sent from a scoped one, for logs; a hashed id stays as it is. */
+export function unscopeId (id: string): string {
+  return SCOPED.exec(id)?.[1] ?? id
+}
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -147,6 +147,12 @@
         this._refuseUnplaced(placed, stream)
         return undefined
       }
+      // The key may have been removed while the request waited for its target.
+      const refusal = this._dispatches === 0 ? await this._exchange.checkKey() : undefined
+      if (refusal !== undefined) {
+        this._exchange.refuse(refusal)
+        return undefined
+      }
       const attempt = await this._sendUntilDue(placed.placement, { body, lastEventId, stream })
       if (attempt !== undefined) return attempt
       if (!this._canRetry()) return undefined
@@ -299,6 +305,7 @@
       lastEventId,
       send: this._dispatches,
       program: call.program?.id,
+      workspace: this._exchange.workspace?.name,
       budget: call.program?.tokenBudget,
       maxOutputTokens: call.maxOutputTokens,
       promptTokens: call.promptTokens,
@@ -318,7 +325,7 @@
     const isCurrent = (): boolean => clock.now() - sentAt <= MAX_SEND_DELAY_MS
     const progress = this._track(placement, sentAt, abort)
     try {
-      const dispatch = { target: state.target, timeoutMs, lastEventId }
+      const dispatch = { target: state.target, timeoutMs, lastEventId, workspace: this._exchange.workspace?.name }
       const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
       const recordReceived = (): void => { state.recordHeard(clock.now(), response.connection) }
       // Another target may have the address.
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -4,10 +4,12 @@
 import type { ByteBudget, HeldBytes } from '../../core/limits/index.js'
 import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
+import { scopeId, type Workspace } from '../../core/workspace/index.js'
 import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
+import { UNCONFIRMED_RETRY_SECONDS, type KeyAdmission } from './KeyGate.js'
 
 /** Headers of a response after which the connection is closed. */
 const CLOSE_HEADERS = ['Connection', 'close']
@@ -33,6 +35,12 @@
   readonly call: CallRequest
   readonly route: Route
   readonly configVersion: number
+  /** Time at which the head had arrived, by the steady clock in milliseconds. */
+  readonly arrivedAt: number
+  /** Workspace of the caller's key; undefined where the request needs none. */
+  readonly workspace: Workspace | undefined
+  /** Checks the key by the newest configuration. */
+  readonly admit: () => Promise<KeyAdmission>
 }
 
 /** What identifies a request when its caller resends it. */
@@ -50,12 +58,15 @@
   readonly startedAt: number
   /** Time by which the caller needs its response, by the steady clock. */
   readonly deadline: number
+  /** Workspace of the caller's key, by the newest configuration that the key was checked by; undefined where the request needs none. */
+  workspace: Workspace | undefined
   /** Bytes that the request holds in memory until it is over. */
   readonly held: HeldBytes
   /** Identifies the request when its caller resends it; undefined before its body was read. */
   suspect: SuspectRequest | undefined
   private readonly _context: ExchangeContext
   private readonly _res: ServerResponse
+  private readonly _admit: () => Promise<KeyAdmission>
   private readonly _callerDisconnected = new AbortController()
   /** True once this gateway has closed the connection of an incomplete response. */
   private _isAborted = false
@@ -65,7 +76,7 @@
   private readonly _writer: BatchWriter
 
   constructor (options: ExchangeOptions) {
-    const { context, call, route, res } = options
+    const { context, call, route, res, arrivedAt, workspace, admit } = options
     this._context = context
     this._res = res
     this._writer = new BatchWriter(res)
@@ -73,7 +84,9 @@
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
-    this.startedAt = context.clock.now()
+    this.startedAt = arrivedAt
+    this.workspace = workspace
+    this._admit = admit
     this.deadline = this.startedAt + Math.min(call.timeoutMs ?? Infinity, route.timeoutMs)
     res.on('close', () => { if (!res.writableEnded || !res.writableFinished) this._onDisconnected() })
   }
@@ -83,6 +96,27 @@
     return this._callerDisconnected.signal
   }
 
+  /** Checks the key again by the newest configuration; returns the refusal of a request that must not run any more. */
+  async checkKey (): Promise<Refusal | undefined> {
+    const admission = await this._admit()
+    if (admission.isLeft()) return admission.extract() as Refusal
+    const workspace = admission.unsafeCoerce()
+    // The key of another workspace now: what was begun for the former one can't go on.
+    if (workspace?.name !== this.workspace?.name) return { reason: 'keys-unconfirmed', retryAfterSeconds: UNCONFIRMED_RETRY_SECONDS }
+    this.workspace = workspace
+    return undefined
+  }
+
+  /** Gets the id under which state of this request is kept in the store, in memory and at peers; see {@link scopeId}. */
+  scope (id: string): string {
+    return scopeId(this.workspace, id)
+  }
+
+  /** Gets the priority of the request: its workspace's, or else its route's; 0 is the highest. */
+  getPriority (): number {
+    return this.workspace?.priority ?? this.route.priority
+  }
+
   /** Gets the milliseconds until the deadline. */
   getRemainingMs (): number {
     return this.deadline - this._context.clock.now()
@@ -131,7 +165,9 @@
   abort (cause: string): void {
     const { log, metrics } = this._context
     metrics.addRefusal('answer-interrupted')
-    log.warn('answer-broken-off', { req: this.call.id, program: this.call.program?.id, route: this.route.name, cause, ...this._getEndDetails() })
+    metrics.recordWorkspaceRequest(this.workspace?.name, 'broken-off')
+    const { call, route, workspace } = this
+    log.warn('answer-broken-off', { req: call.id, program: call.program?.id, workspace: workspace?.name, route: route.name, cause, ...this._getEndDetails() })
     this._isAborted = true
     this._res.destroy()
   }
@@ -140,10 +176,11 @@
   refuse (refusal: Refusal): void {
     const { log, metrics, clock } = this._context
     metrics.addRefusal(refusal.reason)
+    metrics.recordWorkspaceRequest(this.workspace?.name, 'refused')
     const tookMs = Math.round(clock.now() - this.startedAt)
     const { reason, detail, members } = refusal
-    const { call, route, configVersion } = this
-    log.info('refused', { req: call.id, program: call.program?.id, route: route.name, config: configVersion, reason, detail, ...members, tookMs })
+    const { call, route, configVersion: config, workspace } = this
+    log.info('refused', { req: call.id, program: call.program?.id, workspace: workspace?.name, route: route.name, config, reason, detail, ...members, tookMs })
     sendProblem(this._context, this._res, this.call.id, refusal)
   }
 
@@ -183,7 +220,8 @@
     const { log, metrics, clock } = this._context
     const tookMs = clock.now() - this.startedAt
     metrics.recordResponse(this.route.kind, status, tookMs)
-    log.info('answered', { req: this.call.id, route: this.route.name, status, tookMs: Math.round(tookMs) })
+    metrics.recordWorkspaceRequest(this.workspace?.name, 'answered')
+    log.info('answered', { req: this.call.id, workspace: this.workspace?.name, route: this.route.name, status, tookMs: Math.round(tookMs) })
   }
 }
 
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -23,8 +23,10 @@
 import type { DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
+import { ConfigConfirmation } from './ConfigConfirmation.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { GatewayServer } from './GatewayServer.js'
+import { KeyGate } from './KeyGate.js'
 import { LeavingNotices } from './LeavingNotices.js'
 import { LimitedPlacer } from './LimitedPlacer.js'
 import { OriginStore } from './OriginStore.js'
@@ -34,7 +36,7 @@
 import { StoreAccess } from './StoreAccess.js'
 import { StreamForwarder } from './StreamForwarder.js'
 import { SuspectStore } from './SuspectStore.js'
-import { TableWatch } from './TableWatch.js'
+import { TableWatch, WATCH_MS } from './TableWatch.js'
 import { TargetClient } from './TargetClient.js'
 import { TargetFailures } from './TargetFailures.js'
 import { TargetLimits } from './TargetLimits.js'
@@ -97,6 +99,15 @@
 /** Milliseconds for which a read of the list of targets is awaited: a watch in progress and the next one. */
 const CONFIRM_TIMEOUT_MS = 5_000
 
+/**
+ * Milliseconds without a confirmation of the configuration after which the store is read beside the watch: two watches in a row and what
+ * a slow store adds. A connection that fell silent is then noticed, and a peer asked, within 4 s of a change of the keys.
+ */
+const CONFIG_LAPSE_MS = 2 * WATCH_MS + 300
+
+/** Milliseconds between two checks whether the configuration was confirmed. */
+const CONFIG_CHECK_MS = 200
+
 /** Milliseconds between two checks whether a stopping process has finished its requests. */
 const STOP_POLL_MS = 25
 
@@ -119,6 +130,10 @@
   private readonly _ledger: ReserveLedger
   private readonly _handover: LedgerHandover
   private readonly _configWatch: TableWatch
+  private readonly _confirmation: ConfigConfirmation
+  private readonly _store: RelayedStore
+  /** Version of the latest row whose configuration was rejected. */
+  private _rejectedRow: number | undefined
   private readonly _targetWatch: TableWatch
   private readonly _suspectWatch: TableWatch
   private _isStopping = false
@@ -138,6 +153,7 @@
     const rowBytes = Math.floor(settings.store.rowBytes * BASE64_PAYLOAD_RATIO)
     const ranking = new PeerRanking({ localId: id, localDomain: failureDomain, regions, random: options.random })
     const store = new RelayedStore({ direct: options.store, ranking, clock, log, onRelayed: () => { metrics.relayedCalls.inc() } })
+    this._store = store
     const ledger = new ReserveLedger({ clock, incarnation })
     this._ledger = ledger
     this._handover = new LedgerHandover({ store, clock, log, gatewayId: id, incarnation, rowBytes })
@@ -280,16 +296,26 @@
     const memory = new ByteBudget({ maxBytes: getHeapStatistics().heap_size_limit * HELD_BYTES_SHARE })
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
     const context = { clock, log, metrics, protocol, configs: this._configs, memory, closesAfter }
-    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
       access,
       clock,
       log,
       table: tables.configTable,
+      // Without keys, a configuration that changed during a pause is read as soon as its watch responds.
+      getResumedAt: () => this._configs.get()?.workspaces === undefined ? -Infinity : this._pauses.getResumedAt(),
       onRows: rows => { for (const row of rows) this._applyConfig(row) },
       onChange: change => { if (change.type === 'put') this._applyConfig(change.row) }
     })
+    this._confirmation = new ConfigConfirmation({ watch: this._configWatch, clock })
+    const keys = new KeyGate({
+      configs: this._configs,
+      clock,
+      confirmation: this._confirmation,
+      getResumedAt: () => this._pauses.getResumedAt(),
+      isStoreUnavailable: () => access.health.isUnavailable()
+    })
+    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams, keys })
     this._targetWatch = new TableWatch({
       access,
       clock,
@@ -317,6 +343,7 @@
     void this._targetWatch.run()
     void this._suspectWatch.run()
     void periodic(LIFE_SIGN_MS).observe(() => { this._pauses.recordLife() })
+    void periodic(CONFIG_CHECK_MS).observe(() => { this._runInBackground('config', async () => { await this._confirmConfig() }) })
     void periodic(EXPIRY_CHECK_MS).observe(() => {
       this._runInBackground('turns', async () => { await this._turns.removeExpired() })
       this._runInBackground('origins', async () => { await this._origins.removeExpired() })
@@ -393,6 +420,9 @@
     if (row.key !== tables.configKey) return
     tables.decodeConfig(row.value).caseOf({
       Left: problem => {
+        // The row is read again and again.
+        if (row.version === this._rejectedRow) return
+        this._rejectedRow = row.version
         metrics.badRows.inc({ table: row.table })
         log.warn('config-rejected', { row: row.version, problem })
       },
@@ -400,11 +430,18 @@
         if (!this._configs.applyIfNewer(config, this._options.clock.now())) return
         this._server.setLimits(config.limits)
         metrics.configVersion.set(config.version)
-        log.info('config-adopted', { version: config.version, row: row.version, routes: config.routes.length })
+        log.info('config-adopted', { version: config.version, row: row.version, routes: config.routes.length, workspaces: config.workspaces?.length })
       }
     })
   }
 
+  /** Reads the configuration beside the watch if it holds keys and was not confirmed for some time. */
+  private async _confirmConfig (): Promise<void> {
+    if (this._configs.get()?.workspaces === undefined || this._configWatch.getAgeMs() <= CONFIG_LAPSE_MS) return
+    this._store.checkDirect()
+    await this._confirmation.confirm()
+  }
+
   private _applyTargets (rows: readonly StoredRow[]): void {
     const targets = rows.flatMap(row => this._decodeTarget(row) ?? [])
     this._registry.setAll(targets, this._options.clock.now(), this._targetWatch.getConfirmedAt())
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -28,6 +28,7 @@
   readonly configVersion = this._gauge('wisteria_config_version', 'Version of the configuration in force.')
   readonly targets = this._gauge('wisteria_targets', 'Targets known.')
   readonly inProgress = this._gauge('wisteria_requests_in_progress', 'Requests in progress.')
+  private readonly _workspaceRequests = this._counter('wisteria_workspace_requests_total', 'Requests with a known key, by workspace and how they ended.', ['workspace', 'outcome'])
   private readonly _request = this._histogram('wisteria_request_seconds', 'Time from arrival to the end of the answer.', ['kind'])
   private readonly _firstByte = this._histogram('wisteria_first_byte_seconds', 'Time from arrival to the first byte of an answer in pieces.', ['kind'])
   private readonly _store = this._histogram('wisteria_store_seconds', 'Time of a call of the store.', ['call'])
@@ -38,6 +39,11 @@
     for (const reason of Object.keys(RETRIES)) this._retries.inc({ reason }, 0)
   }
 
+  /** Counts how a request of a workspace ended; nothing without a workspace. The configuration bounds the names. */
+  recordWorkspaceRequest (workspace: string | undefined, outcome: 'answered' | 'refused' | 'broken-off'): void {
+    if (workspace !== undefined) this._workspaceRequests.inc({ workspace, outcome })
+  }
+
   /** Counts a refusal. */
   addRefusal (reason: RefusalReason): void {
     this._refusals.inc({ reason })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -4,10 +4,12 @@
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigests, InputsInProgress } from '../../core/suspect/index.js'
+import { getKeyDigest } from '../../core/workspace/index.js'
 import { listen } from '../http/index.js'
 import { CallerConnections } from './CallerConnections.js'
 import type { CallerConnection } from './CallerConnection.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
+import type { KeyAdmission, KeyGate } from './KeyGate.js'
 import type { PlainForwarder } from './PlainForwarder.js'
 import { readHeldBody } from './readHeldBody.js'
 import type { StreamForwarder } from './StreamForwarder.js'
@@ -47,6 +49,7 @@
   readonly context: ExchangeContext
   readonly plain: PlainForwarder
   readonly streams: StreamForwarder
+  readonly keys: Pick<KeyGate, 'admit'>
 }
 
 /** HTTP server for callers: decodes, checks and routes their requests. */
@@ -158,7 +161,8 @@
   }
 
   private async _handle (req: IncomingMessage, res: ServerResponse): Promise<void> {
-    const { context } = this._options
+    const { context, keys } = this._options
+    const arrivedAt = context.clock.now()
     const head = { method: req.method ?? '', url: req.url ?? '', rawHeaders: req.rawHeaders }
     const decoded = context.protocol.decodeRequest(head)
     if (decoded.isLeft()) {
@@ -181,7 +185,18 @@
       this._refuse(req, res, call.id, { reason: 'route-unknown', members: { config: version, host: call.host, path: call.path } })
       return
     }
-    const exchange = new Exchange({ context, req, res, call, route, configVersion: version })
+    const { host, path, apiKey } = call
+    const keyDigest = apiKey === undefined ? undefined : getKeyDigest(apiKey)
+    const admit = async (): Promise<KeyAdmission> => await keys.admit({ host, path, route, keyDigest, arrivedAt })
+    const admission = await admit()
+    // The check may have waited: the body can be overdue by now, or the caller gone.
+    if (res.headersSent || res.destroyed) return
+    if (admission.isLeft()) {
+      this._refuse(req, res, call.id, { ...admission.extract() as Refusal, members: { config: context.configs.get()?.config.version } })
+      return
+    }
+    const workspace = admission.unsafeCoerce()
+    const exchange = new Exchange({ context, req, res, call, route, configVersion: version, arrivedAt, workspace, admit })
     try {
       await this._forward(exchange, req, res, limits.bodyBytes)
     } finally {
@@ -203,11 +218,17 @@
       this._refuse(req, res, call.id, { reason: 'stopping', retryAfterSeconds: STOPPING_RETRY_SECONDS })
       return
     }
+    // The key may have been removed while the body arrived.
+    const refusal = await exchange.checkKey()
+    if (refusal !== undefined) {
+      exchange.refuse(refusal)
+      return
+    }
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
     const digests = getSuspectDigests({
-      address: req.socket.remoteAddress ?? '',
-      program: call.program?.id,
+      address: exchange.scope(req.socket.remoteAddress ?? ''),
+      program: call.program === undefined ? undefined : exchange.scope(call.program.id),
       method: call.method,
       host: call.host,
       target: call.requestTarget,
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -211,7 +211,9 @@
     const { call, route } = exchange
     const { origins, versions } = this._options
     const deadline = this._getPrepareDeadline(exchange)
-    if (call.resumedStream !== undefined) return await origins.find(call.resumedStream, getOriginRetentionMs(exchange), deadline)
+    if (call.resumedStream !== undefined) {
+      return await origins.find(exchange.scope(call.resumedStream), getOriginRetentionMs(exchange), deadline)
+    }
     const [backend, ...others] = route.backends
     if (!route.isResumable || backend === undefined || others.length > 0) return Left('origin-unknown')
     return await versions.findOnly(backend.service, deadline)
@@ -220,7 +222,7 @@
   /** Records the target that sends the first event of a new stream. */
   private _begin (exchange: Exchange, target: Target): BegunStream {
     const origin = getOrigin(target)
-    if (exchange.route.isResumable) this._options.origins.record(exchange.call.id, origin, getOriginRetentionMs(exchange))
+    if (exchange.route.isResumable) this._options.origins.record(exchange.scope(exchange.call.id), origin, getOriginRetentionMs(exchange))
     return { origin }
   }
 
@@ -229,7 +231,7 @@
     const newInput = input ?? Buffer.alloc(0)
     const { previousTurn } = exchange.call
     if (!exchange.route.isRetained || previousTurn === undefined) return Right(newInput)
-    const loaded = await this._options.turns.load(previousTurn, this._getPrepareDeadline(exchange))
+    const loaded = await this._options.turns.load(exchange.scope(previousTurn), this._getPrepareDeadline(exchange))
     return loaded.chain<RefusalReason, Buffer>(transcript => {
       return exchange.held.tryHold(transcript.length) ? Right(Buffer.concat([transcript, newInput])) : Left('memory-full')
     })
@@ -242,7 +244,7 @@
     const { budgets, attempts } = this._options
     return await budgets.reserve({
       req: id,
-      program: program.id,
+      program: exchange.scope(program.id),
       limit: program.tokenBudget,
       tokens: maxOutputTokens,
       chooseTarget: warmTarget => attempts.placer.place(exchange.call, exchange.route, { warmTarget })?.state.incarnation,
@@ -264,11 +266,11 @@
   }
 
   private async _relayAttempts (exchange: Exchange, prompt: Buffer, progress: StreamProgress, onEventsRelayed: () => void): Promise<void> {
-    const { program } = exchange.call
     const { budgets } = this._options
+    const program = exchange.call.program === undefined ? undefined : exchange.scope(exchange.call.program.id)
     const attempts = new Attempts(this._options.attempts, exchange, {
-      warmTarget: program === undefined ? undefined : budgets.getWarmTarget(program.id),
-      isInProgress: program !== undefined && budgets.hasEarlierTurns(program.id),
+      warmTarget: program === undefined ? undefined : budgets.getWarmTarget(program),
+      isInProgress: program !== undefined && budgets.hasEarlierTurns(program),
       awaitTargets: async stream => {
         const deadline = Math.min(exchange.deadline, this._options.clock.now() + PREPARE_TIMEOUT_MS)
         return await this._awaitVersions(exchange, stream, deadline)
@@ -401,7 +403,7 @@
     const { route, call } = exchange
     if (progress.transcript !== undefined) {
       const deadline = Math.min(exchange.deadline, progress.lastEventAt + getCallerWaitMs(route) - SAVE_MARGIN_MS)
-      if (!await this._options.turns.save(call.id, progress.transcript.toBuffer(), route.retentionMs, deadline)) {
+      if (!await this._options.turns.save(exchange.scope(call.id), progress.transcript.toBuffer(), route.retentionMs, deadline)) {
         exchange.abort('the turn could not be saved in time')
         return
       }
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -85,6 +85,19 @@
     return this._confirmedAt > -Infinity
   }
 
+  /** Reads the table once, beside the watch in progress; {@link isConfirmedSince} tells whether the read has succeeded. */
+  async confirm (): Promise<void> {
+    const { access, clock, table } = this._options
+    const startedAt = clock.now()
+    try {
+      const { rows, timeMs } = await access.readOnce({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
+      this._notify(() => { this._options.onRows(rows, timeMs) })
+      this._recordConfirmed(startedAt)
+    } catch (err) {
+      if (!(err instanceof StoreError)) throw err
+    }
+  }
+
   /** Stops after the call in progress. */
   close (): void {
     this._stop.abort()
@@ -108,6 +121,11 @@
     return this._options.getResumedAt?.() ?? -Infinity
   }
 
+  /** Records that the rows are those of a call that began at the given time; a call may end after a later one. */
+  private _recordConfirmed (startedAt: number): void {
+    this._confirmedAt = Math.max(this._confirmedAt, startedAt)
+  }
+
   private async _readAll (): Promise<void> {
     const { access, clock, table } = this._options
     const startedAt = clock.now()
@@ -115,7 +133,7 @@
     this._notify(() => { this._options.onRows(rows, timeMs) })
     this._version = version
     this._readAt = startedAt
-    this._confirmedAt = startedAt
+    this._recordConfirmed(startedAt)
   }
 
   private async _watch (): Promise<void> {
@@ -129,6 +147,6 @@
     }
     for (const change of feed.changes) this._notify(() => { this._options.onChange(change, feed.timeMs) })
     this._version = feed.version
-    this._confirmedAt = startedAt
+    this._recordConfirmed(startedAt)
   }
 }
--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import { PEER_TABLE, type Peer, type PeerRanking } from '../../core/peer/index.js'
 import {
-  getPartitionOf, RowStore, StoreError, StoreFailure, StoreHealth,
+  getPartitionOf, RowStore, StoreError, StoreFailure, StoreHealth, UNAVAILABLE_AFTER_PARTITIONS,
   type CallOptions, type RowCommit, type RowFeed, type RowRange, type RowSnapshot, type RowTransaction, type StorePartition
 } from '../../core/platform/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -20,6 +20,9 @@
 /** Partitions that probes read in turn: some may be unavailable while the others are reachable. */
 const PROBED_PARTITIONS = 16
 
+/** Reads of one check of the direct connection, each in another partition: as many failures as an outage needs. */
+const CHECK_READS = UNAVAILABLE_AFTER_PARTITIONS
+
 /** Options of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
   /** The store by the direct connection. */
@@ -47,6 +50,7 @@
   private readonly _relayPeers = new Map<string, RelayPeer>()
   private _relayPeer: RelayPeer | undefined
   private _isSearching = false
+  private _isChecking = false
   private _probes = 0
 
   constructor (options: RelayedStoreOptions) {
@@ -71,6 +75,18 @@
     return this._health.isUnavailable()
   }
 
+  /** Checks the direct connection by reads at once, so that a silent one is noticed before calls of several tables have timed out. */
+  checkDirect (): void {
+    if (this.isDirectUnavailable() || this._isChecking) return
+    this._isChecking = true
+    const reads = Array.from({ length: CHECK_READS }, async () => {
+      const range = getProbeRange(++this._probes)
+      // Failures are counted and logged with the other calls to the store.
+      await this._callDirect(range, async store => await store.read(range, { timeoutMs: PROBE_TIMEOUT_MS })).catch(() => {})
+    })
+    void Promise.all(reads).then(() => { this._isChecking = false })
+  }
+
   private async _call<T> (partition: StorePartition, call: (store: RowStore) => Promise<T>): Promise<T> {
     if (!this.isDirectUnavailable()) return await this._callDirect(partition, call)
     if (this._relayPeer === undefined) throw new StoreError(StoreFailure.Refused, 'Neither this gateway nor a peer reaches the store.')
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -4,7 +4,7 @@
 import { ByteBudget } from '../../../src/core/limits/index.js'
 import { ConfigHolder, RouteKind, type Route } from '../../../src/core/route/index.js'
 import {
-  GatewayMetrics, GatewayServer, type Exchange, type PlainForwarder, type StreamForwarder
+  GatewayMetrics, GatewayServer, KeyGate, type Exchange, type PlainForwarder, type StreamForwarder
 } from '../../../src/io/gateway/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { PlatformProtocol } from '../../../platform/PlatformProtocol.js'
@@ -80,7 +80,9 @@
     const metrics = new GatewayMetrics()
     const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
-    server = new GatewayServer({ context, plain, streams })
+    const confirmation = { isConfirmedSince: () => true, confirm: async () => {} }
+    const keys = new KeyGate({ configs, clock, confirmation, getResumedAt: () => -Infinity, isStoreUnavailable: () => false })
+    server = new GatewayServer({ context, plain, streams, keys })
     return await server.listen('127.0.0.1:0')
   }
 })
--- a/tests/platform/PlatformProtocolTests.ts
+++ b/tests/platform/PlatformProtocolTests.ts
@@ -55,6 +55,18 @@
     ])
   })
 
+  // A target trusts the name, and the key would be known to it.
+  it('should send the name of the workspace to the target, but neither its key nor a name that the caller sent', () => {
+    const call = decode([...minimal, 'api-key', 'secret', 'X-Tenant', 'b', 'x-tenant', 'c']).unsafeCoerce()
+    const target = { id: 'i-1', bornAt: 1, service: 's', softwareVersion: 'v1', address: '10.0.0.1:1', failureDomain: 'z', isLeaving: false, slots: 1 }
+    const own = [...minimal, 'x-timeout-ms', '1', 'x-target-instance', 'i-1']
+    expect(call.apiKey).toEqual('secret')
+    expect(protocol.getTargetHeaders(call, { target, timeoutMs: 1 })).toEqual(own)
+    expect(protocol.getTargetHeaders(call, { target, timeoutMs: 1, workspace: 'ü' })).toEqual([...own, 'x-tenant', 'Ã¼'])
+    expect(decode([...minimal, 'Api-Key', 'k1', 'Api-Key', 'k2']).unsafeCoerce().apiKey).toEqual(undefined)
+    expect(decode([...minimal, 'Api-Key', 'Ã¼']).unsafeCoerce().apiKey).toEqual('ü')
+  })
+
   it('should treat a request as not run only when the target states it', () => {
     expect(protocol.decodeResponse(503, ['X-Not-Executed', '1']).isNotRun).toEqual(true)
     expect(protocol.decodeResponse(421, []).isNotRun).toEqual(true)
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -92,4 +92,54 @@
     expect(decodeConfig(toBytes('{')).isLeft()).toEqual(true)
     expect(decodeConfig(toBytes({ version: 1, routes: [{ name: 'r' }] })).extract()).toEqual(expect.includes('routes'))
   })
+
+  const workspace = { name: 'a', apiKeys: ['secret-1', 'secret-2'] }
+  const decode = (tenants: unknown) => decodeConfig(toBytes(typeof tenants === 'string' ? `{"version":1,"routes":[],"tenants":${tenants}}` : { version: 1, routes: [], tenants }))
+
+  it('should decode workspaces with their priority and quota, and keep no key', () => {
+    const config = decode([{ ...workspace, priority: 0, ratePerS: 2.5, burst: 8 }, { name: 'ü b', apiKeys: [], ratePerS: 0, burst: 4 }, { name: 'c', ratePerS: 3 }]).unsafeCoerce()
+    expect(config.workspaces!.map(({ workspace }) => workspace)).toEqual([
+      { name: 'a', priority: 0, quota: { perSecond: 2.5, burst: 8 } },
+      { name: 'ü b', priority: undefined, quota: undefined },
+      { name: 'c', priority: undefined, quota: { perSecond: 3, burst: 0 } }
+    ])
+    expect(JSON.stringify(config)).not.toEqual(expect.includes('secret'))
+    expect([decode([]), decode(undefined)].map(config => config.unsafeCoerce().workspaces)).toEqual([[], undefined])
+    const route = { name: 'r', host: 'h', pathPrefix: '/', timeoutMs: 5 }
+    const routes = decodeConfig(toBytes({ version: 1, routes: [route, { ...route, public: true }] })).unsafeCoerce().routes
+    expect(routes.map(({ isPublic }) => isPublic)).toEqual([false, true])
+  })
+
+  // A configuration with one of these errors must not replace the one in force, and the log must name no key.
+  it('should describe one error of the workspaces without their keys', () => {
+    const long = 'x'.repeat(201)
+    const errors: Array<[unknown, string]> = [
+      [[workspace, { name: 'b', apiKeys: ['secret-2'] }], 'tenants[1].apiKeys[0]: "b" holds a key of "a"'],
+      [[workspace, { name: 'a', apiKeys: ['secret-3'] }], 'tenants[1]: the name "a" is used twice'],
+      [[{ name: 'a', apiKeys: [''] }], 'tenants[0].apiKeys[0]: the key is empty'],
+      [[{ name: 'a', apiKeys: [' '] }], 'tenants[0].apiKeys[0]: the key is empty'],
+      [[{ name: 'a', apiKeys: [`secret${long}`] }], 'tenants[0].apiKeys[0]: the key is longer than 200 bytes'],
+      [[{ name: long }], 'tenants[0]: the name is longer than 200 bytes'],
+      [[{ name: '' }], 'tenants[0]: the name is empty'],
+      [[{ name: 'a\r\nX-Evil: 1' }], 'tenants[0]: the name has control characters, or spaces at its start or end'],
+      [[{ ...workspace, ratePerS: -1 }], 'tenants[0]: ratePerS: Too small: expected number to be >=0'],
+      [[{ ...workspace, burst: 1e12 }], 'tenants[0]: burst: Too big: expected number to be <=1000000'],
+      [[{ ...workspace, priority: -1 }], 'tenants[0]: priority: Too small: expected number to be >=0'],
+      [[{ ...workspace, ratePerS: 'secret' }], 'tenants[0]: ratePerS: Invalid input: expected number, received string'],
+      ['[{"name":"a","ratePerS":1e999}]', 'tenants[0]: ratePerS: Invalid input: expected number, received Infinity'],
+      [Array.from({ length: 3_000 }, () => null), 'tenants: 3000 workspaces exceed the limit of 1000'],
+      [[null], 'tenants[0]: Invalid input: expected object, received null'],
+      [{ a: workspace }, '✖ Invalid input: expected array, received object\n  → at tenants']
+    ]
+    expect(errors.map(([tenants]) => decode(tenants).extract())).toEqual(errors.map(([, problem]) => problem))
+  })
+
+  it('should never throw, whatever the workspaces are', () => {
+    const value = fc.oneof(fc.string(), fc.integer(), fc.double(), fc.constant(null), fc.array(fc.string(), { maxLength: 2 }))
+    const entry = fc.oneof(value, fc.record({ name: value, apiKeys: value, priority: value, ratePerS: value, burst: value }, { requiredKeys: [] }))
+    fc.assert(fc.property(fc.oneof(value, fc.array(entry, { maxLength: 4 })), tenants => {
+      const decoded = decode(JSON.stringify(tenants))
+      if (decoded.isLeft()) expect(typeof decoded.extract()).toEqual('string')
+    }), { seed: 44, numRuns: 1_000 })
+  })
 })
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -18,6 +18,8 @@
   /** Routes that are added; fields that they lack are those of the other routes. */
   readonly routes?: ReadonlyArray<Readonly<Record<string, unknown>>>
   readonly limits?: Readonly<Record<string, number>>
+  /** Workspaces; requests need no key without them. */
+  readonly tenants?: ReadonlyArray<Readonly<Record<string, unknown>>>
 }
 
 interface RouteOverrides {
@@ -57,6 +59,7 @@
     const base = { host: FIXTURE_HOST, timeoutMs: 2_000, targetLatencyMs: 300, priority: 0, maxAttempts: 2, ...route }
     const stream = { ...base, kind: 'streaming', service: 'model', maxAttempts: 1, retentionS: 60, sessionAffinity: true, targetGapMs: 300 }
     this.store.put('op', 'config', {
+      ...(changes.tenants === undefined ? {} : { tenants: changes.tenants }),
       version: this._version++,
       routes: [
         { ...stream, name: 'kept', pathPrefix: '/turns/kept/', retained: true, resumable: false },
