Shares of request quotas: buckets, holders, grants and what to borrow

Cause: a workspace's quota holds over all gateways together, without store calls for each request.

Change: the decisions in src/core/quota, without I/O. Peer.firstSeenAt carries the time of the first registration. No tests yet.

--- a/src/core/peer/PeerRow.ts
+++ b/src/core/peer/PeerRow.ts
@@ -10,6 +10,8 @@
   /** Host and port on which the gateway listens for its peers. */
   readonly address: string
   readonly failureDomain: string
+  /** Time of the store's steady clock, in milliseconds, of the first registration under this id; undefined if unknown and long ago. */
+  readonly firstSeenAt?: number | undefined
 }
 
 /** Gets the key of a gateway's row; a restarted gateway overwrites its row. */
@@ -19,10 +21,10 @@
 
 /** Encodes a peer as the value of its row. */
 export function encodePeer (peer: Peer): Buffer {
-  return Buffer.from(JSON.stringify({ address: peer.address, failureDomain: peer.failureDomain }))
+  return Buffer.from(JSON.stringify({ address: peer.address, failureDomain: peer.failureDomain, firstSeenAt: peer.firstSeenAt }))
 }
 
-const PEER = z.object({ address: HOST_AND_PORT, failureDomain: z.string() })
+const PEER = z.object({ address: HOST_AND_PORT, failureDomain: z.string(), firstSeenAt: z.number().optional() })
 
 /** Decodes a peer from its row; undefined if the row is no registration. */
 export function decodePeer (row: StoredRow): Peer | undefined {
--- /dev/null
+++ b/src/core/quota/QuotaBorrower.ts
@@ -0,0 +1,156 @@
+import type { AgeClock, Clock, Moment } from '../clock/index.js'
+import type { Quota } from '../workspace/index.js'
+import { QuotaGrants, type QuotaGrant } from './QuotaGrants.js'
+import type { QuotaLoan } from './QuotaHolder.js'
+import { RecentRate } from './RecentRate.js'
+
+/** Seconds of recent demand that are borrowed in advance: less than the validity of a grant, so that few tokens expire. */
+const PREFETCH_SECONDS = 0.25
+
+/** Age in milliseconds from which tokens do not count as stock when the next ones are borrowed. */
+const STOCK_AGE_MS = 300
+
+/** Share of what is borrowed in advance at which the next tokens are borrowed: used up in 60 ms, longer than a call between regions. */
+const REORDER_SHARE = 0.25
+
+/** Milliseconds after which a holder is asked again that had too few tokens; they double with each further time. */
+const MIN_PAUSE_MS = 50
+
+/** Longest pause after too few tokens, in milliseconds: 37 gateways then ask a holder about 90 times a second. */
+const MAX_PAUSE_MS = 400
+
+/** Milliseconds for which a holder is not asked that did not answer, or that lends no tokens of the workspace. */
+export const SKIP_MS = 500
+
+/** Shortest time in milliseconds after which a refused caller should return. */
+const MIN_RETURN_MS = 300
+
+/** Longest time in milliseconds over which the returns of refused callers are spread. */
+const MAX_RETURN_MS = 5_000
+
+/** Lowest rate of returns, per second. */
+const MIN_RETURNS_PER_SECOND = 0.5
+
+interface HolderState {
+  nextAskAt: number
+  pauseMs: number
+  isLending: boolean
+}
+
+/** Options of {@link QuotaBorrower}. */
+export interface QuotaBorrowerOptions {
+  readonly clock: Clock
+  readonly ages: AgeClock
+  /** Gets a random number in [0, 1). */
+  readonly random: () => number
+  readonly onExpired?: (tokens: number) => void
+}
+
+/** Decides for one workspace how many tokens a gateway borrows, of which holder, and when refused callers should return. */
+export class QuotaBorrower {
+  private readonly _options: QuotaBorrowerOptions
+  private readonly _grants: QuotaGrants
+  private readonly _demand = new RecentRate()
+  private readonly _admitted = new RecentRate()
+  private readonly _holders = new Map<string, HolderState>()
+  private _returnAt = -Infinity
+  private _usedAt = -Infinity
+  private _version = -Infinity
+  private _quota: Quota = { perSecond: 0, burst: 0 }
+
+  constructor (options: QuotaBorrowerOptions) {
+    this._options = options
+    this._grants = new QuotaGrants(options.ages, options.onExpired)
+  }
+
+  /** Records a request under a version of the configuration. */
+  recordDemand (version: number, quota: Quota): void {
+    const now = this._options.clock.now()
+    this._demand.record(now)
+    this._usedAt = now
+    if (version < this._version) return
+    this._version = version
+    this._quota = quota
+  }
+
+  /** Gets the newest version and quota that a request has stated. */
+  getQuota (): { readonly version: number, readonly quota: Quota } {
+    return { version: this._version, quota: this._quota }
+  }
+
+  /** Gets the time of the latest request by the steady clock. */
+  getUsedAt (): number {
+    return this._usedAt
+  }
+
+  /** Takes a token for a request; undefined if there is none. */
+  take (): QuotaGrant | undefined {
+    const grant = this._grants.take()
+    if (grant !== undefined) this._admitted.record(this._options.clock.now())
+    return grant
+  }
+
+  /** Returns the token of a request that has not run. */
+  giveBack (grant: QuotaGrant): void {
+    this._grants.giveBack(grant)
+  }
+
+  /** Gets the number of tokens to borrow for requests that wait and for the demand of the next moments; 0 if there are enough. */
+  getWanted (waiting: number): number {
+    const ahead = Math.floor(this._demand.getPerSecond(this._options.clock.now()) * PREFETCH_SECONDS)
+    const stock = this._grants.count(STOCK_AGE_MS)
+    if (stock >= waiting + Math.max(1, ahead * REORDER_SHARE)) return 0
+    return Math.max(0, waiting + ahead - stock)
+  }
+
+  /** Gets the first of the holders that may be asked now. */
+  getNextHolder (holders: readonly string[]): string | undefined {
+    const now = this._options.clock.now()
+    return holders.find(id => (this._holders.get(id)?.nextAskAt ?? -Infinity) <= now)
+  }
+
+  /** Records the answer of a holder that was asked for `wanted` tokens; undefined if it did not answer. */
+  recordLoan (holder: string, wanted: number, requestedAt: Moment, loan: QuotaLoan | undefined): void {
+    const now = this._options.clock.now()
+    const pauseMs = this._holders.get(holder)?.pauseMs ?? MIN_PAUSE_MS
+    if (loan === undefined || loan.type === 'not-holder') {
+      this._holders.set(holder, { nextAskAt: now + SKIP_MS, pauseMs, isLending: false })
+      return
+    }
+    if (loan.type === 'granted') this._grants.add(requestedAt, loan.tokens, loan.waitMs)
+    if (loan.type === 'granted' && loan.tokens >= wanted) {
+      this._holders.set(holder, { nextAskAt: -Infinity, pauseMs: MIN_PAUSE_MS, isLending: true })
+      return
+    }
+    const nextPauseMs = Math.min(MAX_PAUSE_MS, 2 * pauseMs)
+    this._holders.set(holder, { nextAskAt: now + Math.max(pauseMs, loan.waitMs), pauseMs: nextPauseMs, isLending: true })
+  }
+
+  /** Gets the time by the steady clock at which there may be a token; Infinity if no holder is known. */
+  getNextTokenAt (holders: readonly string[]): number {
+    const asks = holders.map(id => this._holders.get(id)?.nextAskAt ?? -Infinity)
+    return Math.min(this._grants.getUsableAt(), ...asks)
+  }
+
+  /** Checks whether any of the holders has answered when it was last asked. */
+  isAnyLending (holders: readonly string[]): boolean {
+    return holders.some(id => this._holders.get(id)?.isLending === true)
+  }
+
+  /**
+   * Gets the seconds after which a refused caller should return.
+   *
+   * Callers are spread at the rate at which requests of the workspace are admitted here, so that they do not return together.
+   */
+  getReturnSeconds (holders: readonly string[]): number {
+    const { clock, random } = this._options
+    const now = clock.now()
+    const next = this.getNextTokenAt(holders)
+    const firstMs = Math.max(MIN_RETURN_MS, Number.isFinite(next) ? next - now : 0)
+    const intervalMs = 1_000 / Math.max(MIN_RETURNS_PER_SECOND, this._admitted.getPerSecond(now))
+    this._returnAt = Math.max(this._returnAt, now + firstMs) + intervalMs * random()
+    if (this._returnAt - now <= MAX_RETURN_MS) return (this._returnAt - now) / 1_000
+    this._returnAt = now + MAX_RETURN_MS
+    return (firstMs + random() * MAX_RETURN_MS) / 1_000
+  }
+}
--- /dev/null
+++ b/src/core/quota/index.ts
@@ -0,0 +1,6 @@
+export * from './QuotaBorrower.js'
+export * from './QuotaBucket.js'
+export * from './QuotaGrants.js'
+export * from './QuotaHolder.js'
+export * from './QuotaHolders.js'
+export * from './RecentRate.js'
--- /dev/null
+++ b/src/core/workspace/index.ts
@@ -0,0 +1,1 @@
+export * from './Workspace.js'
