Admit requests by the quotas of workspaces, over all gateways together

Cause: a quota has to hold for the sum over all gateways.

Change: QuotaGate takes a token for each request after its body was read, QuotaPeers borrows tokens from the holders by the procedure lendQuota, PeerDirectory registers the time of the first registration and reads the list often while all gateways start for the first time. Exchange.workspace stays undefined until requests carry keys, so nothing changes for present configurations.

--- a/src/core/quota/QuotaHolder.ts
+++ b/src/core/quota/QuotaHolder.ts
@@ -55,6 +55,7 @@
 
 interface HeldBucket {
   readonly bucket: QuotaBucket
+  usedAt: number
   newest: VersionedQuota
 }
 
@@ -82,8 +83,11 @@
     const newest = getNewest([existing?.newest, getQuota?.(workspace), { version, quota }])
     if (newest.quota === undefined) return { type: 'granted', tokens, waitMs: 0 }
     const limit = getLimit(newest.quota, local.share)
-    const held = existing ?? this._create(workspace, limit, newest, Math.max(this._startedAt, local.unchangedSince))
+    const since = Math.max(this._startedAt, local.heldSince)
+    // Another gateway has held the share since the bucket was used: its tokens may still be in use.
+    const held = existing !== undefined && existing.usedAt >= since ? existing : this._create(workspace, limit, newest, since)
     held.newest = newest
+    held.usedAt = now
     held.bucket.setLimit(limit, now)
     const taken = held.bucket.take(tokens, now)
     if (taken.tokens > 0) return { type: 'granted', ...taken }
@@ -96,7 +100,7 @@
     if (this._buckets.size > BUCKETS_BEFORE_SWEEP) {
       for (const [name, { bucket }] of this._buckets) if (bucket.isFull(now)) this._buckets.delete(name)
     }
-    const held = { bucket: new QuotaBucket(limit, START_TOKENS, since), newest }
+    const held = { bucket: new QuotaBucket(limit, START_TOKENS, since), usedAt: now, newest }
     this._buckets.set(workspace, held)
     return held
   }
--- a/src/core/quota/QuotaHolders.ts
+++ b/src/core/quota/QuotaHolders.ts
@@ -26,6 +26,9 @@
 /** Milliseconds for which a failed read of the list shows that this gateway does not reach the store. */
 const FAILURE_TTL_MS = 5_000
 
+/** Number of the latest changes of the list that are searched for the time since when a share is held. */
+const CHANGES_BACK = 3
+
 /** Number of cached rankings above which all are removed. */
 const MAX_CACHED = 5_000
 
@@ -43,8 +46,8 @@
 export interface LocalShare {
   /** Share of rate and burst, at most 1. */
   readonly share: number
-  /** Time by the steady clock since which no gateway has been added. */
-  readonly unchangedSince: number
+  /** Time by the steady clock since when the gateway holds the share, as far as the latest changes of the list tell. */
+  readonly heldSince: number
 }
 
 /**
@@ -128,8 +131,15 @@
     const time = this._getStoreTime()
     const lists = [time - MARGIN_MS, time + MARGIN_MS].map(at => this._getHolders(workspace, at))
     if (!lists.every(holders => holders.some(({ id }) => id === localId))) return undefined
-    const changedAt = this._changes.findLast(at => at <= time) ?? -Infinity
-    return { share: 1 / Math.max(...lists.map(holders => holders.length)), unchangedSince: changedAt - this._offsetMs }
+    return { share: 1 / Math.max(...lists.map(holders => holders.length)), heldSince: this._getHeldSince(workspace, time) - this._offsetMs }
+  }
+
+  /** Gets the time of the store's clock since when the local gateway holds a share that it holds at `time`. */
+  private _getHeldSince (workspace: string, time: number): number {
+    const { localId } = this._options
+    const changes = this._changes.filter(at => at <= time).slice(-CHANGES_BACK)
+    const lostAt = changes.findLastIndex(at => !this._getHolders(workspace, at).some(({ id }) => id === localId))
+    return changes[lostAt + 1] ?? time
   }
 
   /** Without the store, no gateway registers; a gateway that was frozen may have missed some until its next read. */
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -58,6 +58,8 @@
   quarantined: notRun(422, 'This request crashed two targets and is not run again.', 'Read the request; remove the quarantine with a corrected request.'),
   overloaded: notRun(503, 'No target can finish this request within its deadline.', 'Add targets, or wait until the load peak has passed.'),
   'share-exceeded': notRun(503, 'The workspace is over its share while targets are scarce.', 'Raise workspace.share or add targets.'),
+  'quota-exceeded': notRun(429, 'The workspace has used up its request quota.', 'Raise ratePerS or burst of the workspace; the log line `quota-exceeded` states them.'),
+  'quota-unavailable': notRun(503, 'No gateway that holds a share of the quota is reached at the moment.', 'Look for `peer-call-failed`: the gateway is cut off from its peers, or they are down.'),
   'no-target': notRun(503, 'No live target offers this service.', 'Check the instance list, drains and ejections with `wisteriactl status`.'),
   'targets-limited': notRun(503, 'Every target of the service is at the request rate that it accepts.', 'Add targets; `target-limit-changed` in the log names each limit and since when it is stated.'),
   'memory-full': notRun(503, 'The gateway holds as many bytes of requests as it may.', 'Add gateways, or lower the limit of bodies; look for targets that do not read.'),
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -2,9 +2,10 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallProtocol, CallRequest, ResponseHead } from '../../core/forward/index.js'
 import type { ByteBudget, HeldBytes } from '../../core/limits/index.js'
-import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
+import { Outcome, PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
+import type { Workspace } from '../../core/workspace/index.js'
 import type { DecisionLog } from '../process/index.js'
 import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -33,6 +34,8 @@
   readonly call: CallRequest
   readonly route: Route
   readonly configVersion: number
+  /** Workspace of the caller's key; undefined without one. */
+  readonly workspace?: Workspace | undefined
 }
 
 /** What identifies a request when its caller resends it. */
@@ -47,6 +50,8 @@
   readonly call: CallRequest
   readonly route: Route
   readonly configVersion: number
+  /** Workspace of the caller's key; undefined without one. */
+  readonly workspace: Workspace | undefined
   readonly startedAt: number
   /** Time by which the caller needs its response, by the steady clock. */
   readonly deadline: number
@@ -62,6 +67,7 @@
   private _lastReceivedAt: number | undefined
   private _lastSentAt: number | undefined
   private _sentBytes = 0
+  private _isNotRun = false
   private readonly _writer: BatchWriter
 
   constructor (options: ExchangeOptions) {
@@ -73,6 +79,7 @@
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
+    this.workspace = options.workspace
     this.startedAt = context.clock.now()
     this.deadline = this.startedAt + Math.min(call.timeoutMs ?? Infinity, route.timeoutMs)
     res.on('close', () => { if (!res.writableEnded || !res.writableFinished) this._onDisconnected() })
@@ -93,6 +100,11 @@
     return this._res.headersSent
   }
 
+  /** Checks whether the request was refused with the promise that it has not run. */
+  isRefusedAsNotRun (): boolean {
+    return this._isNotRun
+  }
+
   /** Records that bytes of the response have arrived from a target. */
   recordReceived (): void {
     this._lastReceivedAt = this._context.clock.now()
@@ -140,6 +152,7 @@
   refuse (refusal: Refusal): void {
     const { log, metrics, clock } = this._context
     metrics.addRefusal(refusal.reason)
+    this._isNotRun = REFUSALS[refusal.reason].outcome === Outcome.NotRun
     const tookMs = Math.round(clock.now() - this.startedAt)
     const { reason, detail, members } = refusal
     const { call, route, configVersion } = this
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -2,13 +2,14 @@
 import { getHeapStatistics } from 'node:v8'
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
-import { LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
+import { AgeClock, LIFE_SIGN_MS, PauseDetector, type Clock } from '../../core/clock/index.js'
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
 import { ByteBudget, LenderRanking, PermitLedger, RetryBudget } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
+import { QuotaHolder, QuotaHolders } from '../../core/quota/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
 import { ConfigHolder, type RouteConfig } from '../../core/route/index.js'
 import { SUSPECT_TABLE } from '../../core/suspect/index.js'
@@ -18,9 +19,9 @@
 } from '../../core/target/index.js'
 import {
   BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
-  RelayedStore, TurnPeers
+  QuotaPeers, RelayedStore, TurnPeers
 } from '../peer/index.js'
-import type { DecisionLog } from '../process/index.js'
+import { SystemClock, type DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -30,6 +31,7 @@
 import { OriginStore } from './OriginStore.js'
 import { Placer } from './Placer.js'
 import { PlainForwarder } from './PlainForwarder.js'
+import { QuotaGate } from './QuotaGate.js'
 import { StatusServer } from './StatusServer.js'
 import { StoreAccess } from './StoreAccess.js'
 import { StreamForwarder } from './StreamForwarder.js'
@@ -174,12 +176,25 @@
     const permits = new PermitPeers({
       pool, clock, localId: id, ranking: lenders, ledger: new PermitLedger(clock), getLimit: target => limits.get(target), applyStatement
     })
+    const ages = new AgeClock(clock, new SystemClock())
+    const quotaHolders = new QuotaHolders({ clock, ages, localId: id, localDomain: failureDomain, regions })
+    const quotaPeers = new QuotaPeers({ pool, localId: id, holder: new QuotaHolder({ clock, holders: quotaHolders }) })
+    const quotas = new QuotaGate({
+      clock,
+      ages,
+      log,
+      metrics,
+      holders: quotaHolders,
+      request: async (holder, req) => await quotaPeers.request(holder, req),
+      random: options.random
+    })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({
       direct: options.store,
       isDirectUnavailable: () => store.isDirectUnavailable(),
       reserves: ledger,
       permits,
+      quotas: quotaPeers,
       limits: limitPeers,
       leaving: leavingPeers,
       failures: failurePeers,
@@ -193,6 +208,15 @@
       clock,
       log,
       ranking,
+      ages,
+      quotaHolders: {
+        setPeers: (peers, startedAt, storeTime) => {
+          pool.setPeers(peers)
+          quotaHolders.setPeers(peers, startedAt, storeTime)
+        },
+        recordFailure: startedAt => { quotaHolders.recordFailure(startedAt) },
+        needsRead: () => quotaHolders.needsRead()
+      },
       onRegistered: async hasPredecessor => {
         const previous = hasPredecessor ? await this._handover.take() : {}
         ledger.open(previous)
@@ -280,7 +304,7 @@
     const memory = new ByteBudget({ maxBytes: getHeapStatistics().heap_size_limit * HELD_BYTES_SHARE })
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
     const context = { clock, log, metrics, protocol, configs: this._configs, memory, closesAfter }
-    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
+    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams, quotas })
     this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
     this._configWatch = new TableWatch({
       access,
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -9,6 +9,7 @@
 import type { CallerConnection } from './CallerConnection.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
+import type { QuotaAdmission, QuotaGate } from './QuotaGate.js'
 import { readHeldBody } from './readHeldBody.js'
 import type { StreamForwarder } from './StreamForwarder.js'
 
@@ -47,6 +48,8 @@
   readonly context: ExchangeContext
   readonly plain: PlainForwarder
   readonly streams: StreamForwarder
+  /** Admits requests of workspaces with a quota; without one, quotas are not kept. */
+  readonly quotas?: Pick<QuotaGate, 'admit'>
 }
 
 /** HTTP server for callers: decodes, checks and routes their requests. */
@@ -203,6 +206,8 @@
       this._refuse(req, res, call.id, { reason: 'stopping', retryAfterSeconds: STOPPING_RETRY_SECONDS })
       return
     }
+    const admission = await this._admit(exchange)
+    if (admission === undefined) return
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
     const digests = getSuspectDigests({
@@ -224,9 +229,27 @@
       else await this._options.plain.forward(exchange, content)
     } finally {
       end()
+      if (exchange.isRefusedAsNotRun()) admission.giveBack()
     }
   }
 
+  /** Counts the request against the quota of its workspace; undefined if it was refused, or its caller has disconnected. */
+  private async _admit (exchange: Exchange): Promise<Extract<QuotaAdmission, { type: 'admitted' }> | undefined> {
+    const { workspace, configVersion, callerDisconnected } = exchange
+    const { quotas } = this._options
+    if (workspace === undefined || quotas === undefined) return { type: 'admitted', giveBack: () => {} }
+    const admission = await quotas.admit(workspace, configVersion, exchange.getRemainingMs())
+    if (admission.type === 'admitted') {
+      if (!callerDisconnected.aborted) return admission
+      admission.giveBack()
+      return undefined
+    }
+    const { retryAfterSeconds } = admission
+    const reason = admission.type === 'exceeded' ? 'quota-exceeded' : 'quota-unavailable'
+    exchange.refuse({ reason, retryAfterSeconds, members: { workspace: workspace.name } })
+    return undefined
+  }
+
   /** Refuses a request before it is forwarded; the connection is closed when the body was not read completely. */
   private _refuse (req: IncomingMessage, res: ServerResponse, id: string | undefined, refusal: Refusal): void {
     const { context } = this._options
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
-import type { Clock } from '../../core/clock/index.js'
+import type { AgeClock, Clock, Moment } from '../../core/clock/index.js'
 import { decodePeer, encodePeer, getPeerKey, PEER_TABLE, type Peer, type PeerRanking } from '../../core/peer/index.js'
-import { StoreError, type RowStore } from '../../core/platform/index.js'
+import { StoreError, type RowSnapshot, type RowStore } from '../../core/platform/index.js'
+import type { QuotaHolders } from '../../core/quota/index.js'
 import type { DecisionLog } from '../process/index.js'
 
 /** Milliseconds between two reads of the list; it changes when machines are added or removed, not with requests. */
@@ -10,6 +11,12 @@
 /** Milliseconds after the first read before the list is read again, so that gateways that start at the same time find each other. */
 const SETTLE_DELAY_MS = 1_000
 
+/** Milliseconds between two reads while the gateways start for the first time, and after one by which shares of quotas can't be told. */
+const EARLY_READ_INTERVAL_MS = 300
+
+/** Longest duration in milliseconds of a registration; after a longer one the time that it states is too early. */
+const MAX_REGISTRATION_MS = 1_000
+
 /** Milliseconds between two attempts while the store is unavailable. */
 const RETRY_INTERVAL_MS = 500
 
@@ -22,6 +29,9 @@
   readonly clock: Clock
   readonly log: DecisionLog
   readonly ranking: PeerRanking
+  readonly ages: AgeClock
+  /** Receives every read of the list and every failure of one. */
+  readonly quotaHolders: Pick<QuotaHolders, 'setPeers' | 'recordFailure' | 'needsRead'>
   /**
    * Called after registration; `hasPredecessor` is true if a gateway with the same id had registered before. It is called again if it
    * rejects with a {@link StoreError}.
@@ -53,33 +63,71 @@
     await sleep(SETTLE_DELAY_MS)
     for (;;) {
       await this._retryUntilDone(async () => { await this._read(true, hasPredecessor) })
-      await sleep(READ_INTERVAL_MS)
+      await this._awaitNextRead()
+    }
+  }
+
+  /** Waits until the next read is due; reads the list for the shares of quotas meanwhile where these change. */
+  private async _awaitNextRead (): Promise<void> {
+    const { clock, quotaHolders } = this._options
+    const dueAt = clock.now() + READ_INTERVAL_MS
+    while (quotaHolders.needsRead() && clock.now() < dueAt) {
+      await sleep(EARLY_READ_INTERVAL_MS)
+      await this._retryUntilDone(async () => { await this._readList() })
     }
+    await sleep(Math.max(0, dueAt - clock.now()))
   }
 
   /** Writes the address; returns whether a gateway with the same id had registered before. */
   private async _register (localPeer: Peer): Promise<boolean> {
-    const { store } = this._options
+    const { store, ages } = this._options
     const key = getPeerKey(localPeer.id)
-    const puts = [{ ...key, value: encodePeer(localPeer) }]
-    const result = await store.commit({ conditions: [{ ...key, version: 0 }], puts }, { timeoutMs: CALL_TIMEOUT_MS })
-    if (result.type === 'conflict') await store.commit({ puts }, { timeoutMs: CALL_TIMEOUT_MS })
-    return result.type === 'conflict'
+    let hasPredecessor: boolean | undefined
+    for (;;) {
+      const startedAt = ages.mark()
+      const { rows, timeMs } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
+      const row = rows.find(({ key: id }) => id === localPeer.id)
+      hasPredecessor ??= row !== undefined
+      const firstSeenAt = hasPredecessor && row !== undefined ? decodePeer(row)?.firstSeenAt : timeMs
+      const puts = [{ ...key, value: encodePeer({ ...localPeer, firstSeenAt }) }]
+      const result = await store.commit({ conditions: [{ ...key, version: row?.version ?? 0 }], puts }, { timeoutMs: CALL_TIMEOUT_MS })
+      // The process was frozen meanwhile, or another one registers under the same id.
+      if (result.type === 'conflict') continue
+      if (hasPredecessor || ages.getAgeMs(startedAt) <= MAX_REGISTRATION_MS) return hasPredecessor
+    }
   }
 
   private async _read (isSettled: boolean, hasPredecessor: boolean): Promise<void> {
-    const { store, ranking, log, onPeers } = this._options
-    const { rows } = await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
-    const peers = rows.map(decodePeer).filter(peer => peer !== undefined)
-    const rejected = rows.length - peers.length
-    if (rejected !== this._rejectedRows) log.warn('peer-rows-rejected', { rows: rows.filter(row => decodePeer(row) === undefined).map(row => row.key) })
-    this._rejectedRows = rejected
+    const { ranking, log, onPeers } = this._options
+    const peers = await this._readList()
     ranking.setPeers(peers)
     if (peers.length !== this._peerCount) log.info('peers-known', { peers: peers.map(peer => peer.id) })
     this._peerCount = peers.length
     await onPeers(peers, isSettled, hasPredecessor)
   }
 
+  private async _readList (): Promise<readonly Peer[]> {
+    const { log, ages, quotaHolders } = this._options
+    const startedAt = ages.mark()
+    const { rows, timeMs } = await this._readRows(startedAt)
+    const peers = rows.map(decodePeer).filter(peer => peer !== undefined)
+    const rejected = rows.length - peers.length
+    if (rejected !== this._rejectedRows) log.warn('peer-rows-rejected', { rows: rows.filter(row => decodePeer(row) === undefined).map(row => row.key) })
+    this._rejectedRows = rejected
+    quotaHolders.setPeers(peers, startedAt, timeMs)
+    return peers
+  }
+
+  private async _readRows (startedAt: Moment): Promise<RowSnapshot> {
+    const { store, quotaHolders } = this._options
+    try {
+      return await store.read({ table: PEER_TABLE, part: '' }, { timeoutMs: CALL_TIMEOUT_MS })
+    } catch (err) {
+      quotaHolders.recordFailure(startedAt)
+      throw err
+    }
+  }
+
   private async _retryUntilDone (step: () => Promise<void>): Promise<void> {
     for (;;) {
       try {
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -8,6 +8,7 @@
 import type { LimitPeers } from './LimitPeers.js'
 import { MAX_STREAMS_PER_CALL } from './OriginPeers.js'
 import type { PermitPeers } from './PermitPeers.js'
+import type { QuotaPeers } from './QuotaPeers.js'
 import { decodeTransaction, encodeCommit, encodeFeed, encodeSnapshot } from './rowCodec.js'
 
 const t = initTRPC.create()
@@ -40,6 +41,16 @@
   target: LIMITED_TARGET, perSecond: z.number().nonnegative(), statedAgoMs: z.number().nonnegative(), maxWaitMs: z.number().nonnegative()
 })
 
+/** Longest name of a workspace, in characters. */
+const MAX_WORKSPACE_LENGTH = 200
+
+const QUOTA_REQUEST = z.object({
+  workspace: z.string().max(MAX_WORKSPACE_LENGTH),
+  version: z.number(),
+  quota: z.object({ perSecond: z.number().positive(), burst: z.number().nonnegative() }),
+  tokens: z.int().positive()
+})
+
 const LIMIT_NOTICE = z.object({
   target: LIMITED_TARGET,
   perSecond: z.number().nonnegative().nullable(),
@@ -63,6 +74,8 @@
   readonly reserves: ReserveLender
   /** Lends permits for targets that limit their request rate. */
   readonly permits: Pick<PermitPeers, 'lend'>
+  /** Lends tokens of the quotas of workspaces. */
+  readonly quotas: Pick<QuotaPeers, 'lend'>
   /** Receives changes of the limits that targets state. */
   readonly limits: Pick<LimitPeers, 'receiveReport' | 'receiveNotice'>
   /** Receives that targets have stated that they are leaving. */
@@ -102,6 +115,7 @@
     settle: t.procedure.input(SETTLEMENT).mutation(({ input }) => { options.reserves.settle(input.loan, input.spent) }),
     closeReserve: t.procedure.input(PROGRAM).mutation(({ input }) => options.reserves.closeReserve(input.program)),
     lendPermit: t.procedure.input(PERMIT).mutation(({ input }) => options.permits.lend(input)),
+    lendQuota: t.procedure.input(QUOTA_REQUEST).mutation(({ input }) => options.quotas.lend(input)),
     reportLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveReport(input) }),
     notifyLimit: t.procedure.input(LIMIT_NOTICE).mutation(({ input }) => { options.limits.receiveNotice(input) }),
     reportLeaving: t.procedure.input(LEAVING_NOTICE).mutation(({ input }) => { options.leaving.receiveReport(input) }),
--- /dev/null
+++ b/tests/core/quota/QuotaPromisesTests.ts
@@ -0,0 +1,98 @@
+import { expect } from 'earl'
+import fc from 'fast-check'
+import type { VersionedQuota } from '../../../src/core/quota/index.js'
+import { QuotaWorld } from './QuotaWorld.js'
+
+/** Virtual milliseconds of one run, after all gateways have started. */
+const RUN_MS = 25_000
+const START_MS = 3_000
+
+const FAULT = fc.record({
+  at: fc.integer({ min: 0, max: START_MS + RUN_MS }),
+  gateway: fc.nat(11),
+  ms: fc.integer({ min: 50, max: 12_000 }),
+  kind: fc.constantFrom('freeze', 'suspend', 'restart', 'cut-store', 'cut-peers', 'add')
+})
+
+const CASE = fc.record({
+  seed: fc.integer(),
+  gateways: fc.integer({ min: 1, max: 12 }),
+  perSecond: fc.constantFrom(2, 8, 40, 120),
+  burst: fc.constantFrom(0, 1, 10, 100),
+  factor: fc.constantFrom(2, 7),
+  faults: fc.array(FAULT, { maxLength: 10 }),
+  change: fc.constantFrom(undefined, 0.25, 3)
+})
+
+/** Loads as shares of the quota's rate. */
+const STEADY_LOADS = {
+  'a large workspace': { gateways: 37, perSecond: 200, burst: 200, share: 0.6, requests: 4_000 },
+  'a middle one': { gateways: 37, perSecond: 30, burst: 30, share: 0.6, requests: 4_000 },
+  'a small one': { gateways: 37, perSecond: 5, burst: 5, share: 0.6, requests: 4_000 },
+  'a small one without a burst': { gateways: 37, perSecond: 5, burst: 0, share: 0.6, requests: 4_000 },
+  'two gateways': { gateways: 2, perSecond: 50, burst: 10, share: 0.6, requests: 4_000 }
+} as const
+
+describe('Promises of request quotas', () => {
+  // Frozen gateways used old tokens, restarted holders lent a full burst, and several gateways held the same share.
+  it('should never admit more requests than the bound, whatever fails', async function () {
+    this.timeout(300_000)
+    await fc.assert(fc.asyncProperty(CASE, async drawn => {
+      const quota = { perSecond: drawn.perSecond, burst: drawn.burst }
+      const world = new QuotaWorld(drawn.seed)
+      const end = START_MS + RUN_MS
+      let config: VersionedQuota = { version: 1, quota }
+      const addGateway = (): void => {
+        const gateway = world.add(config)
+        world.load(gateway, () => drawn.perSecond * drawn.factor / world.gateways.length, end)
+      }
+      for (let index = 0; index < drawn.gateways; index++) world.at(world.random() * START_MS, addGateway)
+      await world.runUntil(START_MS)
+      const changedAt = START_MS + 8_000
+      const factor = drawn.change ?? 1
+      const changed = { perSecond: quota.perSecond * factor, burst: quota.burst * factor }
+      if (drawn.change !== undefined) world.at(changedAt, () => { config = { version: 2, quota: changed } })
+      for (const gateway of [...world.gateways]) {
+        const knownAt = changedAt + world.random() * 4_000
+        if (drawn.change !== undefined) world.at(knownAt, () => { gateway.config = { version: 2, quota: changed } })
+      }
+      for (const { at, gateway: index, ms, kind } of drawn.faults) {
+        world.at(Math.max(START_MS, at), () => {
+          const gateway = world.gateways[index % world.gateways.length]!
+          if (kind === 'freeze' || kind === 'suspend') world.freeze(gateway, ms, kind === 'freeze')
+          else if (kind === 'add') addGateway()
+          else if (kind === 'restart') world.restart(gateway, 1_000 + ms / 4)
+          else {
+            const flag = kind === 'cut-store' ? 'isCutFromStore' : 'isCutFromPeers'
+            gateway[flag] = true
+            world.at(world.now + ms, () => { gateway[flag] = false })
+          }
+        })
+      }
+      await world.runUntil(end)
+      const [lower, higher] = factor < 1 ? [changed, quota] : [quota, changed]
+      expect(world.getExcess(higher)).toBeLessThanOrEqual(0)
+      if (factor < 1) expect(world.getExcess(lower, changedAt + 4_400)).toBeLessThanOrEqual(0)
+    }), { numRuns: 60 })
+  })
+
+  for (const [name, { gateways, perSecond, burst, share, requests }] of Object.entries(STEADY_LOADS)) {
+    // Requests were refused because the tokens were at other gateways, had expired, or were not lent yet after the start.
+    it(`should admit requests below the quota: ${name}`, async function () {
+      this.timeout(120_000)
+      const world = new QuotaWorld(7, 60)
+      const quota = { perSecond, burst }
+      for (let index = 0; index < gateways; index++) world.at(world.random() * 1_000, () => { world.add({ version: 1, quota }) })
+      await world.runUntil(START_MS)
+      const weights = world.gateways.map(() => world.random() ** 2)
+      const sum = weights.reduce((total, weight) => total + weight)
+      weights.forEach((weight, index) => { world.load(world.gateways[index]!, () => perSecond * share * weight / sum, START_MS + requests / perSecond / share * 1_000) })
+      await world.runUntil(START_MS + requests / perSecond / share * 1_000 + 1_000)
+      const { admitted, exceeded, unavailable } = world.counts
+      expect((exceeded + unavailable) / (admitted + exceeded + unavailable)).toBeLessThan(0.005)
+      const slow = world.waits.filter(wait => wait > 50).length / admitted
+      if (process.env['QUOTA_FIGURES'] !== undefined) console.log(name, world.counts, { slow, waited: world.waits.filter(wait => wait > 0).length / admitted })
+      expect(slow).toBeLessThan(0.05)
+    })
+  }
+})
--- /dev/null
+++ b/tests/core/quota/QuotaWorld.ts
@@ -0,0 +1,205 @@
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { AgeClock, Clock } from '../../../src/core/clock/index.js'
+import type { Peer } from '../../../src/core/peer/index.js'
+import { QuotaHolder, QuotaHolders, type QuotaLoan, type QuotaRequest, type VersionedQuota } from '../../../src/core/quota/index.js'
+import type { Quota } from '../../../src/core/workspace/index.js'
+import { GatewayMetrics, QuotaGate } from '../../../src/io/gateway/index.js'
+import { DecisionLog } from '../../../src/io/process/index.js'
+
+const REGIONS = { a: 'north', b: 'north', c: 'north', d: 'south', e: 'south', f: 'south' }
+const DOMAINS = Object.keys(REGIONS) as Array<keyof typeof REGIONS>
+const CALL_TIMEOUT_MS = 200
+const metrics = new GatewayMetrics()
+const log = new DecisionLog({ process: 'test', id: 'quota', isSilent: true })
+
+interface Step { readonly at: number, readonly order: number, readonly gateway: Gateway | undefined, readonly run: number, readonly act: () => void }
+
+/** One gateway of a {@link QuotaWorld}; `run` counts its processes. */
+interface Gateway {
+  readonly id: string
+  readonly domain: keyof typeof REGIONS
+  run: number
+  frozenUntil: number
+  /** Milliseconds by which its steady clock is behind the world's. */
+  lostMs: number
+  isCutFromStore: boolean
+  isCutFromPeers: boolean
+  config: VersionedQuota
+  holders: QuotaHolders
+  holder: QuotaHolder
+  gate: QuotaGate
+}
+
+/** Gateways, links, the store's list of gateways and callers on a virtual clock. */
+export class QuotaWorld {
+  now = 0
+  readonly admittedAt: number[] = []
+  readonly counts = { admitted: 0, exceeded: 0, unavailable: 0, calls: 0, farCalls: 0 }
+  readonly waits: number[] = []
+  readonly gateways: Gateway[] = []
+  readonly rows: Peer[] = []
+  private readonly _random: () => number
+  private readonly _slowness: number
+  private _steps: Step[] = []
+  private _order = 0
+
+  /** @param slowness - Exponent by which delays beyond the distance are rarer the larger it is; they reach 150 ms. */
+  constructor (seed: number, slowness = 8) {
+    this._slowness = slowness
+    const generator = xoroshiro128plus(seed)
+    this._random = () => (generator.next() >>> 0) / 2 ** 32
+  }
+
+  random (): number { return this._random() }
+
+  /** Schedules an act of the world, or of one process of a gateway, which is dropped with the process and waits while it is frozen. */
+  at (time: number, act: () => void, gateway?: Gateway): void {
+    const step = { at: time, order: this._order++, gateway, run: gateway?.run ?? 0, act }
+    let low = 0
+    let high = this._steps.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      // Sorted by descending time, so that the next step is the last one.
+      if (this._steps[middle]!.at > time) low = middle + 1
+      else high = middle
+    }
+    this._steps.splice(low, 0, step)
+  }
+
+  async runUntil (end: number): Promise<void> {
+    while (this._steps.length > 0 && this._steps.at(-1)!.at <= end) {
+      const { at, gateway, run, act } = this._steps.pop()!
+      this.now = Math.max(this.now, at)
+      if (gateway !== undefined && run !== gateway.run) continue
+      if (gateway !== undefined && gateway.frozenUntil > this.now) {
+        this.at(gateway.frozenUntil, act, gateway)
+        continue
+      }
+      act()
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
+    this.now = end
+  }
+
+  add (config: VersionedQuota): Gateway {
+    const index = this.gateways.length
+    const gateway = { id: `g${index}`, domain: DOMAINS[index % 6]!, run: 0, frozenUntil: 0, lostMs: 0, isCutFromStore: false, isCutFromPeers: false, config } as unknown as Gateway
+    this.gateways.push(gateway)
+    this.start(gateway)
+    return gateway
+  }
+
+  /** Starts the gateway's process, or a new one in place of the last. */
+  start (gateway: Gateway): void {
+    gateway.run++
+    const offset = this._random() * 1e6 - this.now
+    const { id, domain: localDomain } = gateway
+    const clock = new WorldClock(() => this.now - gateway.lostMs + offset)
+    const ages = new AgeClock(clock, new WorldClock(() => this.now + 5e8))
+    const holders = new QuotaHolders({ clock, ages, localId: id, localDomain, regions: REGIONS })
+    gateway.holders = holders
+    gateway.holder = new QuotaHolder({ clock, holders, getQuota: () => gateway.config })
+    const request = async (holder: string, req: QuotaRequest): Promise<QuotaLoan | undefined> => await this._request(gateway, holder, req)
+    const sleep = async (ms: number): Promise<void> => { await new Promise<void>(resolve => { this.at(this.now + ms, resolve, gateway) }) }
+    gateway.gate = new QuotaGate({ clock, ages, log, metrics, holders, request, random: this._random, sleep })
+    if (!this.rows.some(row => row.id === id)) this.rows.push({ id, address: 'h:1', failureDomain: localDomain, firstSeenAt: this.now })
+    this._read(gateway, ages)
+  }
+
+  /** Ends the gateway's process; another one starts after some time. */
+  restart (gateway: Gateway, downMs: number): void {
+    gateway.run++
+    gateway.frozenUntil = Infinity
+    this.at(this.now + downMs, () => {
+      gateway.frozenUntil = 0
+      this.start(gateway)
+    })
+  }
+
+  /** Freezes a gateway's process for a while, in which its steady clock goes on or not. */
+  freeze (gateway: Gateway, ms: number, isCounted: boolean): void {
+    if (gateway.frozenUntil > this.now) return
+    gateway.frozenUntil = this.now + ms
+    const { run } = gateway
+    if (!isCounted) this.at(gateway.frozenUntil - 0.001, () => { if (run === gateway.run) gateway.lostMs += ms })
+  }
+
+  /** Lets callers send requests to a gateway at a mean rate, from now until `end`. */
+  load (gateway: Gateway, getPerSecond: () => number, end: number): void {
+    const gapMs = -Math.log(1 - this._random()) / Math.max(0.01, getPerSecond()) * 1_000
+    const time = this.now + gapMs
+    if (time > end) return
+    this.at(time, () => {
+      this.load(gateway, getPerSecond, end)
+      if (gateway.frozenUntil <= this.now) this.send(gateway)
+    })
+  }
+
+  send (gateway: Gateway): void {
+    const { run, config: { quota, version }, gate } = gateway
+    const sentAt = this.now
+    void gate.admit({ name: 'shop', quota }, version, 1_500).then(({ type }) => {
+      if (run !== gateway.run) return
+      this.counts[type]++
+      if (type !== 'admitted') return
+      this.admittedAt.push(this.now)
+      this.waits.push(this.now - sentAt)
+    })
+  }
+
+  /** Gets how far the admitted requests exceed the bound in any window of 5 s that begins in a span of time; at most 0 if they keep it. */
+  getExcess ({ perSecond, burst }: Quota, from = -Infinity, to = Infinity): number {
+    const times = this.admittedAt.filter(time => time >= from)
+    let first = 0
+    let most = 0
+    times.forEach((time, index) => {
+      while (time - times[first]! >= 5_000) first++
+      if (times[first]! <= to) most = Math.max(most, index - first + 1)
+    })
+    return most - ((perSecond * 5 + burst) * 1.1 + 20)
+  }
+
+  private _read (gateway: Gateway, ages: AgeClock): void {
+    const startedAt = ages.mark()
+    const latency = 4 + this._random() * 20
+    const { isCutFromStore } = gateway
+    this.at(this.now + latency / 2, () => {
+      const rows = [...this.rows]
+      const storeTime = this.now
+      this.at(this.now + latency / 2, () => {
+        if (isCutFromStore) gateway.holders.recordFailure(startedAt)
+        else gateway.holders.setPeers(rows, startedAt, storeTime)
+        const waitMs = isCutFromStore ? 500 : gateway.holders.needsRead() ? 300 : 10_000
+        this.at(this.now + waitMs, () => { this._read(gateway, ages) }, gateway)
+      }, gateway)
+    })
+  }
+
+  private async _request (from: Gateway, holderId: string, req: QuotaRequest): Promise<QuotaLoan | undefined> {
+    const to = this.gateways.find(({ id }) => id === holderId)!
+    if (to === from) return to.holder.lend(req)
+    const isFar = REGIONS[from.domain] !== REGIONS[to.domain]
+    this.counts.calls++
+    if (isFar) this.counts.farCalls++
+    const getLatency = (): number => (isFar ? 12 : 0.7) + this._random() ** this._slowness * 150
+    return await new Promise(resolve => {
+      this.at(this.now + CALL_TIMEOUT_MS, () => { resolve(undefined) }, from)
+      if (from.isCutFromPeers || to.isCutFromPeers) return
+      this.at(this.now + getLatency(), () => {
+        const loan = to.holder.lend(req)
+        if (!to.isCutFromPeers) this.at(this.now + getLatency(), () => { resolve(loan) }, from)
+      }, to)
+    })
+  }
+}
+
+class WorldClock extends Clock {
+  private readonly _get: () => number
+
+  constructor (get: () => number) {
+    super()
+    this._get = get
+  }
+
+  now (): number { return this._get() }
+}
--- a/tests/io/peer/RelayedStoreTests.ts
+++ b/tests/io/peer/RelayedStoreTests.ts
@@ -26,6 +26,7 @@
       isDirectUnavailable: () => isPeerUnavailable,
       reserves,
       permits: { lend: () => ({ type: 'refused', waitMs: 0 }) },
+      quotas: { lend: () => ({ type: 'not-holder' }) },
       limits: { receiveReport: () => {}, receiveNotice: () => false },
       leaving: { receiveReport: () => {}, receiveNotice: () => false },
       failures: { receiveReport: () => {}, receiveNotice: () => false },
