--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -2,7 +2,7 @@
 import type { Clock } from '../../core/clock/index.js'
 import type { CallProtocol, CallRequest, ResponseHead } from '../../core/forward/index.js'
 import type { ByteBudget, HeldBytes } from '../../core/limits/index.js'
-import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
+import { Outcome, PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import { scopeId, type Workspace } from '../../core/workspace/index.js'
 import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
@@ -73,6 +73,7 @@
   private _lastReceivedAt: number | undefined
   private _lastSentAt: number | undefined
   private _sentBytes = 0
+  private _isNotRun = false
   private readonly _writer: BatchWriter
 
   constructor (options: ExchangeOptions) {
@@ -127,6 +128,11 @@
     return this._res.headersSent
   }
 
+  /** Checks whether the request was refused with the promise that it has not run. */
+  isRefusedAsNotRun (): boolean {
+    return this._isNotRun
+  }
+
   /** Records that bytes of the response have arrived from a target. */
   recordReceived (): void {
     this._lastReceivedAt = this._context.clock.now()
@@ -177,6 +183,7 @@
     const { log, metrics, clock } = this._context
     metrics.addRefusal(refusal.reason)
     metrics.recordWorkspaceRequest(this.workspace?.name, 'refused')
+    this._isNotRun = REFUSALS[refusal.reason].outcome === Outcome.NotRun
     const tookMs = Math.round(clock.now() - this.startedAt)
     const { reason, detail, members } = refusal
     const { call, route, configVersion: config, workspace } = this
