--- a/src/io/gateway/KeyGate.ts
+++ b/src/io/gateway/KeyGate.ts
@@ -6,13 +6,20 @@
 import type { ConfigConfirmation } from './ConfigConfirmation.js'
 
 /**
- * Milliseconds after a pause of the process from which on keys are served by the last configuration although no read has confirmed it.
+ * Milliseconds after a pause of the process from which on known keys are served although no read has confirmed the configuration.
  *
  * A gateway that reaches the store, directly or through a peer, has read it by then: 0.7 s for noticing a silent connection, as much for a
  * peer that does not respond, and the reads. One that does not reach it is cut off, and an outage of the store must stop no traffic.
  */
 export const CUT_OFF_MS = 3_000
 
+/**
+ * The same while neither a peer nor the direct connection is known to reach the store: two probes of 0.7 s have failed since the pause.
+ *
+ * A starved process pauses again and again, and keys are not served for this time after each pause.
+ */
+export const KNOWN_CUT_OFF_MS = 1_500
+
 /** Seconds after which a caller may retry while keys are not confirmed; another gateway mostly is. */
 export const UNCONFIRMED_RETRY_SECONDS = 0.3
 
@@ -66,14 +73,15 @@
 
   /** Decides by what is known now; undefined if the configuration must be confirmed first. */
   private _decide ({ host, path, route, keyDigest, arrivedAt }: KeyedRequest): KeyAdmission | undefined {
-    const { configs, confirmation, clock, getResumedAt } = this._options
+    const { configs, confirmation, clock, getResumedAt, isStoreUnavailable } = this._options
     const table = configs.get()
     if (table?.workspaces === undefined) return Right(undefined)
     const resumedAt = getResumedAt()
     const { isPublic } = table.getRoute(host, path) ?? route
     const workspace = isPublic ? undefined : table.workspaces.findByDigest(keyDigest)
     if (isPublic || workspace !== undefined) {
-      const isCurrent = confirmation.isConfirmedSince(resumedAt) || clock.now() - resumedAt > CUT_OFF_MS
+      const cutOffMs = isStoreUnavailable() ? KNOWN_CUT_OFF_MS : CUT_OFF_MS
+      const isCurrent = confirmation.isConfirmedSince(resumedAt) || clock.now() - resumedAt > cutOffMs
       return isCurrent ? Right(workspace) : undefined
     }
     return confirmation.isConfirmedSince(Math.max(arrivedAt, resumedAt)) ? Left({ reason: 'key-unknown' }) : undefined
