Check the key again before each attempt of a request that has not run

Cause: a request that targets had provably not run was sent again without a further check of its key. Change: the check before an attempt depends on runs instead of dispatches; a test covers streams of two workspaces.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -147,8 +147,8 @@
         this._refuseUnplaced(placed, stream)
         return undefined
       }
-      // The key may have been removed while the request waited for its target.
-      const refusal = this._dispatches === 0 ? await this._exchange.checkKey() : undefined
+      // The key may have been removed while the request waited for its target. One that may have run goes on.
+      const refusal = this._runs === 0 && this._cancelled.size === 0 ? await this._exchange.checkKey() : undefined
       if (refusal !== undefined) {
         this._exchange.refuse(refusal)
         return undefined
--- a/tests/processes/KeysTests.ts
+++ b/tests/processes/KeysTests.ts
@@ -113,7 +113,7 @@
     expect(harness.gateways[0]!.getEvents('config-rejected').map(event => event.problem)).toEqual(['tenants[1].apiKeys[0]: "b" holds a key of "a"'])
   })
 
-  it('should keep turns and budgets of two workspaces apart, at every gateway', async () => {
+  it('should keep turns, budgets and streams of two workspaces apart, at every gateway', async () => {
     const turn = async (id: string, key: string, headers: Record<string, string> = {}, gateway = 0): Promise<number> => {
       const program = { 'x-program-id': 'p1', 'x-token-budget': '100', 'x-token-usage': '10,50' }
       return (await call(id, key, { path: '/turns/kept/a', body: `${id} of ${key}`, headers: { ...program, ...headers }, gateway })).status
@@ -126,6 +126,11 @@
     // Each turn spends 12 tokens of 100; of the two workspaces only the first has spent its budget.
     for (let at = 0; at < 9; at++) await turn(`more-${at}`, 'key-of-a')
     expect([await turn('t6', 'key-of-a'), await turn('t7', 'key-of-b')]).toEqual([402, 200])
+    const stream = async (id: string, key: string, headers: Record<string, string>, gateway: number): Promise<number> => {
+      return (await call(id, key, { path: '/turns/resumable/a', body: 'in', headers, gateway })).status
+    }
+    const again = { resumes: 's1', 'last-event-id': '1' }
+    expect([await stream('s1', 'key-of-a', {}, 0), await stream('s2', 'key-of-b', again, 1), await stream('s3', 'key-of-a', again, 1)]).toEqual([200, 503, 200])
   })
 
   function configure (tenants: ReadonlyArray<Record<string, unknown>>): void {
