--- a/tests/processes/KeysTests.ts
+++ b/tests/processes/KeysTests.ts
@@ -1,4 +1,4 @@
-import { Agent } from 'node:http'
+import { Agent, request } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
 import { callPlatform, type PlatformCall, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
@@ -41,8 +41,8 @@
     expect(getRuns().map(({ id, headers }) => [id, headers['x-tenant'], headers['api-key']])).toEqual([
       ['r1', 'a', undefined], ['r2', undefined, undefined], ['r6', 'a', undefined]
     ])
-    const refused = harness.gateways[0]!.getEvents('refused').map(({ req, reason }) => [req, reason])
-    expect(refused).toEqual(['r3', 'r4', 'r5'].map(id => [id, 'key-unknown']))
+    await waitFor(() => harness.gateways[0]!.getEvents('refused').length === 3)
+    expect(harness.gateways[0]!.getEvents('refused').map(({ req, reason }) => [req, reason])).toEqual(['r3', 'r4', 'r5'].map(id => [id, 'key-unknown']))
   })
 
   it('should not answer 401 to a key that was added just before', async () => {
@@ -54,7 +54,6 @@
 
   it('should not run a request whose key was removed while its body arrived', async () => {
     const [host, port] = harness.gateways[0]!.callerAddress.split(':')
-    const { request } = await import('node:http')
     const req = request({ host, port, path: '/booking/x', method: 'POST', headers: { host: 'desk.example', 'x-request-id': 'r1', 'api-key': 'key-of-a', 'content-length': 4 } })
     const status = new Promise<number>(resolve => { req.on('response', res => { resolve(res.statusCode!) }) })
     req.write('ab')
@@ -114,7 +113,7 @@
     expect(harness.gateways[0]!.getEvents('config-rejected').map(event => event.problem)).toEqual(['tenants[1].apiKeys[0]: "b" holds a key of "a"'])
   })
 
-  it('should keep turns and budgets of two workspaces apart, at every gateway', async () => {
+  it('should keep turns, budgets and streams of two workspaces apart, at every gateway', async () => {
     const turn = async (id: string, key: string, headers: Record<string, string> = {}, gateway = 0): Promise<number> => {
       const program = { 'x-program-id': 'p1', 'x-token-budget': '100', 'x-token-usage': '10,50' }
       return (await call(id, key, { path: '/turns/kept/a', body: `${id} of ${key}`, headers: { ...program, ...headers }, gateway })).status
@@ -127,6 +126,11 @@
     // Each turn spends 12 tokens of 100; of the two workspaces only the first has spent its budget.
     for (let at = 0; at < 9; at++) await turn(`more-${at}`, 'key-of-a')
     expect([await turn('t6', 'key-of-a'), await turn('t7', 'key-of-b')]).toEqual([402, 200])
+    const stream = async (id: string, key: string, headers: Record<string, string>, gateway: number): Promise<number> => {
+      return (await call(id, key, { path: '/turns/resumable/a', body: 'in', headers, gateway })).status
+    }
+    const again = { resumes: 's1', 'last-event-id': '1' }
+    expect([await stream('s1', 'key-of-a', {}, 0), await stream('s2', 'key-of-b', again, 1), await stream('s3', 'key-of-a', again, 1)]).toEqual([200, 503, 200])
   })
 
   function configure (tenants: ReadonlyArray<Record<string, unknown>>): void {
