--- a/src/core/quota/QuotaHolders.ts
+++ b/src/core/quota/QuotaHolders.ts
@@ -8,8 +8,8 @@
 /** Milliseconds after its registration from which a gateway counts as one of the list; twice the interval of reads of the list. */
 export const LIST_SPREAD_MS = 20_000
 
-/** Milliseconds after the first registration of all in which the gateways start for the first time. */
-export const FOUNDING_MS = 10_000
+/** Milliseconds after the first registration of all in which the gateways start for the first time; later ones count like any new one. */
+export const FOUNDING_MS = 3_000
 
 /** Milliseconds after its registration from which a gateway counts that starts together with all others, which then read often. */
 export const FOUNDER_SPREAD_MS = 1_000
@@ -106,9 +106,9 @@
     this._failedAt = startedAt
   }
 
-  /** Checks whether the list must be read again soon: none was read in time, or gateways are starting for the first time. */
+  /** Checks whether the list must be read again soon: none was read in time, or since the first start of the gateways. */
   needsRead (): boolean {
-    return this._readAt === undefined || this._failedAt !== undefined || this._isFounding()
+    return this._readAt === undefined || this._failedAt !== undefined || this._isUnsettled(this._readAt)
   }
 
   /** Gets the ids of the gateways to borrow from, in the order in which the local one asks them: itself, then the nearest. */
@@ -146,13 +146,14 @@
   private _isListValid (): boolean {
     if (this._readAt === undefined) return false
     const { ages } = this._options
-    const maxAgeMs = this._isFounding() ? FOUNDER_SPREAD_MS : MAX_LIST_AGE_MS
-    if (ages.getAgeMs(this._readAt) <= maxAgeMs) return true
+    if (this._isUnsettled(this._readAt)) return ages.getAgeMs(this._readAt) <= FOUNDER_SPREAD_MS
+    if (ages.getAgeMs(this._readAt) <= MAX_LIST_AGE_MS) return true
     return this._failedAt !== undefined && ages.getAgeMs(this._failedAt) <= FAILURE_TTL_MS
   }
 
-  private _isFounding (): boolean {
-    return this._getStoreTime() < this._foundingUntil
+  /** Checks whether gateways may be missing in a list that start together with all others. */
+  private _isUnsettled (readAt: Moment): boolean {
+    return readAt.at + this._offsetMs < this._foundingUntil
   }
 
   private _getStoreTime (): number {
--- a/tests/core/quota/QuotaHoldersTests.ts
+++ b/tests/core/quota/QuotaHoldersTests.ts
@@ -70,9 +70,21 @@
     advance(FOUNDER_SPREAD_MS)
     expect(holders.getHolders('shop').length).toEqual(4)
     advance(FOUNDING_MS)
+    expect(holders.needsRead()).toEqual(true)
+    holders.setPeers(peers, mark(), REGISTERED_AT + 200 + FOUNDER_SPREAD_MS + FOUNDING_MS)
     expect(holders.needsRead()).toEqual(false)
   })
 
+  // A gateway that lost the store while the others registered went on lending by the few that it knew, and the bound was exceeded.
+  it('should not lend by a list from the first start of the gateways that could not be read again', () => {
+    const peers = [{ ...toPeer('a1'), firstSeenAt: REGISTERED_AT }]
+    const holders = create('a1', peers, REGISTERED_AT + FOUNDER_SPREAD_MS + MARGIN_MS)
+    expect(holders.getLocalShare('shop')?.share).toEqual(1)
+    advance(FOUNDER_SPREAD_MS + 1)
+    holders.recordFailure(mark())
+    expect(holders.getLocalShare('shop')).toEqual(undefined)
+  })
+
   // A gateway that was frozen went on lending a share that another one had taken over meanwhile.
   it('should not lend by an old list, unless a read has failed since, also if the steady clock stood still', () => {
     const id = create('a1').getHolders('shop')[0]!
