Do not count the time of a silent holder against requests that wait for a token

Cause: with one of four holders gone, 5.4% of the requests of a workspace at 60% of its quota were refused on the virtual clock: the call to it used up the 150 ms for which they wait, before the other holders were asked.

Change: that time is added to their wait, up to 1 s in all. The bucket allows for rounding: a property test found a token refused after the stated wait, for lack of 1e-16 of it. A list of gateways whose read took too long is read again after 2 s, not 0.3 s, to spare a slow store.

--- a/src/core/quota/QuotaBucket.ts
+++ b/src/core/quota/QuotaBucket.ts
@@ -8,6 +8,9 @@
 /** Part of its capacity from which a bucket has more tokens than it keeps for requests that come together. */
 const AMPLE_SHARE = 0.75
 
+/** Part of a token by which sums of fractions may be wrong. */
+const ROUNDING = 1e-6
+
 /** Rate and size of a bucket. */
 export interface BucketLimit {
   /** Tokens per second. */
@@ -51,7 +54,7 @@
     this._refill(now)
     const { perSecond, capacity } = this._limit
     const available = this._level + perSecond * MAX_ADVANCE_MS / 1_000
-    const tokens = Math.max(0, Math.min(wanted, Math.floor(available)))
+    const tokens = Math.max(0, Math.min(wanted, Math.floor(available + ROUNDING)))
     if (tokens === 0) return { tokens, isAmple: false, waitMs: Math.ceil((1 - available) / perSecond * 1_000) }
     this._level -= tokens
     const isAmple = this._level >= capacity * AMPLE_SHARE
--- a/src/core/quota/QuotaHolders.ts
+++ b/src/core/quota/QuotaHolders.ts
@@ -26,6 +26,15 @@
 /** Milliseconds for which a failed read of the list shows that this gateway does not reach the store. */
 const FAILURE_TTL_MS = 5_000
 
+/** Milliseconds between two reads of the list; it changes when machines are added, not with requests. */
+const READ_DELAY_MS = 10_000
+
+/** Milliseconds between two reads while the gateways start for the first time, within which they count. */
+const UNSETTLED_READ_DELAY_MS = 300
+
+/** Milliseconds until the list is read again after a read that took too long; a store that is slow gets few of them. */
+const FAILED_READ_DELAY_MS = 2_000
+
 /** Number of the latest changes of the list that are searched for the time since when a share is held. */
 const CHANGES_BACK = 3
 
@@ -106,9 +115,10 @@
     this._failedAt = startedAt
   }
 
-  /** Checks whether the list must be read again soon: none was read in time, or since the first start of the gateways. */
-  needsRead (): boolean {
-    return this._readAt === undefined || this._failedAt !== undefined || this._isUnsettled(this._readAt)
+  /** Gets the milliseconds after which the list must be read again: soon if none was read in time, or since the first start of all. */
+  getReadDelayMs (): number {
+    if (this._readAt === undefined || this._isUnsettled(this._readAt)) return UNSETTLED_READ_DELAY_MS
+    return this._failedAt === undefined ? READ_DELAY_MS : FAILED_READ_DELAY_MS
   }
 
   /** Gets the ids of the gateways to borrow from, in the order in which the local one asks them: itself, then the nearest. */
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -215,7 +215,7 @@
           quotaHolders.setPeers(peers, startedAt, storeTime)
         },
         recordFailure: startedAt => { quotaHolders.recordFailure(startedAt) },
-        needsRead: () => quotaHolders.needsRead()
+        getReadDelayMs: () => quotaHolders.getReadDelayMs()
       },
       onRegistered: async hasPredecessor => {
         const previous = hasPredecessor ? await this._handover.take() : {}
--- a/src/io/gateway/QuotaGate.ts
+++ b/src/io/gateway/QuotaGate.ts
@@ -53,9 +53,10 @@
 }
 
 interface Waiter {
-  /** Time by the steady clock until which the request may wait for a token. */
-  readonly until: number
-  readonly startedAt: number
+  /** Time by the steady clock until which the request may wait for a token; later if a holder does not respond. */
+  until: number
+  /** Latest value of `until`. */
+  readonly latest: number
   readonly resolve: (admission: QuotaAdmission) => void
 }
 
@@ -102,7 +103,8 @@
       return this._toAdmission(state, grant)
     }
     return await new Promise(resolve => {
-      state.waiters.push({ until: now + Math.min(MAX_TOKEN_WAIT_MS, remainingMs), startedAt: now, resolve })
+      const latest = now + Math.min(MAX_WAIT_MS, remainingMs)
+      state.waiters.push({ until: Math.min(now + MAX_TOKEN_WAIT_MS, latest), latest, resolve })
       if (state.isAwaiting) this._refuseLate(state)
       void this._borrow(state)
     })
@@ -127,14 +129,18 @@
   }
 
   /** Asks the next holder that may have tokens; returns false if none are wanted or all have been asked. */
-  private async _askNext ({ name, borrower, waiters }: WorkspaceState): Promise<boolean> {
-    const { holders, request, ages, metrics } = this._options
-    const wanted = borrower.getWanted(waiters.length)
+  private async _askNext (state: WorkspaceState): Promise<boolean> {
+    const { clock, holders, request, ages, metrics } = this._options
+    const { name, borrower } = state
+    const wanted = borrower.getWanted(state.waiters.length)
     const holder = wanted === 0 ? undefined : borrower.getNextHolder(holders.getHolders(name))
     if (holder === undefined) return false
     const requestedAt = ages.mark()
     const loan = await request(holder, { workspace: name, ...borrower.getQuota(), tokens: wanted })
     borrower.recordLoan(holder, wanted, requestedAt, loan)
+    // The time in which a holder did not respond does not count: the others have not been asked.
+    const lostMs = loan === undefined ? clock.now() - requestedAt.at : 0
+    for (const waiter of state.waiters) waiter.until = Math.min(waiter.latest, waiter.until + lostMs)
     const tokens = loan?.type === 'granted' ? loan.tokens : 0
     metrics.quotaCalls.inc({ result: loan?.type ?? 'unreached' })
     if (tokens > 0) metrics.quotaTokens.inc({ event: 'borrowed' }, tokens)
@@ -159,7 +165,7 @@
     const ids = holders.getHolders(state.name)
     const isLending = state.borrower.isAnyLending(ids)
     const nextAt = ids.length === 0 ? now + LIST_DELAY_MS : Math.max(now, state.borrower.getNextTokenAt(ids))
-    const late = state.waiters.filter(({ until, startedAt }) => until < nextAt || now - startedAt >= MAX_WAIT_MS)
+    const late = state.waiters.filter(({ until }) => until < nextAt)
     state.waiters = state.waiters.filter(waiter => !late.includes(waiter))
     for (const { resolve } of late) {
       metrics.quotaRequests.inc({ outcome: isLending ? 'exceeded' : 'unavailable' })
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -11,9 +11,6 @@
 /** Milliseconds after the first read before the list is read again, so that gateways that start at the same time find each other. */
 const SETTLE_DELAY_MS = 1_000
 
-/** Milliseconds between two reads while the gateways start for the first time, and after one by which shares of quotas can't be told. */
-const EARLY_READ_INTERVAL_MS = 300
-
 /** Longest duration in milliseconds of a registration; after a longer one the time that it states is too early. */
 const MAX_REGISTRATION_MS = 1_000
 
@@ -31,7 +28,7 @@
   readonly ranking: PeerRanking
   readonly ages: AgeClock
   /** Receives every read of the list and every failure of one. */
-  readonly quotaHolders: Pick<QuotaHolders, 'setPeers' | 'recordFailure' | 'needsRead'>
+  readonly quotaHolders: Pick<QuotaHolders, 'setPeers' | 'recordFailure' | 'getReadDelayMs'>
   /**
    * Called after registration; `hasPredecessor` is true if a gateway with the same id had registered before. It is called again if it
    * rejects with a {@link StoreError}.
@@ -71,11 +68,16 @@
   private async _awaitNextRead (): Promise<void> {
     const { clock, quotaHolders } = this._options
     const dueAt = clock.now() + READ_INTERVAL_MS
-    while (quotaHolders.needsRead() && clock.now() < dueAt) {
-      await sleep(EARLY_READ_INTERVAL_MS)
+    for (;;) {
+      const leftMs = dueAt - clock.now()
+      const delayMs = quotaHolders.getReadDelayMs()
+      if (delayMs >= leftMs) {
+        await sleep(Math.max(0, leftMs))
+        return
+      }
+      await sleep(delayMs)
       await this._retryUntilDone(async () => { await this._readList() })
     }
-    await sleep(Math.max(0, dueAt - clock.now()))
   }
 
   /** Writes the address; returns whether a gateway with the same id had registered before. */
--- a/tests/core/quota/QuotaHolderTests.ts
+++ b/tests/core/quota/QuotaHolderTests.ts
@@ -18,7 +18,7 @@
         now += waitMs
         const { tokens, waitMs: nextMs } = bucket.take(wanted, now)
         taken += tokens
-        expect(taken).toBeLessThanOrEqual(capacity + perSecond * (now + MAX_ADVANCE_MS) / 1_000 + 1e-6)
+        expect(taken).toBeLessThanOrEqual(capacity + perSecond * (now + MAX_ADVANCE_MS) / 1_000 + 1e-5)
         if (tokens > 0) continue
         now += nextMs
         const next = bucket.take(1, now)
--- a/tests/core/quota/QuotaHoldersTests.ts
+++ b/tests/core/quota/QuotaHoldersTests.ts
@@ -66,13 +66,13 @@
   it('should count gateways soon that start together for the first time, and read the list often meanwhile', () => {
     const peers = PEERS.map((peer, at) => ({ ...peer, firstSeenAt: REGISTERED_AT + 10 * at }))
     const holders = create('a1', peers, REGISTERED_AT + 200)
-    expect([holders.getHolders('shop'), holders.needsRead()]).toEqual([[], true])
+    expect([holders.getHolders('shop'), holders.getReadDelayMs()]).toEqual([[], 300])
     advance(FOUNDER_SPREAD_MS)
     expect(holders.getHolders('shop').length).toEqual(4)
     advance(FOUNDING_MS)
-    expect(holders.needsRead()).toEqual(true)
+    expect(holders.getReadDelayMs()).toEqual(300)
     holders.setPeers(peers, mark(), REGISTERED_AT + 200 + FOUNDER_SPREAD_MS + FOUNDING_MS)
-    expect(holders.needsRead()).toEqual(false)
+    expect(holders.getReadDelayMs()).toEqual(10_000)
   })
 
   // A gateway that lost the store while the others registered went on lending by the few that it knew, and the bound was exceeded.
@@ -102,7 +102,7 @@
     const startedAt = mark()
     advance(2_000)
     holders.setPeers(PEERS, startedAt, 0)
-    expect([holders.getHolders('shop'), holders.needsRead()]).toEqual([[], true])
+    expect([holders.getHolders('shop'), holders.getReadDelayMs()]).toEqual([[], 300])
   })
 })
 
--- a/tests/core/quota/QuotaPromisesTests.ts
+++ b/tests/core/quota/QuotaPromisesTests.ts
@@ -35,6 +35,7 @@
   'a small one': { gateways: 37, perSecond: 5, burst: 5, share: 0.6, requests: 4_000, slow: 0.08 },
   'a small one without a burst': { gateways: 37, perSecond: 5, burst: 0, share: 0.6, requests: 4_000, slow: 0.08 },
   'a workspace near its quota': { gateways: 37, perSecond: 200, burst: 200, share: 0.85, requests: 10_000, slow: 0.2 },
+  'one holder of four is gone': { gateways: 37, perSecond: 200, burst: 200, share: 0.6, requests: 10_000, slow: 0.2, gone: 1 },
   'two gateways': { gateways: 2, perSecond: 50, burst: 10, share: 0.6, requests: 4_000, slow: 0.05 }
 } as const
 
@@ -81,7 +82,7 @@
     }), { numRuns: 60 })
   })
 
-  for (const [name, { gateways, perSecond, burst, share, requests, slow }] of Object.entries(STEADY_LOADS)) {
+  for (const [name, { gateways, perSecond, burst, share, requests, slow, ...rest }] of Object.entries(STEADY_LOADS)) {
     // Requests were refused because the tokens were at other gateways, had expired, or were not lent yet after the start.
     it(`should admit requests below the quota: ${name}`, async function () {
       this.timeout(120_000)
@@ -89,10 +90,15 @@
       const quota = { perSecond, burst }
       for (let index = 0; index < gateways; index++) world.at(world.random() * 1_000, () => { world.add({ version: 1, quota }) })
       await world.runUntil(START_MS)
+      for (const id of world.gateways[0]!.holders.getHolders('shop').slice(0, 'gone' in rest ? rest.gone : 0)) {
+        world.gateways.find(gateway => gateway.id === id)!.isCutFromPeers = true
+      }
       const weights = world.gateways.map(() => world.random() ** 2)
       const sum = weights.reduce((total, weight) => total + weight)
       const end = START_MS + requests / perSecond / share * 1_000
-      weights.forEach((weight, index) => { world.load(world.gateways[index]!, () => perSecond * share * weight / sum, end) })
+      world.gateways.forEach((gateway, index) => {
+        if (!gateway.isCutFromPeers) world.load(gateway, () => perSecond * share * weights[index]! / sum, end)
+      })
       await world.runUntil(end + 1_000)
       const { admitted, exceeded, unavailable } = world.counts
       expect((exceeded + unavailable) / (admitted + exceeded + unavailable)).toBeLessThan(0.005)
--- a/tests/core/quota/QuotaWorld.ts
+++ b/tests/core/quota/QuotaWorld.ts
@@ -40,6 +40,8 @@
   readonly rows: Peer[] = []
   private readonly _random: () => number
   private readonly _slowness: number
+  /** Calls that have failed, after which none is sent for a while, as by PeerPool. */
+  private readonly _failures = new Map<string, { until: number, backoffMs: number }>()
   private _steps: Step[] = []
 
   /** @param slowness - Exponent by which delays beyond the distance are rarer the larger it is; they reach 150 ms. */
@@ -168,7 +170,7 @@
       this.at(this.now + latency / 2, () => {
         if (isCutFromStore) gateway.holders.recordFailure(startedAt)
         else gateway.holders.setPeers(rows, startedAt, storeTime)
-        const waitMs = isCutFromStore ? 500 : gateway.holders.needsRead() ? 300 : 10_000
+        const waitMs = isCutFromStore ? 500 : gateway.holders.getReadDelayMs()
         this.at(this.now + waitMs, () => { this._read(gateway, ages) }, gateway)
       }, gateway)
     })
@@ -178,12 +180,19 @@
     const to = this.gateways.find(({ id }) => id === holderId)!
     if (to === from) return to.holder.lend(req)
     const isFar = REGIONS[from.domain] !== REGIONS[to.domain]
+    const failure = this._failures.get(`${from.id}/${to.id}`)
+    const isCut = from.isCutFromPeers || to.isCutFromPeers
+    if (isCut && failure !== undefined && this.now < failure.until) return undefined
     this.counts.calls++
     if (isFar) this.counts.farCalls++
     const getLatency = (): number => (isFar ? 12 : 0.7) + this._random() ** this._slowness * 150
     return await new Promise(resolve => {
-      this.at(this.now + CALL_TIMEOUT_MS, () => { resolve(undefined) }, from)
-      if (from.isCutFromPeers || to.isCutFromPeers) return
+      this.at(this.now + CALL_TIMEOUT_MS, () => {
+        const backoffMs = Math.min(30_000, 2 * (failure?.backoffMs ?? 500))
+        if (isCut) this._failures.set(`${from.id}/${to.id}`, { until: this.now + backoffMs, backoffMs })
+        resolve(undefined)
+      }, from)
+      if (isCut) return
       this.at(this.now + getLatency(), () => {
         const loan = to.holder.lend(req)
         if (!to.isCutFromPeers) this.at(this.now + getLatency(), () => { resolve(loan) }, from)
