Check the direct connection to the store once a second at most

Cause: while only the partition of the configuration is unavailable, each gateway would send 15 reads a second to check its connection. Change: RelayedStore.checkDirect sends its three reads at most once a second.

--- a/src/io/peer/RelayedStore.ts
+++ b/src/io/peer/RelayedStore.ts
@@ -23,6 +23,9 @@
 /** Reads of one check of the direct connection, each in another partition: as many failures as an outage needs. */
 const CHECK_READS = UNAVAILABLE_AFTER_PARTITIONS
 
+/** Milliseconds between two checks at least: where only one partition is unavailable, checks find nothing and go on as long as it is. */
+const CHECK_INTERVAL_MS = 1_000
+
 /** Options of {@link RelayedStore}. */
 export interface RelayedStoreOptions {
   /** The store by the direct connection. */
@@ -50,7 +53,7 @@
   private readonly _relayPeers = new Map<string, RelayPeer>()
   private _relayPeer: RelayPeer | undefined
   private _isSearching = false
-  private _isChecking = false
+  private _checkedAt = -Infinity
   private _probes = 0
 
   constructor (options: RelayedStoreOptions) {
@@ -77,14 +80,14 @@
 
   /** Checks the direct connection by reads at once, so that a silent one is noticed before calls of several tables have timed out. */
   checkDirect (): void {
-    if (this.isDirectUnavailable() || this._isChecking) return
-    this._isChecking = true
-    const reads = Array.from({ length: CHECK_READS }, async () => {
+    const now = this._options.clock.now()
+    if (this.isDirectUnavailable() || now - this._checkedAt < CHECK_INTERVAL_MS) return
+    this._checkedAt = now
+    for (let read = 0; read < CHECK_READS; read++) {
       const range = getProbeRange(++this._probes)
       // Failures are counted and logged with the other calls to the store.
-      await this._callDirect(range, async store => await store.read(range, { timeoutMs: PROBE_TIMEOUT_MS })).catch(() => {})
-    })
-    void Promise.all(reads).then(() => { this._isChecking = false })
+      void this._callDirect(range, async store => await store.read(range, { timeoutMs: PROBE_TIMEOUT_MS })).catch(() => {})
+    }
   }
 
   private async _call<T> (partition: StorePartition, call: (store: RowStore) => Promise<T>): Promise<T> {
