--- a/tests/core/quota/QuotaPromisesTests.ts
+++ b/tests/core/quota/QuotaPromisesTests.ts
@@ -36,6 +36,10 @@
   'a small one without a burst': { gateways: 37, perSecond: 5, burst: 0, share: 0.6, requests: 4_000, slow: 0.08 },
   'a workspace near its quota': { gateways: 37, perSecond: 200, burst: 200, share: 0.85, requests: 10_000, slow: 0.2 },
   'one holder of four is gone': { gateways: 37, perSecond: 200, burst: 200, share: 0.6, requests: 10_000, slow: 0.2, gone: 1 },
+  'all gateways restart': { gateways: 37, perSecond: 40, burst: 40, share: 0.6, requests: 4_000, slow: 0.1, restarts: 1 },
+  'a small one whose programs send three requests at once': {
+    gateways: 37, perSecond: 5, burst: 20, share: 0.6, requests: 4_000, slow: 0.2, atOnce: 3
+  },
   'two gateways': { gateways: 2, perSecond: 50, burst: 10, share: 0.6, requests: 4_000, slow: 0.05 }
 } as const
 
@@ -97,8 +101,10 @@
       const sum = weights.reduce((total, weight) => total + weight)
       const end = START_MS + requests / perSecond / share * 1_000
       world.gateways.forEach((gateway, index) => {
-        if (!gateway.isCutFromPeers) world.load(gateway, () => perSecond * share * weights[index]! / sum, end)
+        if (!gateway.isCutFromPeers) world.load(gateway, () => perSecond * share * weights[index]! / sum, end, 'atOnce' in rest ? rest.atOnce : 1)
       })
+      await world.runUntil((START_MS + end) / 2)
+      if ('restarts' in rest) for (const gateway of world.gateways) world.restart(gateway, 1_000)
       await world.runUntil(end + 1_000)
       const { admitted, exceeded, unavailable } = world.counts
       expect((exceeded + unavailable) / (admitted + exceeded + unavailable)).toBeLessThan(0.005)
--- a/tests/core/quota/QuotaWorld.ts
+++ b/tests/core/quota/QuotaWorld.ts
@@ -125,14 +125,14 @@
     if (!isCounted) this.at(gateway.frozenUntil - 0.001, () => { if (run === gateway.run) gateway.lostMs += ms })
   }
 
-  /** Lets callers send requests to a gateway at a mean rate, from now until `end`. */
-  load (gateway: Gateway, getPerSecond: () => number, end: number): void {
-    const gapMs = -Math.log(1 - this._random()) / Math.max(0.01, getPerSecond()) * 1_000
+  /** Lets callers send requests to a gateway at a mean rate, some at once each time, from now until `end`. */
+  load (gateway: Gateway, getPerSecond: () => number, end: number, atOnce = 1): void {
+    const gapMs = -Math.log(1 - this._random()) / Math.max(0.01, getPerSecond() / atOnce) * 1_000
     const time = this.now + gapMs
     if (time > end) return
     this.at(time, () => {
-      this.load(gateway, getPerSecond, end)
-      if (gateway.frozenUntil <= this.now) this.send(gateway)
+      this.load(gateway, getPerSecond, end, atOnce)
+      for (let count = 0; count < atOnce; count++) if (gateway.frozenUntil <= this.now) this.send(gateway)
     })
   }
 
