--- a/tests/processes/GatewayHarness.ts
+++ b/tests/processes/GatewayHarness.ts
@@ -2,7 +2,7 @@
 import { RESERVE_SLOTS } from '../../src/core/reserve/index.js'
 import { getTurnPartitions } from '../../src/core/turn/index.js'
 import type { EngineBehaviour } from '../../tools/platform/EngineStandin.js'
-import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
+import { GatewayProcess, type GatewayProcessOptions } from '../../tools/platform/GatewayProcess.js'
 import { callPlatform, type PlatformCallResponse, type PlatformCall } from '../../tools/platform/PlatformCaller.js'
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 
@@ -22,9 +22,9 @@
   }
 
   /** Starts a gateway that replaces the previous one. */
-  async startGateway (): Promise<void> {
+  async startGateway (options: Partial<GatewayProcessOptions> = {}): Promise<void> {
     this._isStarted = false
-    this.gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: this.fixture.storeAddress })
+    this.gateway = await GatewayProcess.start({ id: 'gateway-1', storeAddress: this.fixture.storeAddress, ...options })
     this._isStarted = true
   }
 
--- a/tests/processes/ProcessUsage.ts
+++ b/tests/processes/ProcessUsage.ts
@@ -1,4 +1,4 @@
-import { readFileSync } from 'node:fs'
+import { readdirSync, readFileSync } from 'node:fs'
 
 /** Resident bytes at which the platform ends a gateway on the smallest machine of the sites. */
 export const MEMORY_BYTES = 178_000_000
@@ -27,7 +27,21 @@
   return peakBytes
 }
 
-function getResidentBytes (pid: number): number {
-  const line = readFileSync(`/proc/${pid}/status`, 'utf8').split('\n').find(text => text.startsWith('VmRSS:'))
-  return line === undefined ? Infinity : Number(line.replace(/\D/g, '')) * 1_024
+/** Gets the number of open descriptors of a process; infinite when it has ended. */
+export function getDescriptors (pid: number): number {
+  try {
+    return readdirSync(`/proc/${pid}/fd`).length
+  } catch {
+    return Infinity
+  }
+}
+
+/** Gets the resident memory of a process in bytes; infinite when it has ended. */
+export function getResidentBytes (pid: number): number {
+  try {
+    const line = readFileSync(`/proc/${pid}/status`, 'utf8').split('\n').find(text => text.startsWith('VmRSS:'))
+    return line === undefined ? Infinity : Number(line.replace(/\D/g, '')) * 1_024
+  } catch {
+    return Infinity
+  }
 }
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -26,6 +26,8 @@
   readonly graceMs?: number
   /** Limit of the heap of the process, in MB; the default of Node.js without it. */
   readonly heapMb?: number
+  /** Largest number of open descriptors of the process; that of this process without it. */
+  readonly maxFds?: number
 }
 
 /** Runs a gateway in a child process. */
@@ -59,7 +61,9 @@
     const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, createSettings(options))
     const heapMb = options.heapMb ?? HEAP_MB
-    const child = spawn(process.execPath, [`--max-old-space-size=${heapMb}`, 'target/wisteria-gateway.cjs', file], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const command = [process.execPath, `--max-old-space-size=${heapMb}`, 'target/wisteria-gateway.cjs', file]
+    const limited = options.maxFds === undefined ? command : ['sh', '-c', 'ulimit -n "$0" && exec "$@"', String(options.maxFds), ...command]
+    const child = spawn(limited[0]!, limited.slice(1), { stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(child, folder, options)
     await gateway._waitUntilListening()
     return gateway
@@ -75,9 +79,14 @@
     return this._getAddress('callers')
   }
 
+  /** Gets the host and port of the readiness check. */
+  get readinessAddress (): string {
+    return this._getAddress('readiness')
+  }
+
   /** Gets the URL of the readiness check. */
   get readinessUrl (): string {
-    return `http://${this._getAddress('readiness')}/v1/ready`
+    return `http://${this.readinessAddress}/v1/ready`
   }
 
   /** Gets the URL of the metrics. */
