--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -6,6 +6,9 @@
 /** Transactions per second that a store is assumed to accept if the settings state no rate; less than any of the users' stores accepts. */
 export const DEFAULT_WRITES_PER_SECOND = 500
 
+/** Fewest descriptors with which a gateway serves: its files, the store, peers and some callers and targets. */
+const MIN_FDS = 128
+
 /** Placement policies; all except `cost` serve as baselines for measurements. */
 export const PlacementKind = { Cost: 'cost', LeastOutstanding: 'least-outstanding', RoundRobin: 'round-robin' } as const
 export type PlacementKind = typeof PlacementKind[keyof typeof PlacementKind]
@@ -32,6 +35,12 @@
     /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
     drain_ms: z.number().min(0)
   }).default({ drain_ms: 0 }),
+  limits: z.strictObject({
+    /** Memory of the machine, in units of 1,000,000 bytes; without it, what the process may hold follows from its heap limit alone. */
+    memory_mb: z.number().positive().optional(),
+    /** Descriptors that the process may open; without it, the limit that the operating system states. */
+    max_fds: z.int().min(MIN_FDS).optional()
+  }).default({}),
   placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
 }).transform(raw => ({
   id: raw.id,
@@ -41,6 +50,7 @@
   store: { address: raw.store.address, rowBytes: raw.store.row_bytes, writesPerSecond: raw.store.writes_per_second },
   graceMs: raw.stop.grace_ms,
   drainMs: raw.targets.drain_ms,
+  limits: { memoryMb: raw.limits.memory_mb, maxFds: raw.limits.max_fds },
   placement: raw.placement
 }))
 
--- a/src/core/connection/ConnectionAge.ts
+++ b/src/core/connection/ConnectionAge.ts
@@ -17,6 +17,10 @@
   HeaderTimeout: 'header-timeout',
   /** The connection ends after a refusal, because the rest of the request is not read. */
   Refusal: 'refusal',
+  /** The connection holds much memory and moves little, while memory is short. */
+  Memory: 'memory',
+  /** The connection waits for its caller, while all connections are in use. */
+  Connections: 'connections',
   Stop: 'stop'
 } as const
 export type EndCause = typeof EndCause[keyof typeof EndCause]
--- a/src/core/connection/index.ts
+++ b/src/core/connection/index.ts
@@ -1,2 +1,3 @@
 export * from './ConnectionAge.js'
+export * from './RequestPieces.js'
 export * from './StopSchedule.js'
--- a/src/core/reason/Reasons.ts
+++ b/src/core/reason/Reasons.ts
@@ -61,6 +61,7 @@
   'no-target': notRun(503, 'No live target offers this service.', 'Check the instance list, drains and ejections with `wisteriactl status`.'),
   'targets-limited': notRun(503, 'Every target of the service is at the request rate that it accepts.', 'Add targets; `target-limit-changed` in the log names each limit and since when it is stated.'),
   'memory-full': notRun(503, 'The gateway holds as many bytes of requests as it may.', 'Add gateways, or lower the limit of bodies; look for targets that do not read.'),
+  'connections-full': notRun(503, 'The gateway has as many connections or requests as it may.', 'Add gateways, or raise limits.max_fds if the machine allows it; `connections-refused` in the log names an address.'),
   'queue-full': notRun(503, 'The queue of the target is full.', 'Add targets.'),
   'retained-full': notRun(503, 'The sidecar holds as many unfetched answers as it may.', 'Check that the store is available: answers are kept until they are durable.'),
   leaving: notRun(503, 'The target is leaving.', 'None: the entry selects another target.'),
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -1,7 +1,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../../core/clock/index.js'
-import { ConnectionAge, ConnectionPhase, type EndCause, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionAge, ConnectionPhase, type EndCause, type Expected, type PhaseLimits } from '../../core/connection/index.js'
+import { isProgressing, type HeldBytes } from '../../core/limits/index.js'
+import { RequestFeed } from './RequestFeed.js'
 
 /** Milliseconds for which a connection that was ended is still read: several round trips between distant regions. */
 const LINGER_MS = 2_000
@@ -9,6 +11,9 @@
 /** Bytes that are read of a connection that was ended: several times the usual limit of a body, 4 MiB. */
 const LINGER_BYTES = 16_777_216
 
+/** Bytes of memory for each byte of an incomplete head: fields of four bytes make two strings and two places in a list. */
+const HEAD_COST = 16
+
 /** Options of {@link CallerConnection}. */
 export interface CallerConnectionOptions {
   readonly socket: Socket
@@ -18,6 +23,12 @@
   readonly getLimits: () => PhaseLimits
   /** Called when the gateway ends the connection of its own accord. */
   readonly onEnd: (ending: ConnectionEnding) => void
+  /** What the connection itself makes the process hold, beside its requests. */
+  readonly held: HeldBytes
+  /** Gets the largest number of bytes of a head. */
+  readonly getMaxHeadBytes: () => number
+  /** Called when the bytes of an incomplete head are too many. */
+  readonly onHeadTooLarge: (connection: CallerConnection) => void
 }
 
 /** State of a connection when the gateway ended it; times are late by up to one check. */
@@ -55,19 +66,69 @@
   private _ending: { readonly cause: EndCause, readonly phase: ConnectionPhase } | undefined
   private _isClosing = false
   private _isEnded = false
+  private readonly _held: HeldBytes
+  private readonly _feed: RequestFeed
+  private readonly _options: CallerConnectionOptions
+  /** What the request in progress holds. */
+  private _requestHeld: HeldBytes | undefined
+  /** Bytes that were parsed since the last request. */
+  private _headBytes = 0
+  /** Bytes of the body that follow; undefined for a body in chunks. */
+  private _bodyLeft: number | undefined = 0
+  /** True from the piece on that follows the head of the latest request. */
+  private _isBodyNext = false
+  private _progressAt: number
+  private _progressCheckedAt: number
+  private _movedBytes = 0
   /** Response to bytes that are no request; sent after the pending responses. */
   private _deferredRefusal: string | undefined
 
   constructor (options: CallerConnectionOptions) {
     this.socket = options.socket
+    this._options = options
+    this._held = options.held
     this._clock = options.clock
     this._getLimits = options.getLimits
     this._onEnd = options.onEnd
-    this._readAt = this._writtenAt = this._clock.now()
+    this._readAt = this._writtenAt = this._progressAt = this._progressCheckedAt = this._clock.now()
     this._limits = options.getLimits()
     this._age = new ConnectionAge(this._clock.now(), this._limits)
     // The parser calls this after the last response of a connection; closing at once would reset it while bytes are unread.
     this.socket.destroySoon = () => { this.end() }
+    this._feed = new RequestFeed({
+      socket: this.socket,
+      getExpected: () => this._getExpected(),
+      onParsed: bytes => { this._onParsed(bytes) }
+    })
+    this.socket.on('close', () => {
+      this._feed.close()
+      this._held.release()
+    })
+  }
+
+  /** Reads requests in place of the parser, which has begun to listen on the socket. */
+  startFeed (): void {
+    this._feed.attach()
+  }
+
+  /** Gets the bytes that the connection and its request hold. */
+  getHeldBytes (): number {
+    return this._held.getBytes() + (this._requestHeld?.getBytes() ?? 0)
+  }
+
+  /** Gets the milliseconds since the connection made progress; 0 while it waits for the gateway or a target, and not for its caller. */
+  getStalledMs (): number {
+    return this._isWaitingForCaller() ? this._clock.now() - this._progressAt : 0
+  }
+
+  /** Gets what the connection waits for. */
+  getPhase (): ConnectionPhase {
+    return this._age.getPhase()
+  }
+
+  /** Records what the request in progress holds. */
+  setRequestHeld (held: HeldBytes): void {
+    this._requestHeld = held
   }
 
   /** Checks whether the gateway has begun to end the connection, so that no further request on it may be forwarded. */
@@ -78,12 +139,13 @@
   /** Records that no request after those received so far is accepted. */
   markClosing (cause: EndCause): void {
     this._isClosing = true
+    this._feed.close()
     this._ending ??= { cause, phase: this._age.getPhase() }
   }
 
   /** Checks whether a response belongs to the latest request received. */
   isLatest (res: ServerResponse): boolean {
-    return [...this._pending.keys()].at(-1) === res
+    return this._feed.getWaitingBytes() === 0 && [...this._pending.keys()].at(-1) === res
   }
 
   /** Gets the request whose body is being received. */
@@ -97,14 +159,18 @@
     this._pending.set(res, req)
     this._announcedIdleMs = this._getLimits().idle
     this._requests++
-    this._readAt = this._clock.now()
+    this._headBytes = 0
+    this._isBodyNext = false
+    this._bodyLeft = req.headers['transfer-encoding'] === undefined ? Number(req.headers['content-length'] ?? 0) : undefined
+    this._readAt = this._progressAt = this._clock.now()
     this._enter(req.complete ? ConnectionPhase.Response : ConnectionPhase.Body, this._getLimits())
     res.on('close', () => { this._removeRequest(res) })
   }
 
   /** Updates the phase by what was read since the last call. */
   update (): void {
-    const { bytesRead, bytesWritten } = this.socket
+    const { bytesWritten } = this.socket
+    const bytesRead = this._getParsedBytes()
     const hasRead = bytesRead !== this._bytesRead
     this._bytesRead = bytesRead
     if (hasRead) this._readAt = this._clock.now()
@@ -115,6 +181,8 @@
     // The head began at some time since the last update, so perhaps under the limits of that time.
     else if (phase === ConnectionPhase.Idle && hasRead) this._enter(ConnectionPhase.Head, this._limits)
     this._limits = this._getLimits()
+    this._updateProgress()
+    this._updateHeld()
   }
 
   /** Gets the phase if it has lasted too long, otherwise undefined. */
@@ -151,6 +219,7 @@
     this._isEnded = true
     this._isClosing = true
     if (cause !== undefined) this.markClosing(cause)
+    this._feed.close()
     this._report()
     this._discardInput()
     this.socket.end()
@@ -158,6 +227,15 @@
     this.socket.on('close', () => { clearTimeout(timer) })
   }
 
+  /** Ends the connection at once, without what was written and has not left the process. */
+  endNow (cause: EndCause): void {
+    if (this._isEnded) return
+    this._isEnded = true
+    this.markClosing(cause)
+    this._report()
+    this.socket.resetAndDestroy()
+  }
+
   private _report (): void {
     if (this._ending === undefined) return
     this.update()
@@ -180,10 +258,58 @@
   private _removeRequest (res: ServerResponse): void {
     this._pending.delete(res)
     if (this._pending.size > 0) return
-    this._bytesRead = this.socket.bytesRead
+    this._requestHeld = undefined
+    this._progressAt = this._clock.now()
+    this._bytesRead = this._getParsedBytes()
     const limits = this._getLimits()
     this._enter(ConnectionPhase.Idle, { ...limits, idle: Math.max(limits.idle, this._announcedIdleMs) })
     if (this._deferredRefusal !== undefined && this.socket.writable) this._endWith(this._deferredRefusal)
+    else if (!this._isEnded) this._feed.feed()
+  }
+
+  /** Gets what the next bytes belong to; undefined while a request whose body is complete is in progress. */
+  private _getExpected (): Expected | undefined {
+    if (this._pending.size === 0 || this._isClosing) return 'head'
+    if (this.getReceiving() === undefined) return undefined
+    // The parser has seen the whole body, but has not yet been told that nothing follows.
+    if (this._bodyLeft === 0) return undefined
+    return this._bodyLeft ?? 'chunks'
+  }
+
+  private _onParsed (bytes: number): void {
+    if (this._pending.size > 0) {
+      if (this._isBodyNext && this._bodyLeft !== undefined) this._bodyLeft = Math.max(0, this._bodyLeft - bytes)
+      // The piece that ended with the head was no part of the body.
+      this._isBodyNext = true
+    } else {
+      this._headBytes += bytes
+      if (this._headBytes > this._options.getMaxHeadBytes() && !this._isClosing) this._options.onHeadTooLarge(this)
+    }
+    this._updateHeld()
+  }
+
+  private _getParsedBytes (): number {
+    return this.socket.bytesRead - this._feed.getWaitingBytes()
+  }
+
+  private _isWaitingForCaller (): boolean {
+    return this._pending.size === 0 || this.getReceiving() !== undefined || this.socket.writableLength > 0
+  }
+
+  /** Counts what was read and what has left the process since the last check. */
+  private _updateProgress (): void {
+    const now = this._clock.now()
+    const moved = this.socket.bytesRead + this.socket.bytesWritten - this.socket.writableLength
+    const isProgress = isProgressing(moved - this._movedBytes, this.getHeldBytes(), now - this._progressCheckedAt)
+    if (!this._isWaitingForCaller() || isProgress) this._progressAt = now
+    this._movedBytes = moved
+    this._progressCheckedAt = now
+  }
+
+  private _updateHeld (): void {
+    if (this.socket.destroyed) return
+    const headBytes = this._pending.size === 0 ? this._headBytes * HEAD_COST : 0
+    this._held.set(headBytes + this._feed.getWaitingBytes() + this.socket.writableLength)
   }
 
   /** Discards a bounded number of bytes from now on, in place of the parser. */
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -12,6 +12,9 @@
 /** Headers of a response after which the connection is closed. */
 const CLOSE_HEADERS = ['Connection', 'close']
 
+/** Bytes that wait in the process for a caller who does not read on: in the writer, in the connection to the target and in its parser. */
+const UNREAD_BYTES = 131_072
+
 /** Dependencies that all exchanges of a gateway share. */
 export interface ExchangeContext {
   readonly clock: Clock
@@ -69,7 +72,7 @@
     this._context = context
     this._res = res
     this._writer = new BatchWriter(res)
-    this.held = context.memory.open()
+    this.held = context.memory.open(options.req.socket.remoteAddress)
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
@@ -117,7 +120,19 @@
   async write (bytes: Buffer): Promise<void> {
     this._lastSentAt = this._context.clock.now()
     this._sentBytes += bytes.length
-    return await this._writer.write(bytes)
+    const written = this._writer.write(bytes)
+    if (!this._res.writableNeedDrain) return await written
+    this.held.hold(UNREAD_BYTES)
+    await written
+    this.held.free(UNREAD_BYTES)
+  }
+
+  /** Holds only what of the response has not left the process, until the response is over. */
+  holdUnsent (): void {
+    this.held.release()
+    if (this._res.closed) return
+    this.held.hold(this._res.writableLength)
+    this._res.on('close', () => { this.held.release() })
   }
 
   /** Ends a response that was sent in chunks. */
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -6,7 +6,7 @@
 import { PlacementKind, type GatewaySettings } from '../../core/config/index.js'
 import { StopSchedule } from '../../core/connection/index.js'
 import type { CallProtocol } from '../../core/forward/index.js'
-import { ByteBudget, LenderRanking, PermitLedger, RetryBudget } from '../../core/limits/index.js'
+import { ByteBudget, getProcessLimits, LenderRanking, PermitLedger, RetryBudget, type ProcessLimits } from '../../core/limits/index.js'
 import { PeerRanking } from '../../core/peer/index.js'
 import type { RowChange, RowStore, StoredRow } from '../../core/platform/index.js'
 import { ReserveLedger } from '../../core/reserve/index.js'
@@ -20,7 +20,7 @@
   BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
   RelayedStore, TurnPeers
 } from '../peer/index.js'
-import type { DecisionLog } from '../process/index.js'
+import { getMaxDescriptors, type DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -75,12 +75,8 @@
 /** Bytes of payload in a byte of base64. */
 const BASE64_PAYLOAD_RATIO = 0.75
 
-/**
- * Share of the process's heap limit in bytes that bodies and buffered responses of all requests may hold together.
- *
- * They are outside the heap, which leaves about this much of a machine's memory beside the limit that is set for it.
- */
-const HELD_BYTES_SHARE = 0.2
+/** Milliseconds between two updates of the metrics of held bytes and open connections. */
+const HELD_REPORT_MS = 1_000
 
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
@@ -121,6 +117,8 @@
   private readonly _configWatch: TableWatch
   private readonly _targetWatch: TableWatch
   private readonly _suspectWatch: TableWatch
+  private readonly _memory: ByteBudget
+  private readonly _limits: ProcessLimits
   private _isStopping = false
   private _graceMs: number
 
@@ -128,6 +126,12 @@
     const { clock, log, metrics, settings, protocol, tables, incarnation } = options
     this._options = options
     this._graceMs = settings.graceMs
+    const bounds = getProcessLimits({
+      memoryMb: settings.limits.memoryMb,
+      heapBytes: getHeapStatistics().heap_size_limit,
+      maxFds: Math.min(settings.limits.maxFds ?? Infinity, getMaxDescriptors())
+    })
+    this._limits = bounds
     this._registry = new TargetRegistry({
       drainMs: settings.drainMs,
       onEnded: (state, cause) => { this._onTargetEnded(state, cause) },
@@ -176,6 +180,7 @@
     })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
     this._peers = new PeerServer({
+      maxConnections: bounds.peerConnections,
       direct: options.store,
       isDirectUnavailable: () => store.isDirectUnavailable(),
       reserves: ledger,
@@ -277,11 +282,17 @@
       isStoreUnavailable: () => access.health.isUnavailable(),
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
-    const memory = new ByteBudget({ maxBytes: getHeapStatistics().heap_size_limit * HELD_BYTES_SHARE })
+    const memory = new ByteBudget({ maxBytes: bounds.heldBytes, maxBytesPerOwner: bounds.heldBytesPerAddress })
+    this._memory = memory
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
     const context = { clock, log, metrics, protocol, configs: this._configs, memory, closesAfter }
-    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams })
-    this._status = new StatusServer({ readinessPath: tables.readinessPath, isReady: () => this.isReady(), registry: metrics.registry })
+    this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams, limits: bounds })
+    this._status = new StatusServer({
+      readinessPath: tables.readinessPath,
+      isReady: () => this.isReady(),
+      registry: metrics.registry,
+      maxConnections: bounds.statusConnections
+    })
     this._configWatch = new TableWatch({
       access,
       clock,
@@ -324,6 +335,11 @@
     })
     void periodic(RETIRE_CHECK_MS).observe(() => { this._runInBackground('versions', async () => { await this._versions.update() }) })
     void periodic(RETURN_CHECK_MS).observe(() => { this._runInBackground('budgets', async () => { await this._budgets.returnUnused() }) })
+    void periodic(HELD_REPORT_MS).observe(() => {
+      this._options.metrics.heldBytes.set(this._memory.getHeldBytes())
+      this._options.metrics.openConnections.set(this._server.getConnections())
+    })
+    this._options.log.info('limits-derived', { ...this._limits })
     const peers = await this._peers.listen(listen.peers)
     void this._directory.run({ id, address: peers, failureDomain })
     return {
@@ -338,7 +354,7 @@
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log } = this._options
     this._graceMs = settings.graceMs
-    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs'] as const
+    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs', 'limits'] as const
     const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(startSettings[key]))
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,20 +1,40 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
 import { ConnectionPhase, EndCause, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
+import type { ProcessLimits } from '../../core/limits/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigests, InputsInProgress } from '../../core/suspect/index.js'
 import { listen } from '../http/index.js'
-import { CallerConnections } from './CallerConnections.js'
+import { CallerConnections, type FullCause } from './CallerConnections.js'
 import type { CallerConnection } from './CallerConnection.js'
 import { Exchange, sendProblem, type ExchangeContext } from './Exchange.js'
 import type { PlainForwarder } from './PlainForwarder.js'
 import { readHeldBody } from './readHeldBody.js'
 import type { StreamForwarder } from './StreamForwarder.js'
 
-/** Largest header block that the parser accepts; the configuration's limit is checked afterwards. */
+/** Largest header block that the parser accepts; the configuration's limit is checked before and afterwards. */
 const MAX_HEADER_BYTES = 65_536
 
+/** Bytes of an incomplete head beyond the configuration's limit, which counts a head in another way than its bytes on the wire. */
+const HEAD_MARGIN_BYTES = 1_024
+
+/** Bytes of memory for each field of a head beside its text: two strings, and their places in lists of the parser and the gateway. */
+const FIELD_COST_BYTES = 128
+
+/** Seconds after which a caller may retry, at another gateway, while this one has no connection or request left. */
+const FULL_RETRY_SECONDS = 0.5
+
+/** Response to a connection for which there is no room; nothing of it was read. */
+const FULL_RESPONSE = `HTTP/1.1 503 Service Unavailable\r\nRetry-After: ${FULL_RETRY_SECONDS}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`
+
+/** Milliseconds and bytes for which a refused connection is read, so that its caller receives the refusal. */
+const REFUSED_LINGER_MS = 1_000
+const REFUSED_BYTES = 262_144
+
+/** Milliseconds between two log lines about refused connections. */
+const FULL_LOG_INTERVAL_MS = 1_000
+
 /** Maximum number of connections that wait to be accepted: callers that come at once after a restart. */
 const LISTEN_BACKLOG = 4_096
 
@@ -47,6 +67,7 @@
   readonly context: ExchangeContext
   readonly plain: PlainForwarder
   readonly streams: StreamForwarder
+  readonly limits: ProcessLimits
 }
 
 /** HTTP server for callers: decodes, checks and routes their requests. */
@@ -57,6 +78,10 @@
   private readonly _parser: Server
   private readonly _connections: CallerConnections
   private _inProgress = 0
+  /** Connections that are open only to be refused. */
+  private _refusedConnections = 0
+  private _fullLoggedAt = -Infinity
+  private _fullSinceLogged = 0
   private readonly _inputs = new InputsInProgress()
   /** Set once the gateway is stopping. */
   private _stop: StopSchedule | undefined
@@ -71,14 +96,18 @@
     this._connections = new CallerConnections({
       clock: options.context.clock,
       limits: INITIAL_LIMITS,
+      memory: options.context.memory,
+      maxConnections: options.limits.connections,
+      maxConnectionsPerAddress: options.limits.connectionsPerAddress,
+      onStalled: connection => { this._handleStalled(connection) },
+      onHeadTooLarge: connection => { this._refuseBytes(connection, PARSE_STATUS.HPE_HEADER_OVERFLOW!, 'headers-too-large', {}) },
       onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) },
       onEnd: ending => {
         options.context.log.info('connection-ended', { by: 'gateway', ...ending, config: options.context.configs.get()?.config.version })
       }
     })
     this._server = createNetServer({ allowHalfOpen: true, noDelay: true }, socket => {
-      this._connections.add(socket)
-      this._parser.emit('connection', socket)
+      this._accept(socket)
     })
   }
 
@@ -91,7 +120,8 @@
   setLimits (limits: CallerLimits): void {
     // The parser announces its keep-alive time-out to callers; connections stay open for longer.
     this._parser.keepAliveTimeout = limits.idleTimeoutMs + IDLE_MARGIN_MS
-    this._connections.setLimits({ idle: limits.idleTimeoutMs + 2 * IDLE_MARGIN_MS, head: limits.headerTimeoutMs, body: BODY_TIMEOUT_MS })
+    const phases = { idle: limits.idleTimeoutMs + 2 * IDLE_MARGIN_MS, head: limits.headerTimeoutMs, body: BODY_TIMEOUT_MS }
+    this._connections.setLimits(phases, limits.headerBytes + HEAD_MARGIN_BYTES)
   }
 
   /** Accepts from now on only the requests that the schedule of a stop accepts, and closes connections after their last response. */
@@ -124,11 +154,69 @@
     return this._connections.hasOpen()
   }
 
+  /** Gets the number of open connections. */
+  getConnections (): number {
+    return this._connections.getSize()
+  }
+
   /** Gets the number of requests in progress. */
   getInProgress (): number {
     return this._inProgress
   }
 
+  private _accept (socket: Socket): void {
+    const cause = this._connections.getFullCause(socket.remoteAddress ?? '')
+    if (cause !== undefined) {
+      this._refuseConnection(socket, cause)
+      return
+    }
+    const connection = this._connections.add(socket)
+    this._parser.emit('connection', socket)
+    connection.startFeed()
+  }
+
+  /** Refuses a connection before anything of it is read; without room for that, closes it. */
+  private _refuseConnection (socket: Socket, cause: FullCause): void {
+    const { context, limits } = this._options
+    context.metrics.fullConnections.inc({ cause })
+    this._fullSinceLogged++
+    const now = context.clock.now()
+    if (now - this._fullLoggedAt >= FULL_LOG_INTERVAL_MS) {
+      context.log.warn('connections-refused', { cause, count: this._fullSinceLogged, address: socket.remoteAddress })
+      this._fullLoggedAt = now
+      this._fullSinceLogged = 0
+    }
+    socket.on('error', () => {})
+    if (this._refusedConnections >= limits.refusedConnections) {
+      socket.destroy()
+      return
+    }
+    this._refusedConnections++
+    const timer = setTimeout(() => { socket.destroy() }, REFUSED_LINGER_MS)
+    socket.on('close', () => {
+      clearTimeout(timer)
+      this._refusedConnections--
+    })
+    // Unread bytes would reset the connection before the caller has received the refusal.
+    let size = 0
+    socket.on('data', (data: Buffer) => {
+      size += data.length
+      if (size > REFUSED_BYTES) socket.destroy()
+    })
+    socket.end(FULL_RESPONSE)
+  }
+
+  /** Ends a connection that holds much and moves little; a request that was not received completely has not run. */
+  private _handleStalled (connection: CallerConnection): void {
+    this._options.context.metrics.stalledConnections.inc({ phase: connection.getPhase() })
+    const receiving = connection.getReceiving()
+    if (receiving === undefined || receiving.res.headersSent) {
+      connection.endNow(EndCause.Memory)
+      return
+    }
+    this._refuse(receiving.req, receiving.res, undefined, { reason: 'memory-full', retryAfterSeconds: FULL_RETRY_SECONDS })
+  }
+
   private async _serve (req: IncomingMessage, res: ServerResponse): Promise<void> {
     const connection = this._connections.get(req.socket)
     if (connection.isClosing()) {
@@ -181,11 +269,17 @@
       this._refuse(req, res, call.id, { reason: 'route-unknown', members: { config: version, host: call.host, path: call.path } })
       return
     }
+    if (this._inProgress > this._options.limits.requests) {
+      this._refuse(req, res, call.id, { reason: 'connections-full', retryAfterSeconds: FULL_RETRY_SECONDS })
+      return
+    }
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version })
+    this._connections.get(req.socket).setRequestHeld(exchange.held)
     try {
-      await this._forward(exchange, req, res, limits.bodyBytes)
+      if (exchange.held.tryHold(getHeadCost(head))) await this._forward(exchange, req, res, limits.bodyBytes)
+      else this._refuse(req, res, call.id, { reason: 'memory-full', retryAfterSeconds: FULL_RETRY_SECONDS })
     } finally {
-      exchange.held.release()
+      exchange.holdUnsent()
     }
   }
 
@@ -273,6 +367,10 @@
   return head.rawHeaders.reduce((sum, text) => sum + text.length + 2, head.method.length + head.url.length + 12)
 }
 
+function getHeadCost (head: { url: string, rawHeaders: readonly string[] }): number {
+  return getHeaderBytes({ ...head, method: '' }) + head.rawHeaders.length / 2 * FIELD_COST_BYTES
+}
+
 function hasBody (req: IncomingMessage): boolean {
   return req.headers['transfer-encoding'] !== undefined || Number(req.headers['content-length'] ?? 0) > 0
 }
--- a/src/io/peer/PeerServer.ts
+++ b/src/io/peer/PeerServer.ts
@@ -10,8 +10,9 @@
 export class PeerServer {
   private readonly _server: Server
 
-  constructor (options: PeerRouterOptions) {
+  constructor (options: PeerRouterOptions & { readonly maxConnections?: number }) {
     this._server = createServer(createHTTPHandler({ router: createPeerRouter(options), maxBodySize: MAX_BODY_BYTES }))
+    if (options.maxConnections !== undefined) this._server.maxConnections = options.maxConnections
   }
 
   /** Starts to listen; returns the address. */
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { ByteBudget } from '../../../src/core/limits/index.js'
+import { ByteBudget, getProcessLimits } from '../../../src/core/limits/index.js'
 import { ConfigHolder, RouteKind, type Route } from '../../../src/core/route/index.js'
 import {
   GatewayMetrics, GatewayServer, type Exchange, type PlainForwarder, type StreamForwarder
@@ -79,7 +79,8 @@
     const metrics = new GatewayMetrics()
     const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
-    server = new GatewayServer({ context, plain, streams })
+    const bounds = getProcessLimits({ memoryMb: 178, heapBytes: 120_000_000, maxFds: 4_100 })
+    server = new GatewayServer({ context, plain, streams, limits: bounds })
     return await server.listen('127.0.0.1:0')
   }
 })
