--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -29,6 +29,8 @@
   readonly getMaxHeadBytes: () => number
   /** Called when the bytes of an incomplete head are too many. */
   readonly onHeadTooLarge: (connection: CallerConnection) => void
+  /** Called with the bytes of each read. */
+  readonly onRead: (bytes: number) => void
 }
 
 /** State of a connection when the gateway ended it; times are late by up to one check. */
@@ -98,6 +100,7 @@
     this._feed = new RequestFeed({
       socket: this.socket,
       getExpected: () => this._getExpected(),
+      onRead: options.onRead,
       onParsed: bytes => { this._onParsed(bytes) }
     })
     this.socket.on('close', () => {
@@ -317,6 +320,7 @@
     let size = 0
     const discard = (data: Buffer): void => {
       size += data.length
+      this._options.onRead(data.length)
       if (size > LINGER_BYTES) this.socket.destroy()
     }
     this.socket.on('data', discard)
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -32,6 +32,8 @@
   readonly onStalled: (connection: CallerConnection) => void
   readonly onHeadTooLarge: (connection: CallerConnection) => void
   readonly memory: ByteBudget
+  /** Called with the bytes of each read. */
+  readonly onRead: (bytes: number) => void
   /** Largest number of connections, and of those of one address. */
   readonly maxConnections: number
   readonly maxConnectionsPerAddress: number
@@ -68,7 +70,7 @@
   /** Adds a connection until it is closed. */
   add (socket: Socket): CallerConnection {
     const address = socket.remoteAddress ?? ''
-    const { onEnd, onHeadTooLarge, memory } = this._options
+    const { onEnd, onHeadTooLarge, onRead, memory } = this._options
     const connection = new CallerConnection({
       socket,
       clock: this._clock,
@@ -76,7 +78,8 @@
       getMaxHeadBytes: () => this._maxHeadBytes,
       held: memory.open(address),
       onEnd,
-      onHeadTooLarge
+      onHeadTooLarge,
+      onRead
     })
     this._connections.set(socket, connection)
     this._open.add(connection)
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -5,7 +5,7 @@
 import { PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
-import type { DecisionLog } from '../process/index.js'
+import type { BufferGarbage, DecisionLog } from '../process/index.js'
 import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
@@ -24,6 +24,8 @@
   readonly configs: ConfigHolder
   /** Bytes that all requests together hold in memory. */
   readonly memory: ByteBudget
+  /** Bounds the memory of buffers that are no longer in use. */
+  readonly garbage: BufferGarbage
   /** Checks whether the connection of a response is closed after it, because the gateway is stopping. */
   readonly closesAfter: (res: ServerResponse) => boolean
 }
@@ -120,6 +122,7 @@
   async write (bytes: Buffer): Promise<void> {
     this._lastSentAt = this._context.clock.now()
     this._sentBytes += bytes.length
+    this._context.garbage.add(bytes.length)
     const written = this._writer.write(bytes)
     if (!this._res.writableNeedDrain) return await written
     this.held.hold(UNREAD_BYTES)
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -20,7 +20,7 @@
   BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
   RelayedStore, TurnPeers
 } from '../peer/index.js'
-import { getMaxDescriptors, type DecisionLog } from '../process/index.js'
+import { BufferGarbage, getMaxDescriptors, type DecisionLog } from '../process/index.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -285,7 +285,8 @@
     const memory = new ByteBudget({ maxBytes: bounds.heldBytes, maxBytesPerOwner: bounds.heldBytesPerAddress })
     this._memory = memory
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
-    const context = { clock, log, metrics, protocol, configs: this._configs, memory, closesAfter }
+    const garbage = new BufferGarbage({ getUsedBytes: () => memory.getHeldBytes() })
+    const context = { clock, log, metrics, protocol, configs: this._configs, memory, garbage, closesAfter }
     this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams, limits: bounds })
     this._status = new StatusServer({
       readinessPath: tables.readinessPath,
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -97,6 +97,7 @@
       clock: options.context.clock,
       limits: INITIAL_LIMITS,
       memory: options.context.memory,
+      onRead: bytes => { options.context.garbage.add(bytes) },
       maxConnections: options.limits.connections,
       maxConnectionsPerAddress: options.limits.connectionsPerAddress,
       onStalled: connection => { this._handleStalled(connection) },
--- a/src/io/gateway/RequestFeed.ts
+++ b/src/io/gateway/RequestFeed.ts
@@ -6,6 +6,8 @@
   readonly socket: Socket
   /** Gets what the next bytes belong to; undefined while a request whose body is complete is in progress. */
   readonly getExpected: () => Expected | undefined
+  /** Called with the bytes of each read. */
+  readonly onRead: (bytes: number) => void
   /** Called with the bytes of each piece after the parser has got it. */
   readonly onParsed: (bytes: number) => void
 }
@@ -35,10 +37,11 @@
 
   /** Takes the place of the parser, which has begun to listen on the socket. */
   attach (): void {
-    const { socket } = this._options
+    const { socket, onRead } = this._options
     const listeners = socket.listeners('data') as Array<(chunk: Buffer) => void>
     this._parse = chunk => { for (const listener of listeners) listener.call(socket, chunk) }
     socket.on('data', (chunk: Buffer) => {
+      onRead(chunk.length)
       this._pieces.add(chunk)
       this.feed()
     })
--- a/src/io/process/index.ts
+++ b/src/io/process/index.ts
@@ -1,3 +1,4 @@
+export * from './BufferGarbage.js'
 export * from './DecisionLog.js'
 export * from './SettingsFollower.js'
 export * from './SteadyClock.js'
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -6,7 +6,7 @@
 import {
   GatewayMetrics, GatewayServer, type Exchange, type PlainForwarder, type StreamForwarder
 } from '../../../src/io/gateway/index.js'
-import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
+import { BufferGarbage, DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { PlatformProtocol } from '../../../platform/PlatformProtocol.js'
 import { callPlatform } from '../../../tools/platform/PlatformCaller.js'
 import { FIXTURE_HOST } from '../../../tools/platform/PlatformFixture.js'
@@ -77,7 +77,8 @@
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const memory = new ByteBudget({ maxBytes: 1_000_000 })
     const metrics = new GatewayMetrics()
-    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
+    const garbage = new BufferGarbage({ getUsedBytes: () => 0 })
+    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, garbage, closesAfter: () => false }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
     const bounds = getProcessLimits({ memoryMb: 178, heapBytes: 120_000_000, maxFds: 4_100 })
     server = new GatewayServer({ context, plain, streams, limits: bounds })
