Stop keeping the body of a request that was refused while it arrived

A connection that was ended because memory was short kept its body until the connection was closed, two seconds later.

--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -287,7 +287,7 @@
   private async _forward (exchange: Exchange, req: IncomingMessage, res: ServerResponse, maxBytes: number): Promise<void> {
     const { call, route } = exchange
     const { context } = this._options
-    const body = await readHeldBody(req, { maxBytes, held: exchange.held })
+    const body = await readHeldBody(req, { maxBytes, held: exchange.held, res })
     // A request is refused while its body arrives; one that a refused request follows on the connection is still answered.
     if (res.headersSent) return
     if (body.isLeft()) {
