Drop a refused body at once, and collect unused buffers earlier

Buffers that survive a collection of all objects count as caches, so that a gateway with large caches does not collect again and again.

--- a/src/io/gateway/readHeldBody.ts
+++ b/src/io/gateway/readHeldBody.ts
@@ -41,7 +41,8 @@
     const end = (result: Either<Refusal, Buffer>): void => {
       req.off('data', onData).off('end', onEnd).off('close', onClose)
       res.off('finish', onClose)
-      // What remains is received and dropped.
+      // What remains is received and dropped; the listeners of the request may live as long as its connection.
+      body.drop()
       req.resume()
       resolve(result)
     }
@@ -61,7 +62,7 @@
   private readonly _held: HeldBytes
   private readonly _maxBytes: number
   /** Holds a body of a stated length. */
-  private readonly _block: Buffer | undefined
+  private _block: Buffer | undefined
   /** Joins a body without one; undefined once the budget does not cover it. */
   private _joined: ByteBuffer | undefined
   private _size = 0
@@ -89,6 +90,11 @@
     return this._block ?? this._joined?.take()
   }
 
+  /** Keeps nothing from now on. */
+  drop (): void {
+    this._block = this._joined = undefined
+  }
+
   private _tryHoldJoined (): boolean {
     if (this._size <= this._joinedHeldBytes) return true
     const bytes = this._size <= FIRST_HOLD_BYTES ? FIRST_HOLD_BYTES : Math.ceil(this._size / HOLD_STEP_BYTES) * HOLD_STEP_BYTES
--- a/src/io/process/BufferGarbage.ts
+++ b/src/io/process/BufferGarbage.ts
@@ -2,13 +2,13 @@
 import { runInNewContext } from 'node:vm'
 
 /** Bytes read or written between two checks. */
-const CHECK_BYTES = 2_097_152
+const CHECK_BYTES = 1_048_576
 
-/** Bytes of buffers beyond those in use at which garbage is collected; V8 by itself lets about 64 MB gather, a third of a small machine. */
-const MAX_GARBAGE_BYTES = 12_582_912
+/** Bytes of garbage at which young objects are collected; V8 by itself lets about 64 MB gather, a third of a small machine. */
+const MAX_GARBAGE_BYTES = 8_388_608
 
-/** Bytes of buffers beyond those in use after a collection of young objects at which all are collected. */
-const MAX_OLD_GARBAGE_BYTES = 25_165_824
+/** Bytes of garbage at which all objects are collected, because the young ones were not enough. */
+const MAX_OLD_GARBAGE_BYTES = 16_777_216
 
 type Collect = (options?: { readonly type: 'minor' }) => void
 
@@ -31,6 +31,8 @@
   private readonly _options: BufferGarbageOptions
   private readonly _collect: Collect
   private _bytes = 0
+  /** Fewest bytes of buffers without a known use since the last collection of all objects: caches and the like, which are no garbage. */
+  private _keptBytes = 0
 
   constructor (options: BufferGarbageOptions) {
     this._options = options
@@ -42,14 +44,15 @@
     this._bytes += bytes
     if (this._bytes < CHECK_BYTES) return
     this._bytes = 0
-    if (this._getGarbageBytes() < MAX_GARBAGE_BYTES) return
-    this._collect({ type: 'minor' })
-    if (this._getGarbageBytes() >= MAX_OLD_GARBAGE_BYTES) this._collect()
-  }
-
-  private _getGarbageBytes (): number {
     const { getUsedBytes, getBufferBytes = () => process.memoryUsage().arrayBuffers } = this._options
-    return getBufferBytes() - getUsedBytes()
+    const unusedBytes = Math.max(0, getBufferBytes() - getUsedBytes())
+    this._keptBytes = Math.min(this._keptBytes, unusedBytes)
+    const garbageBytes = unusedBytes - this._keptBytes
+    // V8 frees the buffers of collected objects a little later, so the effect of a collection shows at the next check.
+    if (garbageBytes >= MAX_OLD_GARBAGE_BYTES) {
+      this._collect()
+      this._keptBytes = unusedBytes
+    } else if (garbageBytes >= MAX_GARBAGE_BYTES) this._collect({ type: 'minor' })
   }
 }
 
