--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -6,7 +6,7 @@
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import { scopeId, type Workspace } from '../../core/workspace/index.js'
 import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
-import type { DecisionLog } from '../process/index.js'
+import type { BufferGarbage, DecisionLog } from '../process/index.js'
 import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 import { UNCONFIRMED_RETRY_SECONDS, type KeyAdmission } from './KeyGate.js'
@@ -14,6 +14,9 @@
 /** Headers of a response after which the connection is closed. */
 const CLOSE_HEADERS = ['Connection', 'close']
 
+/** Bytes that wait in the process for a caller who does not read on: in the writer, in the connection to the target and in its parser. */
+const UNREAD_BYTES = 131_072
+
 /** Dependencies that all exchanges of a gateway share. */
 export interface ExchangeContext {
   readonly clock: Clock
@@ -23,6 +26,8 @@
   readonly configs: ConfigHolder
   /** Bytes that all requests together hold in memory. */
   readonly memory: ByteBudget
+  /** Bounds the memory of buffers that are no longer in use. */
+  readonly garbage: BufferGarbage
   /** Checks whether the connection of a response is closed after it, because the gateway is stopping. */
   readonly closesAfter: (res: ServerResponse) => boolean
 }
@@ -81,7 +86,7 @@
     this._context = context
     this._res = res
     this._writer = new BatchWriter(res)
-    this.held = context.memory.open()
+    this.held = context.memory.open(options.req.socket.remoteAddress)
     this.call = call
     this.route = route
     this.configVersion = options.configVersion
@@ -157,7 +162,20 @@
   async write (bytes: Buffer): Promise<void> {
     this._lastSentAt = this._context.clock.now()
     this._sentBytes += bytes.length
-    return await this._writer.write(bytes)
+    this._context.garbage.add(bytes.length)
+    const written = this._writer.write(bytes)
+    if (!this._res.writableNeedDrain) return await written
+    this.held.hold(UNREAD_BYTES)
+    await written
+    this.held.free(UNREAD_BYTES)
+  }
+
+  /** Holds only what of the response has not left the process, until the response is over. */
+  holdUnsent (): void {
+    this.held.release()
+    if (this._res.closed) return
+    this.held.hold(this._res.writableLength)
+    this._res.on('close', () => { this.held.release() })
   }
 
   /** Ends a response that was sent in chunks. */
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -1,12 +1,12 @@
 import { expect } from 'earl'
 import { connect } from 'node:net'
 import { setTimeout as sleep } from 'node:timers/promises'
-import { ByteBudget } from '../../../src/core/limits/index.js'
+import { ByteBudget, getProcessLimits } from '../../../src/core/limits/index.js'
 import { ConfigHolder, RouteKind, type Route } from '../../../src/core/route/index.js'
 import {
   GatewayMetrics, GatewayServer, KeyGate, type Exchange, type PlainForwarder, type StreamForwarder
 } from '../../../src/io/gateway/index.js'
-import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
+import { BufferGarbage, DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { PlatformProtocol } from '../../../platform/PlatformProtocol.js'
 import { callPlatform } from '../../../tools/platform/PlatformCaller.js'
 import { FIXTURE_HOST } from '../../../tools/platform/PlatformFixture.js'
@@ -78,11 +78,13 @@
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true, onDropped: () => {} })
     const memory = new ByteBudget({ maxBytes: 1_000_000 })
     const metrics = new GatewayMetrics()
-    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, closesAfter: () => false }
+    const garbage = new BufferGarbage({ getUsedBytes: () => 0 })
+    const context = { clock, log, metrics, protocol: new PlatformProtocol(), configs, memory, garbage, closesAfter: () => false }
     const [plain, streams] = [{ forward } as unknown as PlainForwarder, { forward } as unknown as StreamForwarder]
     const confirmation = { isConfirmedSince: () => true, confirm: async () => {} }
     const keys = new KeyGate({ configs, clock, confirmation, getResumedAt: () => -Infinity, isStoreUnavailable: () => false })
-    server = new GatewayServer({ context, plain, streams, keys })
+    const bounds = getProcessLimits({ memoryMb: 178, heapBytes: 120_000_000, maxFds: 4_100 })
+    server = new GatewayServer({ context, plain, streams, keys, limits: bounds })
     return await server.listen('127.0.0.1:0')
   }
 })
