State the urgency of requests at model engines

Cause: engines take requests in order of X-Request-Priority and preempt the newest of the least urgent, but every request had the default. Under load a new program of a low priority delayed turns of programs in progress.

Change: PriorityBands gives each priority of a service numbers of its own; getTargetPriority orders within a band by program in progress, prospect, time to spare and attained service, raised by waiting. Sent to services with isModel only, and not with overload.target_priorities = false.

--- /dev/null
+++ b/src/core/admission/index.ts
@@ -0,0 +1,3 @@
+export * from './PriorityBands.js'
+export * from './Prospect.js'
+export * from './TargetPriority.js'
--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -32,6 +32,10 @@
     /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
     drain_ms: z.number().min(0)
   }).default({ drain_ms: 0 }),
+  overload: z.strictObject({
+    /** True if requests to model engines state their urgency, by which engines order their queues. */
+    target_priorities: z.boolean().default(true)
+  }).prefault({}),
   placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
 }).transform(raw => ({
   id: raw.id,
@@ -41,6 +45,7 @@
   store: { address: raw.store.address, rowBytes: raw.store.row_bytes, writesPerSecond: raw.store.writes_per_second },
   graceMs: raw.stop.grace_ms,
   drainMs: raw.targets.drain_ms,
+  overload: { targetPriorities: raw.overload.target_priorities },
   placement: raw.placement
 }))
 
--- a/src/core/target/StreamPace.ts
+++ b/src/core/target/StreamPace.ts
@@ -46,6 +46,12 @@
     if (this._gaps >= MIN_GAPS) this._best.record(this._gapMs)
   }
 
+  /** Gets the milliseconds between two events at the best pace of the service; 0 while it is not known. */
+  getBestGapMs (): number {
+    const bestMs = this._best.getGapMs()
+    return bestMs === Infinity ? 0 : bestMs
+  }
+
   /** Gets the factor by which streams are slower than at the best pace; 1 while either is not known. */
   getSlowdown (now: number): number {
     const bestMs = this._best.getGapMs()
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -18,6 +18,7 @@
 import type { SuspectStore } from './SuspectStore.js'
 import type { TargetFailures } from './TargetFailures.js'
 import type { TargetLimits } from './TargetLimits.js'
+import type { TargetPriorities } from './TargetPriorities.js'
 import { TargetError, type TargetClient } from './TargetClient.js'
 
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
@@ -47,6 +48,8 @@
   readonly secondAttempts: RetryBudget
   /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
   readonly random: () => number
+  /** Determines the urgency that requests state at their targets; undefined where they state none. */
+  readonly priorities?: TargetPriorities | undefined
   readonly client: TargetClient
   readonly suspects: SuspectStore
 }
@@ -284,6 +287,7 @@
     const sentAt = clock.now()
     const run: Run = { state, sentAt, wasSilent: state.isSilent(sentAt) }
     const timeoutMs = this._exchange.getRemainingMs()
+    const priority = this._getPriority(placement)
     this._dispatches++
     this._excluded.add(state.incarnation)
     this._cancelled.delete(state.incarnation)
@@ -305,6 +309,7 @@
       ...placement.inputs,
       limitPerSecond: state.limit.getPerSecond(),
       slowdown: Number(state.pace.getSlowdown(sentAt).toFixed(1)),
+      priority,
       timeoutMs: Math.round(timeoutMs)
     })
     const cached = state.prefixCache.getCachedTokens(call.promptSegments)
@@ -318,7 +323,7 @@
     const isCurrent = (): boolean => clock.now() - sentAt <= MAX_SEND_DELAY_MS
     const progress = this._track(placement, sentAt, abort)
     try {
-      const dispatch = { target: state.target, timeoutMs, lastEventId }
+      const dispatch = { target: state.target, timeoutMs, lastEventId, ...(priority !== undefined && { priority }) }
       const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
       const recordReceived = (): void => { state.recordHeard(clock.now(), response.connection) }
       // Another target may have the address.
@@ -363,6 +368,12 @@
     }
   }
 
+  /** Gets the urgency that the request states at its target; undefined if it states none. */
+  private _getPriority ({ state, prefillMs }: Placement): number | undefined {
+    const isInProgress = hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
+    return this._context.priorities?.get({ exchange: this._exchange, state, prefillMs, isInProgress })
+  }
+
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
   private _track (placement: Placement, sentAt: number, abort: AttemptAbort): Pick<Attempt, 'recordFirstChunk' | 'finish'> {
     const { clock } = this._context
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -38,6 +38,7 @@
 import { TargetClient } from './TargetClient.js'
 import { TargetFailures } from './TargetFailures.js'
 import { TargetLimits } from './TargetLimits.js'
+import { TargetPriorities } from './TargetPriorities.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
 import { VersionGate } from './VersionGate.js'
 import { RETIRE_CHECK_MS, VersionStore } from './VersionStore.js'
@@ -244,6 +245,7 @@
       failures,
       secondAttempts: new RetryBudget(),
       random,
+      priorities: settings.overload.targetPriorities ? new TargetPriorities({ configs: this._configs, clock }) : undefined,
       suspects,
       client: new TargetClient(protocol)
     }
@@ -338,7 +340,7 @@
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log } = this._options
     this._graceMs = settings.graceMs
-    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs'] as const
+    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs', 'overload'] as const
     const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(startSettings[key]))
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
