Let requests wait at the gateway while their targets refuse them

Change: AdmissionGate, asked by Attempts before each placement. A request waits only after refusals of full targets; places that its gateway's own requests leave are filled at once, others are probed within a share of acceptances. Full targets are asked again after a wait. New programs are refused where the measured delay exceeds what their callers wait for. Setting overload.admission, metrics, log lines at changes of state.

--- a/src/core/admission/ServiceLoad.ts
+++ b/src/core/admission/ServiceLoad.ts
@@ -24,8 +24,11 @@
 /** Milliseconds for which a target that has refused a request counts as full; doubled with each further refusal. */
 export const FULL_MS = 50
 
-/** Longest time in milliseconds for which a target counts as full; a program of a few turns takes a place for about as long. */
-export const MAX_FULL_MS = 800
+/** Longest time in milliseconds for which a target counts as full; with 800, places that other gateways had freed stayed empty. */
+export const MAX_FULL_MS = 200
+
+/** Milliseconds for which a place that a request has left counts as free. */
+const FREED_TTL_MS = 100
 
 /** Milliseconds of missing capacity after which acceptances predict it; those before only show how many requests there were. */
 const LEARN_MS = 300
@@ -33,8 +36,8 @@
 /** Milliseconds without evidence after which what was learned of the capacity no longer counts. */
 const FORGET_MS = 5_000
 
-/** Smallest capacity in requests a second that is predicted, so that waits stay finite. */
-const MIN_PER_SECOND = 0.5
+/** Acceptances that are added to those seen, so that few requests are refused while little is known, and waits stay finite. */
+const ASSUMED_ACCEPTANCES = 2
 
 /** Targets above which those that are no longer full are forgotten. */
 const TARGETS_BEFORE_SWEEP = 500
@@ -64,6 +67,9 @@
   private readonly _accepted = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private readonly _refused = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private _capacity = new DecayedCount(CAPACITY_HALF_LIFE_MS)
+  /** Places at targets that requests of this gateway have left and that no waiting request has taken since. */
+  private _freed = 0
+  private _freedAt = -Infinity
   private _shortSince = -Infinity
   private _refusedAt = -Infinity
   private readonly _pending = new Set<AdmittedRequest>()
@@ -80,9 +86,15 @@
     return !this.isShort(now) || this._refused.get(now) < this._getRisk(now)
   }
 
-  /** Checks whether a request that has waited may be sent now; no more are sent at once than refusals are risked. */
+  /**
+   * Checks whether a request that has waited may be sent now.
+   *
+   * A request that has ended leaves a place, which needs no risk; beyond that, no more are sent at once than refusals are risked.
+   */
   canRelease (now: number): boolean {
-    return this.isOpen(now) && (!this.isShort(now) || this._refused.get(now) + this._pending.size < this._getRisk(now))
+    if (this._getFreed(now) > 0 || !this.isShort(now)) return true
+    this._acceptOverdue(now)
+    return this._refused.get(now) + this._pending.size < this._getRisk(now)
   }
 
   /** Checks whether a target has lately refused a request as full, and has since neither accepted nor completed one. */
@@ -90,17 +102,18 @@
     return (this._full.get(target)?.until ?? -Infinity) > now
   }
 
-  /** Gets the requests a second that the targets accept from this gateway, from 0.5 on; Infinity while that is not known. */
+  /** Gets the requests a second that the targets accept from this gateway, above 0; Infinity while that is not known. */
   getPerSecond (now: number): number {
     const shortMs = now - this._shortSince
     if (!this.isShort(now) || shortMs < LEARN_MS) return Infinity
     // Until the half-life has passed, the count is low for the time that it covers.
     const coverage = 1 - 0.5 ** (shortMs / CAPACITY_HALF_LIFE_MS)
-    return Math.max(MIN_PER_SECOND, this._capacity.getPerSecond(now) / coverage)
+    return (this._capacity.get(now) + ASSUMED_ACCEPTANCES) * Math.LN2 * 1_000 / CAPACITY_HALF_LIFE_MS / coverage
   }
 
-  /** Records that a request may be sent. */
+  /** Records that a request may be sent; it takes a place that another has left, if there is one. */
   admit (now: number): AdmittedRequest {
+    this._freed = Math.max(0, this._getFreed(now) - 1)
     const req = { at: now }
     this._pending.add(req)
     return req
@@ -142,10 +155,17 @@
     this._pending.delete(req)
   }
 
-  /** Records that a request has ended at a target, which has a place again. */
+  /** Records that a request has ended at a target that had accepted it, and that has a place again. */
   recordCompleted (target: string, now: number): void {
     const full = this._full.get(target)
     if (full !== undefined) full.until = now
+    this._freed = this.isShort(now) ? this._getFreed(now) + 1 : 0
+    this._freedAt = now
+  }
+
+  /** Gets the places that requests have left; another gateway takes them if this one does not soon. */
+  private _getFreed (now: number): number {
+    return now - this._freedAt <= FREED_TTL_MS ? this._freed : 0
   }
 
   private _sweep (now: number): void {
--- a/src/core/admission/index.ts
+++ b/src/core/admission/index.ts
@@ -1,5 +1,6 @@
 export * from './AdmissionQueue.js'
 export * from './DecayedCount.js'
+export * from './DelayAdmission.js'
 export * from './PriorityBands.js'
 export * from './Prospect.js'
 export * from './ServiceAdmission.js'
--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -34,7 +34,9 @@
   }).default({ drain_ms: 0 }),
   overload: z.strictObject({
     /** True if requests to model engines state their urgency, by which engines order their queues. */
-    target_priorities: z.boolean().default(true)
+    target_priorities: z.boolean().default(true),
+    /** True if requests wait at the gateway, in order of urgency, while targets refuse requests for lack of capacity. */
+    admission: z.boolean().default(true)
   }).prefault({}),
   placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
 }).transform(raw => ({
@@ -45,7 +47,7 @@
   store: { address: raw.store.address, rowBytes: raw.store.row_bytes, writesPerSecond: raw.store.writes_per_second },
   graceMs: raw.stop.grace_ms,
   drainMs: raw.targets.drain_ms,
-  overload: { targetPriorities: raw.overload.target_priorities },
+  overload: { targetPriorities: raw.overload.target_priorities, admission: raw.overload.admission },
   placement: raw.placement
 }))
 
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,5 +1,6 @@
+import { FULL_MS, getDelayWaitMs, type AdmittedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry, getResponseLimitMs, type RetryDecision } from '../../core/forward/index.js'
+import { decideRetry, getResponseLimitMs, type ResponseHead, type RetryDecision } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { getMaxPermitWaitMs, getRetrySeconds, type RetryBudget } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
@@ -7,6 +8,7 @@
 import type { SentRun, Trial } from '../../core/suspect/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
+import type { AdmissionEntry, AdmissionGate } from './AdmissionGate.js'
 import { AttemptAbort } from './AttemptAbort.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -34,6 +36,9 @@
  */
 const MAX_SEND_DELAY_MS = 400
 
+/** Milliseconds for which a request waits at least after as many full targets as may be asked one after the other have refused it. */
+const MIN_WAIT_MS = 2 * FULL_MS
+
 /** Dependencies that the attempts of all requests share. */
 export interface AttemptContext {
   readonly clock: Clock
@@ -48,6 +53,8 @@
   readonly secondAttempts: RetryBudget
   /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
   readonly random: () => number
+  /** Lets requests wait while targets refuse them; undefined where none waits. */
+  readonly admission?: AdmissionGate | undefined
   /** Determines the urgency that requests state at their targets; undefined where they state none. */
   readonly priorities?: TargetPriorities | undefined
   readonly client: TargetClient
@@ -123,6 +130,14 @@
   /** Dispatches of {@link askOther} that did not run; they leave as many for a failure of the present target. */
   private _notRunAsks = 0
   private _runs = 0
+  /** Refusals of targets that were full. */
+  private _fullRefusals = 0
+  /** Time before which the request is not sent, because as many targets have refused it as may be asked one after the other. */
+  private _notBefore = -Infinity
+  /** The request while it waits for a target to accept it; undefined before its first attempt and once one has accepted it. */
+  private _entry: AdmissionEntry | undefined
+  /** Admission of the next attempt; undefined before it was asked for. */
+  private _admission: AdmittedRequest | undefined
   /** Set when the request has crashed several targets and this gateway may try it. */
   private _trial: Trial | undefined
 
@@ -144,9 +159,12 @@
         return undefined
       }
       await this._options.awaitTargets?.(stream)
-      const placed = await this._place(stream, this._runs)
+      const isAdmitted = await this._awaitAdmission(stream)
+      if (callerDisconnected.aborted || !isAdmitted) return undefined
+      const placed = this._checkDelay(await this._place(stream, this._runs))
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
+        this._returnAdmission()
         this._refuseUnplaced(placed, stream)
         return undefined
       }
@@ -225,11 +243,15 @@
   /** Chooses the next target, where `runs` targets may have run the request without being cancelled. */
   private async _place (stream: BegunStream | undefined, runs: number): Promise<LimitedPlacement> {
     const { call, route } = this._exchange
+    const { placer, admission } = this._context
     const isInProgress = this._options.isInProgress ?? false
+    const excluded = this._getExcluded(stream, runs)
+    const candidates = admission === undefined ? [] : placer.getCandidates(call, route, stream, excluded)
+    const full = admission?.getFull(candidates[0]?.target.service ?? '', candidates.map(state => state.incarnation)) ?? []
     return await this._context.limitedPlacer.place({
       call,
       route,
-      excluded: this._getExcluded(stream, runs),
+      excluded: full.length === 0 ? excluded : new Set([...excluded, ...full]),
       warmTarget: this._options.warmTarget,
       stream,
       maxWaitMs: getMaxPermitWait(this._exchange, isInProgress),
@@ -237,6 +259,51 @@
     })
   }
 
+  /** Waits until the request may be sent; returns false if it was refused or its caller has disconnected. */
+  private async _awaitAdmission (stream: BegunStream | undefined): Promise<boolean> {
+    const { admission: gate, placer, random } = this._context
+    const { call, route } = this._exchange
+    if (gate === undefined) return true
+    const getStates = (): TargetState[] => placer.getCandidates(call, route, stream, this._getExcluded(stream, this._runs))
+    const service = getStates()[0]?.target.service
+    if (service === undefined) return true
+    const isInProgress = this._options.isInProgress ?? false
+    this._entry ??= gate.open({
+      exchange: this._exchange,
+      service,
+      isInProgress: hasEarlierWork(this._exchange, isInProgress),
+      maxWaitMs: getMaxPermitWait(this._exchange, isInProgress)
+    })
+    const result = await gate.enter(this._entry, () => getStates().map(state => state.incarnation), this._notBefore)
+    if (result.type === 'admitted') this._admission = result.admission
+    else if (result.type === 'refused') this._refuse(this._runs > 0 ? 'attempts-failed' : 'overloaded', getRetrySeconds(result.waitMs, random))
+    return result.type === 'admitted'
+  }
+
+  /** Returns the admission of an attempt for which there is no target. */
+  private _returnAdmission (): void {
+    const { admission: gate } = this._context
+    if (this._entry !== undefined && this._admission !== undefined) gate?.recordUnknown(this._entry.service, this._admission)
+    this._admission = undefined
+  }
+
+  /** Refuses a placement of a new program that the caller would not wait for, by the measured delay of the best target. */
+  private _checkDelay (placed: LimitedPlacement): LimitedPlacement {
+    const { admission, clock } = this._context
+    if (placed.type !== 'placed' || admission === undefined) return placed
+    const { route } = this._exchange
+    const { state, predictedMs } = placed.placement
+    const responseMs = route.kind === RouteKind.Streaming ? getCallerWaitMs(route) : Infinity
+    const waitMs = getDelayWaitMs({
+      isInProgress: hasEarlierWork(this._exchange, this._options.isInProgress ?? false),
+      predictedMs,
+      excessMs: state.getExcessMs(clock.now()),
+      objectiveMs: route.objectiveMs,
+      remainingMs: Math.min(this._exchange.getRemainingMs(), responseMs)
+    })
+    return waitMs === undefined ? placed : { type: 'overloaded', waitMs }
+  }
+
   /** Gets the targets that may not be chosen: those tried before, and all that are new to the request when its attempts are used up. */
   private _getExcluded (stream: BegunStream | undefined, runs: number): ReadonlySet<string> {
     const { call, route } = this._exchange
@@ -256,7 +323,8 @@
     const handover = new StreamHandover({
       limitMs: getResponseLimitMs(route.objectiveMs, this._exchange.getRemainingMs()),
       askOther: async signal => {
-        if (!hasAsked && !secondAttempts.tryConsume()) return undefined
+        // A second request would take a place that others wait for.
+        if (!hasAsked && (this._isShort(placement.state) || !secondAttempts.tryConsume())) return undefined
         hasAsked = true
         return await this.askOther(req, signal)
       },
@@ -287,6 +355,11 @@
     const sentAt = clock.now()
     const run: Run = { state, sentAt, wasSilent: state.isSilent(sentAt) }
     const timeoutMs = this._exchange.getRemainingMs()
+    const gate = this._context.admission
+    const { service } = state.target
+    const admission = this._admission ?? gate?.admit(service)
+    const waitedMs = this._entry === undefined ? 0 : Math.round(sentAt - this._entry.since)
+    this._admission = undefined
     const priority = this._getPriority(placement)
     this._dispatches++
     this._excluded.add(state.incarnation)
@@ -310,6 +383,7 @@
       limitPerSecond: state.limit.getPerSecond(),
       slowdown: Number(state.pace.getSlowdown(sentAt).toFixed(1)),
       priority,
+      waitedMs: waitedMs > 0 ? waitedMs : undefined,
       timeoutMs: Math.round(timeoutMs)
     })
     const cached = state.prefixCache.getCachedTokens(call.promptSegments)
@@ -344,12 +418,20 @@
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
+        if (admission !== undefined) this._recordFull(state, response.head, admission)
         this._recordNotRun(state, `status ${response.head.status}`, false, isOther)
         return undefined
       }
-      return { ...run, response, recordReceived, ...progress }
+      if (admission !== undefined) gate?.recordAccepted(service, admission, state.incarnation)
+      if (!isOther) this._entry = undefined
+      const finish = (): void => {
+        progress.finish()
+        gate?.recordCompleted(service, state.incarnation)
+      }
+      return { ...run, response, recordReceived, ...progress, finish }
     } catch (err) {
       progress.finish()
+      if (admission !== undefined) gate?.recordUnknown(service, admission)
       if (!(err instanceof TargetError)) throw err
       if (!err.isNotRun && signal.aborted) {
         this._recordAbandoned(run, err.message)
@@ -396,6 +478,25 @@
     }
   }
 
+  /** Records that a target did not run the request; one that was full may be asked again. */
+  private _recordFull (state: TargetState, head: ResponseHead, admission: AdmittedRequest): void {
+    const gate = this._context.admission
+    const { service } = state.target
+    // Others refuse because they leave, limit their rate or are another instance.
+    const isLimited = head.requestsPerSecond !== undefined || state.limit.getPerSecond() !== undefined
+    if (head.isMisdirected || head.isLeaving || isLimited) {
+      gate?.recordUnknown(service, admission)
+      return
+    }
+    gate?.recordRefused(service, admission, state.incarnation, this._fullRefusals > 0)
+    this._fullRefusals++
+    this._excluded.delete(state.incarnation)
+  }
+
+  private _isShort ({ target }: TargetState): boolean {
+    return this._context.admission?.isShort(target.service) === true
+  }
+
   private _recordNotRun (state: TargetState, cause: string, isUnreachable: boolean, isOther: boolean): void {
     if (isUnreachable) this._context.failures.recordFailure(state, true)
     if (isOther) {
@@ -478,6 +579,11 @@
   private _canRetry (): boolean {
     const decision = this._decideRetry(this._runs)
     if (decision.type === 'retry') return true
+    if (decision.reason === 'retries-exhausted' && this._fullRefusals > 0) {
+      this._notRunAsks = this._dispatches
+      this._notBefore = this._context.clock.now() + MIN_WAIT_MS
+      return true
+    }
     this._refuse(decision.reason)
     return false
   }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -21,6 +21,7 @@
   RelayedStore, TurnPeers
 } from '../peer/index.js'
 import type { DecisionLog } from '../process/index.js'
+import { AdmissionGate } from './AdmissionGate.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -245,6 +246,7 @@
       failures,
       secondAttempts: new RetryBudget(),
       random,
+      admission: settings.overload.admission ? new AdmissionGate({ clock, log, metrics }) : undefined,
       priorities: settings.overload.targetPriorities ? new TargetPriorities({ configs: this._configs, clock }) : undefined,
       suspects,
       client: new TargetClient(protocol)
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -18,6 +18,7 @@
   readonly leavingNotices = this._counter('wisteria_leaving_notices_total', 'Targets that stated that they are leaving, by whether a response or a peer said so first.', ['source'])
   readonly failureNotices = this._counter('wisteria_failure_notices_total', 'Targets that count as doubtful because several gateways saw failures.', [])
   readonly secondAttempts = this._counter('wisteria_second_attempts_total', 'Requests sent to a second target while the first had not responded, by which one did, or that none was free.', ['outcome'])
+  readonly admissions = this._counter('wisteria_admissions_total', 'Requests that waited for capacity of their service, by result.', ['result'])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly originLookups = this._counter('wisteria_origin_lookups_total', 'Streams whose callers sent another try, by where their origin was found.', ['source'])
   readonly streamSilences = this._counter('wisteria_stream_silences_total', 'Streams whose target sent no event for half of the time that callers wait, by whether another target took the stream over.', ['outcome'])
@@ -27,6 +28,7 @@
   readonly badRows = this._counter('wisteria_bad_rows_total', 'Rows of the store that could not be decoded, by table.', ['table'])
   readonly configVersion = this._gauge('wisteria_config_version', 'Version of the configuration in force.')
   readonly targets = this._gauge('wisteria_targets', 'Targets known.')
+  readonly waiting = this._gauge('wisteria_requests_waiting', 'Requests that wait for capacity of a service.', ['service'])
   readonly inProgress = this._gauge('wisteria_requests_in_progress', 'Requests in progress.')
   private readonly _request = this._histogram('wisteria_request_seconds', 'Time from arrival to the end of the answer.', ['kind'])
   private readonly _firstByte = this._histogram('wisteria_first_byte_seconds', 'Time from arrival to the first byte of an answer in pieces.', ['kind'])
@@ -80,8 +82,8 @@
     return new Counter({ name, help, labelNames, registers: [this.registry] })
   }
 
-  private _gauge (name: string, help: string): Gauge {
-    return new Gauge({ name, help, registers: [this.registry] })
+  private _gauge (name: string, help: string, labelNames: string[] = []): Gauge {
+    return new Gauge({ name, help, labelNames, registers: [this.registry] })
   }
 
   private _histogram (name: string, help: string, labelNames: string[]): Histogram {
