--- a/src/core/admission/DecayedCount.ts
+++ b/src/core/admission/DecayedCount.ts
@@ -19,4 +19,9 @@
     this._count = Math.max(0, Math.min(max, this.get(now) + events))
     this._countedAt = now
   }
+
+  /** Gets the events a second that lead to the present count if they go on evenly. */
+  getPerSecond (now: number): number {
+    return this.get(now) * Math.LN2 * 1_000 / this._halfLifeMs
+  }
 }
