--- a/src/core/admission/ServiceLoad.ts
+++ b/src/core/admission/ServiceLoad.ts
@@ -24,7 +24,7 @@
 /** Milliseconds for which a target that has refused a request counts as full; doubled with each further refusal. */
 export const FULL_MS = 50
 
-/** Longest time in milliseconds for which a target counts as full; with 800, places that other gateways had freed stayed empty. */
+/** Longest time in milliseconds for which a target counts as full; the requests of other gateways leave places without notice. */
 export const MAX_FULL_MS = 200
 
 /** Milliseconds for which a place that a request has left counts as free. */
--- a/src/io/gateway/AdmissionGate.ts
+++ b/src/io/gateway/AdmissionGate.ts
@@ -1,4 +1,4 @@
-import { getProspect, Prospect, ServiceAdmission, type AdmittedRequest, type TargetedRequest } from '../../core/admission/index.js'
+import { getProspect, Prospect, RetryPermits, ServiceAdmission, type AdmittedRequest, type TargetedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { Exchange } from './Exchange.js'
@@ -51,6 +51,7 @@
 /** One service, and the period of missing capacity that it is in. */
 interface GatedService {
   readonly admission: ServiceAdmission<Waiting>
+  readonly retries: RetryPermits
   timer: NodeJS.Timeout | undefined
   since: number | undefined
   waited: number
@@ -150,7 +151,10 @@
 
   /** Records that a target has accepted a request. */
   recordAccepted (service: string, admission: AdmittedRequest, target: string): void {
-    this._get(service).admission.load.recordAccepted(admission, target, this._options.clock.now())
+    const now = this._options.clock.now()
+    const { admission: { load }, retries } = this._get(service)
+    load.recordAccepted(admission, target, now)
+    retries.recordAccepted(now)
   }
 
   /** Records that a target has refused a request because it is full; `isFurther` if a target had refused the request before. */
@@ -170,10 +174,23 @@
     if (gated.admission.getWaiting() > 0) this._step(service, gated)
   }
 
+  /** Uses up a retry for a further attempt; returns the milliseconds for which it has to wait, or undefined if they exceed `maxWaitMs`. */
+  requestRetry (service: string, maxWaitMs: number): number | undefined {
+    const waitMs = this._get(service).retries.request(this._options.clock.now(), maxWaitMs)
+    this._options.metrics.retryPermits.inc({ result: waitMs === undefined ? 'refused' : waitMs > 0 ? 'waited' : 'granted' })
+    return waitMs
+  }
+
+  /** Uses up a retry for the return of a caller that is refused; returns the milliseconds after which it should return. */
+  scheduleReturn (service: string, waitMs: number, isInProgress: boolean): number {
+    return this._get(service).retries.scheduleReturn(this._options.clock.now(), waitMs, isInProgress)
+  }
+
   private _get (name: string): GatedService {
     let service = this._services.get(name)
     if (service === undefined) {
-      service = { admission: new ServiceAdmission(this._options.clock), timer: undefined, since: undefined, waited: 0, refused: 0 }
+      const admission = new ServiceAdmission<Waiting>(this._options.clock)
+      service = { admission, retries: new RetryPermits(), timer: undefined, since: undefined, waited: 0, refused: 0 }
       this._services.set(name, service)
     }
     return service
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,3 +1,4 @@
+import { setTimeout as sleep } from 'node:timers/promises'
 import { FULL_MS, getDelayWaitMs, type AdmittedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
 import { decideRetry, getResponseLimitMs, type ResponseHead, type RetryDecision } from '../../core/forward/index.js'
@@ -39,6 +40,9 @@
 /** Milliseconds for which a request waits at least after as many full targets as may be asked one after the other have refused it. */
 const MIN_WAIT_MS = 2 * FULL_MS
 
+/** Longest time in milliseconds for which a further attempt waits for the retry budget; a stream is continued within its callers' wait. */
+const MAX_RETRY_WAIT_MS = 500
+
 /** Dependencies that the attempts of all requests share. */
 export interface AttemptContext {
   readonly clock: Clock
@@ -134,6 +138,10 @@
   private _fullRefusals = 0
   /** Time before which the request is not sent, because as many targets have refused it as may be asked one after the other. */
   private _notBefore = -Infinity
+  /** Service of the latest attempt that may have run, until a further one uses up a retry for it. */
+  private _failedService: string | undefined
+  /** Milliseconds for which the next attempt waits for the retry budget. */
+  private _retryWaitMs = 0
   /** The request while it waits for a target to accept it; undefined before its first attempt and once one has accepted it. */
   private _entry: AdmissionEntry | undefined
   /** Admission of the next attempt; undefined before it was asked for. */
@@ -159,6 +167,8 @@
         return undefined
       }
       await this._options.awaitTargets?.(stream)
+      if (this._retryWaitMs > 0) await sleep(this._retryWaitMs)
+      this._retryWaitMs = 0
       const isAdmitted = await this._awaitAdmission(stream)
       if (callerDisconnected.aborted || !isAdmitted) return undefined
       const placed = this._checkDelay(await this._place(stream, this._runs))
@@ -261,7 +271,7 @@
 
   /** Waits until the request may be sent; returns false if it was refused or its caller has disconnected. */
   private async _awaitAdmission (stream: BegunStream | undefined): Promise<boolean> {
-    const { admission: gate, placer, random } = this._context
+    const { admission: gate, placer } = this._context
     const { call, route } = this._exchange
     if (gate === undefined) return true
     const getStates = (): TargetState[] => placer.getCandidates(call, route, stream, this._getExcluded(stream, this._runs))
@@ -276,7 +286,7 @@
     })
     const result = await gate.enter(this._entry, () => getStates().map(state => state.incarnation), this._notBefore)
     if (result.type === 'admitted') this._admission = result.admission
-    else if (result.type === 'refused') this._refuse(this._runs > 0 ? 'attempts-failed' : 'overloaded', getRetrySeconds(result.waitMs, random))
+    else if (result.type === 'refused') this._refuse(this._runs > 0 ? 'attempts-failed' : 'overloaded', this._getReturnSeconds(result.waitMs))
     return result.type === 'admitted'
   }
 
@@ -323,8 +333,7 @@
     const handover = new StreamHandover({
       limitMs: getResponseLimitMs(route.objectiveMs, this._exchange.getRemainingMs()),
       askOther: async signal => {
-        // A second request would take a place that others wait for.
-        if (!hasAsked && (this._isShort(placement.state) || !secondAttempts.tryConsume())) return undefined
+        if (!hasAsked && (!this._mayAskSecond(placement.state) || !secondAttempts.tryConsume())) return undefined
         hasAsked = true
         return await this.askOther(req, signal)
       },
@@ -493,8 +502,27 @@
     this._excluded.delete(state.incarnation)
   }
 
-  private _isShort ({ target }: TargetState): boolean {
-    return this._context.admission?.isShort(target.service) === true
+  /** Checks whether a second target may be asked: not where others wait for the place, nor beyond the retry budget. */
+  private _mayAskSecond ({ target: { service } }: TargetState): boolean {
+    const { admission: gate } = this._context
+    return gate === undefined || (!gate.isShort(service) && gate.requestRetry(service, 0) !== undefined)
+  }
+
+  /** Gets the seconds after which a refused caller should return, by predicted capacity and the retry budget. */
+  private _getReturnSeconds (waitMs: number): number {
+    const { admission: gate, random } = this._context
+    const { route } = this._exchange
+    const service = this._entry?.service ?? route.backends[0]?.service
+    const isInProgress = hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
+    return getRetrySeconds(gate === undefined || service === undefined ? waitMs : gate.scheduleReturn(service, waitMs, isInProgress), random)
+  }
+
+  /** Uses up a retry for an attempt after one that may have run: beyond the budget it is delayed, as a refusal ends its program. */
+  private _useRetry (): void {
+    const { admission: gate } = this._context
+    if (gate === undefined || this._failedService === undefined) return
+    this._retryWaitMs = gate.requestRetry(this._failedService, MAX_RETRY_WAIT_MS) ?? MAX_RETRY_WAIT_MS
+    this._failedService = undefined
   }
 
   private _recordNotRun (state: TargetState, cause: string, isUnreachable: boolean, isOther: boolean): void {
@@ -516,6 +544,7 @@
 
   private _recordRun (state: TargetState, cause: string, isFailure = true): void {
     this._runs++
+    this._failedService = state.target.service
     if (isFailure) this._context.failures.recordFailure(state, false)
     this._recordRetry(state, 'answer-broken', cause)
   }
@@ -578,7 +607,10 @@
   /** Checks whether another target may be tried; refuses the request if not. */
   private _canRetry (): boolean {
     const decision = this._decideRetry(this._runs)
-    if (decision.type === 'retry') return true
+    if (decision.type === 'retry') {
+      this._useRetry()
+      return true
+    }
     if (decision.reason === 'retries-exhausted' && this._fullRefusals > 0) {
       this._notRunAsks = this._dispatches
       this._notBefore = this._context.clock.now() + MIN_WAIT_MS
@@ -602,11 +634,11 @@
   private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>, stream: BegunStream | undefined): void {
     if (this._runs > 0) this._refuse('attempts-failed')
     else if (placed.type === 'limited') this._refuse('targets-limited', getRetrySeconds(placed.waitMs, this._context.random))
-    else if (placed.type === 'overloaded') this._refuse('overloaded', getRetrySeconds(placed.waitMs, this._context.random))
-    else if (this._dispatches > 0) this._refuse('retries-exhausted')
+    else if (placed.type === 'overloaded') this._refuse('overloaded', this._getReturnSeconds(placed.waitMs))
+    else if (this._dispatches > 0) this._refuse('retries-exhausted', this._getReturnSeconds(0))
     else if (this._isWithheld(stream)) this._refuse(stream === undefined ? 'no-target' : 'origin-unreadable')
     else if (stream !== undefined) this._refuse('version-gone', null)
-    else this._refuse('no-target')
+    else this._refuse('no-target', this._getReturnSeconds(0))
   }
 
   private _isWithheld (stream: BegunStream | undefined): boolean {
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -19,6 +19,7 @@
   readonly failureNotices = this._counter('wisteria_failure_notices_total', 'Targets that count as doubtful because several gateways saw failures.', [])
   readonly secondAttempts = this._counter('wisteria_second_attempts_total', 'Requests sent to a second target while the first had not responded, by which one did, or that none was free.', ['outcome'])
   readonly admissions = this._counter('wisteria_admissions_total', 'Requests that waited for capacity of their service, by result.', ['result'])
+  readonly retryPermits = this._counter('wisteria_retry_permits_total', 'Further attempts that asked the retry budget of their service, by result.', ['result'])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly originLookups = this._counter('wisteria_origin_lookups_total', 'Streams whose callers sent another try, by where their origin was found.', ['source'])
   readonly streamSilences = this._counter('wisteria_stream_silences_total', 'Streams whose target sent no event for half of the time that callers wait, by whether another target took the stream over.', ['outcome'])
