--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -517,7 +517,7 @@
     return getRetrySeconds(gate === undefined || service === undefined ? waitMs : gate.scheduleReturn(service, waitMs, isInProgress), random)
   }
 
-  /** Uses up a retry for an attempt after one that may have run: beyond the budget it is delayed, as a refusal ends its program. */
+  /** Uses up a retry for an attempt after one that may have run: beyond the budget it is delayed, as a refusal ends programs. */
   private _useRetry (): void {
     const { admission: gate } = this._context
     if (gate === undefined || this._failedService === undefined) return
--- a/tests/core/admission/AdmissionReplay.ts
+++ b/tests/core/admission/AdmissionReplay.ts
@@ -30,29 +30,34 @@
   readonly places: number
   /** Milliseconds for which a request takes a place. */
   readonly serviceMs: number
+  /** Gateways that get the requests by turns; 1 unless set. */
+  readonly gateways?: number
 }
 
 interface Running extends TargetedRequest {
   readonly source: ReplayedRequest
+  readonly service: ServiceAdmission<Running>
   sends: number
 }
 
-/** Replays a load at one gateway against targets that refuse requests beyond their places, on a virtual clock. */
+/** Replays a load at gateways against targets that refuse requests beyond their places, on a virtual clock. */
 export function replay (load: readonly ReplayedRequest[], options: ReplayOptions): ReplayedResult[] {
-  const { targets, isUp = () => true, places, serviceMs } = options
+  const { targets, isUp = () => true, places, serviceMs, gateways = 1 } = options
   const clock = new ManualClock()
-  const service = new ServiceAdmission<Running>(clock)
+  const services = Array.from({ length: gateways }, () => new ServiceAdmission<Running>(clock))
   const results: ReplayedResult[] = []
-  const busy = new Map<string, number[]>(targets.map(target => [target, []]))
+  const busy = new Map(targets.map(target => [target, [] as Array<{ end: number, service: ServiceAdmission<Running> }>]))
   let turn = 0
+  let arrived = 0
 
   const send = (req: Running, admission: AdmittedRequest): void => {
     const now = clock.now()
+    const { service } = req
     const open = targets.filter(target => !service.load.isFull(target, now))
     const target = (open.length > 0 ? open : targets)[turn++ % Math.max(1, open.length)]!
     req.sends++
     if (isUp(target, now) && busy.get(target)!.length < places) {
-      busy.get(target)!.push(now + serviceMs)
+      busy.get(target)!.push({ end: now + serviceMs, service })
       results.push({ ...req.source, type: 'served', waitedMs: now - req.since, sends: req.sends })
       return
     }
@@ -60,8 +65,8 @@
     enter(req)
   }
   const enter = (req: Running): void => {
-    if (service.isFree(targets)) send(req, service.load.admit(clock.now()))
-    else service.add(req)
+    if (req.service.isFree(targets)) send(req, req.service.load.admit(clock.now()))
+    else req.service.add(req)
   }
 
   const arrivals = [...load].sort((a, b) => a.at - b.at)
@@ -69,21 +74,23 @@
   for (let now = 0; now <= end; now += STEP_MS) {
     clock.advanceTo(now)
     for (const [target, ends] of busy) {
-      const left = ends.filter(at => at > now)
-      if (left.length < ends.length) service.load.recordCompleted(target, now)
-      busy.set(target, left)
+      for (const { end, service } of ends) if (end <= now) service.load.recordCompleted(target, now)
+      busy.set(target, ends.filter(({ end }) => end > now))
     }
     while (arrivals.length > 0 && arrivals[0]!.at <= now) {
       const source = arrivals.shift()!
       const { priority = 0, isInProgress = false, workspace, maxWaitMs = 1_000 } = source
+      const service = services[arrived++ % gateways]!
       const isWithinShare = service.recordDemand(workspace)
       const wait = { since: now, until: now + maxWaitMs, getTargets: () => targets }
-      enter({ source, priority, isInProgress, isWithinShare, isWorthwhile: true, ...wait, sends: 0 })
+      enter({ source, service, priority, isInProgress, isWithinShare, isWorthwhile: true, ...wait, sends: 0 })
     }
-    const { admitted, refused } = service.step()
-    for (const { req, admission } of admitted) send(req, admission)
-    for (const { req: { source, since, sends }, waitMs } of refused) {
-      results.push({ ...source, type: 'refused', waitedMs: now - since, sends, retryMs: waitMs })
+    for (const service of services) {
+      const { admitted, refused } = service.step()
+      for (const { req, admission } of admitted) send(req, admission)
+      for (const { req: { source, since, sends }, waitMs } of refused) {
+        results.push({ ...source, type: 'refused', waitedMs: now - since, sends, retryMs: waitMs })
+      }
     }
   }
   return results
