Take places that own requests left, and leave a share of them to other gateways

Cause: at 23 gateways before 34 targets, probing within a share of the acceptances let gateways with many places gain more (50 to 530 served each), and a twelfth to a fifth of priority 0 in progress was refused at 4 times the capacity.

Change: a place is known with its target, and the next waiting request is sent there; one in four is left to others for 20 ms; probes are the same few a second for each gateway.

--- a/src/core/admission/ServiceAdmission.ts
+++ b/src/core/admission/ServiceAdmission.ts
@@ -64,7 +64,7 @@
     while (this._queue.getSize() > 0 && this.load.canRelease(now)) {
       const req = this._queue.take(now, ({ getTargets, until }) => now < until && this._hasPlace(getTargets()))
       if (req === undefined) break
-      admitted.push({ req, admission: this.load.admit(now) })
+      admitted.push({ req, admission: this.load.release(now) })
     }
     return { admitted, refused: this._queue.takeRefused(now, this.load.getPerSecond(now)) }
   }
--- a/src/core/admission/ServiceLoad.ts
+++ b/src/core/admission/ServiceLoad.ts
@@ -12,6 +12,15 @@
 /** Refusals that are risked whatever was accepted: while all targets refuse, one or two a second show when one is free. */
 const FREE_REFUSALS = 2
 
+/** Refusals of requests that have waited which are risked in about a second, the same for each gateway whatever it has accepted. */
+const MAX_FAILED_PROBES = 8
+
+/** One in so many places that own requests leave is first left to other gateways, or those with the most places would keep them. */
+const LEFT_PLACE_INTERVAL = 4
+
+/** Milliseconds for which such a place is left to others. */
+const LEFT_PLACE_MS = 20
+
 /** Refusals by which the count may exceed what is risked, so that a burst of refusals does not keep requests waiting for long. */
 const MAX_EXCESS = 1
 
@@ -45,6 +54,17 @@
 /** A request that was admitted to a service and whose outcome is not known yet. */
 export interface AdmittedRequest {
   readonly at: number
+  /** True if the request had waited, and no place is known for it. */
+  readonly isProbe: boolean
+  /** Key of the target with a place that a request has left; undefined if none is known. */
+  readonly target?: string | undefined
+}
+
+/** Place that a request of this gateway has left. */
+interface FreedPlace {
+  readonly target: string
+  /** Time from which a waiting request may take it. */
+  readonly from: number
 }
 
 interface FullTarget {
@@ -67,11 +87,12 @@
   private readonly _accepted = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private readonly _refused = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private _capacity = new DecayedCount(CAPACITY_HALF_LIFE_MS)
-  /** Places at targets that requests of this gateway have left and that no waiting request has taken since. */
-  private _freed = 0
-  private _freedAt = -Infinity
+  /** Places that no waiting request has taken yet. */
+  private _freed: FreedPlace[] = []
+  private _left = 0
   private _shortSince = -Infinity
   private _refusedAt = -Infinity
+  private readonly _failedProbes = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private readonly _pending = new Set<AdmittedRequest>()
   private readonly _full = new Map<string, FullTarget>()
 
@@ -89,12 +110,14 @@
   /**
    * Checks whether a request that has waited may be sent now.
    *
-   * A request that has ended leaves a place, which needs no risk; beyond that, no more are sent at once than refusals are risked.
+   * A request that has ended leaves a place, which needs no risk; beyond that, a few refusals a second are risked. With a share of the
+   * acceptances instead, gateways with many places at the targets gained more and more of them.
    */
   canRelease (now: number): boolean {
-    if (this._getFreed(now) > 0 || !this.isShort(now)) return true
+    if (!this.isShort(now) || this._hasFreed(now)) return true
     this._acceptOverdue(now)
-    return this._refused.get(now) + this._pending.size < this._getRisk(now)
+    const pending = [...this._pending].filter(({ isProbe }) => isProbe).length
+    return this._failedProbes.get(now) + pending < MAX_FAILED_PROBES
   }
 
   /** Checks whether a target has lately refused a request as full, and has since neither accepted nor completed one. */
@@ -111,12 +134,17 @@
     return (this._capacity.get(now) + ASSUMED_ACCEPTANCES) * Math.LN2 * 1_000 / CAPACITY_HALF_LIFE_MS / coverage
   }
 
-  /** Records that a request may be sent; it takes a place that another has left, if there is one. */
+  /** Records that a request may be sent that has not waited. */
   admit (now: number): AdmittedRequest {
-    this._freed = Math.max(0, this._getFreed(now) - 1)
-    const req = { at: now }
-    this._pending.add(req)
-    return req
+    return this._add({ at: now, isProbe: false })
+  }
+
+  /** Records that a request may be sent that has waited; it takes a place that another has left, if there is one. */
+  release (now: number): AdmittedRequest {
+    const isProbe = this.isShort(now) && !this._hasFreed(now)
+    const place = this._freed.find(({ from }) => from <= now)
+    this._freed = this._freed.filter(other => other !== place)
+    return this._add({ at: now, isProbe, target: place?.target })
   }
 
   /** Records that a target has accepted a request. */
@@ -140,6 +168,7 @@
       this._capacity = new DecayedCount(CAPACITY_HALF_LIFE_MS)
     }
     this._refusedAt = now
+    if (req.isProbe) this._failedProbes.add(now)
     const full = this._full.get(target) ?? { until: now, nextMs: FULL_MS, countedAt: -Infinity }
     if (full.until > now) return
     // A target that refuses all requests and looks idle counts once, or it would be taken for missing capacity of the others. A request
@@ -159,13 +188,18 @@
   recordCompleted (target: string, now: number): void {
     const full = this._full.get(target)
     if (full !== undefined) full.until = now
-    this._freed = this.isShort(now) ? this._getFreed(now) + 1 : 0
-    this._freedAt = now
+    if (!this.isShort(now)) this._freed = []
+    else this._freed.push({ target, from: ++this._left % LEFT_PLACE_INTERVAL === 0 ? now + LEFT_PLACE_MS : now })
+  }
+
+  private _add (req: AdmittedRequest): AdmittedRequest {
+    this._pending.add(req)
+    return req
   }
 
-  /** Gets the places that requests have left; another gateway takes them if this one does not soon. */
-  private _getFreed (now: number): number {
-    return now - this._freedAt <= FREED_TTL_MS ? this._freed : 0
+  private _hasFreed (now: number): boolean {
+    this._freed = this._freed.filter(({ from }) => now - from <= FREED_TTL_MS)
+    return this._freed.some(({ from }) => from <= now)
   }
 
   private _sweep (now: number): void {
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -253,20 +253,31 @@
   /** Chooses the next target, where `runs` targets may have run the request without being cancelled. */
   private async _place (stream: BegunStream | undefined, runs: number): Promise<LimitedPlacement> {
     const { call, route } = this._exchange
-    const { placer, admission } = this._context
     const isInProgress = this._options.isInProgress ?? false
     const excluded = this._getExcluded(stream, runs)
-    const candidates = admission === undefined ? [] : placer.getCandidates(call, route, stream, excluded)
-    const full = admission?.getFull(candidates[0]?.target.service ?? '', candidates.map(state => state.incarnation)) ?? []
-    return await this._context.limitedPlacer.place({
+    const avoided = this._getAvoided(stream, excluded)
+    const place = async (excluded: ReadonlySet<string>): Promise<LimitedPlacement> => await this._context.limitedPlacer.place({
       call,
       route,
-      excluded: full.length === 0 ? excluded : new Set([...excluded, ...full]),
+      excluded,
       warmTarget: this._options.warmTarget,
       stream,
       maxWaitMs: getMaxPermitWait(this._exchange, isInProgress),
       isInProgress: hasEarlierWork(this._exchange, isInProgress)
     })
+    const placed = avoided.length === 0 ? undefined : await place(new Set([...excluded, ...avoided]))
+    return placed?.type === 'placed' ? placed : await place(excluded)
+  }
+
+  /** Gets the targets that are not chosen if another one may be: those that are full, or all but the one with a place for the request. */
+  private _getAvoided (stream: BegunStream | undefined, excluded: ReadonlySet<string>): string[] {
+    const { placer, admission: gate } = this._context
+    if (gate === undefined) return []
+    const candidates = placer.getCandidates(this._exchange.call, this._exchange.route, stream, excluded)
+    const keys = candidates.map(state => state.incarnation)
+    const free = this._admission?.target
+    if (free !== undefined && keys.includes(free)) return keys.filter(key => key !== free)
+    return gate.getFull(candidates[0]?.target.service ?? '', keys)
   }
 
   /** Waits until the request may be sent; returns false if it was refused or its caller has disconnected. */
--- a/tests/core/admission/ServiceAdmissionTests.ts
+++ b/tests/core/admission/ServiceAdmissionTests.ts
@@ -37,6 +37,20 @@
     })
   }
 
+  // Gateways with many places at the targets gained more of them, and others refused programs of priority 0 in progress.
+  it('should give each of 23 gateways its part of the places, so that the order holds over all', () => {
+    const targets = Array.from({ length: 34 }, (_, at) => `target-${at}`)
+    const perSecond = 34 * SERVICE.places / SERVICE.serviceMs * 1_000
+    const load = [...toMixed(0, 2_000, perSecond / 2), ...toMixed(2_000, 6_000, perSecond * 2)]
+    const burst = replay(load, { ...SERVICE, targets, gateways: 23 }).filter(({ at }) => at >= 2_000)
+    const served = burst.filter(({ type }) => type === 'served').length
+    expect(served).toBeGreaterThan(perSecond * 4 * 0.9)
+    expect(countSends(burst)).toBeLessThan(served * 2)
+    expect(getServedShare(burst, ({ priority, isInProgress }) => priority === 0 && isInProgress === true)).toBeGreaterThan(0.97)
+    const shares = [0, 1, 2].map(priority => getServedShare(burst, result => result.priority === priority))
+    expect(shares).toEqual([...shares].sort((a, b) => b - a))
+  })
+
   // Under steady overload the least urgent would wait for good.
   it('should serve some of the least urgent requests while more urgent ones use the whole capacity', () => {
     const urgent = toLoad(0, 10_000, CAPACITY * 1.5, { priority: 0 })
