--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -525,10 +525,11 @@
     const { route } = this._exchange
     const service = this._entry?.service ?? route.backends[0]?.service
     const isInProgress = hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
-    return getRetrySeconds(gate === undefined || service === undefined ? waitMs : gate.scheduleReturn(service, waitMs, isInProgress), random)
+    const returnMs = gate === undefined || service === undefined ? waitMs : gate.scheduleReturn(service, waitMs, isInProgress)
+    return getRetrySeconds(returnMs, random)
   }
 
-  /** Uses up a retry for an attempt after one that may have run: beyond the budget it is delayed, as a refusal ends programs. */
+  /** Uses up a retry for an attempt after one that may have run; it is delayed beyond the budget, since a refusal would end its program. */
   private _useRetry (): void {
     const { admission: gate } = this._context
     if (gate === undefined || this._failedService === undefined) return
--- a/tests/processes/GatewayTests.ts
+++ b/tests/processes/GatewayTests.ts
@@ -48,7 +48,8 @@
     const response = await harness.call({ id: 'b4', path: '/booking/x', body: 'bench 4' })
     expect(response.status).toEqual(200)
     expect(harness.fixture.desks.map(desk => desk.nextBehaviours.length)).toEqual([0, 0])
-    expect(harness.gateway.getEvents('answered').filter(event => event.req === 'b4').length).toEqual(1)
+    await waitFor(() => harness.gateway.getEvents('answered').some(event => event.req === 'b4'))
+    expect(harness.gateway.getEvents('dispatched').filter(event => event.req === 'b4').length).toEqual(3)
   })
 
   it('should not relay a response that is unsigned, truncated, for another request or an unproved refusal', async () => {
