Let a request wait anew after an attempt that may have run, and bound the list of places

Cause: the time to wait began with the first attempt, so that a retry after a long run was refused at once while capacity was missing; places that own requests left were kept without a bound while nothing waited.

--- a/src/core/admission/ServiceLoad.ts
+++ b/src/core/admission/ServiceLoad.ts
@@ -188,8 +188,8 @@
   recordCompleted (target: string, now: number): void {
     const full = this._full.get(target)
     if (full !== undefined) full.until = now
-    if (!this.isShort(now)) this._freed = []
-    else this._freed.push({ target, from: ++this._left % LEFT_PLACE_INTERVAL === 0 ? now + LEFT_PLACE_MS : now })
+    this._freed = this.isShort(now) ? this._freed.filter(({ from }) => now - from <= FREED_TTL_MS) : []
+    if (this.isShort(now)) this._freed.push({ target, from: ++this._left % LEFT_PLACE_INTERVAL === 0 ? now + LEFT_PLACE_MS : now })
   }
 
   private _add (req: AdmittedRequest): AdmittedRequest {
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -453,6 +453,8 @@
       progress.finish()
       if (admission !== undefined) gate?.recordUnknown(service, admission)
       if (!(err instanceof TargetError)) throw err
+      // What it has waited before an attempt that may have run does not count for the next one.
+      if (!err.isNotRun && !isOther) this._entry = undefined
       if (!err.isNotRun && signal.aborted) {
         this._recordAbandoned(run, err.message)
         this._recordSilence(run)
