--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -41,6 +41,12 @@
     /** Descriptors that the process may open; without it, the limit that the operating system states. */
     max_fds: z.int().min(MIN_FDS).optional()
   }).default({}),
+  overload: z.strictObject({
+    /** True if requests to model engines state their urgency, by which engines order their queues. */
+    target_priorities: z.boolean().default(true),
+    /** True if requests wait at the gateway, in order of urgency, while targets refuse requests for lack of capacity. */
+    admission: z.boolean().default(true)
+  }).prefault({}),
   placement: z.enum(Object.values(PlacementKind)).default(PlacementKind.Cost)
 }).transform(raw => ({
   id: raw.id,
@@ -51,6 +57,7 @@
   graceMs: raw.stop.grace_ms,
   drainMs: raw.targets.drain_ms,
   limits: { memoryMb: raw.limits.memory_mb, maxFds: raw.limits.max_fds },
+  overload: { targetPriorities: raw.overload.target_priorities, admission: raw.overload.admission },
   placement: raw.placement
 }))
 
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,5 +1,7 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+import { FULL_MS, getDelayWaitMs, type AdmittedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry, getResponseLimitMs, type RetryDecision } from '../../core/forward/index.js'
+import { decideRetry, getResponseLimitMs, type ResponseHead, type RetryDecision } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { getMaxPermitWaitMs, getRetrySeconds, type RetryBudget } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
@@ -7,6 +9,7 @@
 import type { SentRun, Trial } from '../../core/suspect/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
+import type { AdmissionEntry, AdmissionGate } from './AdmissionGate.js'
 import { AttemptAbort } from './AttemptAbort.js'
 import type { Exchange } from './Exchange.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -18,6 +21,7 @@
 import type { SuspectStore } from './SuspectStore.js'
 import type { TargetFailures } from './TargetFailures.js'
 import type { TargetLimits } from './TargetLimits.js'
+import type { TargetPriorities } from './TargetPriorities.js'
 import { TargetError, type TargetClient } from './TargetClient.js'
 
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
@@ -33,6 +37,15 @@
  */
 const MAX_SEND_DELAY_MS = 400
 
+/** Milliseconds for which a request waits at least after as many full targets as may be asked one after the other have refused it. */
+const MIN_WAIT_MS = 2 * FULL_MS
+
+/** Longest time in milliseconds for which a further attempt waits for the retry budget; most responses come sooner. */
+const MAX_RETRY_WAIT_MS = 500
+
+/** Share of its remaining time for which a further attempt waits for the retry budget at most. */
+const RETRY_WAIT_SHARE = 0.25
+
 /** Dependencies that the attempts of all requests share. */
 export interface AttemptContext {
   readonly clock: Clock
@@ -47,6 +60,10 @@
   readonly secondAttempts: RetryBudget
   /** Gets a random number in [0, 1), by which the returns of refused callers are spread. */
   readonly random: () => number
+  /** Lets requests wait while targets refuse them; undefined where none waits. */
+  readonly admission?: AdmissionGate | undefined
+  /** Determines the urgency that requests state at their targets; undefined where they state none. */
+  readonly priorities?: TargetPriorities | undefined
   readonly client: TargetClient
   readonly suspects: SuspectStore
 }
@@ -120,6 +137,18 @@
   /** Dispatches of {@link askOther} that did not run; they leave as many for a failure of the present target. */
   private _notRunAsks = 0
   private _runs = 0
+  /** Refusals of targets that were full. */
+  private _fullRefusals = 0
+  /** Time before which the request is not sent, because as many targets have refused it as may be asked one after the other. */
+  private _notBefore = -Infinity
+  /** Service of the latest attempt that may have run, until a further one uses up a retry for it. */
+  private _failedService: string | undefined
+  /** Milliseconds for which the next attempt waits for the retry budget. */
+  private _retryWaitMs = 0
+  /** The request while it waits for a target to accept it; undefined before its first attempt and once one has accepted it. */
+  private _entry: AdmissionEntry | undefined
+  /** Admission of the next attempt; undefined before it was asked for. */
+  private _admission: AdmittedRequest | undefined
   /** Set when the request has crashed several targets and this gateway may try it. */
   private _trial: Trial | undefined
 
@@ -141,9 +170,14 @@
         return undefined
       }
       await this._options.awaitTargets?.(stream)
-      const placed = await this._place(stream, this._runs)
+      if (this._retryWaitMs > 0) await sleep(this._retryWaitMs)
+      this._retryWaitMs = 0
+      const isAdmitted = await this._awaitAdmission(stream)
+      if (callerDisconnected.aborted || !isAdmitted) return undefined
+      const placed = this._checkDelay(await this._place(stream, this._runs))
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
+        this._returnAdmission()
         this._refuseUnplaced(placed, stream)
         return undefined
       }
@@ -229,15 +263,75 @@
   private async _place (stream: BegunStream | undefined, runs: number): Promise<LimitedPlacement> {
     const { call, route } = this._exchange
     const isInProgress = this._options.isInProgress ?? false
-    return await this._context.limitedPlacer.place({
+    const excluded = this._getExcluded(stream, runs)
+    const avoided = this._getAvoided(stream, excluded)
+    const place = async (excluded: ReadonlySet<string>): Promise<LimitedPlacement> => await this._context.limitedPlacer.place({
       call,
       route,
-      excluded: this._getExcluded(stream, runs),
+      excluded,
       warmTarget: this._options.warmTarget,
       stream,
       maxWaitMs: getMaxPermitWait(this._exchange, isInProgress),
       isInProgress: hasEarlierWork(this._exchange, isInProgress)
     })
+    const placed = avoided.length === 0 ? undefined : await place(new Set([...excluded, ...avoided]))
+    return placed?.type === 'placed' ? placed : await place(excluded)
+  }
+
+  /** Gets the targets that are not chosen if another one may be: those that are full, or all but the one with a place for the request. */
+  private _getAvoided (stream: BegunStream | undefined, excluded: ReadonlySet<string>): string[] {
+    const { placer, admission: gate } = this._context
+    if (gate === undefined) return []
+    const candidates = placer.getCandidates(this._exchange.call, this._exchange.route, stream, excluded)
+    const keys = candidates.map(state => state.incarnation)
+    const free = this._admission?.target
+    if (free !== undefined && keys.includes(free)) return keys.filter(key => key !== free)
+    return gate.getFull(candidates[0]?.target.service ?? '', keys)
+  }
+
+  /** Waits until the request may be sent; returns false if it was refused or its caller has disconnected. */
+  private async _awaitAdmission (stream: BegunStream | undefined): Promise<boolean> {
+    const { admission: gate, placer } = this._context
+    const { call, route } = this._exchange
+    if (gate === undefined) return true
+    const getStates = (): TargetState[] => placer.getCandidates(call, route, stream, this._getExcluded(stream, this._runs))
+    const service = getStates()[0]?.target.service
+    if (service === undefined) return true
+    const isInProgress = this._options.isInProgress ?? false
+    this._entry ??= gate.open({
+      exchange: this._exchange,
+      service,
+      isInProgress: hasEarlierWork(this._exchange, isInProgress),
+      maxWaitMs: getMaxPermitWait(this._exchange, isInProgress)
+    })
+    const result = await gate.enter(this._entry, () => getStates().map(state => state.incarnation), this._notBefore)
+    if (result.type === 'admitted') this._admission = result.admission
+    else if (result.type === 'refused') this._refuse(this._runs > 0 ? 'attempts-failed' : 'overloaded', this._getReturnSeconds(result.waitMs))
+    return result.type === 'admitted'
+  }
+
+  /** Returns the admission of an attempt for which there is no target. */
+  private _returnAdmission (): void {
+    const { admission: gate } = this._context
+    if (this._entry !== undefined && this._admission !== undefined) gate?.recordUnknown(this._entry.service, this._admission)
+    this._admission = undefined
+  }
+
+  /** Refuses a placement of a new program that the caller would not wait for, by the measured delay of the best target. */
+  private _checkDelay (placed: LimitedPlacement): LimitedPlacement {
+    const { admission, clock } = this._context
+    if (placed.type !== 'placed' || admission === undefined) return placed
+    const { route } = this._exchange
+    const { state, predictedMs } = placed.placement
+    const responseMs = route.kind === RouteKind.Streaming ? getCallerWaitMs(route) : Infinity
+    const waitMs = getDelayWaitMs({
+      isInProgress: hasEarlierWork(this._exchange, this._options.isInProgress ?? false),
+      predictedMs,
+      excessMs: state.getExcessMs(clock.now()),
+      objectiveMs: route.objectiveMs,
+      remainingMs: Math.min(this._exchange.getRemainingMs(), responseMs)
+    })
+    return waitMs === undefined ? placed : { type: 'overloaded', waitMs }
   }
 
   /** Gets the targets that may not be chosen: those tried before, and all that are new to the request when its attempts are used up. */
@@ -259,7 +353,7 @@
     const handover = new StreamHandover({
       limitMs: getResponseLimitMs(route.objectiveMs, this._exchange.getRemainingMs()),
       askOther: async signal => {
-        if (!hasAsked && !secondAttempts.tryConsume()) return undefined
+        if (!hasAsked && (!this._mayAskSecond(placement.state) || !secondAttempts.tryConsume())) return undefined
         hasAsked = true
         return await this.askOther(req, signal)
       },
@@ -290,6 +384,12 @@
     const sentAt = clock.now()
     const run: Run = { state, sentAt, wasSilent: state.isSilent(sentAt) }
     const timeoutMs = this._exchange.getRemainingMs()
+    const gate = this._context.admission
+    const { service } = state.target
+    const admission = this._admission ?? gate?.admit(service)
+    const waitedMs = this._entry === undefined ? 0 : Math.round(sentAt - this._entry.since)
+    this._admission = undefined
+    const priority = this._getPriority(placement)
     this._dispatches++
     this._excluded.add(state.incarnation)
     this._cancelled.delete(state.incarnation)
@@ -312,6 +412,8 @@
       ...placement.inputs,
       limitPerSecond: state.limit.getPerSecond(),
       slowdown: Number(state.pace.getSlowdown(sentAt).toFixed(1)),
+      priority,
+      waitedMs: waitedMs > 0 ? waitedMs : undefined,
       timeoutMs: Math.round(timeoutMs)
     })
     const cached = state.prefixCache.getCachedTokens(call.promptSegments)
@@ -325,7 +427,8 @@
     const isCurrent = (): boolean => clock.now() - sentAt <= MAX_SEND_DELAY_MS
     const progress = this._track(placement, sentAt, abort)
     try {
-      const dispatch = { target: state.target, timeoutMs, lastEventId, workspace: this._exchange.workspace?.name }
+      const workspace = this._exchange.workspace?.name
+      const dispatch = { target: state.target, timeoutMs, lastEventId, workspace, ...(priority !== undefined && { priority }) }
       const response = await client.send({ call, body, signal, isCurrent, isRepeated, dispatch })
       const recordReceived = (): void => { state.recordHeard(clock.now(), response.connection) }
       // Another target may have the address.
@@ -346,13 +449,23 @@
       if (response.head.isNotRun) {
         response.discard()
         progress.finish()
+        if (admission !== undefined) this._recordFull(state, response.head, admission)
         this._recordNotRun(state, `status ${response.head.status}`, false, isOther)
         return undefined
       }
-      return { ...run, response, recordReceived, ...progress }
+      if (admission !== undefined) gate?.recordAccepted(service, admission, state.incarnation)
+      if (!isOther) this._entry = undefined
+      const finish = (): void => {
+        progress.finish()
+        gate?.recordCompleted(service, state.incarnation)
+      }
+      return { ...run, response, recordReceived, ...progress, finish }
     } catch (err) {
       progress.finish()
+      if (admission !== undefined) gate?.recordUnknown(service, admission)
       if (!(err instanceof TargetError)) throw err
+      // What it has waited before an attempt that may have run does not count for the next one.
+      if (!err.isNotRun && !isOther) this._entry = undefined
       if (!err.isNotRun && signal.aborted) {
         this._recordAbandoned(run, err.message)
         this._recordSilence(run)
@@ -370,6 +483,12 @@
     }
   }
 
+  /** Gets the urgency that the request states at its target; undefined if it states none. */
+  private _getPriority ({ state, prefillMs }: Placement): number | undefined {
+    const isInProgress = hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
+    return this._context.priorities?.get({ exchange: this._exchange, state, prefillMs, isInProgress })
+  }
+
   /** Tracks a request in the target's state; it counts as prefill until its first chunk arrives. */
   private _track (placement: Placement, sentAt: number, abort: AttemptAbort): Pick<Attempt, 'recordFirstChunk' | 'finish'> {
     const { clock } = this._context
@@ -392,6 +511,52 @@
     }
   }
 
+  /** Records that a target did not run the request; one that was full may be asked again. */
+  private _recordFull (state: TargetState, head: ResponseHead, admission: AdmittedRequest): void {
+    const gate = this._context.admission
+    const { service } = state.target
+    // Others refuse because they leave, limit their rate or are another instance.
+    const isLimited = head.requestsPerSecond !== undefined || state.limit.getPerSecond() !== undefined
+    if (head.isMisdirected || head.isLeaving || isLimited) {
+      gate?.recordUnknown(service, admission)
+      return
+    }
+    gate?.recordRefused(service, admission, state.incarnation, this._fullRefusals > 0)
+    this._fullRefusals++
+    this._excluded.delete(state.incarnation)
+  }
+
+  /** Checks whether a second target may be asked: not where others wait for the place, nor beyond the retry budget. */
+  private _mayAskSecond ({ target: { service } }: TargetState): boolean {
+    const { admission: gate } = this._context
+    return gate === undefined || (!gate.isShort(service) && gate.requestRetry(service, 0) !== undefined)
+  }
+
+  /** Gets the seconds after which a refused caller should return, by predicted capacity and the retry budget. */
+  private _getReturnSeconds (waitMs: number): number {
+    const { admission: gate, random } = this._context
+    const { route } = this._exchange
+    const service = this._entry?.service ?? route.backends[0]?.service
+    const isInProgress = hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
+    const returnMs = gate === undefined || service === undefined ? waitMs : gate.scheduleReturn(service, waitMs, isInProgress)
+    return getRetrySeconds(returnMs, random)
+  }
+
+  /**
+   * Uses up a retry for an attempt after one that may have run; it is delayed beyond the budget, since a refusal would end its program.
+   *
+   * Turns of programs in progress are not delayed: a target that ends breaks off many streams at once, whose callers wait for events.
+   */
+  private _useRetry (): void {
+    const { admission: gate } = this._context
+    if (gate === undefined || this._failedService === undefined) return
+    const waitMs = gate.requestRetry(this._failedService, MAX_RETRY_WAIT_MS) ?? MAX_RETRY_WAIT_MS
+    const isTurn = this._exchange.route.kind === RouteKind.Streaming
+    const isDelayed = !isTurn || !hasEarlierWork(this._exchange, this._options.isInProgress ?? false)
+    this._retryWaitMs = isDelayed ? Math.min(waitMs, this._exchange.getRemainingMs() * RETRY_WAIT_SHARE) : 0
+    this._failedService = undefined
+  }
+
   private _recordNotRun (state: TargetState, cause: string, isUnreachable: boolean, isOther: boolean): void {
     if (isUnreachable) this._context.failures.recordFailure(state, true)
     if (isOther) {
@@ -411,6 +576,7 @@
 
   private _recordRun (state: TargetState, cause: string, isFailure = true): void {
     this._runs++
+    this._failedService = state.target.service
     if (isFailure) this._context.failures.recordFailure(state, false)
     this._recordRetry(state, 'answer-broken', cause)
   }
@@ -473,7 +639,15 @@
   /** Checks whether another target may be tried; refuses the request if not. */
   private _canRetry (): boolean {
     const decision = this._decideRetry(this._runs)
-    if (decision.type === 'retry') return true
+    if (decision.type === 'retry') {
+      this._useRetry()
+      return true
+    }
+    if (decision.reason === 'retries-exhausted' && this._fullRefusals > 0) {
+      this._notRunAsks = this._dispatches
+      this._notBefore = this._context.clock.now() + MIN_WAIT_MS
+      return true
+    }
     this._refuse(decision.reason)
     return false
   }
@@ -492,11 +666,11 @@
   private _refuseUnplaced (placed: Exclude<LimitedPlacement, { type: 'placed' }>, stream: BegunStream | undefined): void {
     if (this._runs > 0) this._refuse('attempts-failed')
     else if (placed.type === 'limited') this._refuse('targets-limited', getRetrySeconds(placed.waitMs, this._context.random))
-    else if (placed.type === 'overloaded') this._refuse('overloaded', getRetrySeconds(placed.waitMs, this._context.random))
-    else if (this._dispatches > 0) this._refuse('retries-exhausted')
+    else if (placed.type === 'overloaded') this._refuse('overloaded', this._getReturnSeconds(placed.waitMs))
+    else if (this._dispatches > 0) this._refuse('retries-exhausted', this._getReturnSeconds(0))
     else if (this._isWithheld(stream)) this._refuse(stream === undefined ? 'no-target' : 'origin-unreadable')
     else if (stream !== undefined) this._refuse('version-gone', null)
-    else this._refuse('no-target')
+    else this._refuse('no-target', this._getReturnSeconds(0))
   }
 
   private _isWithheld (stream: BegunStream | undefined): boolean {
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -24,6 +24,7 @@
   QuotaPeers, RelayedStore, TurnPeers
 } from '../peer/index.js'
 import { BufferGarbage, getMaxDescriptors, SystemClock, type DecisionLog } from '../process/index.js'
+import { AdmissionGate } from './AdmissionGate.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
 import { ConfigConfirmation } from './ConfigConfirmation.js'
@@ -44,6 +45,7 @@
 import { TargetClient } from './TargetClient.js'
 import { TargetFailures } from './TargetFailures.js'
 import { TargetLimits } from './TargetLimits.js'
+import { TargetPriorities } from './TargetPriorities.js'
 import { EXPIRY_CHECK_MS, TurnStore } from './TurnStore.js'
 import { VersionGate } from './VersionGate.js'
 import { RETIRE_CHECK_MS, VersionStore } from './VersionStore.js'
@@ -291,6 +293,8 @@
       failures,
       secondAttempts: new RetryBudget({ initial: DEFAULT_RETRY_RESERVE }),
       random,
+      admission: settings.overload.admission ? new AdmissionGate({ clock, log, metrics }) : undefined,
+      priorities: settings.overload.targetPriorities ? new TargetPriorities({ configs: this._configs, clock }) : undefined,
       suspects,
       client: new TargetClient(protocol)
     }
@@ -408,7 +412,7 @@
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log } = this._options
     this._graceMs = settings.graceMs
-    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs', 'limits'] as const
+    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs', 'limits', 'overload'] as const
     const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(startSettings[key]))
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -20,6 +20,8 @@
   readonly leavingNotices = this._counter('wisteria_leaving_notices_total', 'Targets that stated that they are leaving, by whether a response or a peer said so first.', ['source'])
   readonly failureNotices = this._counter('wisteria_failure_notices_total', 'Targets that count as doubtful because several gateways saw failures.', [])
   readonly secondAttempts = this._counter('wisteria_second_attempts_total', 'Requests sent to a second target while the first had not responded, by which one did, or that none was free.', ['outcome'])
+  readonly admissions = this._counter('wisteria_admissions_total', 'Requests that waited for capacity of their service, by result.', ['result'])
+  readonly retryPermits = this._counter('wisteria_retry_permits_total', 'Further attempts that asked the retry budget of their service, by result.', ['result'])
   readonly permits = this._counter('wisteria_permits_total', 'Permits requested for targets that limit their request rate, by result.', ['result'])
   readonly quotaRequests = this._counter('wisteria_quota_requests_total', 'Requests of workspaces with a quota, by whether they were admitted, beyond the quota, or no holder of it was reached.', ['outcome'])
   readonly quotaTokens = this._counter('wisteria_quota_tokens_total', 'Tokens of quotas borrowed, expired before a request used them, and returned by requests that did not run.', ['event'])
@@ -34,6 +36,7 @@
   readonly targets = this._gauge('wisteria_targets', 'Targets known.')
   readonly heldBytes = this._gauge('wisteria_held_bytes', 'Bytes that requests and connections of callers hold.')
   readonly openConnections = this._gauge('wisteria_connections', 'Open connections of callers.')
+  readonly waiting = this._gauge('wisteria_requests_waiting', 'Requests that wait for capacity of a service.', ['service'])
   readonly inProgress = this._gauge('wisteria_requests_in_progress', 'Requests in progress.')
   private readonly _workspaceRequests = this._counter('wisteria_workspace_requests_total', 'Requests with a known key, by workspace and how they ended.', ['workspace', 'outcome'])
   private readonly _request = this._histogram('wisteria_request_seconds', 'Time from arrival to the end of the answer.', ['kind'])
@@ -93,8 +96,8 @@
     return new Counter({ name, help, labelNames, registers: [this.registry] })
   }
 
-  private _gauge (name: string, help: string): Gauge {
-    return new Gauge({ name, help, registers: [this.registry] })
+  private _gauge (name: string, help: string, labelNames: string[] = []): Gauge {
+    return new Gauge({ name, help, labelNames, registers: [this.registry] })
   }
 
   private _histogram (name: string, help: string, labelNames: string[]): Histogram {
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -352,9 +352,10 @@
   /** Counts the request against the quota of its workspace; undefined if it was refused, or its caller has disconnected. */
   private async _admit (exchange: Exchange): Promise<Extract<QuotaAdmission, { type: 'admitted' }> | undefined> {
     const { workspace, configVersion, callerDisconnected } = exchange
-    const { quotas } = this._options
+    const { quotas, streams } = this._options
     if (workspace === undefined || quotas === undefined) return { type: 'admitted', giveBack: () => {} }
-    const admission = await quotas.admit(workspace, configVersion, exchange.getRemainingMs())
+    const isInProgress = isPartOfProgram(exchange) || streams.hasEarlierTurns(exchange)
+    const admission = await quotas.admit(workspace, configVersion, { remainingMs: exchange.getRemainingMs(), isInProgress })
     if (admission.type === 'admitted') {
       if (!callerDisconnected.aborted) return admission
       admission.giveBack()
@@ -407,6 +408,11 @@
   }
 }
 
+/** Checks whether earlier work of a program is lost with a request: a call of a tool, or a turn that continues another one. */
+function isPartOfProgram ({ call, route }: Exchange): boolean {
+  return route.kind !== RouteKind.Streaming || call.previousTurn !== undefined
+}
+
 function getHeaderBytes (head: { method: string, url: string, rawHeaders: readonly string[] }): number {
   // Each header has a colon, a space and a line break beside its name and value.
   return head.rawHeaders.reduce((sum, text) => sum + text.length + 2, head.method.length + head.url.length + 12)
--- a/src/io/gateway/QuotaGate.ts
+++ b/src/io/gateway/QuotaGate.ts
@@ -5,9 +5,12 @@
 import type { DecisionLog } from '../process/index.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
 
-/** Longest time in milliseconds for which a request waits for a token that there is not yet. */
+/** Longest time in milliseconds for which the first request of a program waits for a token that there is not yet. */
 const MAX_TOKEN_WAIT_MS = 150
 
+/** Share of its remaining time for which a request of a program in progress waits: a refusal may lose the work of the program. */
+const IN_PROGRESS_WAIT_SHARE = 0.4
+
 /** Longest time in milliseconds for which a request waits in all, calls to holders that do not respond included. */
 const MAX_WAIT_MS = 1_000
 
@@ -52,7 +55,16 @@
   readonly sleep?: (ms: number) => Promise<unknown>
 }
 
+/** Facts about a request to be admitted. */
+export interface AdmitOptions {
+  /** Milliseconds that the request has left; unlimited by default. */
+  readonly remainingMs?: number
+  /** True if earlier work of a program is lost with the request. */
+  readonly isInProgress?: boolean
+}
+
 interface Waiter {
+  readonly isInProgress: boolean
   /** Time by the steady clock until which the request may wait for a token; later if a holder does not respond. */
   until: number
   /** Latest value of `until`. */
@@ -88,9 +100,12 @@
    * Admits a request, or refuses it.
    *
    * @param configVersion - Version of the configuration that states the quota.
-   * @param remainingMs - Milliseconds that the request has left.
+   * Answers a workspace that reaches its quota: requests of programs in progress wait longer and get the next tokens, so that programs are
+   * refused before they begin rather than midway.
    */
-  async admit ({ name, quota }: Pick<Workspace, 'name' | 'quota'>, configVersion: number, remainingMs = Infinity): Promise<QuotaAdmission> {
+  async admit (
+    { name, quota }: Pick<Workspace, 'name' | 'quota'>, configVersion: number, { remainingMs = Infinity, isInProgress = false }: AdmitOptions = {}
+  ): Promise<QuotaAdmission> {
     if (quota === undefined) return { type: 'admitted', giveBack: () => {} }
     const now = this._options.clock.now()
     const state = this._getState(name, now)
@@ -104,7 +119,10 @@
     }
     return await new Promise(resolve => {
       const latest = now + Math.min(MAX_WAIT_MS, remainingMs)
-      state.waiters.push({ until: Math.min(now + MAX_TOKEN_WAIT_MS, latest), latest, resolve })
+      const maxWaitMs = isInProgress ? remainingMs * IN_PROGRESS_WAIT_SHARE : MAX_TOKEN_WAIT_MS
+      const waiter = { until: Math.min(now + maxWaitMs, latest), latest, isInProgress, resolve }
+      const place = isInProgress ? state.waiters.findIndex(other => !other.isInProgress) : -1
+      state.waiters.splice(place < 0 ? state.waiters.length : place, 0, waiter)
       if (state.isAwaiting) this._refuseLate(state)
       void this._borrow(state)
     })
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -175,6 +175,12 @@
     }
   }
 
+  /** Checks whether the program of a request has had turns, as far as this gateway knows. */
+  hasEarlierTurns (exchange: Exchange): boolean {
+    const { program } = exchange.call
+    return program !== undefined && this._options.budgets.hasEarlierTurns(exchange.scope(program.id))
+  }
+
   /** Finds the stream that a request continues; undefined for a new stream. */
   private async _findStream (exchange: Exchange): Promise<Either<Refusal, BegunStream | undefined>> {
     const { call, route } = exchange
