--- a/tests/core/quota/QuotaWorld.ts
+++ b/tests/core/quota/QuotaWorld.ts
@@ -141,7 +141,7 @@
   send (gateway: Gateway): void {
     const { run, config: { quota, version }, gate } = gateway
     const sentAt = this.now
-    void gate.admit({ name: 'shop', quota }, version, 1_500).then(({ type }) => {
+    void gate.admit({ name: 'shop', quota }, version, { remainingMs: 1_500 }).then(({ type }) => {
       if (run !== gateway.run) return
       this.counts[type]++
       if (type !== 'admitted') return
