Test requests whose targets end in silence after the callers' time

Cause: two forms of Part 6 were not covered: four callers at four gateways that wait 1.5 s, and one caller while all gateways are killed every 9 s. The end of a silent target is known only after 3 s.

SuspectWorld keeps its list of gateways while they restart, so that callers meet closed ports instead of an exception of the test.

--- a/tests/processes/SuspectForms.ts
+++ b/tests/processes/SuspectForms.ts
@@ -22,8 +22,14 @@
   readonly gateways?: number
   /** Callers that send the request at the same time. */
   readonly copies?: number
+  /** True if each caller sends it again after its own answer, and does not wait for the others. */
+  readonly isApart?: boolean
   /** Milliseconds after which its callers leave. */
   readonly leaveAfterMs?: number
+  /** Milliseconds for which its callers wait, if they state it; less than the silence after which the end of a target is known. */
+  readonly timeoutMs?: number
+  /** Milliseconds after which all gateways are killed and started again, again and again. */
+  readonly killEveryMs?: number
   readonly hasNewPrograms?: boolean
   /** Milliseconds for which the request comes again and again. */
   readonly forMs?: number
@@ -44,6 +50,9 @@
   'fall silent': { crash: fallSilent, forMs: 45_000 },
   'fall silent, under new programs': { crash: fallSilent, hasNewPrograms: true },
   'fall silent, for two callers at once': { crash: fallSilent, copies: 2 },
+  // The forms of Part 6 of docs/design/workspaces-overload-limits.md.
+  'fall silent after the callers\' time, for four callers at once': { crash: fallSilent, gateways: 4, copies: 4, isApart: true, timeoutMs: 1_500, forMs: 45_000 },
+  'fall silent after the callers\' time, while all gateways are killed': { crash: fallSilent, timeoutMs: 1_500, killEveryMs: 9_000, forMs: 45_000 },
   'fall silent and start again under their ids': {
     crash: async (world, target) => {
       if (world.isDown(target)) return
--- a/tests/processes/SuspectPromisesTests.ts
+++ b/tests/processes/SuspectPromisesTests.ts
@@ -153,15 +153,17 @@
   for (const [name, form] of Object.entries(CRASH_FORMS)) {
     it(`should stop requests whose targets ${name}`, async () => {
       await restartWith(form.gateways)
-      const { forMs = POISON_FORM_MS, copies = 1, hasNewPrograms = false, leaveAfterMs } = form
+      const { forMs = POISON_FORM_MS, copies = 1, isApart = false, hasNewPrograms = false, leaveAfterMs, timeoutMs, killEveryMs } = form
       for (const target of world.getTargets()) {
         for (const path of POISON) target.responders.set(path, (run, res, crashed) => { void form.crash(world, crashed, res, run.id) })
       }
       const endsAt = performance.now() + forMs
       const getProgram = (at: number): string => hasNewPrograms ? `program-${at}` : 'program'
-      await world.sendPlain(Promise.all(POISON.map(async (path, caller) => {
-        await sendAgain(path, at => getProgram(at) + caller, endsAt, { copies, leaveAfterMs })
-      })))
+      const kills = killEveryMs === undefined ? Promise.resolve() : restartEvery(killEveryMs, endsAt)
+      const callers = isApart ? copies : 1
+      await world.sendPlain(Promise.all([kills, ...POISON.flatMap((path, request) => Array.from({ length: callers }, async () => {
+        await sendAgain(path, at => getProgram(at) + request, endsAt, { copies: copies / callers, leaveAfterMs, timeoutMs })
+      }))]))
       expect(POISON.map(path => ({ path, late: countLateRuns(path) })).filter(({ late }) => late > MAX_LATE_RUNS)).toEqual([])
     }).timeout(90_000)
   }
@@ -215,12 +217,22 @@
     expect(later).toBeGreaterThanOrEqual(MIN_SERVED_SHARE * first)
   }
 
+  /** Kills all gateways and starts them again, until a time. */
+  async function restartEvery (everyMs: number, endsAt: number): Promise<void> {
+    while (performance.now() + everyMs < endsAt) {
+      await sleep(everyMs)
+      await world.restartGateways()
+    }
+  }
+
   /** Sends a request again and again; its copies reach gateways at the same time. */
   async function sendAgain (
-    path: string, getProgram: (at: number) => string, endsAt: number, { copies = 1, leaveAfterMs }: Pick<CrashForm, 'copies' | 'leaveAfterMs'> = {}
+    path: string, getProgram: (at: number) => string, endsAt: number,
+    { copies = 1, leaveAfterMs, timeoutMs }: Pick<CrashForm, 'copies' | 'leaveAfterMs' | 'timeoutMs'> = {}
   ): Promise<void> {
     for (let at = 0; performance.now() < endsAt; at++) {
-      const headers = path.startsWith('/turns/') ? getProgramHeaders(getProgram(at)) : {}
+      const program = path.startsWith('/turns/') ? getProgramHeaders(getProgram(at)) : {}
+      const headers = timeoutMs === undefined ? program : { ...program, 'x-timeout-ms': String(timeoutMs) }
       await Promise.all(Array.from({ length: copies }, async () => {
         await world.send(path, 'x', headers, leaveAfterMs === undefined ? undefined : AbortSignal.timeout(leaveAfterMs))
       }))
--- a/tests/processes/SuspectWorld.ts
+++ b/tests/processes/SuspectWorld.ts
@@ -89,8 +89,10 @@
 
   /** Kills all gateways at once and starts them again. */
   async restartGateways (): Promise<void> {
-    for (const gateway of this.gateways.splice(0)) await gateway.kill()
-    this.gateways.push(...await Promise.all(this._ids.map(async id => await this._startGateway(id))))
+    for (const gateway of this.gateways) await gateway.kill()
+    // Until then callers find the ports closed.
+    const started = await Promise.all(this._ids.map(async id => await this._startGateway(id)))
+    this.gateways.splice(0, this.gateways.length, ...started)
   }
 
   /** Gets all targets. */
