Try a request one at a time while targets that it may have crashed are silent

Cause: the end of a silent target is known 3 s later, after the caller's time. Until then each gateway let further copies run, as it knew only its own unjudged runs; and the outcome of a run was lost with its gateway, so that gateways killed every 9 s let a trial begin every 10 s whose crash was never counted.

Change: a request that has crashed two targets, or may have because they are silent, needs a trial. The row of a trial states the runs that are not judged yet; another gateway judges them when the row remains 1 to 2 s after the end of a target. A crash ends a trial only if it is of the trial's latest target. While the store is away such a request runs as before.

--- a/src/core/suspect/SuspectList.ts
+++ b/src/core/suspect/SuspectList.ts
@@ -70,6 +70,12 @@
     return this._suspects.get(digest)?.has(incarnation) ?? false
   }
 
+  /** Gets the incarnations that a request has crashed. */
+  getIncarnations (digest: string, now: number): string[] {
+    const crashes = this._suspects.get(digest)
+    return crashes === undefined || isForgotten(crashes, now) ? [] : [...crashes.keys()]
+  }
+
   /** Adds a crash that the store has shown; returns true if the request is refused from now on. */
   addStored ({ key, at }: StoredCrash): boolean {
     const crash = decodeSuspectKey(key)
--- a/src/core/suspect/SuspectTrials.ts
+++ b/src/core/suspect/SuspectTrials.ts
@@ -1,18 +1,19 @@
 import type { RowKey, StoredRow } from '../platform/index.js'
-import { decodeTrialKey, getTrialHolder, getTrialKey } from './SuspectRows.js'
+import { decodeTrialKey, decodeTrialRow, getTrialKey, type TrialRowContent } from './SuspectRows.js'
 
 /** Milliseconds after which a trial ends without an outcome: a long request, and the time until the end of a target is known. */
 export const TRIAL_MS = 10_000
 
-/** A request that has crashed several targets and is tried again, by its holder alone. */
+/** A request that has crashed several targets, or may have, and is tried again, by its holder alone. */
 export interface Trial {
   /** Names the trial; unique over all gateways. */
   readonly holder: string
   readonly digests: readonly string[]
 }
 
-interface KnownTrial {
-  readonly holder: string
+/** A trial by any gateway. */
+export interface KnownTrial extends TrialRowContent {
+  /** Time that its row states, by the steady clock. */
   readonly startedAt: number
   /** Version of its row; 0 before it is stored. */
   readonly version: number
@@ -28,6 +29,11 @@
     return trial !== undefined && now - trial.startedAt < TRIAL_MS ? trial.holder : undefined
   }
 
+  /** Gets the trial of a request, also one whose time is over; undefined if no row is known. */
+  get (digest: string): KnownTrial | undefined {
+    return this._trials.get(digest)
+  }
+
   /** Gets the version of the row of a request's trial, also of one that is over; 0 if no row is known. */
   getVersion (digest: string): number {
     return this._trials.get(digest)?.version ?? 0
@@ -42,7 +48,7 @@
   apply (row: StoredRow, startedAt: number): boolean {
     const digest = decodeTrialKey(row)
     if (digest === undefined) return false
-    this._trials.set(digest, { holder: getTrialHolder(row.value), startedAt, version: row.version })
+    this._trials.set(digest, { ...decodeTrialRow(row.value), startedAt, version: row.version })
     return true
   }
 
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -147,6 +147,7 @@
         this._refuseUnplaced(placed, stream)
         return undefined
       }
+      if (this._trial !== undefined) await this._context.suspects.recordTrialRun(this._trial, placed.placement.state.incarnation)
       const attempt = await this._sendUntilDue(placed.placement, { body, lastEventId, stream })
       if (attempt !== undefined) return attempt
       if (!this._canRetry()) return undefined
@@ -161,7 +162,7 @@
   async askOther ({ body, lastEventId, stream }: AttemptRequest, cancelled: AbortSignal): Promise<Attempt | undefined> {
     // The latest attempt counts as a run: its target may have generated all that the caller has received.
     const runs = this._runs + 1
-    if (this._decideRetry(runs).type !== 'retry' || this._isConfirmedSuspect()) return undefined
+    if (this._decideRetry(runs).type !== 'retry' || this._needsTrial()) return undefined
     const placed = await this._place(stream, runs)
     if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
     return await this._send(placed.placement, { body, lastEventId }, { cancelled, isOther: true })
@@ -453,9 +454,10 @@
     return 0
   }
 
-  private _isConfirmedSuspect (): boolean {
+  /** Checks whether only one target at a time may run the request. */
+  private _needsTrial (): boolean {
     const { suspect } = this._exchange
-    return suspect !== undefined && this._context.suspects.isConfirmed(suspect.digests)
+    return this._trial !== undefined || (suspect !== undefined && this._context.suspects.needsTrial(suspect.digests))
   }
 
   private _recordRetry (state: TargetState, reason: RetryReason, cause: string): void {
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,8 +2,9 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, SuspectList, SUSPECT_RETENTION_MS, toSuspectRow,
-  type CrashRecord, type GetHeardAt, type LostRequest, type SentRun, type SuspectDigests, type Trial
+  CRASH_WINDOW_MS, CrashEvidence, decodeTrialKey, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, mayHaveEnded, SuspectList,
+  SUSPECT_RETENTION_MS, toSuspectRow, type AbandonedRun, type CrashRecord, type GetHeardAt, type LostRequest, type SentRun,
+  type SuspectDigests, type Trial, type TrialRun
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -29,6 +30,33 @@
 /** Milliseconds after which a caller may return while its request is tried elsewhere. */
 const TRIAL_RETRY_MS = 500
 
+/**
+ * Number of target incarnations that a request has crashed, or may have, at which only one of its copies is run at a time.
+ *
+ * One less than the crashes at which it is refused: these are known only seconds after the runs, in which further copies would run.
+ */
+const TRIAL_AFTER_INCARNATIONS = 2
+
+/** Milliseconds for which a run that nobody awaits may have crashed its target: 3 s until its row expires, and the delay of the watch. */
+const UNJUDGED_MS = 5_000
+
+/** Maximum number of earlier runs that the row of a trial states. */
+const MAX_PENDING_RUNS = 8
+
+/** Milliseconds between two looks for the end of a target that another gateway tries. */
+const JUDGE_POLL_MS = 500
+
+/**
+ * Milliseconds after the end of such a target within which its gateway counts the crash, and up to which this one waits longer.
+ *
+ * The wait differs between gateways, so that one of them asks the target and writes, and the others see its row.
+ */
+const JUDGE_AFTER_MS = 1_000
+const JUDGE_SPREAD_MS = 1_000
+
+/** Milliseconds for which the runs of another gateway's trial are judged. */
+const JUDGE_MS = 15_000
+
 /** Maximum number of incarnations that are kept after their end with their state, for requests that still wait for them. */
 const MAX_ENDED = 100
 
@@ -65,6 +93,9 @@
   private readonly _storeTime = new StoreTime()
   private readonly _trials: TrialStore
   private readonly _ended = new Map<string, EndedTarget>()
+  /** Trials of other gateways whose runs are judged here, by row key and holder. */
+  private readonly _judged = new Set<string>()
+  private readonly _judgeAfterMs = JUDGE_AFTER_MS + JUDGE_SPREAD_MS * Math.random()
 
   constructor (options: SuspectStoreOptions) {
     const { access, clock, log } = options
@@ -80,36 +111,46 @@
     return Math.max(...getAll(digests).map(digest => this._list.getRefusedMs(digest, now)))
   }
 
-  /** Checks whether a request has crashed so many targets that only one of its copies may be run at a time. */
-  isConfirmed (digests: SuspectDigests): boolean {
-    const now = this._options.clock.now()
-    return getAll(digests).some(digest => this._list.isConfirmed(digest, now))
+  /** Checks whether a request has crashed so many targets, or may have, that only one of its copies may be run at a time. */
+  needsTrial (digests: SuspectDigests): boolean {
+    return this._getTried(digests).length > 0
   }
 
   /**
-   * Decides whether a request may be run; one that has crashed several targets needs a trial, which {@link endTrial} ends.
+   * Decides whether a request may be run; one that has crashed several targets, or may have, needs a trial, which {@link endTrial} ends.
    *
    * While it is tried elsewhere it waits for the outcome for a short time.
    */
   async admit (digests: SuspectDigests, requestId: string): Promise<Admission> {
     for (let waitedMs = 0; ; waitedMs += TRIAL_POLL_MS) {
       const now = this._options.clock.now()
-      const confirmed = getAll(digests).filter(digest => this._list.isConfirmed(digest, now))
-      if (confirmed.length === 0) return { type: 'admitted' }
+      const tried = this._getTried(digests)
+      if (tried.length === 0) return { type: 'admitted' }
+      const isConfirmed = tried.some(digest => this._list.isConfirmed(digest, now))
+      // While the store can't decide who tries it, a request that is not refused is run as any other.
+      if (!isConfirmed && this._options.access.health.isUnavailable()) return { type: 'admitted' }
       const refusedMs = this.getRefusedMs(digests)
       if (refusedMs > 0) return { type: 'refused', refusedMs }
-      const trial = await this._trials.begin(confirmed, requestId)
+      const trial = await this._trials.begin(tried, requestId, this._getPending(tried))
       if (trial !== undefined) return { type: 'admitted', trial }
-      const isWaiting = waitedMs < TRIAL_WAIT_MS && this._trials.isBegun(confirmed)
+      const isBegun = this._trials.isBegun(tried)
+      if (!isConfirmed && !isBegun) return { type: 'admitted' }
+      const isWaiting = waitedMs < TRIAL_WAIT_MS && isBegun
       if (!isWaiting) return { type: 'refused', refusedMs: TRIAL_RETRY_MS }
       await sleep(TRIAL_POLL_MS)
     }
   }
 
+  /** Records to which target a request that is tried is sent next. */
+  async recordTrialRun (trial: Trial, incarnation: string): Promise<void> {
+    await this._trials.recordRun(trial, incarnation)
+  }
+
   /** Ends the trial of a request that is over, as soon as it is known whether a target that has run it goes on. */
   async endTrial (trial: Trial): Promise<void> {
     const { clock } = this._options
-    const deadline = clock.now() + OUTCOME_TIMEOUT_MS
+    const isConfirmed = trial.digests.some(digest => this._list.isConfirmed(digest, clock.now()))
+    const deadline = clock.now() + (isConfirmed ? OUTCOME_TIMEOUT_MS : UNJUDGED_MS)
     let isAsked = false
     while (this._trials.isHeld(trial) && clock.now() < deadline) {
       const open = trial.digests.flatMap(digest => this._evidence.getAbandoned(digest))
@@ -188,6 +229,91 @@
     await this._expiring.removeExpired()
   }
 
+  /** Gets the digests under which a request may be run only by one gateway at a time. */
+  private _getTried (digests: SuspectDigests): string[] {
+    const now = this._options.clock.now()
+    const { request } = digests
+    const confirmed = getAll(digests).filter(digest => this._list.isConfirmed(digest, now))
+    if (confirmed.includes(request)) return confirmed
+    const isTriedElsewhere = (this._trials.getOther(request)?.runs.length ?? 0) > 0 && this._trials.isBegun([request])
+    const unjudged = this._getUnjudged(request).map(({ incarnation }) => incarnation)
+    const suspected = new Set([...this._list.getIncarnations(request, now), ...unjudged])
+    // Unrelated programs may have an input in common, which only counts once it is confirmed.
+    return isTriedElsewhere || suspected.size >= TRIAL_AFTER_INCARNATIONS ? [request, ...confirmed] : confirmed
+  }
+
+  /** Gets the runs of a request whose targets have sent nothing since, and may have ended. */
+  private _getUnjudged (digest: string): AbandonedRun[] {
+    const now = this._options.clock.now()
+    return this._evidence.getAbandoned(digest).filter(run => {
+      const state = this._options.findTarget(run.incarnation) ?? this._ended.get(run.incarnation)?.state
+      const isSilent = state === undefined || now - state.getHeardAt() >= ABANDONED_GRACE_MS
+      return isSilent && now - run.abandonedAt <= UNJUDGED_MS && mayHaveEnded(run, time => state?.getHeardOnOpenAt(time) ?? -Infinity)
+    })
+  }
+
+  /** Gets the latest runs of requests whose outcome only this gateway would learn. */
+  private _getPending (digests: readonly string[]): TrialRun[] {
+    const now = this._options.clock.now()
+    const runs = new Map(digests.flatMap(digest => this._getUnjudged(digest)).map(run => [run.incarnation, run]))
+    return [...runs.values()].slice(-MAX_PENDING_RUNS).map(({ incarnation, sentAt, abandonedAt }) => ({
+      incarnation, sentMsAgo: Math.round(now - sentAt), abandonedMsAgo: Math.round(now - abandonedAt)
+    }))
+  }
+
+  /** Judges the runs of another gateway's trial while its row remains, in case that gateway has ended. */
+  private async _judge (digest: string, holder: string, isFirstSeen: boolean): Promise<void> {
+    const { clock, findTarget } = this._options
+    const key = `${digest} ${holder}`
+    if (this._judged.has(key)) return
+    this._judged.add(key)
+    const goneAt = new Map<string, number>()
+    /** Targets whose end this gateway sees itself. */
+    const listed = new Set<string>()
+    for (;;) {
+      await sleep(JUDGE_POLL_MS, undefined, { ref: false })
+      const now = clock.now()
+      const trial = this._trials.getOther(digest)
+      if (trial?.holder !== holder || now - trial.startedAt >= JUDGE_MS) break
+      for (const { incarnation, sentMsAgo, abandonedMsAgo } of trial.runs) {
+        if (findTarget(incarnation) !== undefined) {
+          goneAt.delete(incarnation)
+          listed.add(incarnation)
+        } else if (!goneAt.has(incarnation)) goneAt.set(incarnation, now)
+        else if (now - goneAt.get(incarnation)! >= this._judgeAfterMs && !this._list.has(digest, incarnation)) {
+          // Judged once.
+          goneAt.set(incarnation, Infinity)
+          const times = { sentAt: trial.startedAt - sentMsAgo, abandonedAt: trial.startedAt - abandonedMsAgo }
+          await this._inferOther({ digests: [digest], incarnation, ...times }, isFirstSeen && !listed.has(incarnation))
+        }
+      }
+    }
+    this._judged.delete(key)
+  }
+
+  /**
+   * Infers from the end of a target whether a run of another gateway may have crashed it.
+   *
+   * @param mayBeUnseen - True if the target may have ended before this gateway first read the list, which is then its only evidence.
+   */
+  private async _inferOther (run: AbandonedRun, mayBeUnseen: boolean): Promise<void> {
+    const { clock, confirmTargets, findTarget, log } = this._options
+    const { digests, incarnation } = run
+    const ended = this._ended.get(incarnation)
+    // A target that was leaving when its row was removed has not crashed.
+    if (ended === undefined && !mayBeUnseen) return
+    log.info('trial-judged', { digests, target: incarnation, isUnseen: ended === undefined })
+    if (ended !== undefined) {
+      this._evidence.addAbandoned(run)
+      await this._infer(ended)
+      return
+    }
+    if (await confirmTargets() === false || findTarget(incarnation) !== undefined) return
+    this._evidence.addAbandoned(run)
+    const crashes = this._evidence.infer(incarnation, () => -Infinity, clock.now())
+    await Promise.all(crashes.map(async crash => { await this._share(crash) }))
+  }
+
   private async _share ({ digest, incarnation }: CrashRecord): Promise<void> {
     const { access, clock, log } = this._options
     if (this._list.has(digest, incarnation)) return
@@ -197,7 +323,7 @@
     const row = toSuspectRow(digest, incarnation, this._storeTime.toStoreTime(clock.now()))
     this._expiring.add([getSuspectKey(digest, incarnation)], SUSPECT_RETENTION_MS)
     try {
-      await access.commitRepeatable({ puts: [row], removes: this._trials.take(digest) }, clock.now() + WRITE_TIMEOUT_MS)
+      await access.commitRepeatable({ puts: [row], removes: this._trials.take(digest, incarnation) }, clock.now() + WRITE_TIMEOUT_MS)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
       log.warn('suspect-not-shared', { digest, lifetime: incarnation, cause: err.message })
@@ -253,7 +379,7 @@
     // A gateway that has ended does not remove its rows; earlier versions wrote them without a time.
     const isExpired = (row: StoredRow): boolean => now - (this._getRowTime(row) ?? -Infinity) >= SUSPECT_RETENTION_MS
     const expired = this._storeTime.isKnown() ? rows.filter(isExpired) : []
-    for (const row of rows) if (!expired.includes(row)) this._applyRow(row)
+    for (const row of rows) if (!expired.includes(row)) this._applyRow(row, true)
     if (expired.length > 0) void this._remove(expired)
   }
 
@@ -267,9 +393,14 @@
     }
   }
 
-  private _applyRow (row: StoredRow): void {
-    if (this._trials.applyRow(row)) return
+  private _applyRow (row: StoredRow, isFirstSeen = false): void {
     const { clock, log } = this._options
+    if (this._trials.applyRow(row)) {
+      const digest = decodeTrialKey(row)!
+      const trial = this._trials.getOther(digest)
+      if (trial !== undefined && trial.runs.length > 0) void this._judge(digest, trial.holder, isFirstSeen)
+      return
+    }
     if (this._list.addStored({ key: row, at: this._getRowTime(row) ?? clock.now() })) log.warn('suspect-confirmed', { row: row.key })
   }
 
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -17,6 +17,9 @@
 /** Milliseconds in which a target's row expires, roughly. */
 const EXPIRY_MS = 3_000
 
+/** Milliseconds in which a gateway looks for the ends of targets once at least. */
+const JUDGE_POLL_MS = 700
+
 const DIGESTS: SuspectDigests = { request: 'request', input: 'input' }
 
 /** A gateway's suspects with a clock of its own. */
@@ -231,6 +234,74 @@
     expect(first.suspects.getRefusedMs(DIGESTS)).toEqual(0)
   })
 
+  // BUDGET: copies ran at all gateways until the ends of the first targets, which had fallen silent, were known.
+  it('should let one gateway at a time run a request while two of its targets are silent, until one is heard', async () => {
+    const second = createGateway(RESTART_AHEAD_MS)
+    const state = hold(first, 'a')
+    expect(await first.suspects.admit(DIGESTS, 'r1')).toEqual({ type: 'admitted' })
+    hold(first, 'b')
+    const trial = await admit(first)
+    await first.suspects.recordTrialRun(trial, 'd@1')
+    await read(second)
+    expect((await second.suspects.admit(DIGESTS, 'r2')).type).toEqual('refused')
+    const connection = {}
+    state.recordHeard(first.clock.now(), connection)
+    advance(ABANDONED_GRACE_MS + 1)
+    state.recordHeard(first.clock.now(), connection)
+    await first.suspects.clear({ request: 'other', input: undefined }, 'r3')
+    expect(first.suspects.needsTrial(DIGESTS)).toEqual(false)
+  })
+
+  // LOST: neither an outage of the store nor targets that stay silent may keep a request that was not refused from running.
+  it('should run a request whose targets are silent while the store is away, and some seconds later', async () => {
+    hold(first, 'a')
+    hold(first, 'b')
+    rows.failure = 'refused'
+    expect(await first.suspects.admit(DIGESTS, 'r1')).toEqual({ type: 'admitted' })
+    rows.failure = undefined
+    advance(2 * EXPIRY_MS)
+    expect(await first.suspects.admit(DIGESTS, 'r2')).toEqual({ type: 'admitted' })
+  })
+
+  // BUDGET: the outcome of a trial was lost with its gateway, so that all gateways killed every 9 s let a run begin every 10 s.
+  for (const isListed of [false, true]) {
+    it(`should count the target of a trial whose gateway has ended, by a gateway that ${isListed ? 'sees its end' : 'starts later'}`, async () => {
+      const refusedMs = await tryAndEnd(async (successor, target) => { if (isListed) await end(successor, target, 'removed') }, isListed)
+      expect(refusedMs).toBeGreaterThan(0)
+    })
+  }
+
+  // LOST: the opposite.
+  it('should not count the target of a trial whose gateway has ended when it leaves', async () => {
+    expect(await tryAndEnd(async (successor, target) => { successor.targets.delete(target.incarnation) }, true)).toEqual(0)
+  })
+
+  it('should not count the target of a trial whose gateway has ended when it responds', async () => {
+    const endAlive = async (successor: SuspectGateway, target: TargetState): Promise<void> => {
+      successor.alive.add(target.incarnation)
+      await end(successor, target, 'removed')
+    }
+    expect(await tryAndEnd(endAlive, true)).toEqual(0)
+  })
+
+  /** Begins a trial at a gateway that ends; another one reads its row, and the target ends. Gets the time of the refusal. */
+  async function tryAndEnd (act: (successor: SuspectGateway, target: TargetState) => Promise<void>, isListed: boolean): Promise<number> {
+    for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
+    advance(REFUSAL_MS[3])
+    const ended = createGateway(RESTART_AHEAD_MS)
+    await ended.suspects.recordTrialRun(await admit(ended, true), 'd@1')
+    const successor = createGateway(2 * RESTART_AHEAD_MS)
+    const target = listTarget(successor, 'd')
+    if (!isListed) successor.targets.clear()
+    await read(successor)
+    await delay(JUDGE_POLL_MS)
+    await act(successor, target)
+    await delay(JUDGE_POLL_MS)
+    advance(EXPIRY_MS)
+    await delay(JUDGE_POLL_MS)
+    return successor.suspects.getRefusedMs(DIGESTS)
+  }
+
   /** Begins a trial. */
   async function admit (gateway: SuspectGateway, isUnread = false): Promise<Trial> {
     if (isUnread) await read(gateway)
