Check a configuration of the platform before it is in force

An operator learned of an error only from the gateways' config-rejected line, one version late, and of a route that never matches or limits that contradict each other not at all.

Change: `wisteriactl check NEW [--against IN_FORCE] [--json]` reports errors with line and key, entries that never match, contradicting limits and what each difference means for requests in progress. The decoder is the gateway's own, passed in by platform/wisteria-check.ts, since src/bin must not import platform. Exit codes 0, 1 and 2.

--- /dev/null
+++ b/src/core/check/index.ts
@@ -0,0 +1,5 @@
+export * from './checkConfig.js'
+export * from './compareConfigs.js'
+export * from './ConfigDecoder.js'
+export * from './JsonLocator.js'
+export * from './RawConfig.js'
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -80,7 +80,7 @@
  *
  * They are outside the heap, which leaves about this much of a machine's memory beside the limit that is set for it.
  */
-const HELD_BYTES_SHARE = 0.2
+export const HELD_BYTES_SHARE = 0.2
 
 /** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
 const STOP_NOTICE_MS = 3_000
--- /dev/null
+++ b/tests/platform/checkTests.ts
@@ -0,0 +1,107 @@
+import { spawnSync } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect } from 'earl'
+import fc from 'fast-check'
+import { decodeConfig, getConfigErrors } from '../../platform/decodeConfig.js'
+import { checkConfig, compareConfigs, ConfigDecoder, JsonLocator } from '../../src/core/check/index.js'
+import { formatFinding } from '../../src/core/config/index.js'
+
+const ROUTE = { name: 'turns', host: 'h', pathPrefix: '/turns/', service: 'model', timeoutMs: 2_000, targetLatencyMs: 500 }
+const CLEAN = { version: 1, routes: [ROUTE], services: [{ name: 'model' }] }
+
+/** One entry for each finding but errors of the schema. */
+const CONTRADICTIONS = {
+  version: 2,
+  routes: [
+    { ...ROUTE, targetLatencyMs: 2_001, targetGapMs: 2_001, retentionS: 60 },
+    { ...ROUTE, name: 'shadowed' },
+    { ...ROUTE, name: 'weightless', pathPrefix: '/w/', service: undefined, backends: [{ service: 'model', weight: 0 }] }
+  ],
+  services: [{ name: 'model' }, { name: 'unused' }],
+  tenants: [{ name: 'a', apiKeys: ['secret', 'one'] }, { name: 'b', apiKeys: ['two', 'secret'], ratePerS: 5, burst: 0.5 }],
+  limits: { maxBodyBytes: 10_000_000 }
+}
+
+class Decoder extends ConfigDecoder {
+  decode = decodeConfig
+  getErrors = getConfigErrors
+}
+
+function check (text: string): string[] {
+  return checkConfig(text, { file: 'new.json', decoder: new Decoder(), maxHeldBytes: 5_000_000 }).map(formatFinding)
+}
+
+describe('checkConfig', () => {
+  it('should find nothing in a clean configuration', () => { expect(check(JSON.stringify(CLEAN))).toEqual([]) })
+
+  it('should find what never matches and what contradicts itself, without showing a key', function () {
+    const findings = check(JSON.stringify(CONTRADICTIONS, null, 1))
+    expect(findings).toMatchSnapshot(this)
+    expect(findings.join().includes('secret')).toEqual(false)
+  })
+
+  it('should find all errors at once', function () {
+    expect(check('{\n"routes": [\n{ "name": 7 },\n{ "host":\n[] }],\n"limits": 0\n}')).toMatchSnapshot(this)
+  })
+
+  // An exception would be taken for an unreadable file.
+  it('should throw for no JSON, and name a line of it', () => {
+    const member = fc.jsonValue({ maxDepth: 3 })
+    const entry = (entry: object): fc.Arbitrary<unknown> =>
+      fc.tuple(fc.constantFrom(...Object.keys(entry), '__proto__'), member).map(([key, value]) => ({ ...entry, [key]: value }))
+    const config = fc.record({
+      version: fc.oneof(fc.nat(), member),
+      routes: fc.oneof(fc.array(entry(CONTRADICTIONS.routes[0]!)), member),
+      services: fc.oneof(fc.array(entry({ name: 'model' })), member),
+      tenants: fc.oneof(fc.array(entry(CONTRADICTIONS.tenants[1]!)), member)
+    }, { requiredKeys: [] })
+    fc.assert(fc.property(fc.oneof(config, member), fc.oneof(config, member), (value, other) => {
+      const text = JSON.stringify(value, null, 1)
+      const findings = checkConfig(text, { file: 'f', decoder: new Decoder(), maxHeldBytes: 1 })
+      expect(findings.every(({ line }) => line >= 0 && line <= text.split('\n').length)).toEqual(true)
+      compareConfigs(JSON.parse(text), JSON.parse(JSON.stringify(other)))
+    }))
+  })
+})
+
+describe('JsonLocator', () => {
+  it('should find the line of each key, whatever strings hold', () => {
+    const locator = new JsonLocator('{"a":\n"}\\"\\\\",\n"b": [1,\n{"c": null}, [\n2]]}')
+    const paths = [['a'], ['b'], ['b', 0], ['b', 1, 'c'], ['b', 2, 0], ['b', 9], ['d']]
+    expect(paths.map(path => locator.getLine(path))).toEqual([1, 3, 3, 4, 5, 3, 0])
+  })
+})
+
+describe('compareConfigs', () => {
+  it('should state what each difference means for requests in progress', function () {
+    expect(compareConfigs({ ...CONTRADICTIONS, version: 3 }, CLEAN)).toMatchSnapshot(this)
+    expect(compareConfigs(CLEAN, { ...CLEAN, version: 2, routes: [{ ...ROUTE, timeoutMs: 1, retained: true }] })).toMatchSnapshot(this)
+    expect(compareConfigs(CLEAN, CLEAN).length).toEqual(1)
+  })
+})
+
+describe('wisteriactl check', () => {
+  let folder: string
+
+  beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'wisteria-check-')) })
+  afterEach(() => { rmSync(folder, { recursive: true }) })
+
+  it('should exit with 0 for a clean file, 1 for findings, and 2 for a file that it can not read', () => {
+    const run = (text: string, ...args: string[]): number | null => {
+      const file = join(folder, 'new.json')
+      writeFileSync(file, text)
+      return spawnSync(process.execPath, ['--import=tsx', 'platform/wisteria-check.ts', 'check', file, ...args]).status
+    }
+    expect([
+      run(JSON.stringify(CLEAN)),
+      run(JSON.stringify(CLEAN), '--against', join(folder, 'new.json'), '--json'),
+      run(JSON.stringify(CONTRADICTIONS)),
+      run('{'),
+      run('['.repeat(100_000) + ']'.repeat(100_000)),
+      run('{}', '--against', join(folder, 'missing.json')),
+      run('{}', '--unknown')
+    ]).toEqual([0, 0, 1, 2, 2, 2, 2])
+  })
+})
