--- a/src/core/limits/ProcessLimits.ts
+++ b/src/core/limits/ProcessLimits.ts
@@ -6,7 +6,7 @@
  *
  * Buffers are outside the heap, which leaves about this much of a machine's memory beside the limit that is set for it.
  */
-const HELD_SHARE = 0.2
+export const HELD_SHARE = 0.2
 
 /** Share of the held bytes that the callers of one address may hold; all callers of a deployment may come from a few addresses. */
 const ADDRESS_SHARE = 0.9
