--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -202,7 +202,8 @@
     })
     const ages = new AgeClock(clock, new SystemClock())
     const quotaHolders = new QuotaHolders({ clock, ages, localId: id, localDomain: failureDomain, regions })
-    const quotaPeers = new QuotaPeers({ pool, localId: id, holder: new QuotaHolder({ clock, holders: quotaHolders }) })
+    const quotaHolder = new QuotaHolder({ clock, holders: quotaHolders, getQuota: workspace => this._configs.get()?.getQuota(workspace) })
+    const quotaPeers = new QuotaPeers({ pool, localId: id, holder: quotaHolder })
     const quotas = new QuotaGate({
       clock,
       ages,
