Let pipelined requests wait while memory is short

A request that its caller sent before the last response waits while more than a quarter of the budget is held; a caller that sends one request at a time sees no change.

--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -29,6 +29,8 @@
   readonly getMaxHeadBytes: () => number
   /** Called when the bytes of an incomplete head are too many. */
   readonly onHeadTooLarge: (connection: CallerConnection) => void
+  /** Checks whether so much memory is held that requests which were sent before the last response wait. */
+  readonly isMemoryShort: () => boolean
   /** Called with the bytes of each read. */
   readonly onRead: (bytes: number) => void
 }
@@ -67,6 +69,8 @@
   /** Why no further request is accepted, with the phase at that time. */
   private _ending: { readonly cause: EndCause, readonly phase: ConnectionPhase } | undefined
   private _isClosing = false
+  /** True while a request that was sent before the last response waits because memory is short. */
+  private _isHeldBack = false
   private _isEnded = false
   private readonly _held: HeldBytes
   private readonly _feed: RequestFeed
@@ -186,6 +190,7 @@
     this._limits = this._getLimits()
     this._updateProgress()
     this._updateHeld()
+    if (this._isHeldBack && !this._isClosing) this._continue()
   }
 
   /** Gets the phase if it has lasted too long, otherwise undefined. */
@@ -267,11 +272,18 @@
     const limits = this._getLimits()
     this._enter(ConnectionPhase.Idle, { ...limits, idle: Math.max(limits.idle, this._announcedIdleMs) })
     if (this._deferredRefusal !== undefined && this.socket.writable) this._endWith(this._deferredRefusal)
-    else if (!this._isEnded) this._feed.feed()
+    else if (!this._isEnded) this._continue()
+  }
+
+  /** Reads the next request; one that was sent before the last response waits while memory is short. */
+  private _continue (): void {
+    this._isHeldBack = this._feed.getWaitingBytes() > 0 && this._options.isMemoryShort()
+    if (!this._isHeldBack) this._feed.feed()
   }
 
   /** Gets what the next bytes belong to; undefined while a request whose body is complete is in progress. */
   private _getExpected (): Expected | undefined {
+    if (this._isHeldBack && !this._isClosing) return undefined
     if (this._pending.size === 0 || this._isClosing) return 'head'
     if (this.getReceiving() === undefined) return undefined
     // The parser has seen the whole body, but has not yet been told that nothing follows.
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -13,6 +13,9 @@
 /** Share of the budget beyond which connections that hold much and move little are ended. */
 const SHORT_SHARE = 0.5
 
+/** Share of the budget beyond which requests that were sent before the last response wait. */
+const PIPELINE_SHARE = 0.25
+
 /** Weight of the time of a connection that stopped within a request; one between two requests may be of an ordinary caller. */
 const UNFINISHED_WEIGHT = 100
 
@@ -79,7 +82,8 @@
       held: memory.open(address),
       onEnd,
       onHeadTooLarge,
-      onRead
+      onRead,
+      isMemoryShort: () => memory.getExcessBytes(PIPELINE_SHARE) > 0
     })
     this._connections.set(socket, connection)
     this._open.add(connection)
