Take the framing of a body from its fields, also beyond a thousand of them

Node.js drops the fields of a head after the first thousand, so that a legal request with 1,800 fields had no length: since requests are parsed one at a time, its body was not read and it got no answer. Fields are no longer dropped, and a missing length is not taken for 0. The cause of the 503 is not traced; the target's stand-in drops fields after the first thousand too.

--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -168,7 +168,8 @@
     this._requests++
     this._headBytes = 0
     this._isBodyNext = false
-    this._bodyLeft = req.headers['transfer-encoding'] === undefined ? Number(req.headers['content-length'] ?? 0) : undefined
+    const length = req.headers['transfer-encoding'] === undefined ? req.headers['content-length'] : undefined
+    this._bodyLeft = length === undefined ? undefined : Number(length)
     this._readAt = this._progressAt = this._clock.now()
     this._enter(req.complete ? ConnectionPhase.Response : ConnectionPhase.Body, this._getLimits())
     res.on('close', () => { this._removeRequest(res) })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -89,6 +89,8 @@
   constructor (options: GatewayServerOptions) {
     this._options = options
     this._parser = createServer({ maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, headersTimeout: 0 })
+    // Node.js drops the fields after the first thousand, among them perhaps the length of the body; heads are bounded by their bytes.
+    this._parser.maxHeadersCount = 0
     this._parser.on('request', (req, res) => { void this._serve(req, res) })
     this._parser.on('clientError', (err: NodeJS.ErrnoException, socket) => { this._handleClientError(err, socket as Socket) })
     // With a listener, the parser closes no connection when its keep-alive time-out fires.
