Derive descriptors from the settings first, and let a configuration's workspaces not hide other findings

The check of a configuration reported nothing else once a key was held twice. The directory of peers kept a test process alive. Change: max_fds of the settings goes before the limit of the process; the check decodes a configuration with bad workspaces once more without them; PeerDirectory waits without keeping the process alive.

--- a/src/core/check/checkConfig.ts
+++ b/src/core/check/checkConfig.ts
@@ -30,13 +30,18 @@
   const value = Buffer.from(text)
   const errors = decoder.getErrors(value).map(error => ({ ...error, expected: 'what docs/CONFIGURATION.md states' }))
   const decoded = errors.length > 0 ? undefined : decoder.decode(value)
+  // Errors of workspaces do not hide what is wrong elsewhere.
+  const others = decoded?.isLeft() === true ? decoder.decode(Buffer.from(JSON.stringify(raw, withoutWorkspaces))) : decoded
+  const workspaceProblems = checkWorkspaces(raw)
+  const decodeProblems = decoded?.swap().map(problem => [{ path: [], problem, expected: 'what docs/CONFIGURATION.md states' }]).orDefault([]) ?? []
   const problems: Problem[] = [
     ...errors,
-    ...(decoded?.swap().map(problem => [{ path: [], problem, expected: 'what docs/CONFIGURATION.md states' }]).orDefault([]) ?? []),
-    ...(decoded?.map(config => [
+    // The decoder names the first error only, which is among those of the workspaces if there are any.
+    ...(workspaceProblems.length > 0 ? [] : decodeProblems),
+    ...(others?.map(config => [
       ...checkRoutes(config, raw), ...checkServices(config, raw), ...checkBody(config, maxHeldBytes)
     ]).orDefault([]) ?? []),
-    ...checkWorkspaces(raw)
+    ...workspaceProblems
   ]
   const locator = new JsonLocator(text)
   const findings = problems.map(({ path, problem, expected }) => {
@@ -45,6 +50,10 @@
   return findings.sort((a, b) => a.line - b.line)
 }
 
+function withoutWorkspaces (key: string, value: unknown): unknown {
+  return key === 'tenants' ? undefined : value
+}
+
 function checkRoutes ({ routes }: RouteConfig, raw: unknown): Problem[] {
   const rawRoutes = getObjects(raw, 'routes')
   const firsts = new Map<string, string>()
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -150,7 +150,8 @@
     const bounds = getProcessLimits({
       memoryMb: settings.limits.memoryMb,
       heapBytes: getHeapStatistics().heap_size_limit,
-      maxFds: Math.min(settings.limits.maxFds ?? Infinity, getMaxDescriptors())
+      // A machine may state a limit for files only, as the users' platform does, so that the setting goes first.
+      maxFds: settings.limits.maxFds ?? getMaxDescriptors()
     })
     this._limits = bounds
     this._registry = new TargetRegistry({
--- a/src/io/peer/PeerDirectory.ts
+++ b/src/io/peer/PeerDirectory.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setTimeout as sleepFor } from 'node:timers/promises'
 import type { AgeClock, Clock, Moment } from '../../core/clock/index.js'
 import { decodePeer, encodePeer, getPeerKey, PEER_TABLE, type Peer, type PeerRanking } from '../../core/peer/index.js'
 import { StoreError, type RowSnapshot, type RowStore } from '../../core/platform/index.js'
@@ -152,3 +152,8 @@
     }
   }
 }
+
+/** Waits without keeping the process alive. */
+async function sleep (ms: number): Promise<void> {
+  await sleepFor(ms, undefined, { ref: false })
+}
