State the parameter of QuotaGate.admit after its description

Cause: a merge had put the description into the text of the parameter. Change: the order of the lines.

--- a/src/io/gateway/QuotaGate.ts
+++ b/src/io/gateway/QuotaGate.ts
@@ -99,9 +99,10 @@
   /**
    * Admits a request, or refuses it.
    *
-   * @param configVersion - Version of the configuration that states the quota.
    * Answers a workspace that reaches its quota: requests of programs in progress wait longer and get the next tokens, so that programs are
    * refused before they begin rather than midway.
+   *
+   * @param configVersion - Version of the configuration that states the quota.
    */
   async admit (
     { name, quota }: Pick<Workspace, 'name' | 'quota'>, configVersion: number, { remainingMs = Infinity, isInProgress = false }: AdmitOptions = {}
