Name the initial start of all gateways by the usual terms

Cause: FOUNDING_MS and FOUNDER_SPREAD_MS were figurative names. Change: INITIAL_START_MS and INITIAL_SPREAD_MS; no behaviour changes. Measured: QuotaHoldersTests pass.

--- a/src/core/quota/QuotaHolders.ts
+++ b/src/core/quota/QuotaHolders.ts
@@ -9,10 +9,10 @@
 export const LIST_SPREAD_MS = 20_000
 
 /** Milliseconds after the first registration of all in which the gateways start for the first time; later ones count like any new one. */
-export const FOUNDING_MS = 3_000
+export const INITIAL_START_MS = 3_000
 
 /** Milliseconds after its registration from which a gateway counts that starts together with all others, which then read often. */
-export const FOUNDER_SPREAD_MS = 1_000
+export const INITIAL_SPREAD_MS = 1_000
 
 /** Age in milliseconds from which a list is out of date: gateways may be missing that others count soon. */
 export const MAX_LIST_AGE_MS = 15_000
@@ -73,7 +73,7 @@
   /** Time of the store's clock from which each gateway counts, by id. */
   private _countedFrom: ReadonlyMap<string, number> = new Map()
   /** Time of the store's clock until which gateways start for the first time. */
-  private _foundingUntil = -Infinity
+  private _initialStartUntil = -Infinity
   /** Times of the store's clock from which further gateways count, in ascending order. */
   private _changes: readonly number[] = []
   /** Milliseconds to be added to the steady clock for the clock of the store; 0 for a store that states no time. */
@@ -106,7 +106,7 @@
     this._list = list
     this._peers = peers
     const firstSeen = Math.min(...peers.map(peer => peer.firstSeenAt ?? -Infinity))
-    this._foundingUntil = firstSeen + FOUNDING_MS + FOUNDER_SPREAD_MS
+    this._initialStartUntil = firstSeen + INITIAL_START_MS + INITIAL_SPREAD_MS
     this._countedFrom = new Map(peers.map(peer => [peer.id, getCountedFrom(peer, firstSeen)]))
     this._changes = [...new Set(this._countedFrom.values())].sort((a, b) => a - b)
     this._cache.clear()
@@ -145,7 +145,7 @@
     if (!lists.every(holders => holders.some(({ id }) => id === localId))) return undefined
     const heldSince = this._getHeldSince(workspace, time)
     const share = 1 / Math.max(...lists.map(holders => holders.length))
-    return { share, heldSince: heldSince - this._offsetMs, hadOtherHolder: heldSince > this._foundingUntil }
+    return { share, heldSince: heldSince - this._offsetMs, hadOtherHolder: heldSince > this._initialStartUntil }
   }
 
   /** Gets the time of the store's clock since when the local gateway holds a share that it holds at `time`. */
@@ -160,14 +160,14 @@
   private _isListValid (): boolean {
     if (this._readAt === undefined) return false
     const { ages } = this._options
-    if (this._isUnsettled(this._readAt)) return ages.getAgeMs(this._readAt) <= FOUNDER_SPREAD_MS
+    if (this._isUnsettled(this._readAt)) return ages.getAgeMs(this._readAt) <= INITIAL_SPREAD_MS
     if (ages.getAgeMs(this._readAt) <= MAX_LIST_AGE_MS) return true
     return this._failedAt !== undefined && ages.getAgeMs(this._failedAt) <= FAILURE_TTL_MS
   }
 
   /** Checks whether gateways may be missing in a list that start together with all others. */
   private _isUnsettled (readAt: Moment): boolean {
-    return readAt.at + this._offsetMs < this._foundingUntil
+    return readAt.at + this._offsetMs < this._initialStartUntil
   }
 
   private _getStoreTime (): number {
@@ -202,5 +202,5 @@
 
 /** Gets the time of the store's clock from which a gateway counts, by the time of the first registration of all. */
 function getCountedFrom ({ firstSeenAt = -Infinity }: Peer, firstOfAll: number): number {
-  return firstSeenAt + (firstSeenAt <= firstOfAll + FOUNDING_MS ? FOUNDER_SPREAD_MS : LIST_SPREAD_MS)
+  return firstSeenAt + (firstSeenAt <= firstOfAll + INITIAL_START_MS ? INITIAL_SPREAD_MS : LIST_SPREAD_MS)
 }
--- a/tests/core/quota/QuotaHoldersTests.ts
+++ b/tests/core/quota/QuotaHoldersTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import { AgeClock, ManualClock, type Moment } from '../../../src/core/clock/index.js'
 import type { Peer } from '../../../src/core/peer/index.js'
-import { FOUNDER_SPREAD_MS, FOUNDING_MS, LIST_SPREAD_MS, MARGIN_MS, MAX_LIST_AGE_MS, QuotaHolders } from '../../../src/core/quota/index.js'
+import { INITIAL_SPREAD_MS, INITIAL_START_MS, LIST_SPREAD_MS, MARGIN_MS, MAX_LIST_AGE_MS, QuotaHolders } from '../../../src/core/quota/index.js'
 
 const REGIONS = { a: 'north', b: 'north', c: 'south', d: 'south' }
 const PEERS = ['a', 'b', 'c', 'd'].flatMap(domain => [1, 2, 3].map(at => toPeer(`${domain}${at}`)))
@@ -67,21 +67,21 @@
     const peers = PEERS.map((peer, at) => ({ ...peer, firstSeenAt: REGISTERED_AT + 10 * at }))
     const holders = create('a1', peers, REGISTERED_AT + 200)
     expect([holders.getHolders('shop'), holders.getReadDelayMs()]).toEqual([[], 300])
-    advance(FOUNDER_SPREAD_MS)
+    advance(INITIAL_SPREAD_MS)
     expect(holders.getHolders('shop').length).toEqual(4)
-    advance(FOUNDING_MS)
+    advance(INITIAL_START_MS)
     expect(holders.getReadDelayMs()).toEqual(300)
     const undated = { ...toPeer('a9'), firstSeenAt: Infinity }
-    holders.setPeers([...peers, undated], mark(), REGISTERED_AT + 200 + FOUNDER_SPREAD_MS + FOUNDING_MS)
+    holders.setPeers([...peers, undated], mark(), REGISTERED_AT + 200 + INITIAL_SPREAD_MS + INITIAL_START_MS)
     expect(holders.getReadDelayMs()).toEqual(10_000)
   })
 
   // A gateway that lost the store while the others registered went on lending by the few that it knew, and the bound was exceeded.
   it('should not lend by a list from the first start of the gateways that could not be read again', () => {
     const peers = [{ ...toPeer('a1'), firstSeenAt: REGISTERED_AT }]
-    const holders = create('a1', peers, REGISTERED_AT + FOUNDER_SPREAD_MS + MARGIN_MS)
+    const holders = create('a1', peers, REGISTERED_AT + INITIAL_SPREAD_MS + MARGIN_MS)
     expect(holders.getLocalShare('shop')?.share).toEqual(1)
-    advance(FOUNDER_SPREAD_MS + 1)
+    advance(INITIAL_SPREAD_MS + 1)
     holders.recordFailure(mark())
     expect(holders.getLocalShare('shop')).toEqual(undefined)
   })
