Let the tests of recorded debts use one clock, and end their waits

Cause: they stated a debt at 1,000 ms of a clock that shows the age of the process, so that in a process older than 11 s the debt counted as paid back, was never recorded, and the test waited without end; mocha did not exit. Change: the time comes from the clock of the store, and a wait ends after 10 s.

--- a/tests/io/peer/QuotaDebtStoreTests.ts
+++ b/tests/io/peer/QuotaDebtStoreTests.ts
@@ -6,6 +6,10 @@
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
 
 const KEY = getQuotaDebtKey('g1')
+const clock = new SteadyClock()
+
+/** Milliseconds after which a condition counts as not met. */
+const WAIT_MS = 10_000
 
 describe('QuotaDebtStore', () => {
   let store: MemoryRowStore
@@ -14,7 +18,7 @@
   const start = (): QuotaDebtStore => {
     const debtStore = new QuotaDebtStore({
       store,
-      clock: new SteadyClock(),
+      clock,
       log: new DecisionLog({ process: 'test', id: 'g1', isSilent: true }),
       gatewayId: 'g1',
       onWrite: () => {}
@@ -22,14 +26,20 @@
     void debtStore.run()
     return debtStore
   }
-  const until = async (isDone: () => boolean): Promise<void> => { while (!isDone()) await sleep(5) }
+  const until = async (isDone: () => boolean): Promise<void> => {
+    const deadline = clock.now() + WAIT_MS
+    while (!isDone()) {
+      if (clock.now() > deadline) throw new Error(`condition not met within ${WAIT_MS} ms`)
+      await sleep(5)
+    }
+  }
 
   // Tokens that were lent in advance and are not recorded would be lent again after a restart.
   it('should let a bucket use a debt only once it is recorded, and hand it to the next process', async () => {
     const { debts } = start()
     await until(() => debts.getInherited('shop') !== undefined)
     store.failure = 'refused'
-    debts.state('shop', 0, 8, 1_000)
+    debts.state('shop', 0, 8, clock.now())
     await sleep(150)
     expect(debts.getRecorded('shop')).toEqual(0)
     store.failure = undefined
@@ -54,7 +64,7 @@
     const { debts } = start()
     await until(() => debts.isOpen())
     expect(debts.getInherited('shop')).toEqual(undefined)
-    debts.state('shop', 0, 8, 1_000)
+    debts.state('shop', 0, 8, clock.now())
     await until(() => debts.getRecorded('shop') === 2)
   })
 })
