wisteriactl: exit with 1 when nothing is reachable or readable

Cause: clipanion sets the exit code to 0 after its hook `catch`, which overwrote the 1 that ConnectedCommand.catch had set. So `diff`, `drain` and `explain session` exited with 0 when the table or the entries were unreachable. `explain request` exited with 4 (does not exist) when no entry answered, `status` printed no cause, `logs losses` exited with 0 and `logs explain` with 4 when no file could be read.

Change: CtlCommand.validateAndExecute returns ExitCode.Failed for an error, in all commands. callAllEntries rejects with the causes when no entry answers. The commands for logs return ExitCode.Failed when no file was read.

Measured: the seven new tests of tests/io/ctl/exitCodeTests.ts failed before the change and pass with it.

--- a/src/io/ctl/CtlCommand.ts
+++ b/src/io/ctl/CtlCommand.ts
@@ -13,7 +13,7 @@
 /** Exit codes of wisteriactl; they do not change between versions. */
 export const ExitCode = {
   Done: 0,
-  /** The system is unreachable, or the outcome is unknown. */
+  /** The system is unreachable, no file can be read, or the outcome is unknown. */
   Failed: 1,
   /** The input has findings. */
   Findings: EXIT_FINDINGS,
@@ -40,6 +40,16 @@
     return ExitCode.Findings
   }
 
+  /** Runs the command; an error is printed and gives {@link ExitCode.Failed}. After clipanion's hook `catch` the exit code would be 0. */
+  override async validateAndExecute (): Promise<number> {
+    try {
+      return await super.validateAndExecute()
+    } catch (err) {
+      this.context.stderr.write(`${describeError(err)}\n`)
+      return ExitCode.Failed
+    }
+  }
+
   protected check (paths: readonly string[]): Either<Finding[], { texts: DocumentTexts, documents: Documents }> {
     return readDocuments(paths).chain(texts => parseDocuments(texts).map(documents => ({ texts, documents })))
   }
@@ -79,18 +89,16 @@
     throw new Error(`No entry answered. ${causes.join('; ')}`)
   }
 
-  /** Calls all entries and returns the responses of those that succeeded. */
+  /** Calls all entries and returns the responses of those that succeeded; rejects if none did. */
   protected async callAllEntries<T> (call: (client: TRPCClient<OperatorRouter>) => Promise<T>): Promise<T[]> {
     const settings = this.getSettings()
     const [key] = getOrExit(readSecrets(this.settingsFile, 'operator_key', [settings.operatorKey]))
     const headers = { authorization: `Bearer ${key!}` }
-    const responses = settings.entries.map(async entry =>
-      await call(createTRPCClient<OperatorRouter>({ links: [httpLink({ url: `${entry}/trpc`, headers })] })))
-    return (await Promise.allSettled(responses)).flatMap(result => result.status === 'fulfilled' ? [result.value] : [])
-  }
-
-  override async catch (err: unknown): Promise<void> {
-    this.context.stderr.write(`${describeError(err)}\n`)
-    process.exitCode = ExitCode.Failed
+    const results = await Promise.allSettled(settings.entries.map(async entry =>
+      await call(createTRPCClient<OperatorRouter>({ links: [httpLink({ url: `${entry}/trpc`, headers })] }))))
+    const responses = results.flatMap(result => result.status === 'fulfilled' ? [result.value] : [])
+    if (responses.length > 0) return responses
+    const causes = results.flatMap((result, at) => result.status === 'rejected' ? [`${settings.entries[at]!}: ${describeError(result.reason)}`] : [])
+    throw new Error(`No entry answered. ${causes.join('; ')}`)
   }
 }
--- a/src/io/ctl/fleetCommands.ts
+++ b/src/io/ctl/fleetCommands.ts
@@ -11,7 +11,7 @@
   async execute (): Promise<number> {
     const statuses = await this.callAllEntries(async client => await client.status.query())
     this.print(statuses, statuses.flatMap(formatStatus))
-    return statuses.length > 0 ? ExitCode.Done : ExitCode.Failed
+    return ExitCode.Done
   }
 }
 
@@ -28,9 +28,9 @@
   async execute (): Promise<number> {
     const found = await this.callEntry(async client => await client.explainSession.query(this.session)) as SessionExplanation | null
     if (found === null) return this._reportMissing()
-    // A refused request without a turn is kept only by the entry that refused it.
+    // A refused request without a turn is kept only by the entry that refused it. If no entry answers any more, the first response is used.
     const others = await this.callAllEntries(async client =>
-      await client.explainSession.query(this.session) as SessionExplanation | null)
+      await client.explainSession.query(this.session) as SessionExplanation | null).catch(() => [found])
     const refused = new Map(others.flatMap(other => other?.refused ?? []).map(record => [record.id, record]))
     const explanation = { ...found, refused: [...refused.values()] }
     this.print(explanation, formatSessionExplanation(explanation))
--- a/src/io/ctl/logCommands.ts
+++ b/src/io/ctl/logCommands.ts
@@ -31,6 +31,11 @@
     }
   }
 
+  /** Checks that at least one file was read. */
+  protected hasReadFiles (): boolean {
+    return this.files.some(file => !this._unreadable.has(file))
+  }
+
   /** Reports the lines that were passed over. */
   protected reportForeignLines (): void {
     if (this.foreignLines > 0) this.context.stderr.write(`lines passed over, incomplete or not of a gateway: ${this.foreignLines}\n`)
@@ -58,6 +63,7 @@
     })
     await this.readLines(line => { explainer.add(line) })
     this.reportForeignLines()
+    if (!this.hasReadFiles()) return ExitCode.Failed
     const explanation = explainer.explain()
     if (explanation === undefined) {
       this.print(null, [`no line names ${this.id}; lines of gateways that were read: ${lines}`])
@@ -82,6 +88,7 @@
     const counter = new LossCounter()
     await this.readLines(line => { counter.add(line) })
     this.reportForeignLines()
+    if (!this.hasReadFiles()) return ExitCode.Failed
     const counts = counter.getCounts()
     this.print(counts, counts.map(({ reason, requests, programs, example }) =>
       `${String(requests).padStart(7)} requests ${String(programs).padStart(6)} programs  ${reason} (${example})`))
