Make the check of configurations a command of wisteriactl

Cause: operators were promised `wisteriactl check`, but it was built as target/wisteria-check.cjs, a program without the other commands. Wire names of the operator's configuration were in src/core/check, although only platform/ may contain them.

Change: createCli in src/io/ctl registers the commands that both programs share; platform/wisteriactl.ts adds `check` and is bundled as target/wisteriactl.cjs, to which the package's `wisteriactl` points. checkConfig, compareConfigs and RawConfig move to platform/check, under the linter's rules for the core, and use the decoder directly; ConfigDecoder is no longer needed. src/bin/wisteriactl.ts keeps all commands but `check`, since it must not import platform/. Exit codes and findings are unchanged; the tests change their imports and the name of the program.

A new test lists the commands of the program.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,8 +13,8 @@
     }
   },
   {
-    // The core decides; it opens no socket, file or timer.
-    files: ['src/core/**/*.ts'],
+    // The core and the check of configurations decide; they open no socket, file or timer.
+    files: ['src/core/**/*.ts', 'platform/check/**/*.ts'],
     rules: {
       'no-restricted-imports': ['error', { patterns: [{ group: [...IO_MODULES, '**/io/**', '**/bin/**', '**/standin/**'], message: 'The core imports no I/O.' }] }],
       'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'setImmediate', 'fetch', 'process'],
--- a/scripts/bundle.js
+++ b/scripts/bundle.js
@@ -2,7 +2,7 @@
 import { build } from 'esbuild'
 
 await build({
-  entryPoints: { 'wisteria-gateway': 'platform/wisteria-gateway.ts', 'wisteria-check': 'platform/wisteria-check.ts' },
+  entryPoints: { 'wisteria-gateway': 'platform/wisteria-gateway.ts', wisteriactl: 'platform/wisteriactl.ts' },
   outdir: 'target',
   outExtension: { '.js': '.cjs' },
   bundle: true,
--- a/src/core/check/index.ts
+++ b/src/core/check/index.ts
@@ -1,5 +1,2 @@
-export * from './checkConfig.js'
-export * from './compareConfigs.js'
-export * from './ConfigDecoder.js'
+export * from './ConfigDifference.js'
 export * from './JsonLocator.js'
-export * from './RawConfig.js'
--- a/src/io/ctl/CheckCommand.ts
+++ b/src/io/ctl/CheckCommand.ts
@@ -1,7 +1,7 @@
 import { readFileSync } from 'node:fs'
 import { Command, Option } from 'clipanion'
-import { checkConfig, compareConfigs, JsonLocator, type ConfigDecoder } from '../../core/check/index.js'
-import { formatFinding } from '../../core/config/index.js'
+import { JsonLocator, type ConfigDifference } from '../../core/check/index.js'
+import { formatFinding, type Finding } from '../../core/config/index.js'
 import { describeError } from '../process/index.js'
 
 /** Exit codes of `check`; they do not change between versions. */
@@ -35,11 +35,11 @@
   heapMb = Option.String('--heap-mb', String(DEFAULT_HEAP_MB), { description: 'Heap limit of a gateway in MB.' })
   isJson = Option.Boolean('--json', false, { description: 'Print JSON.' })
 
-  /** The gateway's decoder. */
-  protected abstract readonly decoder: ConfigDecoder
+  /** Finds what is wrong in a configuration, for gateways with a heap limit in bytes; the text is valid JSON. */
+  protected abstract findProblems (text: string, heapBytes: number): Finding[]
 
-  /** Gets the bytes that a gateway with a heap limit in bytes holds for all bodies together. */
-  protected abstract getMaxHeldBytes (heapBytes: number): number
+  /** Compares a configuration with the one in force; both are values of JSON. */
+  protected abstract compare (inForce: unknown, next: unknown): ConfigDifference[]
 
   async execute (): Promise<number> {
     try {
@@ -55,8 +55,8 @@
     if (!(heapMb > 0)) throw new UnreadableError('--heap-mb: expected a number above 0')
     const text = readText(this.file)
     const inForce = this.against === undefined ? undefined : readText(this.against)
-    const findings = checkConfig(text, { file: this.file, decoder: this.decoder, maxHeldBytes: this.getMaxHeldBytes(heapMb * 1_048_576) })
-    const differences = inForce === undefined ? [] : compareConfigs(JSON.parse(inForce), JSON.parse(text))
+    const findings = this.findProblems(text, heapMb * 1_048_576)
+    const differences = inForce === undefined ? [] : this.compare(JSON.parse(inForce), JSON.parse(text))
     const lines = [
       ...findings.map(formatFinding),
       ...differences.map(({ subject, change, effect }) => `${subject} ${change}: ${effect}`),
--- a/src/io/ctl/index.ts
+++ b/src/io/ctl/index.ts
@@ -1,5 +1,6 @@
 export * from './applyChange.js'
 export * from './configCommands.js'
+export * from './createCli.js'
 export * from './CtlCommand.js'
 export * from './documentsOnDisk.js'
 export * from './fleetCommands.js'
--- a/tests/platform/checkTests.ts
+++ b/tests/platform/checkTests.ts
@@ -4,8 +4,8 @@
 import { join } from 'node:path'
 import { expect } from 'earl'
 import fc from 'fast-check'
-import { decodeConfig, getConfigErrors } from '../../platform/decodeConfig.js'
-import { checkConfig, compareConfigs, ConfigDecoder, JsonLocator } from '../../src/core/check/index.js'
+import { checkConfig, compareConfigs } from '../../platform/check/index.js'
+import { JsonLocator } from '../../src/core/check/index.js'
 import { formatFinding } from '../../src/core/config/index.js'
 
 const ROUTE = { name: 'turns', host: 'h', pathPrefix: '/turns/', service: 'model', timeoutMs: 2_000, targetLatencyMs: 500 }
@@ -24,13 +24,8 @@
   limits: { maxBodyBytes: 10_000_000 }
 }
 
-class Decoder extends ConfigDecoder {
-  decode = decodeConfig
-  getErrors = getConfigErrors
-}
-
 function check (text: string): string[] {
-  return checkConfig(text, { file: 'new.json', decoder: new Decoder(), maxHeldBytes: 5_000_000 }).map(formatFinding)
+  return checkConfig(text, { file: 'new.json', maxHeldBytes: 5_000_000 }).map(formatFinding)
 }
 
 describe('checkConfig', () => {
@@ -59,7 +54,7 @@
     }, { requiredKeys: [] })
     fc.assert(fc.property(fc.oneof(config, member), fc.oneof(config, member), (value, other) => {
       const text = JSON.stringify(value, null, 1)
-      const findings = checkConfig(text, { file: 'f', decoder: new Decoder(), maxHeldBytes: 1 })
+      const findings = checkConfig(text, { file: 'f', maxHeldBytes: 1 })
       expect(findings.every(({ line }) => line >= 0 && line <= text.split('\n').length)).toEqual(true)
       compareConfigs(JSON.parse(text), JSON.parse(JSON.stringify(other)))
     }))
@@ -88,11 +83,20 @@
   beforeEach(() => { folder = mkdtempSync(join(tmpdir(), 'wisteria-check-')) })
   afterEach(() => { rmSync(folder, { recursive: true }) })
 
+  // The check was a program of its own, so that the name that operators know had no command `check`.
+  it('should be a command beside all others', () => {
+    const env = { ...process.env, NO_COLOR: '1', FORCE_COLOR: '0' }
+    const { status, stdout } = spawnSync(process.execPath, ['--import=tsx', 'platform/wisteriactl.ts', '--help'], { encoding: 'utf8', env })
+    expect([status, ...[...stdout.matchAll(/^ +wisteriactl ([a-z-]+)/gm)].map(([, name]) => name)]).toEqual([
+      0, 'apply', 'check', 'diff', 'drain', 'explain', 'explain', 'hash-key', 'logs', 'logs', 'status', 'validate'
+    ])
+  })
+
   it('should exit with 0 for a clean file, 1 for findings, and 2 for a file that it can not read', () => {
     const run = (text: string, ...args: string[]): number | null => {
       const file = join(folder, 'new.json')
       writeFileSync(file, text)
-      return spawnSync(process.execPath, ['--import=tsx', 'platform/wisteria-check.ts', 'check', file, ...args]).status
+      return spawnSync(process.execPath, ['--import=tsx', 'platform/wisteriactl.ts', 'check', file, ...args]).status
     }
     expect([
       run(JSON.stringify(CLEAN)),
