Place turns by the memory that engines state

Cause: no gateway predicted how much memory a turn needs. Turns were sent to engines that had to refuse them while others had enough memory. Change: a registration may state kvCapacity. CostPlacement leaves out engines that a turn would fill (prompt and longest response), by the tokens of this gateway's turns there and by what others must have held at the latest refusal (half-life 2 s). An engine that has refused a large turn is not avoided for small ones by placement. Without kvCapacity nothing changes.

--- a/src/core/forward/CallRequest.ts
+++ b/src/core/forward/CallRequest.ts
@@ -47,3 +47,8 @@
   /** Id of the attempt that received the first event of the stream to be continued; undefined for a new stream. */
   readonly resumedStream: string | undefined
 }
+
+/** Gets the tokens that a request holds in the memory of an engine at most. */
+export function getHeldTokens ({ promptTokens, maxOutputTokens }: Pick<CallRequest, 'promptTokens' | 'maxOutputTokens'>): number {
+  return promptTokens + maxOutputTokens
+}
--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -33,6 +33,7 @@
  * for a permit of a target that limits its request rate; and by what a failure of a target that has lately failed would cost.
  *
  * Handles conversations whose prompts grow with every turn: a target that has the earlier turns cached prefills only the new tokens.
+ * A target that states its memory is avoided while a request would fill it, since it would refuse the request or preempt streams.
  * The recent delay accounts for targets that are slowed by neighbouring workloads, which the gateway cannot observe.
  */
 export class CostPlacement extends PlacementPolicy {
@@ -44,7 +45,7 @@
   }
 
   select (candidates: readonly TargetState[], req: PlacementRequest, now: number): Placement | undefined {
-    const eligible = getEligible(candidates, req, now)
+    const eligible = getWithMemory(getEligible(candidates, req, now), req, now)
     const start = Math.floor(this._options.random() * eligible.length)
     let best: Placement | undefined
     let bestCostMs = Infinity
@@ -90,6 +91,12 @@
   }
 }
 
+/** Gets the targets that a request doesn't fill; all of them if it fills each, since the counts are upper bounds and estimates. */
+function getWithMemory (eligible: TargetState[], { heldTokens = 0 }: PlacementRequest, now: number): TargetState[] {
+  const withMemory = eligible.filter(state => state.hasMemory(heldTokens, now))
+  return withMemory.length > 0 ? withMemory : eligible
+}
+
 /**
  * Gets the number of prompt tokens that a target has probably cached.
  *
--- a/src/core/target/PlacementPolicy.ts
+++ b/src/core/target/PlacementPolicy.ts
@@ -4,6 +4,8 @@
 /** A request for which a target is to be selected. */
 export interface PlacementRequest {
   readonly promptTokens: number
+  /** Tokens that the request holds in a target's memory at most: its prompt and its longest response; 0 by default. */
+  readonly heldTokens?: number
   readonly promptSegments: readonly PromptSegment[]
   /** Key of the incarnation that ran the program's earlier turns, as recorded by any gateway; undefined when none is recorded. */
   readonly warmTarget: string | undefined
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -19,6 +19,12 @@
 /** Half-life in milliseconds of an observed delay; the decay makes a target that was slow eligible again. */
 const DELAY_HALF_LIFE_MS = 2_000
 
+/** Half-life in milliseconds of the tokens that others are assumed to hold at a target that has refused a request; turns take seconds. */
+const OTHERS_HALF_LIFE_MS = 2_000
+
+/** Share of the size of a refused request that is assumed to be free: more than nothing, and less than the request needs. */
+const FREE_SHARE_OF_REFUSED = 0.5
+
 /** Milliseconds without a byte from a target where a request waits, after which it counts as silent; most first bytes come sooner. */
 const SILENT_AFTER_MS = 1_000
 
@@ -40,6 +46,10 @@
   readonly health = new TargetHealth()
   target: Target
   private _inFlight = 0
+  private _heldTokens = 0
+  /** Tokens that requests of other gateways were assumed to hold at the latest refusal. */
+  private _othersTokens = 0
+  private _refusedAt = -Infinity
   private _pendingPrefillMs = 0
   private _failures = 0
   private _ejections = 0
@@ -128,10 +138,34 @@
     this._hasFallenSilent = false
   }
 
-  /** Records that a request is sent to the target. */
-  recordStart (prefillMs: number, now: number): void {
+  /**
+   * Checks whether a request probably fits into the target's memory; true if the target states no memory.
+   *
+   * Counts the requests of this gateway, and what others must have held when the target refused a request.
+   */
+  hasMemory (tokens: number, now: number): boolean {
+    const { memoryTokens } = this.target
+    return memoryTokens === undefined || this._heldTokens + this._getOthersTokens(now) + tokens <= memoryTokens
+  }
+
+  /** Records that the target has refused a request as if it were full; smaller requests may still fit. */
+  recordFull (tokens: number, now: number): void {
+    const { memoryTokens } = this.target
+    if (memoryTokens === undefined) return
+    const othersTokens = memoryTokens - this._heldTokens - tokens * FREE_SHARE_OF_REFUSED
+    this._othersTokens = Math.max(0, this._getOthersTokens(now), othersTokens)
+    this._refusedAt = now
+  }
+
+  /**
+   * Records that a request is sent to the target.
+   *
+   * @param tokens - Tokens that it holds in the target's memory at most, until {@link recordCompletion} gets the same number.
+   */
+  recordStart (prefillMs: number, now: number, tokens = 0): void {
     if (this._inFlight === 0) this._waitingSince = now
     this._inFlight++
+    this._heldTokens += tokens
     this._pendingPrefillMs += prefillMs
   }
 
@@ -141,9 +175,10 @@
   }
 
   /** Records that a request at the target has completed. */
-  recordCompletion (now: number): void {
+  recordCompletion (now: number, tokens = 0): void {
     this._hasFallenSilent = this.isSilent(now)
     this._inFlight--
+    this._heldTokens -= tokens
   }
 
   /** Records a response and its delay beyond the predicted time. */
@@ -167,4 +202,8 @@
     this._ejectedUntil = now + ejectionMs
     return ejectionMs
   }
+
+  private _getOthersTokens (now: number): number {
+    return this._othersTokens * 0.5 ** (Math.max(0, now - this._refusedAt) / OTHERS_HALF_LIFE_MS)
+  }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { FULL_MS, getDelayWaitMs, type AdmittedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
-import { decideRetry, getResponseLimitMs, type ResponseHead, type RetryDecision } from '../../core/forward/index.js'
+import { decideRetry, getHeldTokens, getResponseLimitMs, type ResponseHead, type RetryDecision } from '../../core/forward/index.js'
 import type { RefusalReason, RetryReason } from '../../core/reason/index.js'
 import { getMaxPermitWaitMs, getRetrySeconds, type RetryBudget } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
@@ -495,7 +495,8 @@
   private _track (placement: Placement, sentAt: number, abort: AttemptAbort): Pick<Attempt, 'recordFirstChunk' | 'finish'> {
     const { clock } = this._context
     const { state, prefillMs, predictedMs } = placement
-    state.recordStart(prefillMs, sentAt)
+    const heldTokens = getHeldTokens(this._exchange.call)
+    state.recordStart(prefillMs, sentAt, heldTokens)
     let isPrefilling = true
     const endPrefill = (): boolean => {
       if (!isPrefilling) return false
@@ -508,7 +509,7 @@
       finish: () => {
         abort.close()
         endPrefill()
-        state.recordCompletion(clock.now())
+        state.recordCompletion(clock.now(), heldTokens)
       }
     }
   }
@@ -523,6 +524,7 @@
       gate?.recordUnknown(service, admission)
       return
     }
+    state.recordFull(getHeldTokens(this._exchange.call), this._context.clock.now())
     gate?.recordRefused(service, admission, state.incarnation, this._fullRefusals > 0)
     this._fullRefusals++
     this._excluded.delete(state.incarnation)
--- a/src/io/gateway/Placer.ts
+++ b/src/io/gateway/Placer.ts
@@ -1,6 +1,6 @@
 import { createHash } from 'node:crypto'
 import type { Clock } from '../../core/clock/index.js'
-import type { CallRequest } from '../../core/forward/index.js'
+import { getHeldTokens, type CallRequest } from '../../core/forward/index.js'
 import { canContinue, type BegunStream } from '../../core/origin/index.js'
 import { isRepeatable, type Backend, type Route } from '../../core/route/index.js'
 import type { Placement, PlacementPolicy, Target, TargetRegistry, TargetState } from '../../core/target/index.js'
@@ -46,7 +46,8 @@
     const { policy, clock } = this._options
     const { excluded = NONE, warmTarget, stream } = options
     const { promptTokens, promptSegments } = call
-    const work = { promptTokens, promptSegments, excluded, warmTarget, isRepeatable: isRepeatable(route) }
+    const heldTokens = getHeldTokens(call)
+    const work = { promptTokens, heldTokens, promptSegments, excluded, warmTarget, isRepeatable: isRepeatable(route) }
     return policy.select(this.getCandidates(call, route, stream, excluded), work, clock.now())
   }
 
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -20,6 +20,14 @@
     })
   })
 
+  // An engine with a memory that is no number must not disappear from the list.
+  it('should decode the tokens that an engine has memory for, and ignore what is no number of tokens', () => {
+    expect(decode({ ...registration, kvCapacity: 113_600 })?.memoryTokens).toEqual(113_600)
+    for (const kvCapacity of [0, -1, 1.5, 1e300, '113600', null, []]) {
+      expect(decode({ ...registration, kvCapacity })).toEqual(decode(registration))
+    }
+  })
+
   it('should skip rows that are not valid registrations', () => {
     const changes = [{ slots: '8' }, { state: 'sleeping' }, { address: 'elsewhere' }, { service: undefined }, { born: 'today' }, { version: undefined }, { version: 2 }]
     const broken = ['no JSON', '[]', {}, ...changes.map(change => ({ ...registration, ...change }))]
