Take the memory of engines from the configuration of their service

Cause: the platform states kvCapacity with a service, not in registrations, so that placement by memory had no effect there. Change: ServiceConfig.memoryTokens; the registry hands it to the state of each target. Registrations are decoded as before.

--- a/src/core/route/RouteConfig.ts
+++ b/src/core/route/RouteConfig.ts
@@ -10,6 +10,8 @@
   readonly isModel: boolean
   /** Number of tokens that each event of a stream contains; 1 for plain services. */
   readonly tokensPerEvent: number
+  /** Tokens of prompts and responses that a target has memory for; undefined if that is not known. */
+  readonly memoryTokens?: number | undefined
   /** Path on which a target responds as soon as it can, whatever its health is. */
   readonly livenessPath: string
 }
--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -33,7 +33,7 @@
  * for a permit of a target that limits its request rate; and by what a failure of a target that has lately failed would cost.
  *
  * Handles conversations whose prompts grow with every turn: a target that has the earlier turns cached prefills only the new tokens.
- * A target that states its memory is avoided while a request would fill it, since it would refuse the request or preempt streams.
+ * A target whose memory is known is avoided while a request would fill it, since it would refuse the request or preempt streams.
  * The recent delay accounts for targets that are slowed by neighbouring workloads, which the gateway cannot observe.
  */
 export class CostPlacement extends PlacementPolicy {
--- a/src/core/target/Target.ts
+++ b/src/core/target/Target.ts
@@ -13,8 +13,6 @@
   readonly isLeaving: boolean
   /** Number of requests that the target runs concurrently. */
   readonly slots: number
-  /** Tokens of prompts and responses that the target has memory for; undefined if it states none. */
-  readonly memoryTokens?: number | undefined
 }
 
 /** Gets the key of one incarnation of a target. */
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -30,6 +30,8 @@
   readonly onListed?: (incarnation: string) => void
   /** Milliseconds for which a target goes on serving after it has announced that it is leaving. */
   readonly drainMs?: number
+  /** Gets the tokens that each target of a service has memory for; undefined if that is not known. */
+  readonly getMemoryTokens?: (service: string) => number | undefined
 }
 
 /** Keeps the targets that the store lists, with the state that this gateway tracks for each. */
@@ -64,7 +66,8 @@
     if (target.isLeaving) this._leaving.add(incarnation, { since: changedAfter, isStated: false })
     else this._leaving.withdraw(incarnation)
     if (isReplaced) {
-      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service)))
+      const getMemoryTokens = (): number | undefined => this._options.getMemoryTokens?.(target.service)
+      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service), getMemoryTokens))
       if (hasEnded) this._options.onEnded?.(existing, TargetEndCause.Replaced)
       this._options.onListed?.(incarnation)
       return true
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -64,9 +64,15 @@
   /** True if requests have ended without a byte for longer than {@link SILENT_AFTER_MS}. */
   private _hasFallenSilent = false
 
-  /** @param bestPace - Best pace of the target's service. */
-  constructor (target: Target, bestPace = new BestPace()) {
+  private readonly _getMemoryTokens: () => number | undefined
+
+  /**
+   * @param bestPace - Best pace of the target's service.
+   * @param getMemoryTokens - Gets the tokens that the target has memory for; undefined if that is not known.
+   */
+  constructor (target: Target, bestPace = new BestPace(), getMemoryTokens: () => number | undefined = () => undefined) {
     this.target = target
+    this._getMemoryTokens = getMemoryTokens
     this.pace = new StreamPace(bestPace)
     this.incarnation = getIncarnationKey(target)
   }
@@ -139,18 +145,18 @@
   }
 
   /**
-   * Checks whether a request probably fits into the target's memory; true if the target states no memory.
+   * Checks whether a request probably fits into the target's memory; true if that is not known.
    *
    * Counts the requests of this gateway, and what others must have held when the target refused a request.
    */
   hasMemory (tokens: number, now: number): boolean {
-    const { memoryTokens } = this.target
+    const memoryTokens = this._getMemoryTokens()
     return memoryTokens === undefined || this._heldTokens + this._getOthersTokens(now) + tokens <= memoryTokens
   }
 
   /** Records that the target has refused a request as if it were full; smaller requests may still fit. */
   recordFull (tokens: number, now: number): void {
-    const { memoryTokens } = this.target
+    const memoryTokens = this._getMemoryTokens()
     if (memoryTokens === undefined) return
     const othersTokens = memoryTokens - this._heldTokens - tokens * FREE_SHARE_OF_REFUSED
     this._othersTokens = Math.max(0, this._getOthersTokens(now), othersTokens)
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -157,6 +157,7 @@
     this._limits = bounds
     this._registry = new TargetRegistry({
       drainMs: settings.drainMs,
+      getMemoryTokens: service => this._configs.get()?.getService(service)?.memoryTokens,
       onEnded: (state, cause) => { this._onTargetEnded(state, cause) },
       onListed: incarnation => { this._suspects.recordListed(incarnation) }
     })
