--- a/tests/processes/OutsideCallers.ts
+++ b/tests/processes/OutsideCallers.ts
@@ -56,6 +56,17 @@
   { name: 'more connections than descriptors, each with a request', reads: true, factor: 16, getPieces: (path, at) => [getHead('GET', path, at)] }
 ]
 
+/** Load in which each connection has a request. */
+export const REQUESTS_LOAD: OutsideLoad = OUTSIDE_LOADS.find(({ name }) => name === 'more connections than descriptors, each with a request')!
+
+/** Loads whose cost beside their bytes grows with the number of connections. */
+export const CROWD_LOADS: readonly OutsideLoad[] = OUTSIDE_LOADS.filter(({ name }) => [
+  'chunks of one byte that stay open',
+  'half of a head of very many short fields',
+  'pipelined requests whose responses stay unread',
+  REQUESTS_LOAD.name
+].includes(name))
+
 /** Puts a load on a process and gets what the process used meanwhile. */
 export async function runLoad (load: OutsideLoad, options: LoadOptions): Promise<LoadUse> {
   const { pid, address, path, connections } = options
