Let incomplete heads hold no more than a quarter of the budget

Cause: heads that never end were counted with 16 bytes for each of theirs and could fill the whole budget, so that complete requests got 503. Change: incomplete heads share a quarter of the budget; one that does not fit is refused with 503 and its connection is closed at once, which releases it. A head that arrives in one read holds nothing there.

--- a/src/core/limits/ByteBudget.ts
+++ b/src/core/limits/ByteBudget.ts
@@ -45,6 +45,11 @@
     }
   }
 
+  /** Creates a budget of a share of this one; what its accounts hold is not counted here. */
+  createPart (share: number): ByteBudget {
+    return new ByteBudget({ maxBytes: this._maxBytes * share })
+  }
+
   /** Gets the bytes that are held. */
   getHeldBytes (): number {
     return this._heldBytes
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -25,12 +25,16 @@
   readonly onEnd: (ending: ConnectionEnding) => void
   /** What the connection itself makes the process hold, beside its requests. */
   readonly held: HeldBytes
+  /** What an incomplete head holds of the share of all incomplete heads. */
+  readonly headHeld: HeldBytes
   /** What the connection costs while it is open, whatever it holds. */
   readonly cost: HeldBytes
   /** Gets the largest number of bytes of a head. */
   readonly getMaxHeadBytes: () => number
   /** Called when the bytes of an incomplete head are too many. */
   readonly onHeadTooLarge: (connection: CallerConnection) => void
+  /** Called when the share of all incomplete heads does not cover the one of this connection. */
+  readonly onHeadsFull: (connection: CallerConnection) => void
   /** Checks whether so much memory is held that requests which were sent before the last response wait. */
   readonly isMemoryShort: () => boolean
   /** Called with the bytes of each read. */
@@ -114,6 +118,7 @@
       this._feed.close()
       this._held.release()
       options.cost.release()
+      options.headHeld.release()
     })
   }
 
@@ -222,6 +227,16 @@
     else this._deferredRefusal = response
   }
 
+  /** Refuses bytes that are no complete request and closes the connection without reading on, so that their memory is released at once. */
+  refuseAndClose (response: string, cause: EndCause): void {
+    if (this._isEnded) return
+    this._isEnded = true
+    this.markClosing(cause)
+    this._report()
+    this.socket.end(response, () => { this.socket.destroy() })
+    this._destroyLater()
+  }
+
   /**
    * Ends the connection after what was written; nothing that is still received is read as a request.
    *
@@ -236,8 +251,7 @@
     this._report()
     this._discardInput()
     this.socket.end()
-    const timer = setTimeout(() => { this.socket.destroy() }, LINGER_MS)
-    this.socket.on('close', () => { clearTimeout(timer) })
+    this._destroyLater()
   }
 
   /** Ends the connection at once, without what was written and has not left the process. */
@@ -249,6 +263,11 @@
     this.socket.resetAndDestroy()
   }
 
+  private _destroyLater (): void {
+    const timer = setTimeout(() => { this.socket.destroy() }, LINGER_MS)
+    this.socket.on('close', () => { clearTimeout(timer) })
+  }
+
   private _report (): void {
     if (this._ending === undefined) return
     this.update()
@@ -306,6 +325,7 @@
       if (this._headBytes > this._options.getMaxHeadBytes() && !this._isClosing) this._options.onHeadTooLarge(this)
     }
     this._updateHeld()
+    if (!this._tryHoldHead() && !this._isClosing) this._options.onHeadsFull(this)
   }
 
   private _getParsedBytes (): number {
@@ -326,9 +346,22 @@
     this._progressCheckedAt = now
   }
 
+  /** Holds an incomplete head in the share of all; one that was complete in a single read holds nothing there. */
+  private _tryHoldHead (): boolean {
+    const { headHeld } = this._options
+    const bytes = this._getHeadCost() - headHeld.getBytes()
+    if (bytes > 0) return headHeld.tryHold(bytes)
+    headHeld.free(-bytes)
+    return true
+  }
+
+  private _getHeadCost (): number {
+    return this._pending.size === 0 ? this._headBytes * HEAD_COST : 0
+  }
+
   private _updateHeld (): void {
     if (this.socket.destroyed) return
-    const headBytes = this._pending.size === 0 ? this._headBytes * HEAD_COST : 0
+    const headBytes = this._getHeadCost()
     this._held.set(headBytes + this._feed.getWaitingBytes() + this.socket.writableLength)
   }
 
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -16,6 +16,13 @@
 /** Share of the budget beyond which requests that were sent before the last response wait. */
 const PIPELINE_SHARE = 0.25
 
+/**
+ * Share of the budget that all incomplete heads may hold, so that they do not refuse requests that are complete.
+ *
+ * On the smallest machine 26 heads of 16,384 bytes may be incomplete at once; one in few packets is so for milliseconds.
+ */
+const HEADS_SHARE = 0.25
+
 /** Weight of the time of a connection that stopped within a request; one between two requests may be of an ordinary caller. */
 const UNFINISHED_WEIGHT = 100
 
@@ -34,6 +41,8 @@
   /** Called for a connection that holds much and moves little, while memory is short. */
   readonly onStalled: (connection: CallerConnection) => void
   readonly onHeadTooLarge: (connection: CallerConnection) => void
+  /** Called for an incomplete head that does not fit into the share of all incomplete heads. */
+  readonly onHeadsFull: (connection: CallerConnection) => void
   readonly memory: ByteBudget
   /** Called with the bytes of each read. */
   readonly onRead: (bytes: number) => void
@@ -51,6 +60,7 @@
 export class CallerConnections {
   private readonly _options: CallerConnectionsOptions
   private readonly _clock: RunningClock
+  private readonly _heads: ByteBudget
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private readonly _open = new Set<CallerConnection>()
   private readonly _addresses = new Map<string, number>()
@@ -60,6 +70,7 @@
   constructor (options: CallerConnectionsOptions) {
     this._options = options
     this._limits = options.limits
+    this._heads = options.memory.createPart(HEADS_SHARE)
     this._clock = new RunningClock(options.clock, MAX_STEP_MS)
     setInterval(() => { this._check() }, CHECK_INTERVAL_MS).unref()
   }
@@ -73,7 +84,7 @@
   /** Adds a connection until it is closed. */
   add (socket: Socket): CallerConnection {
     const address = socket.remoteAddress ?? ''
-    const { onEnd, onHeadTooLarge, onRead, memory } = this._options
+    const { onEnd, onHeadTooLarge, onHeadsFull, onRead, memory } = this._options
     const connection = new CallerConnection({
       socket,
       clock: this._clock,
@@ -81,8 +92,10 @@
       getMaxHeadBytes: () => this._maxHeadBytes,
       held: memory.open(address),
       cost: memory.open(address),
+      headHeld: this._heads.open(),
       onEnd,
       onHeadTooLarge,
+      onHeadsFull,
       onRead,
       isMemoryShort: () => memory.getExcessBytes(PIPELINE_SHARE) > 0
     })
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -110,6 +110,7 @@
       maxConnectionsPerAddress: options.limits.connectionsPerAddress,
       onStalled: connection => { this._handleStalled(connection) },
       onHeadTooLarge: connection => { this._refuseBytes(connection, PARSE_STATUS.HPE_HEADER_OVERFLOW!, 'headers-too-large', {}) },
+      onHeadsFull: connection => { this._handleHeadsFull(connection) },
       onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) },
       onEnd: ending => {
         options.context.log.info('connection-ended', { by: 'gateway', ...ending, config: options.context.configs.get()?.config.version })
@@ -404,6 +405,14 @@
     } else connection.end(phase === ConnectionPhase.Head ? EndCause.HeaderTimeout : EndCause.Idle)
   }
 
+  /** Refuses a head that is not complete and does not fit into the share of such heads; no part of a request has run. */
+  private _handleHeadsFull (connection: CallerConnection): void {
+    const { context } = this._options
+    context.metrics.addRefusal('memory-full')
+    context.log.info('bytes-refused', { cause: 'incomplete heads' })
+    connection.refuseAndClose(FULL_RESPONSE, EndCause.Memory)
+  }
+
   /** Refuses bytes that are no complete request, and ends the connection. */
   private _refuseBytes (connection: CallerConnection, status: string, reason: RefusalReason, members: LogMembers): void {
     const { context } = this._options
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -70,6 +70,20 @@
     expect([forwarded, text.match(/HTTP\/1.1 \d+/g)]).toEqual([[], ['HTTP/1.1 404']])
   })
 
+  // Heads that never end held all memory that requests may hold, so that ordinary requests got 503.
+  it('should serve an ordinary request while many connections send half a head', async () => {
+    const forwarded: string[] = []
+    const address = await listen(async exchange => { forwarded.push(exchange.call.id) })
+    const [host, port] = address.split(':')
+    const start = `GET /lookup/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: half\r\n`
+    const halves = Array.from({ length: 30 }, () => connect(Number(port), host!).on('error', () => {}))
+    for (const half of halves) half.resume().write(start + 'a:\r\n'.repeat(950))
+    await sleep(200)
+    await send(address, [`GET /lookup/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: r1\r\n\r\n`])
+    for (const half of halves) half.destroy()
+    expect(forwarded).toEqual(['r1'])
+  })
+
   async function listen (forward: (exchange: Exchange) => Promise<void>): Promise<string> {
     const clock = new SteadyClock()
     const configs = new ConfigHolder()
