Bound the bytes of the calls that peers send

Cause: the peers' server bounded the body of each call (2 MiB) and the connections, but not the bodies of all calls together. Change: bodies of calls in progress, each byte counted twice, hold at most three tenths of the budget of callers, beside it. A call that does not fit gets 503 before it is read, so that it has not run.

--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -83,6 +83,9 @@
 /** Bytes of payload in a byte of base64. */
 const BASE64_PAYLOAD_RATIO = 0.75
 
+/** Bytes that calls of peers may hold, as a share of what requests and connections of callers may hold; apart from these. */
+const PEERS_SHARE = 0.3
+
 /** Milliseconds between two updates of the metrics of held bytes and open connections. */
 const HELD_REPORT_MS = 1_000
 
@@ -227,8 +230,11 @@
       random: options.random
     })
     const returnUnused = async (program: string): Promise<void> => { await this._budgets.returnUnusedOf(program) }
+    const memory = new ByteBudget({ maxBytes: bounds.heldBytes, maxBytesPerOwner: bounds.heldBytesPerAddress })
+    this._memory = memory
     this._peers = new PeerServer({
       maxConnections: bounds.peerConnections,
+      memory: memory.createPart(PEERS_SHARE),
       direct: options.store,
       isDirectUnavailable: () => store.isDirectUnavailable(),
       reserves: ledger,
@@ -342,8 +348,6 @@
       isStoreUnavailable: () => access.health.isUnavailable(),
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
-    const memory = new ByteBudget({ maxBytes: bounds.heldBytes, maxBytesPerOwner: bounds.heldBytesPerAddress })
-    this._memory = memory
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
     const garbage = new BufferGarbage({ getUsedBytes: () => memory.getHeldBytes() })
     const context = { clock, log, metrics, protocol, configs: this._configs, memory, garbage, closesAfter }
