Merge the cost of connections, requests and incomplete heads

Cause: crowds of connections took up to 213 MB of the 178 MB of the smallest machine, and incomplete heads refused ordinary requests.

--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -1,7 +1,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { createServer as createNetServer, type Server as NetServer, type Socket } from 'node:net'
 import { ConnectionPhase, EndCause, type PhaseLimits, type StopSchedule } from '../../core/connection/index.js'
-import type { ProcessLimits } from '../../core/limits/index.js'
+import { REQUEST_COST_BYTES, type ProcessLimits } from '../../core/limits/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
 import { getSuspectDigests, InputsInProgress } from '../../core/suspect/index.js'
@@ -110,6 +110,7 @@
       maxConnectionsPerAddress: options.limits.connectionsPerAddress,
       onStalled: connection => { this._handleStalled(connection) },
       onHeadTooLarge: connection => { this._refuseBytes(connection, PARSE_STATUS.HPE_HEADER_OVERFLOW!, 'headers-too-large', {}) },
+      onHeadsFull: connection => { this._handleHeadsFull(connection) },
       onOverdue: (connection, phase) => { this._handleOverdue(connection, phase) },
       onEnd: ending => {
         options.context.log.info('connection-ended', { by: 'gateway', ...ending, config: options.context.configs.get()?.config.version })
@@ -297,7 +298,10 @@
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version, arrivedAt, workspace, admit })
     this._connections.get(req.socket).setRequestHeld(exchange.held)
     try {
-      if (exchange.held.tryHold(getHeadCost(head))) await this._forward(exchange, req, res, limits.bodyBytes)
+      const cost = context.memory.open(req.socket.remoteAddress)
+      res.on('close', () => { cost.release() })
+      const isHeld = cost.tryHold(REQUEST_COST_BYTES) && exchange.held.tryHold(getHeadCost(head))
+      if (isHeld) await this._forward(exchange, req, res, limits.bodyBytes)
       else this._refuse(req, res, call.id, { reason: 'memory-full', retryAfterSeconds: FULL_RETRY_SECONDS })
     } finally {
       exchange.holdUnsent()
@@ -401,6 +405,14 @@
     } else connection.end(phase === ConnectionPhase.Head ? EndCause.HeaderTimeout : EndCause.Idle)
   }
 
+  /** Refuses a head that is not complete and does not fit into the share of such heads; no part of a request has run. */
+  private _handleHeadsFull (connection: CallerConnection): void {
+    const { context } = this._options
+    context.metrics.addRefusal('memory-full')
+    context.log.info('bytes-refused', { cause: 'incomplete heads' })
+    connection.refuseAndClose(FULL_RESPONSE, EndCause.Memory)
+  }
+
   /** Refuses bytes that are no complete request, and ends the connection. */
   private _refuseBytes (connection: CallerConnection, status: string, reason: RefusalReason, members: LogMembers): void {
     const { context } = this._options
