Read the list of targets before a stream goes on

Cause: while a gateway's connection to the store was silent and a target started again under its id with another version, streams went on at that target by the old row until the watch had timed out and a peer relayed (log: link silent at 13.368 s, lost connection noticed at 15.106 s, streams dispatched at 15.227 s, new row at 15.298 s). It concerned the next tries of callers and the attempts within a response. Ruled out: the age of the list, because a watch without changes is as old; responses of targets, which do not state a version. Change: before a stream goes on, the list is read from the store, shared by all streams, once in 100 ms at most. After 100 ms without a response up to three peers read it, by their existing procedure. If neither responds, the stream is refused or breaks off; while peers report an outage, streams go on as before. TableWatch drops reads and changes that are older than what it has applied, since a read beside the watch could bring back an earlier row. Open: streams that begin at such a gateway are recorded with the old version (PLATFORM.md).

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -121,6 +121,8 @@
   readonly isInProgress?: boolean
   /** Waits while it is not certain which targets may send the events of a stream. */
   readonly awaitTargets?: (stream: BegunStream | undefined) => Promise<unknown>
+  /** Confirms the list of targets before a stream goes on; resolves with whether it may be used. */
+  readonly confirmTargets?: () => Promise<boolean>
 }
 
 /** Sends one request to targets, one after the other, until one responds or no further attempt is allowed. */
@@ -174,6 +176,11 @@
       this._retryWaitMs = 0
       const isAdmitted = await this._awaitAdmission(stream)
       if (callerDisconnected.aborted || !isAdmitted) return undefined
+      if (!await this._confirmTargets(stream)) {
+        this._returnAdmission()
+        this._refuse(this._runs > 0 ? 'attempts-failed' : 'origin-unreadable')
+        return undefined
+      }
       const placed = this._checkDelay(await this._place(stream, this._runs))
       if (callerDisconnected.aborted) return undefined
       if (placed.type !== 'placed') {
@@ -203,6 +210,7 @@
     // The latest attempt counts as a run: its target may have generated all that the caller has received.
     const runs = this._runs + 1
     if (this._decideRetry(runs).type !== 'retry' || this._needsTrial()) return undefined
+    if (!await this._confirmTargets(stream)) return undefined
     const placed = await this._place(stream, runs)
     if (cancelled.aborted || this._exchange.callerDisconnected.aborted || placed.type !== 'placed') return undefined
     return await this._send(placed.placement, { body, lastEventId }, { cancelled, isOther: true })
@@ -260,6 +268,12 @@
     return false
   }
 
+  /** Confirms the list of targets for a stream that goes on; returns whether its targets may be chosen by it. */
+  private async _confirmTargets (stream: BegunStream | undefined): Promise<boolean> {
+    if (stream === undefined || !this._exchange.route.isResumable) return true
+    return await this._options.confirmTargets?.() ?? true
+  }
+
   /** Chooses the next target, where `runs` targets may have run the request without being cancelled. */
   private async _place (stream: BegunStream | undefined, runs: number): Promise<LimitedPlacement> {
     const { call, route } = this._exchange
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -21,7 +21,7 @@
 } from '../../core/target/index.js'
 import {
   BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
-  QuotaDebtStore, QuotaPeers, RelayedStore, TurnPeers
+  QuotaDebtStore, QuotaPeers, RelayedStore, TablePeers, TurnPeers
 } from '../peer/index.js'
 import { BufferGarbage, getMaxDescriptors, SystemClock, type DecisionLog } from '../process/index.js'
 import { AdmissionGate } from './AdmissionGate.js'
@@ -33,6 +33,7 @@
 import { KeyGate } from './KeyGate.js'
 import { LeavingNotices } from './LeavingNotices.js'
 import { LimitedPlacer } from './LimitedPlacer.js'
+import { ListConfirmation } from './ListConfirmation.js'
 import { OriginStore } from './OriginStore.js'
 import { Placer } from './Placer.js'
 import { PlainForwarder } from './PlainForwarder.js'
@@ -330,6 +331,23 @@
       peers: budgetPeers,
       onLoan: result => { metrics.loans.inc({ result }) }
     })
+    this._targetWatch = new TableWatch({
+      access,
+      clock,
+      log,
+      table: tables.targetTable,
+      getResumedAt: () => this._pauses.getResumedAt(),
+      onRows: rows => { this._applyTargets(rows) },
+      onChange: change => { this._onTargetChange(change) }
+    })
+    const listConfirmation = new ListConfirmation({
+      watch: this._targetWatch,
+      table: tables.targetTable,
+      peers: new TablePeers({ pool, ranking, clock }),
+      clock,
+      log,
+      isStoreUnavailable: () => access.health.isUnavailable()
+    })
     const streams = new StreamForwarder({
       attempts,
       turns: this._turns,
@@ -337,6 +355,7 @@
       origins: this._origins,
       versions: this._versions,
       versionGate,
+      listConfirmation,
       clock,
       getTokensPerEvent: service => this._configs.get()?.getService(service)?.tokensPerEvent ?? 1,
       isStoreUnavailable: () => access.health.isUnavailable(),
@@ -372,15 +391,6 @@
       isStoreUnavailable: () => access.health.isUnavailable()
     })
     this._server = new GatewayServer({ context, plain: new PlainForwarder(attempts), streams, keys, quotas, limits: bounds })
-    this._targetWatch = new TableWatch({
-      access,
-      clock,
-      log,
-      table: tables.targetTable,
-      getResumedAt: () => this._pauses.getResumedAt(),
-      onRows: rows => { this._applyTargets(rows) },
-      onChange: change => { this._onTargetChange(change) }
-    })
     this._suspectWatch = new TableWatch({
       access,
       clock,
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -14,6 +14,7 @@
 import { awaitFirstEvent } from './awaitFirstEvent.js'
 import type { BudgetStore, Reservation } from './BudgetStore.js'
 import type { Exchange } from './Exchange.js'
+import type { ListConfirmation } from './ListConfirmation.js'
 import type { OriginStore } from './OriginStore.js'
 import { getHeadFailure, relayBody } from './PlainForwarder.js'
 import { StreamHandover } from './StreamHandover.js'
@@ -51,6 +52,7 @@
   readonly origins: OriginStore
   readonly versions: VersionStore
   readonly versionGate: VersionGate
+  readonly listConfirmation: Pick<ListConfirmation, 'confirm'>
   readonly clock: Clock
   /** Gets the tokens that one event of a service's streams counts for. */
   readonly getTokensPerEvent: (service: string) => number
@@ -280,7 +282,8 @@
       awaitTargets: async stream => {
         const deadline = Math.min(exchange.deadline, this._options.clock.now() + PREPARE_TIMEOUT_MS)
         return await this._awaitVersions(exchange, stream, deadline)
-      }
+      },
+      confirmTargets: async () => await this._options.listConfirmation.confirm()
     })
     try {
       await this._relayUntilEnd({ exchange, attempts, prompt, progress, onEventsRelayed })
--- a/src/io/gateway/TableWatch.ts
+++ b/src/io/gateway/TableWatch.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
-import { StoreError, type RowChange, type StoredRow } from '../../core/platform/index.js'
+import { StoreError, type RowChange, type RowSnapshot, type StoredRow } from '../../core/platform/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { StoreAccess } from './StoreAccess.js'
 
@@ -90,14 +90,21 @@
     const { access, clock, table } = this._options
     const startedAt = clock.now()
     try {
-      const { rows, timeMs } = await access.readOnce({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
-      this._notify(() => { this._options.onRows(rows, timeMs) })
-      this._recordConfirmed(startedAt)
+      this.applyRead(await access.readOnce({ table, part: '' }, startedAt + READ_TIMEOUT_MS), startedAt)
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
     }
   }
 
+  /** Applies a complete read that began at the given time, unless a later version of the table was applied meanwhile. */
+  applyRead ({ rows, version, timeMs }: RowSnapshot, startedAt: number): void {
+    if (version >= this._version) {
+      this._notify(() => { this._options.onRows(rows, timeMs) })
+      this._version = version
+    }
+    this._recordConfirmed(startedAt)
+  }
+
   /** Stops after the call in progress. */
   close (): void {
     this._stop.abort()
@@ -129,17 +136,23 @@
   private async _readAll (): Promise<void> {
     const { access, clock, table } = this._options
     const startedAt = clock.now()
+    const versionBefore = this._version
     const { rows, version, timeMs } = await access.read({ table, part: '' }, startedAt + READ_TIMEOUT_MS)
+    this._readAt = startedAt
+    // A read beside this one may have applied later rows. Otherwise an earlier version is that of a store that was started anew.
+    if (this._version !== versionBefore && version < this._version) return
     this._notify(() => { this._options.onRows(rows, timeMs) })
     this._version = version
-    this._readAt = startedAt
     this._recordConfirmed(startedAt)
   }
 
   private async _watch (): Promise<void> {
     const { access, clock, log, table, waitMs = WATCH_MS } = this._options
     const startedAt = clock.now()
-    const feed = await access.watch(table, this._version, waitMs, waitMs + WATCH_MARGIN_MS)
+    const after = this._version
+    const feed = await access.watch(table, after, waitMs, waitMs + WATCH_MARGIN_MS)
+    // A read beside the watch has applied some of the changes; the next watch reports those after it.
+    if (this._version !== after) return
     if (feed.type === 'gap') {
       log.info('watch-gap', { table, version: this._version })
       this._readAt = -Infinity
--- a/tests/processes/GatewayOutOfStepTests.ts
+++ b/tests/processes/GatewayOutOfStepTests.ts
@@ -2,7 +2,7 @@
 import { expect } from 'earl'
 import { callPlatform } from '../../tools/platform/PlatformCaller.js'
 import { waitFor } from './GatewayHarness.js'
-import { StreamHarness, type BegunStream } from './StreamHarness.js'
+import { getVersions, StreamHarness, type BegunStream } from './StreamHarness.js'
 
 /** Streams that each test begins. */
 const STREAMS = 24
@@ -96,6 +96,28 @@
     expect(tries.joined).toEqual(0)
   })
 
+  // The gateway knows the origin and reads no row, so that it has not yet noticed that the store does not respond.
+  it('should not join versions that it began while its connection to the store is silent and a target has started again under its id', async () => {
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[1]!])
+    harness.proxies[1]!.setMode('silent')
+    harness.fixture.setEngineVersion(harness.fixture.engines[0]!, 'v2')
+    harness.releaseTargets()
+    const tries = await harness.continueStreams(streams, { gateways: [harness.gateways[1]!] })
+    expect(tries).toEqual({ continued: STREAMS, joined: 0, refused: 0 })
+  })
+
+  it('should not join versions within a response while its connection to the store is silent and a target has started again under its id', async () => {
+    const streams = await harness.beginStreams(STREAMS, [harness.gateways[1]!])
+    harness.proxies[1]!.setMode('silent')
+    harness.fixture.setEngineVersion(harness.fixture.engines[0]!, 'v2')
+    harness.fixture.engines[1]!.crash()
+    harness.releaseTargets()
+    const responses = await Promise.all(streams.map(async stream => await stream.response))
+    expect(responses.filter(response => getVersions(response.body).length > 1).length).toEqual(0)
+    // Those of the target that broke off have none of their version left.
+    expect(responses.filter(response => !response.isComplete).length).toBeGreaterThan(0)
+  })
+
   // They were aborted at once, since no target could be chosen before the list was read again.
   it('should continue streams whose target breaks off while the gateway stands still', async () => {
     const streams = await harness.beginStreams(STREAMS, [harness.gateways[1]!])
