Make tests of origins and handovers independent of real time

Cause: three tests compared real time with fixed waits: 50 ms for all rows of origins to be written, 900 ms for a handover that takes 400 ms. A test process that stands still for longer fails them, and the rows that were missing were reported to the next test, because stores shared their list of delays. Change: OriginStore and LedgerHandover accept the function that waits for them (schedule, sleep); by default the timers as before. Tests changed, as strict as before: the rows of 50 streams are all there with the clock standing still, at most twice as many transactions as partitions, and no transaction was scheduled later than at once (an OriginStore that waits 100 ms fails it); the handover stops after exactly 400 ms and three tries, where at most 900 ms was required. Stores report to the lists of their own test.

--- a/src/io/gateway/OriginStore.ts
+++ b/src/io/gateway/OriginStore.ts
@@ -36,6 +36,8 @@
   readonly onLookup: (source: OriginSource) => void
   /** Called with each transaction and the milliseconds from the first event of its first stream until it was durable. */
   readonly onWritten: (delayMs: number) => void
+  /** Runs a function after some milliseconds; by a timer by default. */
+  readonly schedule?: (run: () => void, delayMs: number) => NodeJS.Timeout
 }
 
 /**
@@ -129,7 +131,8 @@
   private _scheduleWrite (): void {
     const delayMs = this._queue.getDelayMs(this._busyPartitions)
     if (delayMs === undefined || this._timer !== undefined) return
-    this._timer = setTimeout(() => {
+    const { schedule = setTimeout } = this._options
+    this._timer = schedule(() => {
       this._timer = undefined
       const batch = this._queue.take(this._busyPartitions)
       if (batch !== undefined) void this._write(batch)
--- a/src/io/peer/LedgerHandover.ts
+++ b/src/io/peer/LedgerHandover.ts
@@ -1,4 +1,4 @@
-import { setTimeout as sleep } from 'node:timers/promises'
+import { setTimeout as defaultSleep } from 'node:timers/promises'
 import type { Clock } from '../../core/clock/index.js'
 import { StoreError, type RowStore, type StoredRow } from '../../core/platform/index.js'
 import { decodeHandover, encodeHandover, getHandoverKey, type LedgerState } from '../../core/reserve/index.js'
@@ -20,6 +20,8 @@
   readonly incarnation: string
   /** Largest payload of a row, in bytes. */
   readonly rowBytes: number
+  /** Waits some milliseconds; by a timer by default. */
+  readonly sleep?: (ms: number) => Promise<unknown>
 }
 
 /**
@@ -62,7 +64,7 @@
 
   /** Leaves the state to the next process, with retries until the deadline; without success, that process waits as after a crash. */
   async leave (state: LedgerState, deadline: number): Promise<void> {
-    const { store, clock, log, gatewayId, rowBytes } = this._options
+    const { store, clock, log, gatewayId, rowBytes, sleep = defaultSleep } = this._options
     const key = getHandoverKey(gatewayId)
     const value = encodeHandover({ type: 'left', state })
     const programs = Object.keys(state).length
--- a/tests/io/gateway/OriginStoreTests.ts
+++ b/tests/io/gateway/OriginStoreTests.ts
@@ -14,13 +14,19 @@
   let skippedMs: number
   let sources: OriginSource[]
   let delays: number[]
-  const clock = { now: () => performance.now() + skippedMs }
+  /** Delays with which transactions were scheduled, in milliseconds. */
+  let scheduled: number[]
+  /** Time at which the clock stands still; undefined while it runs. */
+  let frozenAt: number | undefined
+  const clock = { now: () => (frozenAt ?? performance.now()) + skippedMs }
 
   beforeEach(() => {
     rows = new MemoryRowStore()
     skippedMs = 0
+    frozenAt = undefined
     sources = []
     delays = []
+    scheduled = []
   })
 
   it('should find a stream that another gateway began in the store', async () => {
@@ -41,20 +47,22 @@
   })
 
   it('should write the rows of streams that begin during a call together', async () => {
+    frozenAt = performance.now()
     const store = createStore()
     for (let at = 0; at < 50; at++) store.record(`r-${at}`, ORIGIN, RETENTION_MS)
-    await settle()
-    expect(rows.getTableSize('stream-origins')).toEqual(50)
+    await waitFor(() => rows.getTableSize('stream-origins') === 50)
     expect(rows.calls.commit <= 2 * ORIGIN_PARTITIONS).toEqual(true)
+    expect(scheduled.every(delayMs => delayMs === 0)).toEqual(true)
   })
 
   it('should report how long the row of a stream took, with the time for which the store was away', async () => {
     const store = createStore()
     rows.failure = 'refused'
-    await record(store, 'r')
+    store.record('r', ORIGIN, RETENTION_MS)
+    await settle()
     expect(delays).toEqual([])
     rows.failure = undefined
-    while (delays.length === 0) await settle()
+    await waitFor(() => delays.length > 0)
     expect(delays[0]! >= 50).toEqual(true)
   })
 
@@ -99,6 +107,8 @@
 
   function createStore (peers: { fetch: (stream: string) => Promise<StreamOrigin | undefined> } = NOBODY): OriginStore {
     const log = new DecisionLog({ process: 'test', id: 'test', isSilent: true })
+    // A store that a test has left behind must not report to the next one.
+    const [testSources, testDelays, testScheduled] = [sources, delays, scheduled]
     const access = new StoreAccess({ store: rows, clock, log, onRetry: () => {}, onUnavailable: () => {}, onAvailable: () => {} })
     return new OriginStore({
       access,
@@ -106,14 +116,19 @@
       log,
       peers,
       writesPerSecond: 1_000,
-      onLookup: source => { sources.push(source) },
-      onWritten: delayMs => { delays.push(delayMs) }
+      onLookup: source => { testSources.push(source) },
+      onWritten: delayMs => { testDelays.push(delayMs) },
+      schedule: (run, delayMs) => {
+        testScheduled.push(delayMs)
+        return setTimeout(run, delayMs)
+      }
     })
   }
 
   async function record (store: OriginStore, stream: string): Promise<void> {
+    const written = delays.length
     store.record(stream, ORIGIN, RETENTION_MS)
-    await settle()
+    await waitFor(() => delays.length > written)
   }
 
   async function find (store: OriginStore, stream: string) {
@@ -121,7 +136,11 @@
   }
 })
 
-/** Waits for the calls of a store in memory. */
+async function waitFor (isMet: () => boolean): Promise<void> {
+  while (!isMet()) await new Promise(resolve => { setTimeout(resolve, 1) })
+}
+
+/** Gives a store in memory the time for calls that fail. */
 async function settle (): Promise<void> {
   await new Promise(resolve => { setTimeout(resolve, 50) })
 }
--- a/tests/io/peer/LedgerHandoverTests.ts
+++ b/tests/io/peer/LedgerHandoverTests.ts
@@ -1,5 +1,5 @@
 import { expect } from 'earl'
-import { LedgerHandover } from '../../../src/io/peer/index.js'
+import { LedgerHandover, type LedgerHandoverOptions } from '../../../src/io/peer/index.js'
 import { DecisionLog, SteadyClock } from '../../../src/io/process/index.js'
 import { MemoryRowStore } from '../../../tools/platform/MemoryRowStore.js'
 
@@ -47,20 +47,22 @@
 
   it('should stop trying at the deadline', async () => {
     store.failure = 'refused'
-    const startedAt = clock.now()
-    await createHandover('first').leave(STATE, clock.now() + 900)
-    expect(clock.now() - startedAt <= 900).toEqual(true)
+    let now = 0
+    const sleep = async (ms: number): Promise<void> => { now += ms }
+    await createHandover('first', { clock: { now: () => now }, sleep }).leave(STATE, 900)
+    // A further pause and call would take longer than the deadline, and one less would give up early.
+    expect([now, store.calls.commit]).toEqual([400, 3])
     store.failure = undefined
     expect(await createHandover('second').take()).toEqual(undefined)
   })
 
   it('should leave nothing that exceeds a row', async () => {
-    await createHandover('first', 10).leave(STATE, clock.now() + 1_000)
+    await createHandover('first', { rowBytes: 10 }).leave(STATE, clock.now() + 1_000)
     expect(await createHandover('second').take()).toEqual(undefined)
   })
 
-  const createHandover = (incarnation: string, rowBytes = 1_000): LedgerHandover => {
+  const createHandover = (incarnation: string, options: Partial<LedgerHandoverOptions> = {}): LedgerHandover => {
     const log = new DecisionLog({ process: 'test', id: incarnation, isSilent: true })
-    return new LedgerHandover({ store, clock, log, gatewayId: 'gateway', incarnation, rowBytes })
+    return new LedgerHandover({ store, clock, log, gatewayId: 'gateway', incarnation, rowBytes: 1_000, ...options })
   }
 })
