--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -299,8 +299,10 @@
     this._connections.get(req.socket).setRequestHeld(exchange.held)
     try {
       const cost = context.memory.open(req.socket.remoteAddress)
-      res.on('close', () => { cost.release() })
       const isHeld = cost.tryHold(REQUEST_COST_BYTES) && exchange.held.tryHold(getHeadCost(head))
+      // The caller may have disconnected while its key was checked.
+      if (res.closed) cost.release()
+      else res.on('close', () => { cost.release() })
       if (isHeld) await this._forward(exchange, req, res, limits.bodyBytes)
       else this._refuse(req, res, call.id, { reason: 'memory-full', retryAfterSeconds: FULL_RETRY_SECONDS })
     } finally {
