Test that placement counts the longest response against the memory of targets

Cause: the replay of placement by memory calls the policy and not the placer, which adds the tokens of a request. Change: one test of Placer; no behaviour changes. Measured: PlacerTests, 3 pass; OddRowsTests and LimitExceededTests (processes), 17 pass.

--- a/tests/io/gateway/PlacerTests.ts
+++ b/tests/io/gateway/PlacerTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import type { CallRequest } from '../../../src/core/forward/index.js'
 import type { Route } from '../../../src/core/route/index.js'
-import { RoundRobin, TargetRegistry, type Target } from '../../../src/core/target/index.js'
+import { CostPlacement, RoundRobin, TargetRegistry, type Target } from '../../../src/core/target/index.js'
 import { Placer, VersionGate } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 
@@ -32,6 +32,16 @@
     const placer = new Placer({ registry, policy: new RoundRobin(), clock: CLOCK, isVersionKnown })
     expect(placer.place(CALL, { ...ROUTE, isResumable: true })?.state.incarnation).toEqual('leaving@1')
   })
+
+  // Without the longest response, a turn would count as fitting into an engine that its response fills.
+  it('should count the prompt and the longest response of a request against the memory of targets', () => {
+    registry.setAll([{ ...createTarget('small', 'v1'), memoryTokens: 5_000 }, createTarget('other', 'v1')], 0)
+    registry.getServing('s', 0).find(({ target }) => target.id === 'other')!.recordResponse(400, CLOCK.now())
+    const placer = new Placer({ registry, policy: new CostPlacement({ failureDomain: 'a', regions: {}, random: () => 0 }), clock: CLOCK })
+    const place = (maxOutputTokens: number): string | undefined =>
+      placer.place({ ...CALL, promptTokens: 3_000, maxOutputTokens }, ROUTE)?.state.target.id
+    expect([place(1_000), place(3_000)]).toEqual(['small', 'other'])
+  })
 })
 
 function createTarget (id: string, softwareVersion: string): Target {
