Adapt the test of the memory that a turn holds to the configuration of the service

Cause: the memory is stated for a service, so that two of its targets can't differ in it. Change: one of the two targets holds a turn already.

--- a/tests/io/gateway/PlacerTests.ts
+++ b/tests/io/gateway/PlacerTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import type { CallRequest } from '../../../src/core/forward/index.js'
 import type { Route } from '../../../src/core/route/index.js'
-import { CostPlacement, RoundRobin, TargetRegistry, type Target } from '../../../src/core/target/index.js'
+import { CostPlacement, RoundRobin, TargetRegistry, type Target, type TargetState } from '../../../src/core/target/index.js'
 import { Placer, VersionGate } from '../../../src/io/gateway/index.js'
 import { DecisionLog } from '../../../src/io/process/index.js'
 
@@ -35,8 +35,11 @@
 
   // Without the longest response, a turn would count as fitting into an engine that its response fills.
   it('should count the prompt and the longest response of a request against the memory of targets', () => {
-    registry.setAll([{ ...createTarget('small', 'v1'), memoryTokens: 5_000 }, createTarget('other', 'v1')], 0)
-    registry.getServing('s', 0).find(({ target }) => target.id === 'other')!.recordResponse(400, CLOCK.now())
+    const registry = new TargetRegistry({ getMemoryTokens: () => 7_000 })
+    registry.setAll([createTarget('small', 'v1'), createTarget('other', 'v1')], 0)
+    const find = (id: string): TargetState => registry.getServing('s', 0).find(({ target }) => target.id === id)!
+    find('small').recordStart(0, CLOCK.now(), 2_000)
+    find('other').recordResponse(400, CLOCK.now())
     const placer = new Placer({ registry, policy: new CostPlacement({ failureDomain: 'a', regions: {}, random: () => 0 }), clock: CLOCK })
     const place = (maxOutputTokens: number): string | undefined =>
       placer.place({ ...CALL, promptTokens: 3_000, maxOutputTokens }, ROUTE)?.state.target.id
