Soak: workspaces with keys and quotas, failing targets, callers outside the limits

Ruled out: workspaces in every run, since a plan of `only` earlier faults should meet what it met when it broke a promise; they are configured only if the plan plays `removed-keys` or `hot-workspace`.

Change: four disturbances (`removed-keys`, `hot-workspace`, `failing-target`, `outside-limits`) and five promises (key, known, named, quota, within). All routes but /keyed/ are public, and gateways get the quota settings of deploy/settings.toml. A removed key is excused only if no gateway was in contact with the store since its removal. OutOfStep uses the same method of the world to cut off or pause a gateway.

--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -28,6 +28,8 @@
   readonly heapMb?: number
   /** Largest number of open descriptors of the process; that of this process without it. */
   readonly maxFds?: number
+  /** Lines that are added to the settings. */
+  readonly extraSettings?: readonly string[]
 }
 
 /** Runs a gateway in a child process. */
@@ -182,6 +184,6 @@
   return [
     `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', ...listen,
     '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', `grace_ms = ${options.graceMs ?? 8_000}`,
-    '[targets]', `drain_ms = ${DRAIN_MS}`
+    '[targets]', `drain_ms = ${DRAIN_MS}`, ...(options.extraSettings ?? [])
   ].join('\n')
 }
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -24,6 +24,8 @@
 
 interface RouteOverrides {
   readonly timeoutMs?: number
+  /** True if requests need no key although there are workspaces. */
+  readonly public?: boolean
   readonly maxAttempts?: number
   /** Attempts of the route whose streams may be resumed. */
   readonly resumableAttempts?: number
--- a/tools/soak/Promises.ts
+++ b/tools/soak/Promises.ts
@@ -14,6 +14,11 @@
   served: 'nobody is refused for good',
   leaving: 'a target that leaves gets nothing new',
   config: 'a configuration is in force soon after it was written, and stays so',
+  key: 'no request runs with a key that no configuration held, or that was removed 4 s ago',
+  known: 'a key that is held is not answered with 401',
+  named: 'a target gets the name of the workspace, and never the key',
+  quota: 'the requests of a workspace stay within its quota, over all gateways',
+  within: 'a workspace below its quota is served while gateways reach each other',
   alive: 'a gateway does not end by itself',
   memory: 'the memory of a gateway is bounded'
 } as const
--- a/tools/soak/Soak.ts
+++ b/tools/soak/Soak.ts
@@ -30,8 +30,8 @@
   constructor (options: SoakOptions) {
     this._options = { gateways: 3, callersOfEachKind: 4, ...options }
     const { seed, durationMs, gateways, only } = this._options
-    this._world = new SoakWorld(seed + 1)
     this.faults = planSoak({ seed, durationMs, gateways, targets: TARGETS, only })
+    this._world = new SoakWorld(seed + 1, this.faults.some(({ type }) => type === 'removed-keys' || type === 'hot-workspace'))
   }
 
   /** Gets what was checked. */
--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -27,7 +27,11 @@
   OddRows: 'odd-rows',
   Leaving: 'leaving',
   OutOfStep: 'out-of-step',
-  Config: 'config'
+  Config: 'config',
+  RemovedKeys: 'removed-keys',
+  HotWorkspace: 'hot-workspace',
+  FailingTarget: 'failing-target',
+  OutsideLimits: 'outside-limits'
 } as const
 export type SoakFaultName = typeof SoakFaultName[keyof typeof SoakFaultName]
 
@@ -37,7 +41,7 @@
 /** Faults that break no promise for calm times by their nature: planned work, and what targets may do. */
 const CALM_FAULTS: readonly SoakFaultName[] = [
   'reload', 'leave', 'target', 'unframed', 'repeated-refusals', 'kept-channels', 'handover', 'silence', 'large-breaks',
-  'odd-rows', 'leaving', 'config'
+  'odd-rows', 'leaving', 'config', 'hot-workspace', 'failing-target'
 ]
 
 /** A fault that the soak injects, with the milliseconds after its start. */
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -6,6 +6,7 @@
 import { PlatformFixture, type ConfigChanges } from '../platform/PlatformFixture.js'
 import { FaultProxy } from './FaultProxy.js'
 import { PromiseChecks } from './Promises.js'
+import { KEYED_PATH, SoakWorkspaces } from './SoakWorkspaces.js'
 import { TroubleLog } from './TroubleLog.js'
 
 /** Model engines, half of each software version, and plain services. */
@@ -71,9 +72,13 @@
 const ROUTES: NonNullable<ConfigChanges['routes']> = [
   { name: 'single', pathPrefix: '/turns/single/', kind: 'streaming', retained: false, resumable: true, maxAttempts: 1 },
   { name: 'both', pathPrefix: '/turns/both/', kind: 'streaming', retained: true, resumable: true, maxAttempts: 2 },
-  { name: 'short', pathPrefix: '/short/', kind: 'idempotent', service: 'desk', timeoutMs: SHORT_TIMEOUT_MS }
+  { name: 'short', pathPrefix: '/short/', kind: 'idempotent', service: 'desk', timeoutMs: SHORT_TIMEOUT_MS },
+  { name: 'keyed', pathPrefix: KEYED_PATH, kind: 'non_idempotent', service: 'desk', public: false }
 ]
 
+/** Settings of quotas, as deploy/settings.toml has them. */
+const QUOTA_SETTINGS = ['[quotas]', 'window_s = 5', 'overshoot = 0.1', 'slack = 20']
+
 /** A place for a gateway process, which is started again after each end. */
 export interface GatewaySlot {
   readonly index: number
@@ -101,6 +106,10 @@
   readonly trouble = new TroubleLog()
   readonly slots: GatewaySlot[] = []
   readonly lines: string[] = []
+  readonly workspaces = new SoakWorkspaces(this)
+  /** Times in which gateways are stopped, or all start for the first time: shares of quotas are not lent. */
+  private readonly _absences = new TroubleLog()
+  private readonly _hasWorkspaces: boolean
   isOver = false
   private readonly _random: Random
   /** Targets that have ended and are not started again yet. */
@@ -116,13 +125,16 @@
   private _prefixes: string[] = []
   private _watching: Promise<void> = Promise.resolve()
 
-  constructor (seed: number) {
+  /** @param hasWorkspaces - Whether the configuration has workspaces; all routes but one need no key. */
+  constructor (seed: number, hasWorkspaces: boolean) {
     this._random = new Random(seed)
+    this._hasWorkspaces = hasWorkspaces
   }
 
   /** Starts the stand-ins and a number of gateways, and waits until they are ready. */
   async start (gateways: number): Promise<void> {
     const { fixture } = this
+    const endStart = this._absences.begin()
     await fixture.start({ engines: ENGINES, desks: DESKS })
     fixture.store.latencyMs = STORE_LATENCY_MS
     this.configure()
@@ -137,6 +149,7 @@
     }
     await Promise.all(this.slots.map(async slot => { await this._launch(slot) }))
     await Promise.all(this.slots.map(async slot => { await slot.process!.waitUntilReady() }))
+    endStart()
     this._watching = this._watchMemory()
   }
 
@@ -176,7 +189,8 @@
     this._prefixes = [...this._prefixes, prefix]
     const many = Array.from({ length: changes.extraRoutes ?? 0 }, (_, at) => `/many/${at}/`)
     const routes = [...ROUTES, ...(changes.routes ?? [])]
-    this.fixture.configure({ timeoutMs: ROUTE_TIMEOUT_MS }, [...this._prefixes, ...many], { ...changes, routes })
+    const tenants = this._hasWorkspaces ? this.workspaces.entries.map(entry => ({ ...entry })) : undefined
+    this.fixture.configure({ timeoutMs: ROUTE_TIMEOUT_MS, public: true }, [...this._prefixes, ...many], { ...changes, routes, tenants })
     return prefix
   }
 
@@ -189,7 +203,7 @@
       return { status: 0, headers: {}, body: '', isComplete: false }
     }
     const sentAt = performance.now()
-    if (options.path.startsWith('/booking/')) this._bookings.add(options.id)
+    if (['/booking/', KEYED_PATH].some(prefix => options.path.startsWith(prefix))) this._bookings.add(options.id)
     const limitMs = Number(options.headers?.['x-timeout-ms'] ?? CALLER_TIMEOUT_MS)
     const giveUp = AbortSignal.timeout(limitMs + GIVE_UP_MS)
     const signal = options.signal === undefined ? giveUp : AbortSignal.any([options.signal, giveUp])
@@ -216,7 +230,7 @@
 
   /** Records that a request was answered as not run, which must hold to the end. */
   noteRefused ({ id, path }: Pick<PlatformCall, 'id' | 'path'>, reason: string): void {
-    if (path.startsWith('/booking/') || path.startsWith('/turns/')) this._refused.set(id, reason)
+    if (['/booking/', '/turns/', KEYED_PATH].some(prefix => path.startsWith(prefix))) this._refused.set(id, reason)
   }
 
   /** Checks what the targets have run, after all callers have ended. */
@@ -227,6 +241,7 @@
       const count = counts.get(id) ?? 0
       this.checks.check(name, count <= max, () => `${id} ran ${count} times${name === 'notRun' ? ` after ${this._refused.get(id)}` : ''}`)
     }
+    this.workspaces.checkRuns()
     for (const id of this._bookings) check('once', id, 1)
     for (const id of this._refused.keys()) check('notRun', id, 0)
   }
@@ -238,6 +253,7 @@
     slot.isEnding = true
     if (signal === 'SIGTERM') slot.stoppedAt = performance.now()
     const end = signal === 'SIGKILL' ? this.trouble.begin(slot.index) : () => {}
+    const endAbsence = this._absences.begin(slot.index)
     gateway.signal(signal)
     // A paused process receives the signal when it runs again.
     gateway.signal('SIGCONT')
@@ -247,6 +263,7 @@
     await sleep(DOWN_MS)
     await this._launch(slot)
     await slot.process!.waitUntilReady().catch(() => {})
+    endAbsence()
     end()
   }
 
@@ -262,6 +279,30 @@
     end()
   }
 
+  /** Pauses a gateway, or cuts its connections to the store, for a while. */
+  async putOutOfStep (slot: GatewaySlot, mode: 'pause' | 'silent' | 'reset', forMs: number): Promise<void> {
+    if (mode === 'pause') {
+      await this.pause(slot, forMs)
+      return
+    }
+    const end = this.trouble.begin(slot.index)
+    slot.proxy.setMode(mode)
+    await sleep(forMs)
+    slot.proxy.setMode('open')
+    end()
+  }
+
+  /** Checks that all gateways have run and reached each other for a while, from before a time until now. */
+  areGatewaysInTouch (from: number): boolean {
+    return this.slots.every(({ index }) => this.trouble.isCalm(index, from) && this._absences.isCalm(index, from))
+  }
+
+  /** Gets the reason for which a gateway refused a request; undefined if none did. */
+  getRefusalReason (id: string): string | undefined {
+    const lines = this.slots.flatMap(slot => slot.process?.getEvents('refused') ?? [])
+    return lines.find(line => line.req === id)?.reason as string | undefined
+  }
+
   /** Records that a target ends; returns false if it has ended already. */
   beginDown (standin: EngineStandin): boolean {
     if (this._down.has(standin)) return false
@@ -357,7 +398,7 @@
   }
 
   private async _launch (slot: GatewaySlot): Promise<void> {
-    const gateway = await GatewayProcess.launch({ id: `gateway-${slot.index}`, storeAddress: slot.storeAddress, graceMs: GRACE_MS, heapMb: HEAP_MB })
+    const gateway = await GatewayProcess.launch({ id: `gateway-${slot.index}`, storeAddress: slot.storeAddress, graceMs: GRACE_MS, heapMb: HEAP_MB, extraSettings: QUOTA_SETTINGS })
     slot.process = gateway
     slot.stoppedAt = undefined
     slot.isEnding = false
--- a/tools/soak/disturbances/OutOfStep.ts
+++ b/tools/soak/disturbances/OutOfStep.ts
@@ -28,7 +28,7 @@
     const respond = createStreamResponder({ events: EVENTS, gapMs: EVENT_GAP_MS })
     for (const engine of fixture.engines) engine.responders.set(path, respond)
     const mode = this._pick(['silent', 'reset', 'pause'] as const)
-    const outOfStep = mode === 'pause' ? this._world.pause(slot, OUT_OF_STEP_MS) : this._cut(slot, mode)
+    const outOfStep = this._world.putOutOfStep(slot, mode, OUT_OF_STEP_MS)
     await sleep(BEFORE_RELEASE_MS)
     const version = `v${this._random.int(3, 1_000_000)}`
     const joined = await Promise.all(Array.from({ length: JOINED }, async () => await this._world.addEngine(version)))
@@ -42,14 +42,6 @@
     for (const engine of joined) fixture.unregister(engine)
   }
 
-  private async _cut (slot: GatewaySlot, mode: 'silent' | 'reset'): Promise<void> {
-    const end = this._world.trouble.begin(slot.index)
-    slot.proxy.setMode(mode)
-    await sleep(OUT_OF_STEP_MS)
-    slot.proxy.setMode('open')
-    end()
-  }
-
   /** Reads a stream at one gateway, and goes on at another one when it breaks off. */
   private async _read (path: string, first: GatewaySlot, next: GatewaySlot): Promise<void> {
     const begun = this._world.createId('release')
--- a/tools/soak/disturbances/index.ts
+++ b/tools/soak/disturbances/index.ts
@@ -5,13 +5,17 @@
 import { CrashForms } from './CrashForms.js'
 import { CrashingRequest } from './CrashingRequest.js'
 import { Endless } from './Endless.js'
+import { FailingTarget } from './FailingTarget.js'
 import { HalfRequests } from './HalfRequests.js'
 import { HeldRequests } from './HeldRequests.js'
+import { HotWorkspace } from './HotWorkspace.js'
 import { KeptBookings, KeptChannels } from './KeptChannels.js'
 import { Leaving } from './Leaving.js'
 import { LargeBreaks } from './LargeBreaks.js'
 import { OddRows } from './OddRows.js'
 import { OutOfStep } from './OutOfStep.js'
+import { OutsideLimits } from './OutsideLimits.js'
+import { RemovedKeys } from './RemovedKeys.js'
 import { ResumedTurns } from './ResumedTurns.js'
 import { Silence } from './Silence.js'
 import { TargetBehaviours } from './TargetBehaviours.js'
@@ -33,7 +37,11 @@
   'odd-rows': options => new OddRows(options),
   leaving: options => new Leaving(options),
   'out-of-step': options => new OutOfStep(options),
-  config: options => new ConfigChanges(options)
+  config: options => new ConfigChanges(options),
+  'removed-keys': options => new RemovedKeys(options),
+  'hot-workspace': options => new HotWorkspace(options),
+  'failing-target': options => new FailingTarget(options),
+  'outside-limits': options => new OutsideLimits(options)
 }
 
 /** Creates the disturbance of a name. */
