Let buckets of quotas start empty where a tolerance is set

Cause: each restart of a holder in a window added a token, and the tolerance covered two for each holder. With more restarts, as in the soak (kill-all, pauses), the bound could be exceeded. Change: with a tolerance buckets start empty, and their capacity is what the bound leaves. Without one nothing changes.

--- a/src/core/quota/QuotaHolder.ts
+++ b/src/core/quota/QuotaHolder.ts
@@ -3,7 +3,7 @@
 import { QuotaBucket, type BucketResult } from './QuotaBucket.js'
 import type { QuotaDebts } from './QuotaDebts.js'
 import type { LocalShare, QuotaHolders } from './QuotaHolders.js'
-import { getShareLimits, START_TOKENS, type QuotaTolerance, type ShareLimits } from './QuotaTolerance.js'
+import { getShareLimits, type QuotaTolerance, type ShareLimits } from './QuotaTolerance.js'
 import { SpanCount } from './SpanCount.js'
 
 /** Part of its capacity below which a bucket has its next debt recorded, so that the record is there before a request needs it. */
@@ -152,7 +152,7 @@
     // Only the debts of an earlier process of this gateway are known, not those of the gateway that held the share before.
     const isOthers = hadOtherHolder && heldSince > this._startedAt - limits.spanMs
     const debt = isOthers ? limits.maxDebt : Math.min(limits.maxDebt, debts?.getInherited(workspace) ?? Infinity)
-    const held = { bucket: new QuotaBucket(limits, START_TOKENS - debt, since), lent: new SpanCount(), since, usedAt: now, newest }
+    const held = { bucket: new QuotaBucket(limits, limits.startTokens - debt, since), lent: new SpanCount(), since, usedAt: now, newest }
     this._buckets.set(workspace, held)
     return held
   }
