Do not count what connections and requests cost as buffers when garbage is collected

Change: costs have accounts of their own kind, and only the other bytes count as buffers in use. ByteBudget and GatewayServer tests pass.

--- a/src/core/limits/ByteBudget.ts
+++ b/src/core/limits/ByteBudget.ts
@@ -18,17 +18,33 @@
   private readonly _maxBytesPerOwner: number
   private readonly _ownerBytes = new Map<string, number>()
   private _heldBytes = 0
+  private _costBytes = 0
 
   constructor (options: ByteBudgetOptions) {
     this._maxBytes = options.maxBytes
     this._maxBytesPerOwner = options.maxBytesPerOwner ?? options.maxBytes
   }
 
+  /** Creates the account of what one request or connection costs beside its buffers. */
+  openCost (owner = ''): HeldBytes {
+    return this._open(owner, bytes => { this._costBytes += bytes })
+  }
+
   /** Creates the account of one request or connection, which holds nothing yet. */
   open (owner = ''): HeldBytes {
+    return this._open(owner, () => {})
+  }
+
+  /** Gets the bytes that are held in buffers. */
+  getBufferBytes (): number {
+    return this._heldBytes - this._costBytes
+  }
+
+  private _open (owner: string, onChange: (bytes: number) => void): HeldBytes {
     let held = 0
     const change = (bytes: number): void => {
       held += bytes
+      onChange(bytes)
       this._change(owner, bytes)
     }
     return {
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -91,7 +91,7 @@
       getLimits: () => this._limits,
       getMaxHeadBytes: () => this._maxHeadBytes,
       held: memory.open(address),
-      cost: memory.open(address),
+      cost: memory.openCost(address),
       headHeld: this._heads.open(),
       onEnd,
       onHeadTooLarge,
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -349,7 +349,7 @@
       getStoreRetrySeconds: () => access.health.getRetrySeconds(options.random)
     })
     const closesAfter = (res: ServerResponse): boolean => this._server.closesAfter(res)
-    const garbage = new BufferGarbage({ getUsedBytes: () => memory.getHeldBytes() })
+    const garbage = new BufferGarbage({ getUsedBytes: () => memory.getBufferBytes() })
     const context = { clock, log, metrics, protocol, configs: this._configs, memory, garbage, closesAfter }
     this._status = new StatusServer({
       readinessPath: tables.readinessPath,
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -298,7 +298,7 @@
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version, arrivedAt, workspace, admit })
     this._connections.get(req.socket).setRequestHeld(exchange.held)
     try {
-      const cost = context.memory.open(req.socket.remoteAddress)
+      const cost = context.memory.openCost(req.socket.remoteAddress)
       res.on('close', () => { cost.release() })
       const isHeld = cost.tryHold(REQUEST_COST_BYTES) && exchange.held.tryHold(getHeadCost(head))
       if (isHeld) await this._forward(exchange, req, res, limits.bodyBytes)
