--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -298,7 +298,7 @@
     const exchange = new Exchange({ context, req, res, call, route, configVersion: version, arrivedAt, workspace, admit })
     this._connections.get(req.socket).setRequestHeld(exchange.held)
     try {
-      const cost = context.memory.open(req.socket.remoteAddress)
+      const cost = context.memory.openCost(req.socket.remoteAddress)
       const isHeld = cost.tryHold(REQUEST_COST_BYTES) && exchange.held.tryHold(getHeadCost(head))
       // The caller may have disconnected while its key was checked.
       if (res.closed) cost.release()
