--- a/src/core/admission/AdmissionQueue.ts
+++ b/src/core/admission/AdmissionQueue.ts
@@ -1,5 +1,3 @@
-import { DecayedCount } from './DecayedCount.js'
-
 /** Wait in milliseconds after which a request is taken by age; callers wait 1,500 ms or more, new programs for a part of it. */
 export const ADMISSION_AGING_MS = 500
 
@@ -9,27 +7,6 @@
 /** Factor by which more capacity may be found than is predicted, so that a request is refused only if it would hardly be served in time. */
 const CAPACITY_MARGIN = 1.25
 
-/** Half-life in milliseconds of the arrivals that go before a request; short, so that they are forgotten soon after a burst. */
-const ARRIVAL_HALF_LIFE_MS = 1_000
-
-/**
- * Share of its work by which a new program goes after others of its kind. With 0.25, a fifth of the long requests of priority 0 was served
- * at 4 times the capacity while three quarters of the short ones were.
- */
-const WORK_SHARE = 0.15
-
-/** Longest time in milliseconds by which a new program goes after others because of its work; a new program may wait for about a second. */
-const MAX_WORK_DELAY_MS = 500
-
-/**
- * Factor by which the capacity may exceed the largest estimate before a request counts as displaced by more urgent ones. With 1.25, fewer
- * requests were served after targets had returned (1,016 rather than 1,044 of 1,224).
- */
-const ARRIVAL_MARGIN = 1.5
-
-/** Number of the classes of a priority. */
-const CLASSES = 6
-
 /** Largest number of waiting requests of a service; at the capacity of a gateway's share they would wait far longer than callers do. */
 const MAX_WAITING = 500
 
@@ -37,8 +14,8 @@
 const MIN_RETRY_WAIT_MS = 300
 const MAX_RETRY_WAIT_MS = 3_000
 
-/** What the urgency of a request depends on. */
-export interface RequestUrgency {
+/** A request that waits for capacity of its service. */
+export interface WaitingRequest {
   /** Priority of the workspace, else of the route; 0 is the highest. */
   readonly priority: number
   /** True if earlier work of the program would be lost with the request. */
@@ -47,12 +24,6 @@
   readonly isWithinShare: boolean
   /** True if the program can still finish within twice its time. */
   readonly isWorthwhile: boolean
-}
-
-/** A request that waits for capacity of its service. */
-export interface WaitingRequest extends RequestUrgency {
-  /** Milliseconds for which the request probably occupies a target. */
-  readonly workMs: number
   /** Time since which the request has waited, earlier attempts included. */
   readonly since: number
   /** Time until which it may wait. */
@@ -69,22 +40,12 @@
  * Requests that wait for capacity of one service, in order of urgency.
  *
  * The order is by priority; within a priority, programs in progress go before new ones, requests within the share of their workspace before
- * those beyond it, and programs that can no longer finish go last; then by arrival, and new programs also by their work. One in
- * {@link TAKEN_PER_AGED} is the oldest of the less urgent kinds.
+ * those beyond it, and programs that can no longer finish go last; then by arrival. One in {@link TAKEN_PER_AGED} is the oldest of the less
+ * urgent kinds.
  */
 export class AdmissionQueue<T extends WaitingRequest> {
   private _waiting: T[] = []
   private _takenSinceAged = 0
-  /** Recent arrivals by urgency key, whether or not they had to wait. */
-  private readonly _arrivals = new Map<number, DecayedCount>()
-
-  /** Records the arrival of a request, once for each. */
-  recordArrival (req: RequestUrgency, now: number): void {
-    const key = toUrgencyKey(req)
-    const count = this._arrivals.get(key) ?? new DecayedCount(ARRIVAL_HALF_LIFE_MS)
-    count.add(now)
-    this._arrivals.set(key, count)
-  }
 
   /** Gets the number of waiting requests. */
   getSize (): number {
@@ -112,52 +73,24 @@
     return req
   }
 
-  /**
-   * Removes and returns the requests that will not be served within the time for which they may wait, at a predicted capacity.
-   *
-   * A new program for which the more urgent requests that will arrive leave no capacity is refused at once. Programs in progress and the
-   * most urgent priority go on waiting, since the load may end before their time does.
-   *
-   * @param perSecond - The predicted capacity, in requests a second.
-   * @param maxPerSecond - The largest estimate of it; Infinity while targets may have free capacity.
-   */
-  takeRefused (now: number, perSecond: number, maxPerSecond: number): Array<RefusedWait<T>> {
+  /** Removes and returns the requests that will not be served within the time for which they may wait, at a predicted capacity. */
+  takeRefused (now: number, perSecond: number): Array<RefusedWait<T>> {
     const refused: Array<RefusedWait<T>> = []
     const kept: T[] = []
     const requestMs = 1_000 / perSecond
     const places = new Map(this._getLess().sort((a, b) => a.since - b.since).map((req, at) => [req, at + 1]))
-    const getAheadPerSecond = this._createAheadCounter(now)
     for (const req of this._waiting) {
       const place = places.get(req)
       const byAgeMs = place === undefined ? Infinity : Math.max(req.since + ADMISSION_AGING_MS - now, place * TAKEN_PER_AGED * requestMs)
       const predictedMs = Math.min(byAgeMs, (kept.length + 1) * requestMs)
-      const leftPerSecond = maxPerSecond * ARRIVAL_MARGIN - getAheadPerSecond(req)
-      const byOrderMs = leftPerSecond > 0 ? (kept.length + 1) * 1_000 / leftPerSecond : Infinity
-      const isExempt = req.isInProgress || req.priority === this._waiting[0]!.priority
-      const displacedMs = isExempt ? 0 : Math.min(byAgeMs / CAPACITY_MARGIN, byOrderMs)
-      const soonestMs = Math.max(predictedMs / CAPACITY_MARGIN, displacedMs)
-      const isInTime = now < req.until && (kept.length === 0 || now + soonestMs <= req.until)
+      const isInTime = now < req.until && (kept.length === 0 || now + predictedMs / CAPACITY_MARGIN <= req.until)
       if (isInTime && kept.length < MAX_WAITING) kept.push(req)
-      else refused.push({ req, waitMs: Math.min(MAX_RETRY_WAIT_MS, Math.max(MIN_RETRY_WAIT_MS, predictedMs, displacedMs)) })
+      else refused.push({ req, waitMs: Math.min(MAX_RETRY_WAIT_MS, Math.max(MIN_RETRY_WAIT_MS, predictedMs)) })
     }
     this._waiting = kept
     return refused
   }
 
-  /** Creates a function that gets the requests a second that arrive and go before a request. */
-  private _createAheadCounter (now: number): (req: T) => number {
-    const rates = [...this._arrivals].map(([key, count]) => ({ key, perSecond: count.getPerSecond(now) }))
-    const byKey = new Map<number, number>()
-    return req => {
-      const key = toUrgencyKey(req)
-      const known = byKey.get(key)
-      if (known !== undefined) return known
-      const sum = rates.reduce((sum, rate) => rate.key < key ? sum + rate.perSecond : sum, 0)
-      byKey.set(key, sum)
-      return sum
-    }
-  }
-
   private _findAged (now: number, canSend: (req: T) => boolean): T | undefined {
     let oldest: T | undefined
     for (const req of this._getLess()) if (req.since < (oldest?.since ?? Infinity) && canSend(req)) oldest = req
@@ -172,20 +105,10 @@
 }
 
 function compare (a: WaitingRequest, b: WaitingRequest): number {
-  return toUrgencyKey(a) - toUrgencyKey(b) || getOrderTime(a) - getOrderTime(b)
-}
-
-/** Gets a number that is lower the more urgent a request is. */
-function toUrgencyKey (req: RequestUrgency): number {
-  return req.priority * CLASSES + getClass(req)
-}
-
-/** Gets the time by which requests of one class are ordered. */
-function getOrderTime ({ since, workMs, isInProgress }: WaitingRequest): number {
-  return isInProgress ? since : since + Math.min(MAX_WORK_DELAY_MS, workMs * WORK_SHARE)
+  return a.priority - b.priority || getClass(a) - getClass(b) || a.since - b.since
 }
 
 /** Gets the class of a request within its priority: what is lost with it, and whether its workspace has more than its share. */
-function getClass ({ isInProgress, isWithinShare, isWorthwhile }: RequestUrgency): number {
+function getClass ({ isInProgress, isWithinShare, isWorthwhile }: WaitingRequest): number {
   return (isWorthwhile ? 0 : 3) + (isInProgress ? 0 : 1) + (isWithinShare ? 0 : 1)
 }
--- a/src/core/admission/ServiceAdmission.ts
+++ b/src/core/admission/ServiceAdmission.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../clock/index.js'
-import { AdmissionQueue, type RefusedWait, type RequestUrgency, type WaitingRequest } from './AdmissionQueue.js'
+import { AdmissionQueue, type RefusedWait, type WaitingRequest } from './AdmissionQueue.js'
 import { ServiceLoad, type AdmittedRequest } from './ServiceLoad.js'
 import { WorkspaceDemand } from './WorkspaceDemand.js'
 
@@ -32,11 +32,9 @@
   }
 
   /** Records a caller's request once; returns whether it is within the share of its workspace. */
-  recordDemand (workspace: string | undefined, urgency: Omit<RequestUrgency, 'isWithinShare'>): boolean {
+  recordDemand (workspace: string | undefined): boolean {
     const now = this._clock.now()
-    const isWithinShare = workspace === undefined || this._demand.record(workspace, now, this.load.isShort(now))
-    this._queue.recordArrival({ ...urgency, isWithinShare }, now)
-    return isWithinShare
+    return workspace === undefined || this._demand.record(workspace, now, this.load.isShort(now))
   }
 
   /** Gets the number of waiting requests. */
@@ -68,7 +66,7 @@
       if (req === undefined) break
       admitted.push({ req, admission: this.load.release(now) })
     }
-    return { admitted, refused: this._queue.takeRefused(now, this.load.getPerSecond(now), this.load.getMaxPerSecond(now)) }
+    return { admitted, refused: this._queue.takeRefused(now, this.load.getPerSecond(now)) }
   }
 
   private _hasPlace (targets: readonly string[]): boolean {
--- a/src/core/admission/ServiceLoad.ts
+++ b/src/core/admission/ServiceLoad.ts
@@ -6,9 +6,6 @@
 /** Half-life in milliseconds of the acceptances that predict the capacity; longer, for a service with few requests. */
 const CAPACITY_HALF_LIFE_MS = 3_000
 
-/** Half-life in milliseconds of the acceptances that show within tenths of a second that targets have returned. */
-const RECENT_HALF_LIFE_MS = 500
-
 /** Refusals that are risked for each acceptance, so that free capacity is found soon and few requests are sent in vain. */
 const REFUSALS_PER_ACCEPTANCE = 0.5
 
@@ -45,9 +42,6 @@
 /** Milliseconds of missing capacity after which acceptances predict it; those before only show how many requests there were. */
 const LEARN_MS = 300
 
-/** Milliseconds since the last refusal of a target up to which the learned capacity is certain; targets that return end the refusals. */
-const CONFIRMED_MS = 100
-
 /** Milliseconds without evidence after which what was learned of the capacity no longer counts. */
 const FORGET_MS = 5_000
 
@@ -93,7 +87,6 @@
   private readonly _accepted = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private readonly _refused = new DecayedCount(OUTCOME_HALF_LIFE_MS)
   private _capacity = new DecayedCount(CAPACITY_HALF_LIFE_MS)
-  private readonly _recent = new DecayedCount(RECENT_HALF_LIFE_MS)
   /** Places that no waiting request has taken yet. */
   private _freed: FreedPlace[] = []
   private _left = 0
@@ -141,15 +134,6 @@
     return (this._capacity.get(now) + ASSUMED_ACCEPTANCES) * Math.LN2 * 1_000 / CAPACITY_HALF_LIFE_MS / coverage
   }
 
-  /**
-   * Gets the most requests a second that the targets may accept from this gateway; Infinity unless a target has refused one so lately that
-   * its service certainly has no free capacity.
-   */
-  getMaxPerSecond (now: number): number {
-    if (!this.isShort(now) || now - this._refusedAt > CONFIRMED_MS) return Infinity
-    return Math.max(this.getPerSecond(now), this._recent.getPerSecond(now))
-  }
-
   /** Records that a request may be sent that has not waited. */
   admit (now: number): AdmittedRequest {
     return this._add({ at: now, isProbe: false })
@@ -178,7 +162,6 @@
     if (!this._pending.delete(req)) {
       this._accepted.add(now, -1)
       this._capacity.add(now, -1)
-      this._recent.add(now, -1)
     }
     if (now - this._refusedAt > FORGET_MS) {
       this._shortSince = now
@@ -238,6 +221,5 @@
   private _addAccepted (now: number): void {
     this._accepted.add(now)
     this._capacity.add(now)
-    this._recent.add(now)
   }
 }
--- a/src/io/gateway/AdmissionGate.ts
+++ b/src/io/gateway/AdmissionGate.ts
@@ -34,8 +34,6 @@
   readonly isInProgress: boolean
   /** Longest time in milliseconds for which the request may wait. */
   readonly maxWaitMs: number
-  /** Milliseconds for which the request probably occupies a target; 0 if that is not known. */
-  readonly workMs: number
 }
 
 /** Result of {@link AdmissionGate.enter}. */
@@ -69,20 +67,17 @@
   }
 
   /** Records a request that asks for admission for the first time, or again after a target had accepted it. */
-  open ({ exchange, service, isInProgress, maxWaitMs, workMs }: AdmissionRequest): AdmissionEntry {
+  open ({ exchange, service, isInProgress, maxWaitMs }: AdmissionRequest): AdmissionEntry {
     const { call, route } = exchange
     const since = this._options.clock.now()
     const remainingMs = call.program?.remainingMs === undefined ? undefined : call.program.remainingMs - (since - exchange.startedAt)
-    const priority = exchange.getPriority()
-    const isWorthwhile = getProspect({ remainingMs, workMs: 0, timeoutMs: route.timeoutMs }) !== Prospect.Lost
     return {
       exchange,
       service,
-      priority,
+      priority: exchange.getPriority(),
       isInProgress,
-      isWithinShare: this._get(service).admission.recordDemand(exchange.workspace?.name, { priority, isInProgress, isWorthwhile }),
-      isWorthwhile,
-      workMs,
+      isWithinShare: this._get(service).admission.recordDemand(exchange.workspace?.name),
+      isWorthwhile: getProspect({ remainingMs, workMs: 0, timeoutMs: route.timeoutMs }) !== Prospect.Lost,
       since,
       until: since + Math.min(MAX_WAIT_MS, maxWaitMs)
     }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -310,15 +310,14 @@
     const { call, route } = this._exchange
     if (gate === undefined) return true
     const getStates = (): TargetState[] => placer.getCandidates(call, route, stream, this._getExcluded(stream, this._runs))
-    const state = getStates()[0]
-    if (state === undefined) return true
+    const service = getStates()[0]?.target.service
+    if (service === undefined) return true
     const isInProgress = this._options.isInProgress ?? false
     this._entry ??= gate.open({
       exchange: this._exchange,
-      service: state.target.service,
+      service,
       isInProgress: hasEarlierWork(this._exchange, isInProgress),
-      maxWaitMs: getMaxPermitWait(this._exchange, isInProgress),
-      workMs: this._context.priorities?.getWorkMs(this._exchange, state) ?? 0
+      maxWaitMs: getMaxPermitWait(this._exchange, isInProgress)
     })
     const result = await gate.enter(this._entry, () => getStates().map(state => state.incarnation), this._notBefore)
     if (result.type === 'admitted') this._admission = result.admission
--- a/src/io/gateway/TargetPriorities.ts
+++ b/src/io/gateway/TargetPriorities.ts
@@ -1,8 +1,7 @@
 import { getTargetPriority, PriorityBands } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
-import type { CallRequest } from '../../core/forward/index.js'
 import type { ConfigHolder, RouteTable } from '../../core/route/index.js'
-import { PREFILL_MS_PER_TOKEN, type TargetState } from '../../core/target/index.js'
+import type { TargetState } from '../../core/target/index.js'
 import type { Exchange } from './Exchange.js'
 
 /** Options of {@link TargetPriorities}. */
@@ -38,7 +37,7 @@
     const service = table?.getService(state.target.service)
     if (table === undefined || service?.isModel !== true) return undefined
     const waitedMs = this._options.clock.now() - startedAt
-    const generateMs = getGenerateMs(call, service.tokensPerEvent, state)
+    const generateMs = call.maxOutputTokens / Math.max(1, service.tokensPerEvent) * state.pace.getBestGapMs()
     return getTargetPriority({
       band: this._getBands(table).get(service.name, exchange.getPriority()),
       isInProgress,
@@ -50,13 +49,6 @@
     })
   }
 
-  /** Gets the longest time in milliseconds for which a request occupies a target; undefined at services that are no models. */
-  getWorkMs ({ call }: Exchange, state: TargetState): number | undefined {
-    const service = this._options.configs.get()?.getService(state.target.service)
-    if (service?.isModel !== true) return undefined
-    return call.promptTokens * PREFILL_MS_PER_TOKEN + getGenerateMs(call, service.tokensPerEvent, state)
-  }
-
   private _getBands (table: RouteTable): PriorityBands {
     if (this._bands === undefined || this._table !== table) this._bands = new PriorityBands(table.config, getWorkspacePriorities(table))
     this._table = table
@@ -64,11 +56,6 @@
   }
 }
 
-/** Gets the milliseconds that a request's longest response takes at the best pace of its service. */
-function getGenerateMs (call: CallRequest, tokensPerEvent: number, state: TargetState): number {
-  return call.maxOutputTokens / Math.max(1, tokensPerEvent) * state.pace.getBestGapMs()
-}
-
 function getWorkspacePriorities ({ config }: RouteTable): number[] {
   const priorities = config.workspaces?.map(({ workspace }) => workspace.priority) ?? []
   return priorities.filter(priority => priority !== undefined)
