Keep the buckets of a holder while it does not know the list of gateways

Cause: a holder that did not know the list for a moment dropped its bucket, and made a new one that had "filled" since it began to hold the share, with no record of what it had lent. The former code did so too, for at most the burst. Change: the bucket stays. If another gateway has held the share meanwhile, a new one is made as before. Tests: one of a short time without a list, which fails on the former code.

--- a/src/core/quota/QuotaHolder.ts
+++ b/src/core/quota/QuotaHolder.ts
@@ -85,10 +85,8 @@
   lend ({ workspace, version, quota, tokens, inProgress = 0 }: QuotaRequest): QuotaLoan {
     const { clock, holders, getQuota, tolerance } = this._options
     const local = holders.getLocalShare(workspace)
-    if (local === undefined) {
-      this._buckets.delete(workspace)
-      return { type: 'not-holder' }
-    }
+    // The bucket is kept: the gateway may hold the share still, and only not know the list of gateways at the moment.
+    if (local === undefined) return { type: 'not-holder' }
     const now = clock.now()
     const existing = this._buckets.get(workspace)
     const newest = getNewest([existing?.newest, getQuota?.(workspace), { version, quota }])
--- a/tests/core/quota/QuotaHolderTests.ts
+++ b/tests/core/quota/QuotaHolderTests.ts
@@ -127,6 +127,17 @@
     })
   })
 
+  // A gateway that did not know the list of gateways for a moment lent a full bucket again.
+  it('should go on with its bucket after a time without a valid list', () => {
+    clock.advanceTo(200_000)
+    expect(lend()).toEqual(8)
+    const held = local
+    local = undefined
+    lend()
+    local = held
+    expect(lend()).toEqual(0)
+  })
+
   it('should lend nothing without a share', () => {
     local = undefined
     expect(holder.lend(REQUEST)).toEqual({ type: 'not-holder' })
