Revert "Buffer one read of a response for a caller who does not read"

Why fewer buffered bytes leave more memory in use is not traced. Change: a response is buffered up to 64 KiB again.

--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -2,12 +2,8 @@
 import type { ResponseHead } from '../../core/forward/index.js'
 import type { ConnectionReader, TargetConnection } from './TargetConnection.js'
 
-/**
- * Bytes of a response that are buffered for a slow caller before reading from the target is paused.
- *
- * One read gets up to 65,536 bytes; with a limit of that size three reads were in memory for each unread response.
- */
-const MAX_BUFFERED_BYTES = 16_384
+/** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
+const MAX_BUFFERED_BYTES = 65_536
 
 /** Interim responses (status 1xx) that are accepted before the response. */
 const MAX_INTERIM_RESPONSES = 16
@@ -52,7 +48,6 @@
   private readonly _interimHeaders: string[] = []
   private _chunks: Buffer[] = []
   private _bufferedBytes = 0
-  private _isPaused = false
   private _isComplete = false
   private _hasConnectionEnded = false
   private _err: Error | undefined
@@ -115,10 +110,7 @@
   onResponseData (controller: Dispatcher.DispatchController, chunk: Buffer): void {
     this._chunks.push(chunk)
     this._bufferedBytes += chunk.length
-    if (this._bufferedBytes > MAX_BUFFERED_BYTES && !this._hasConnectionEnded) {
-      this._isPaused = true
-      controller.pause()
-    }
+    if (this._bufferedBytes > MAX_BUFFERED_BYTES && !this._hasConnectionEnded) controller.pause()
     this._wakeReader()
   }
 
@@ -143,19 +135,14 @@
       const chunk = this._chunks.shift()
       if (chunk !== undefined) {
         this._bufferedBytes -= chunk.length
+        if (this._bufferedBytes === 0) this._controller?.resume()
         yield chunk
       } else if (this._err !== undefined) {
         throw this._err
       } else if (this._isComplete) {
         return
       } else {
-        const woken = new Promise<void>(resolve => { this._wakeReader = resolve })
-        // Reading on only now, when the caller's connection has accepted all before, keeps one read in memory for each unread response.
-        if (this._isPaused) {
-          this._isPaused = false
-          this._controller?.resume()
-        }
-        await woken
+        await new Promise<void>(resolve => { this._wakeReader = resolve })
       }
     }
   }
