Send requests gradually to targets that join others

Cause: a gateway observes delays that include the work of the requests, and a target that had just joined had none. Each gateway took it for the fastest one.

Change: a target that joins others is assumed to respond as late as the median of them, and is considered for a share of the requests that grows within 1 s, or while its row states that it stays slow (coldLeftMs, decoded now). Nothing is held back when most of a service is new.

--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -45,7 +45,7 @@
   }
 
   select (candidates: readonly TargetState[], req: PlacementRequest, now: number): Placement | undefined {
-    const eligible = getWithMemory(getEligible(candidates, req, now), req, now)
+    const eligible = this._getReady(getWithMemory(getEligible(candidates, req, now), req, now), req, now)
     const start = Math.floor(this._options.random() * eligible.length)
     let best: Placement | undefined
     let bestCostMs = Infinity
@@ -67,6 +67,7 @@
     const loadMs = state.getInFlight() * WAIT_MS_PER_REQUEST / state.target.slots + state.getPendingPrefillMs()
     const distanceMs = this._getDistanceMs(state.target.failureDomain)
     const excessMs = Math.max(0, state.getExcessMs(now) - EXCESS_NOISE_MS)
+    const share = state.slowStart.getShare(now)
     const permitWaitMs = state.getPermitWaitMs(now)
     return {
       state,
@@ -78,12 +79,22 @@
         loadMs: Math.round(loadMs),
         distanceMs,
         excessMs: Math.round(excessMs),
+        ...(share < 1 && { share: Number(share.toFixed(2)) }),
         ...(failureMs > 0 && { failureMs: Math.round(failureMs) }),
         ...(permitWaitMs > 0 && { permitWaitMs: Math.round(permitWaitMs) })
       }
     }
   }
 
+  /** Gets the targets that may get this request; one that starts slowly is considered for its share of the requests only. */
+  private _getReady (eligible: TargetState[], { warmTarget }: PlacementRequest, now: number): TargetState[] {
+    const ready = eligible.filter(state => {
+      const share = state.slowStart.getShare(now)
+      return share === 1 || state.incarnation === warmTarget || this._options.random() < share
+    })
+    return ready.length > 0 ? ready : eligible
+  }
+
   private _getDistanceMs (failureDomain: string): number {
     const { failureDomain: localDomain, regions } = this._options
     if (failureDomain === localDomain) return 0
--- a/src/core/target/Target.ts
+++ b/src/core/target/Target.ts
@@ -13,6 +13,8 @@
   readonly isLeaving: boolean
   /** Number of requests that the target runs concurrently. */
   readonly slots: number
+  /** Milliseconds for which the target stays slow after its start, as of the writing of its row; undefined if it states none. */
+  readonly coldMs?: number
 }
 
 /** Gets the key of one incarnation of a target. */
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -1,7 +1,9 @@
 import { getIncarnationKey, type Target } from './Target.js'
 import { LeavingTargets } from './LeavingTargets.js'
 import { BestPace } from './StreamPace.js'
-import { TargetState } from './TargetState.js'
+import { getMedianDelayMs } from './getMedianDelayMs.js'
+import { SLOW_START_MS } from './SlowStart.js'
+import { TargetState, type Joining } from './TargetState.js'
 
 /**
  * Milliseconds after an outage of the store for which targets that are no longer listed are kept.
@@ -55,8 +57,9 @@
    * Applies the registration of a target; returns whether anything that matters to placement changed.
    *
    * @param changedAfter - Time after which the row was changed; unknown by default.
+   * @param now - Present time; without it, the target is not taken for one that has joined others.
    */
-  set (target: Target, changedAfter = -Infinity): boolean {
+  set (target: Target, changedAfter = -Infinity, now = -Infinity): boolean {
     this._missing.delete(target.id)
     const existing = this._states.get(target.id)
     const incarnation = getIncarnationKey(target)
@@ -67,13 +70,16 @@
     else this._leaving.withdraw(incarnation)
     if (isReplaced) {
       const getMemoryTokens = (): number | undefined => this._options.getMemoryTokens?.(target.service)
-      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service), getMemoryTokens))
+      const joining = this._getJoining(target, now)
+      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service), getMemoryTokens, joining))
+      this._recordCold(target, now)
       if (hasEnded) this._options.onEnded?.(existing, TargetEndCause.Replaced)
       this._options.onListed?.(incarnation)
       return true
     }
     const isChanged = existing.target.isLeaving !== target.isLeaving
     existing.target = target
+    this._recordCold(target, now)
     return isChanged
   }
 
@@ -92,7 +98,7 @@
   /** Applies the complete list of targets. */
   setAll (targets: readonly Target[], now: number, changedAfter = -Infinity): void {
     const listed = new Set(targets.map(target => target.id))
-    for (const target of targets) this.set(target, changedAfter)
+    for (const target of targets) this.set(target, changedAfter, now)
     for (const id of [...this._states.keys()]) if (!listed.has(id)) this.remove(id, now)
   }
 
@@ -147,6 +153,22 @@
     return [...this._states.values()].filter(state => state.target.service === service)
   }
 
+  private _recordCold ({ id, coldMs }: Target, now: number): void {
+    if (coldMs !== undefined && Number.isFinite(now)) this._states.get(id)!.slowStart.recordCold(coldMs, now)
+  }
+
+  /**
+   * Gets how a target comes to be listed: it joins others if at least half of its service has been listed for some time.
+   *
+   * When most of a service is new, as after the start of this gateway, nothing is held back.
+   */
+  private _getJoining (target: Target, now: number): Joining {
+    const others = [...this._states.values()].filter(state => state.target.service === target.service && state.target.id !== target.id)
+    const established = others.filter(state => now - state.listedAt >= SLOW_START_MS)
+    if (established.length === 0 || established.length < others.length / 2) return { listedAt: now }
+    return { listedAt: now, joinedAt: now, delayMs: getMedianDelayMs(established, now) }
+  }
+
   private _isLeaving ({ incarnation }: TargetState): boolean {
     return this._leaving.getSince(incarnation) !== undefined
   }
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -1,6 +1,7 @@
 import { getIncarnationKey, type Target } from './Target.js'
 import { PrefixCacheTracker } from './PrefixCacheTracker.js'
 import { RequestLimit } from './RequestLimit.js'
+import { SlowStart } from './SlowStart.js'
 import { BestPace, StreamPace } from './StreamPace.js'
 import { TargetHealth } from './TargetHealth.js'
 
@@ -37,6 +38,20 @@
   readonly lastAt: number
 }
 
+/** How a target came to be listed. */
+export interface Joining {
+  /** Time since which it has been listed. */
+  readonly listedAt?: number
+  /** Time at which it joined others that had been listed before; undefined if there were none. */
+  readonly joinedAt?: number
+  /**
+   * Delay of the others in milliseconds, which is assumed for a target that has not responded yet.
+   *
+   * Without it, one that joined looked faster than all others, whose delay includes the work of their requests.
+   */
+  readonly delayMs?: number | undefined
+}
+
 /** State of one incarnation of a target, as observed by this gateway's requests to it. */
 export class TargetState {
   readonly incarnation: string
@@ -44,6 +59,9 @@
   readonly limit = new RequestLimit()
   readonly pace: StreamPace
   readonly health = new TargetHealth()
+  readonly slowStart: SlowStart
+  /** Time since which the target has been listed; -Infinity if that is not known. */
+  readonly listedAt: number
   target: Target
   private _inFlight = 0
   private _heldTokens = 0
@@ -70,11 +88,20 @@
    * @param bestPace - Best pace of the target's service.
    * @param getMemoryTokens - Gets the tokens that the target has memory for; undefined if that is not known.
    */
-  constructor (target: Target, bestPace = new BestPace(), getMemoryTokens: () => number | undefined = () => undefined) {
+  constructor (
+    target: Target, bestPace = new BestPace(), getMemoryTokens: () => number | undefined = () => undefined,
+    { listedAt, joinedAt, delayMs }: Joining = {}
+  ) {
     this.target = target
     this._getMemoryTokens = getMemoryTokens
     this.pace = new StreamPace(bestPace)
     this.incarnation = getIncarnationKey(target)
+    this.slowStart = new SlowStart(joinedAt)
+    this.listedAt = listedAt ?? -Infinity
+    if (joinedAt !== undefined && delayMs !== undefined) {
+      this._excessMs = delayMs
+      this._observedAt = joinedAt
+    }
   }
 
   /** Gets the number of requests of this gateway in progress at the target. */
@@ -87,6 +114,11 @@
     return this._excessMs * 0.5 ** (Math.max(0, now - this._observedAt) / DELAY_HALF_LIFE_MS)
   }
 
+  /** Checks whether the target has responded so lately that its delay tells of the present. */
+  hasRecentDelay (now: number): boolean {
+    return now - this._observedAt <= DELAY_HALF_LIFE_MS
+  }
+
   /** Checks whether the target is ejected because of failures. */
   isEjected (now: number): boolean {
     return this._ejectedUntil > now
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -533,7 +533,7 @@
     } else {
       const target = this._decodeTarget(change.row)
       if (target === undefined) this._registry.remove(change.row.key, clock.now())
-      else if (this._registry.set(target, this._targetWatch.getConfirmedAt())) log.info('target-changed', { ...target, row: change.row.version })
+      else if (this._registry.set(target, this._targetWatch.getConfirmedAt(), clock.now())) log.info('target-changed', { ...target, row: change.row.version })
     }
     this._onTargetsApplied()
   }
--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -20,6 +20,11 @@
     })
   })
 
+  it('should decode for how long a target stays slow, and ignore what is no such time', () => {
+    const times = [3_000, 0, -1, 1e300, '3000', null, undefined]
+    expect(times.map(coldLeftMs => decode({ ...registration, coldLeftMs })?.coldMs)).toEqual([3_000, undefined, undefined, 1e300, undefined, undefined, undefined])
+  })
+
   it('should skip rows that are not valid registrations', () => {
     const changes = [{ slots: '8' }, { state: 'sleeping' }, { address: 'elsewhere' }, { service: undefined }, { born: 'today' }, { version: undefined }, { version: 2 }]
     const broken = ['no JSON', '[]', {}, ...changes.map(change => ({ ...registration, ...change }))]
