--- a/tests/platform/decodeTests.ts
+++ b/tests/platform/decodeTests.ts
@@ -22,7 +22,8 @@
 
   it('should decode for how long a target stays slow, and ignore what is no such time', () => {
     const times = [3_000, 0, -1, 1e300, '3000', null, undefined]
-    expect(times.map(coldLeftMs => decode({ ...registration, coldLeftMs })?.coldMs)).toEqual([3_000, undefined, undefined, 1e300, undefined, undefined, undefined])
+    const decoded = times.map(coldLeftMs => decode({ ...registration, coldLeftMs })?.coldMs)
+    expect(decoded).toEqual([3_000, undefined, undefined, 1e300, undefined, undefined, undefined])
   })
 
   it('should skip rows that are not valid registrations', () => {
