Order and refuse waiting requests by time left and work needed

Cause: requests of one priority waited in order of arrival. Those whose callers wait longest collected in front, and calls whose callers wait shortly were refused behind them. In a replay of lookups, charges and reservations at 1.2 times the capacity of 23 gateways 64% were served, 37% of the lookups.

Change: among requests as urgent, the one that can wait for less time goes first, and where one would be late, the one with the most work is refused (RouteWork learns it from responses). A request with less time than any of its route has needed is refused instead of waiting.

--- a/src/io/gateway/AdmissionGate.ts
+++ b/src/io/gateway/AdmissionGate.ts
@@ -1,4 +1,4 @@
-import { getProspect, Prospect, RetryPermits, ServiceAdmission, type AdmittedRequest, type TargetedRequest } from '../../core/admission/index.js'
+import { getProspect, Prospect, RetryPermits, RouteWork, ServiceAdmission, type AdmittedRequest, type TargetedRequest } from '../../core/admission/index.js'
 import type { Clock } from '../../core/clock/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { Exchange } from './Exchange.js'
@@ -55,12 +55,15 @@
   since: number | undefined
   waited: number
   refused: number
+  /** Refused requests that made room for others with less work. */
+  replaced: number
 }
 
 /** Lets requests wait for capacity of their service, in order of urgency, while its targets refuse requests. */
 export class AdmissionGate {
   private readonly _options: AdmissionGateOptions
   private readonly _services = new Map<string, GatedService>()
+  private readonly _work = new RouteWork()
 
   constructor (options: AdmissionGateOptions) {
     this._options = options
@@ -71,6 +74,9 @@
     const { call, route } = exchange
     const since = this._options.clock.now()
     const remainingMs = call.program?.remainingMs === undefined ? undefined : call.program.remainingMs - (since - exchange.startedAt)
+    const workMs = this._work.getMs(route.name, call.maxOutputTokens)
+    // A program that is late already has nothing left to be in time for.
+    const dueMs = remainingMs === undefined || workMs === undefined ? 0 : remainingMs - workMs
     return {
       exchange,
       service,
@@ -79,7 +85,9 @@
       isWithinShare: this._get(service).admission.recordDemand(exchange.workspace?.name),
       isWorthwhile: getProspect({ remainingMs, workMs: 0, timeoutMs: route.timeoutMs }) !== Prospect.Lost,
       since,
-      until: since + Math.min(MAX_WAIT_MS, maxWaitMs)
+      until: since + Math.min(MAX_WAIT_MS, maxWaitMs, exchange.getRemainingMs() - this._work.getLeastMs(route.name)),
+      dueAt: dueMs > 0 ? since + dueMs : undefined,
+      workMs
     }
   }
 
@@ -166,6 +174,11 @@
     this._get(service).admission.load.recordUnknown(admission)
   }
 
+  /** Records what a complete response took, in milliseconds from the sending of its request. */
+  recordWork ({ call, route }: Exchange, tookMs: number): void {
+    this._work.record(route.name, call.maxOutputTokens, tookMs)
+  }
+
   /** Records that a request has ended at a target. */
   recordCompleted (service: string, target: string): void {
     const gated = this._get(service)
@@ -189,7 +202,7 @@
     let service = this._services.get(name)
     if (service === undefined) {
       const admission = new ServiceAdmission<Waiting>(this._options.clock)
-      service = { admission, retries: new RetryPermits(), timer: undefined, since: undefined, waited: 0, refused: 0 }
+      service = { admission, retries: new RetryPermits(), timer: undefined, since: undefined, waited: 0, refused: 0, replaced: 0 }
       this._services.set(name, service)
     }
     return service
@@ -204,6 +217,7 @@
     }
     const { admitted, refused } = admission.step()
     service.refused += refused.length
+    service.replaced += refused.filter(({ makesRoom }) => makesRoom).length
     for (const { req, admission } of admitted) req.resolve({ type: 'admitted', admission })
     for (const { req, waitMs } of refused) req.resolve({ type: 'refused', waitMs })
     metrics.waiting.set({ service: name }, admission.getWaiting())
@@ -212,7 +226,8 @@
       return
     }
     clearInterval(service.timer)
-    log.info('capacity-restored', { service: name, waited: service.waited, refused: service.refused, tookMs: Math.round(clock.now() - service.since) })
-    Object.assign(service, { timer: undefined, since: undefined, waited: 0, refused: 0 })
+    const { waited, refused: refusals, replaced } = service
+    log.info('capacity-restored', { service: name, waited, refused: refusals, replaced, tookMs: Math.round(clock.now() - service.since) })
+    Object.assign(service, { timer: undefined, since: undefined, waited: 0, refused: 0, replaced: 0 })
   }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -247,6 +247,7 @@
   recordAnswer (attempt: Attempt): void {
     const { suspect, call } = this._exchange
     const { status } = attempt.response.head
+    if (status < FIRST_FAILURE_STATUS) this._context.admission?.recordWork(this._exchange, this._context.clock.now() - attempt.sentAt)
     if (status >= FIRST_FAILURE_STATUS) this._recordAbandoned(attempt, `status ${status}`)
     else if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
   }
--- a/tests/core/admission/AdmissionReplay.ts
+++ b/tests/core/admission/AdmissionReplay.ts
@@ -11,6 +11,10 @@
   readonly isInProgress?: boolean
   readonly workspace?: string
   readonly maxWaitMs?: number
+  /** Milliseconds for which it takes a place; those of the replay unless set. */
+  readonly workMs?: number
+  /** True if the gateway knows `workMs`. */
+  readonly isWorkKnown?: boolean
 }
 
 /** How a replayed request ended: accepted by a target, refused by the gateway unsent, or refused after targets had refused it. */
@@ -57,7 +61,7 @@
     const target = admission.target ?? (open.length > 0 ? open : targets)[turn++ % Math.max(1, open.length)]!
     req.sends++
     if (isUp(target, now) && busy.get(target)!.length < places) {
-      busy.get(target)!.push({ end: now + serviceMs, service })
+      busy.get(target)!.push({ end: now + (req.source.workMs ?? serviceMs), service })
       results.push({ ...req.source, type: 'served', waitedMs: now - req.since, sends: req.sends })
       return
     }
@@ -79,11 +83,12 @@
     }
     while (arrivals.length > 0 && arrivals[0]!.at <= now) {
       const source = arrivals.shift()!
-      const { priority = 0, isInProgress = false, workspace, maxWaitMs = 1_000 } = source
+      const { priority = 0, isInProgress = false, workspace, maxWaitMs = 1_000, workMs = serviceMs, isWorkKnown = true } = source
       const service = services[arrived++ % gateways]!
       const isWithinShare = service.recordDemand(workspace)
       const wait = { since: now, until: now + maxWaitMs, getTargets: () => targets }
-      enter({ source, service, priority, isInProgress, isWithinShare, isWorthwhile: true, ...wait, sends: 0 })
+      const work = isWorkKnown ? { workMs } : {}
+      enter({ source, service, priority, isInProgress, isWithinShare, isWorthwhile: true, ...wait, ...work, sends: 0 })
     }
     for (const service of services) {
       const { admitted, refused } = service.step()
