Parse bodies in chunks by turns of their connections

Cause: the parser got all that was read of a connection in one go, up to 10,000 chunks of one byte, and went round all connections before any other request moved. With 300 connections, each with 300,000 chunks of one byte, no ordinary request was answered within the 60 s of the test.

Bodies in chunks from several connections at once arrive whole, and the requests after them.

--- a/src/core/connection/RequestPieces.ts
+++ b/src/core/connection/RequestPieces.ts
@@ -4,6 +4,9 @@
 /** Fewest bytes of a piece of a body in chunks: it may contain the end of a head anywhere, and each piece costs a call of the parser. */
 const MIN_CHUNKED_PIECE_BYTES = 256
 
+/** Most bytes of a piece of a body in chunks, so that connections with very many small chunks take turns. */
+const MAX_CHUNKED_PIECE_BYTES = 4_096
+
 /** What the bytes that follow belong to: a head, a body of a number of bytes, or a body in chunks. */
 export type Expected = 'head' | 'chunks' | number
 
@@ -30,7 +33,10 @@
   take (expected: Expected): Buffer | undefined {
     const chunk = this._chunks[0]
     if (chunk === undefined) return undefined
-    const end = Math.min(chunk.length, typeof expected === 'number' ? this._offset + expected : this._findHeadEnd(chunk, expected === 'chunks'))
+    const isChunked = expected === 'chunks'
+    const end = typeof expected === 'number'
+      ? Math.min(chunk.length, this._offset + expected)
+      : Math.min(this._findHeadEnd(chunk, isChunked), isChunked ? this._offset + MAX_CHUNKED_PIECE_BYTES : chunk.length)
     const piece = chunk.subarray(this._offset, end)
     this._length -= piece.length
     this._offset = end
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Clock } from '../../core/clock/index.js'
-import { ConnectionAge, ConnectionPhase, type EndCause, type Expected, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionAge, ConnectionPhase, type EndCause, type Expected, type ParseTurns, type PhaseLimits } from '../../core/connection/index.js'
 import { CONNECTION_COST_BYTES, isProgressing, type HeldBytes } from '../../core/limits/index.js'
 import { RequestFeed } from './RequestFeed.js'
 
@@ -35,6 +35,8 @@
   readonly onHeadTooLarge: (connection: CallerConnection) => void
   /** Called when the share of all incomplete heads does not cover the one of this connection. */
   readonly onHeadsFull: (connection: CallerConnection) => void
+  /** Turns in which the connections of all callers parse bodies in chunks. */
+  readonly turns: ParseTurns
   /** Checks whether so much memory is held that requests which were sent before the last response wait. */
   readonly isMemoryShort: () => boolean
   /** Called with the bytes of each read. */
@@ -111,6 +113,7 @@
     this._feed = new RequestFeed({
       socket: this.socket,
       getExpected: () => this._getExpected(),
+      turns: options.turns,
       onRead: options.onRead,
       onParsed: bytes => { this._onParsed(bytes) }
     })
@@ -339,9 +342,10 @@
   /** Counts what was read and what has left the process since the last check. */
   private _updateProgress (): void {
     const now = this._clock.now()
-    const moved = this.socket.bytesRead + this.socket.bytesWritten - this.socket.writableLength
+    // What was read and waits to be parsed is no progress yet.
+    const moved = this._getParsedBytes() + this.socket.bytesWritten - this.socket.writableLength
     const isProgress = isProgressing(moved - this._movedBytes, this.getHeldBytes(), now - this._progressCheckedAt)
-    if (!this._isWaitingForCaller() || isProgress) this._progressAt = now
+    if (!this._isWaitingForCaller() || this._feed.isWaitingForTurn() || isProgress) this._progressAt = now
     this._movedBytes = moved
     this._progressCheckedAt = now
   }
--- a/src/io/gateway/CallerConnections.ts
+++ b/src/io/gateway/CallerConnections.ts
@@ -1,6 +1,6 @@
 import type { Socket } from 'node:net'
 import { RunningClock, type Clock } from '../../core/clock/index.js'
-import { ConnectionPhase, EndCause, type PhaseLimits } from '../../core/connection/index.js'
+import { ConnectionPhase, EndCause, ParseTurns, type PhaseLimits } from '../../core/connection/index.js'
 import { MIN_STALL_MS, selectStalled, type ByteBudget } from '../../core/limits/index.js'
 import { CallerConnection, type ConnectionEnding } from './CallerConnection.js'
 
@@ -64,6 +64,7 @@
   private readonly _connections = new WeakMap<Socket, CallerConnection>()
   private readonly _open = new Set<CallerConnection>()
   private readonly _addresses = new Map<string, number>()
+  private readonly _turns = new ParseTurns(run => { setImmediate(run) })
   private _limits: PhaseLimits
   private _maxHeadBytes = Infinity
 
@@ -97,6 +98,7 @@
       onHeadTooLarge,
       onHeadsFull,
       onRead,
+      turns: this._turns,
       isMemoryShort: () => memory.getExcessBytes(PIPELINE_SHARE) > 0
     })
     this._connections.set(socket, connection)
--- a/src/io/gateway/RequestFeed.ts
+++ b/src/io/gateway/RequestFeed.ts
@@ -1,11 +1,13 @@
 import type { Socket } from 'node:net'
-import { RequestPieces, type Expected } from '../../core/connection/index.js'
+import { RequestPieces, type Expected, type ParseTurns } from '../../core/connection/index.js'
 
 /** Options of {@link RequestFeed}. */
 export interface RequestFeedOptions {
   readonly socket: Socket
   /** Gets what the next bytes belong to; undefined while a request whose body is complete is in progress. */
   readonly getExpected: () => Expected | undefined
+  /** Turns in which the connections of all callers parse bodies in chunks. */
+  readonly turns: ParseTurns
   /** Called with the bytes of each read. */
   readonly onRead: (bytes: number) => void
   /** Called with the bytes of each piece after the parser has got it. */
@@ -25,6 +27,8 @@
   private _parse: (chunk: Buffer) => void = () => {}
   private _isPaused = false
   private _isFeeding = false
+  private _isWaitingForTurn = false
+  private readonly _taker = { feed: () => { this._takeTurn() } }
 
   constructor (options: RequestFeedOptions) {
     this._options = options
@@ -48,20 +52,55 @@
     for (const listener of listeners) socket.off('data', listener)
   }
 
-  /** Parses what may be parsed now. */
+  /** Checks whether bytes wait until other connections have parsed theirs. */
+  isWaitingForTurn (): boolean {
+    return this._isWaitingForTurn
+  }
+
+  /** Parses what may be parsed now; of a body in chunks, what the turns of all connections leave. */
   feed (): void {
-    const { socket, getExpected, onParsed } = this._options
     // A request that is answered while it is parsed must not parse the next one within the call of the parser.
-    if (this._isFeeding) return
+    if (this._isFeeding || this._isWaitingForTurn) return
     this._isFeeding = true
-    while (!socket.destroyed) {
+    this._parsePieces(() => this._options.turns.isOpen())
+    this._isFeeding = false
+    this._pauseOrResume()
+  }
+
+  private _parsePieces (mayParseChunks: () => boolean): void {
+    const { socket, getExpected, onParsed, turns } = this._options
+    while (!socket.destroyed && this._pieces.length > 0) {
       const expected = getExpected()
-      const piece = expected === undefined ? undefined : this._pieces.take(expected)
-      if (piece === undefined) break
+      if (expected === undefined) return
+      if (expected === 'chunks' && !mayParseChunks()) {
+        this._isWaitingForTurn = true
+        turns.wait(this._taker)
+        return
+      }
+      const piece = this._pieces.take(expected)
+      if (piece === undefined) return
       this._parse(piece)
+      if (expected === 'chunks') turns.record(piece.length)
       onParsed(piece.length)
     }
+  }
+
+  /** Parses one piece of a body in chunks, as its turn has come; the rest waits again. */
+  private _takeTurn (): void {
+    let isFirst = true
+    this._isWaitingForTurn = false
+    this._isFeeding = true
+    this._parsePieces(() => {
+      const mayParse = isFirst
+      isFirst = false
+      return mayParse
+    })
     this._isFeeding = false
+    this._pauseOrResume()
+  }
+
+  private _pauseOrResume (): void {
+    const { socket } = this._options
     if (this._pieces.length > 0) {
       this._isPaused = true
       socket.pause()
@@ -73,6 +112,8 @@
 
   /** Drops what waits; nothing more is parsed. */
   close (): void {
+    this._options.turns.remove(this._taker)
+    this._isWaitingForTurn = false
     this._pieces.clear()
     this._parse = () => {}
   }
--- a/tests/io/gateway/GatewayServerTests.ts
+++ b/tests/io/gateway/GatewayServerTests.ts
@@ -84,7 +84,21 @@
     expect(forwarded).toEqual(['r1'])
   })
 
-  async function listen (forward: (exchange: Exchange) => Promise<void>): Promise<string> {
+  // The turns in which such bodies are parsed must neither lose a byte nor the request that follows on the connection.
+  it('should read whole bodies in chunks of one byte from several connections at once, and the requests after them', async () => {
+    const forwarded = new Map<string, number | undefined>()
+    const address = await listen(async (exchange, body) => {
+      forwarded.set(exchange.call.id, body?.length)
+      exchange.refuse({ reason: 'no-target' })
+    })
+    const toRequest = (id: string): string =>
+      `POST /lookup/x HTTP/1.1\r\nHost: ${FIXTURE_HOST}\r\nX-Request-Id: ${id}\r\nTransfer-Encoding: chunked\r\n\r\n${'1\r\nx\r\n'.repeat(4_000)}0\r\n\r\n`
+    await Promise.all(['a', 'b', 'c', 'd'].map(async name => { await send(address, [toRequest(`${name}1`) + toRequest(`${name}2`), '']) }))
+    expect([...forwarded.keys()].sort()).toEqual(['a1', 'a2', 'b1', 'b2', 'c1', 'c2', 'd1', 'd2'])
+    expect([...new Set(forwarded.values())]).toEqual([4_000])
+  })
+
+  async function listen (forward: (exchange: Exchange, body?: Buffer) => Promise<void>): Promise<string> {
     const clock = new SteadyClock()
     const configs = new ConfigHolder()
     const limits = { headerBytes: 4_096, bodyBytes: 4_096, headerTimeoutMs: 1_000, idleTimeoutMs: 1_000 }
