End a trial after one run that may have crashed its target

Cause: a request that may have crashed two targets is run by one gateway at a time. When that run lost its connection, the same trial sent the request to a second target before anything was known of the first. Where the ends of targets are known late, each trial was two crashes.

Change: after a run of a trial that may have crashed its target the request is refused (attempts-failed); targets that did not run it do not count.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -153,6 +153,8 @@
   private _admission: AdmittedRequest | undefined
   /** Set when the request has crashed several targets and this gateway may try it. */
   private _trial: Trial | undefined
+  /** Attempts that may have run before the trial began. */
+  private _runsBeforeTrial = 0
 
   constructor (context: AttemptContext, exchange: Exchange, options: AttemptsOptions = {}) {
     this._context = context
@@ -641,6 +643,7 @@
     const admission = await suspects.admit(suspect.digests, call.id)
     if (admission.type === 'refused') return admission.refusedMs
     this._trial = admission.trial
+    this._runsBeforeTrial = this._runs
     return 0
   }
 
@@ -657,6 +660,11 @@
 
   /** Checks whether another target may be tried; refuses the request if not. */
   private _canRetry (): boolean {
+    // A trial is one run: its outcome decides whether the request may run again, and may be known only seconds later.
+    if (this._trial !== undefined && this._runs > this._runsBeforeTrial) {
+      this._refuse('attempts-failed')
+      return false
+    }
     const decision = this._decideRetry(this._runs)
     if (decision.type === 'retry') {
       this._useRetry()
--- a/tests/processes/SuspectForms.ts
+++ b/tests/processes/SuspectForms.ts
@@ -6,6 +6,9 @@
 /** Milliseconds of silence after which the row of a target expires. */
 const EXPIRY_MS = 3_000
 
+/** The same for a store that is slow to remove rows, or a gateway that learns of it late. */
+const LONG_EXPIRY_MS = 5_500
+
 /** Milliseconds after which another target takes the place of one that has ended. */
 const DOWN_MS = 1_500
 
@@ -81,6 +84,12 @@
       await fallSilent(world, target)
     }
   },
+  'reset only its connection, fall silent, and stay listed for longer': {
+    crash: async (world, target, res) => {
+      res.socket?.resetAndDestroy()
+      await world.replace(target, { end: () => { target.silence() }, removedMs: LONG_EXPIRY_MS, downMs: DOWN_MS })
+    }
+  },
   'reset their connections one after the other': {
     crash: async (world, target) => {
       await world.replace(target, { end: async () => { await target.crashInTurn(2_000) }, removedMs: EXPIRY_MS, downMs: DOWN_MS })
