Bound the young generation of a gateway's heap

Cause: Node.js lets garbage of up to 48 MB gather in the young generation. On the smallest machine, of 178 MB, crowds of callers outside the limits left no room for it: CallerCrowdTests reached 178 MB with chunks of one byte, 196 MB with unread responses, 156 and 176 MB with a request each.

Change: deploy/system.toml runs gateways with halves of 4 MB, and so do the processes of tests.

--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -16,8 +16,9 @@
 /** Milliseconds for which targets go on serving after they have announced that they are leaving, as the gateways are told. */
 const DRAIN_MS = 2_500
 
-/** Megabytes of heap with which deploy/system.toml runs a gateway. */
+/** Megabytes of heap, and of each half of its young generation, with which deploy/system.toml runs a gateway. */
 const HEAP_MB = 120
+const SEMI_SPACE_MB = 4
 
 /** Options of {@link GatewayProcess}. */
 export interface GatewayProcessOptions {
@@ -63,7 +64,8 @@
     const file = join(folder, SETTINGS_FILE)
     writeFileSync(file, createSettings(options))
     const heapMb = options.heapMb ?? HEAP_MB
-    const command = [process.execPath, `--max-old-space-size=${heapMb}`, 'target/wisteria-gateway.cjs', file]
+    const flags = [`--max-old-space-size=${heapMb}`, `--max-semi-space-size=${SEMI_SPACE_MB}`]
+    const command = [process.execPath, ...flags, 'target/wisteria-gateway.cjs', file]
     const limited = options.maxFds === undefined ? command : ['sh', '-c', 'ulimit -n "$0" && exec "$@"', String(options.maxFds), ...command]
     const child = spawn(limited[0]!, limited.slice(1), { stdio: ['ignore', 'pipe', 'pipe'] })
     const gateway = new GatewayProcess(child, folder, options)
