--- a/tests/processes/OutsideCallers.ts
+++ b/tests/processes/OutsideCallers.ts
@@ -18,10 +18,15 @@
 /** Milliseconds between two connections, so that the queue of connections to be accepted does not overflow. */
 const CONNECT_GAP_MS = 2
 
+/** Milliseconds between two pieces of a connection that sends slowly, and between two reads of one that reads slowly. */
+const SLOW_GAP_MS = 50
+
 /** One kind of load: what each connection sends, and whether it reads. */
 export interface OutsideLoad {
   readonly name: string
   readonly reads?: boolean
+  /** True if it sends a piece, and reads what has arrived, only now and then. */
+  readonly isSlow?: boolean
   /** Number of connections for each one that other loads open. */
   readonly factor?: number
   /** Gets the bytes that connection number `at` sends to a path; each piece is written by itself. */
@@ -52,6 +57,8 @@
   { name: 'half of a head of very many short fields', reads: true, getPieces: (path, at) => [getHead('POST', path, at, 2, HEAD_BYTES).subarray(0, -10)] },
   { name: 'pipelined requests whose responses stay unread', getPieces: (path, at) => [Buffer.concat(Array.from({ length: 2_000 }, () => getHead('GET', path, at)))] },
   { name: 'responses that stay unread', getPieces: (path, at) => [getHead('GET', path, at)] },
+  { name: 'heads and bodies that trickle', isSlow: true, getPieces: (path, at) => inPieces(Buffer.alloc(0), Buffer.concat([getHead('POST', path, at, BODY_BYTES), Buffer.alloc(65_536, 'x')]), 16) },
+  { name: 'responses that are read slowly', isSlow: true, getPieces: (path, at) => [getHead('GET', path, at)] },
   { name: 'more connections than descriptors, each with half a head', reads: true, factor: 16, getPieces: (path, at) => [getHead('GET', path, at).subarray(0, -10)] },
   { name: 'more connections than descriptors, each with a request', reads: true, factor: 16, getPieces: (path, at) => [getHead('GET', path, at)] }
 ]
@@ -95,6 +102,15 @@
   if (load.reads === true) socket.resume()
   else socket.pause()
   const pieces = load.getPieces(path, at)[Symbol.iterator]()
+  if (load.isSlow === true) {
+    const timer = setInterval(() => {
+      const piece = pieces.next()
+      if (piece.done !== true) socket.write(piece.value)
+      socket.read()
+    }, SLOW_GAP_MS)
+    socket.on('close', () => { clearInterval(timer) })
+    return socket
+  }
   const send = (): void => {
     for (;;) {
       const piece = pieces.next()
