Check documents and settings of a gateway with wisteriactl check

Cause: `wisteriactl check` read the platform's JSON only. A file programs.toml, services.toml or the settings of a gateway ended with exit code 2, so that entries that never match, limits that contradict each other, and what a change means for calls in progress were seen after it was in force.

Change: files `.toml` and folders are checked by `checkToml` in src/core/check, which is pure and uses `parseDocuments`, `GATEWAY_SETTINGS` and `diffDocuments`. JSON, `validate` and `diff` are as before. ACCEPT_ALL_MS and MEGABYTE are exported for the check, with their values.

Ruled out: telling the kinds apart by file name, as the platform chooses the name of the rendered settings; a second schema.

The new test of the command gets exit code 2 for each TOML before this change.

--- /dev/null
+++ b/src/core/check/checkDocuments.ts
@@ -0,0 +1,147 @@
+import { z } from 'zod'
+import {
+  DOCUMENT_SCHEMA, formatPath, parseDocuments, parseToml, TomlLocator, type Documents, type DocumentTexts, type Finding
+} from '../config/index.js'
+
+/** Result of {@link checkDocuments}. */
+export interface DocumentsResult {
+  readonly findings: Finding[]
+  /** Entries of all documents; undefined if a document has errors against the schema. */
+  readonly content: Documents | undefined
+}
+
+type Section = 'region' | 'service' | 'program' | 'workspace'
+
+/** An entry with its location. */
+interface Entry<T> {
+  readonly item: T
+  /** The entry as it is written, without defaults. */
+  readonly raw: Readonly<Record<string, unknown>>
+  readonly section: Section
+  /** Records a finding at a key of the entry. */
+  readonly add: (path: readonly PropertyKey[], problem: string, expected: string) => void
+}
+
+type Entries = { readonly [K in keyof Documents]: Array<Entry<Documents[K][number]>> }
+
+const RAW_ENTRIES = z.array(z.record(z.string(), z.unknown())).default([])
+const RAW_DOCUMENT = z.object({ region: RAW_ENTRIES, service: RAW_ENTRIES, program: RAW_ENTRIES, workspace: RAW_ENTRIES })
+type RawDocument = z.output<typeof RAW_DOCUMENT>
+
+/** Limits of a program that a smaller one of its budget keeps from being reached. */
+const PROGRAM_LIMITS = [
+  { key: 'call_timeout_seconds', member: 'callTimeoutSeconds', budget: 'seconds', least: 0 },
+  // The call after `max_repeats` equal ones is refused, and each open sub-agent holds a call of its parent.
+  { key: 'max_repeats', member: 'maxRepeats', budget: 'calls', least: 1 },
+  { key: 'max_children', member: 'maxChildren', budget: 'calls', least: 0 }
+] as const
+
+/** Finds errors, entries that never match, and limits that contradict each other in the documents of one configuration. */
+export function checkDocuments (texts: DocumentTexts): DocumentsResult {
+  const findings: Finding[] = parseDocuments(texts).swap().orDefault([])
+  const entries: Entries = { regions: [], services: [], programs: [], workspaces: [] }
+  for (const [file, text] of Object.entries(texts)) {
+    const decoded = parseToml(file, text, DOCUMENT_SCHEMA)
+    const raw = parseToml(file, text, RAW_DOCUMENT)
+    // The findings have the errors of all documents.
+    if (decoded.isLeft() || raw.isLeft()) return { findings, content: undefined }
+    addEntries(entries, { file, text, documents: decoded.unsafeCoerce(), raw: raw.unsafeCoerce(), findings })
+  }
+  checkRegions(entries)
+  checkServices(entries)
+  checkPrograms(entries)
+  checkWorkspaces(entries, findings, Object.keys(texts)[0] ?? '')
+  const getItems = <T>(list: ReadonlyArray<Entry<T>>): T[] => list.map(({ item }) => item)
+  return {
+    findings,
+    content: {
+      regions: getItems(entries.regions),
+      services: getItems(entries.services),
+      programs: getItems(entries.programs),
+      workspaces: getItems(entries.workspaces)
+    }
+  }
+}
+
+interface ParsedDocument {
+  readonly file: string
+  readonly text: string
+  readonly documents: Documents
+  readonly raw: RawDocument
+  readonly findings: Finding[]
+}
+
+function addEntries (entries: Entries, { file, text, documents, raw, findings }: ParsedDocument): void {
+  const locator = new TomlLocator(text)
+  const toEntries = <T>(section: Section, items: readonly T[]): Array<Entry<T>> => items.map((item, index) => ({
+    item,
+    raw: raw[section][index]!,
+    section,
+    add: (path, problem, expected) => {
+      const fullPath = [section, index, ...path]
+      findings.push({ file, line: locator.getLine(fullPath), key: formatPath(fullPath), problem, expected })
+    }
+  }))
+  entries.regions.push(...toEntries('region', documents.regions))
+  entries.services.push(...toEntries('service', documents.services))
+  entries.programs.push(...toEntries('program', documents.programs))
+  entries.workspaces.push(...toEntries('workspace', documents.workspaces))
+}
+
+function checkRegions ({ regions }: Entries): void {
+  const holders = new Map<string, string>()
+  for (const { item, add } of regions) {
+    for (const domain of item.failureDomains) {
+      const holder = holders.get(domain)
+      if (holder !== undefined) add(['failure_domains'], `region ${holder} has failure domain ${domain} as well`, 'each failure domain once')
+      holders.set(domain, item.name)
+    }
+  }
+}
+
+function checkServices ({ services, programs, workspaces }: Entries): void {
+  const used = new Set([
+    ...programs.flatMap(({ item }) => [item.service, ...item.tools]), ...workspaces.flatMap(({ item }) => item.services)
+  ])
+  for (const { item, add } of services) {
+    if (workspaces.length > 0 && !used.has(item.name)) {
+      add([], `no program or workspace uses service ${item.name}`, 'a service that a program or a workspace names')
+    }
+    if (Object.keys(item.placement).length === 0) add(['placement'], 'no failure domain has targets', 'at least one failure domain')
+    if (item.kind === 'engine' && item.operations.length > 0) {
+      add(['operation'], 'never matches: callers name operations of plain services only', 'no operation, or kind = "plain"')
+    }
+  }
+}
+
+function checkPrograms ({ programs, workspaces }: Entries): void {
+  const allowed = new Set(workspaces.flatMap(({ item }) => item.programs))
+  for (const { item, raw, add } of programs) {
+    if (workspaces.length > 0 && !allowed.has(item.name)) {
+      add([], `no workspace may run program ${item.name}`, 'a program that a workspace names')
+    }
+    for (const { key, member, budget, least } of PROGRAM_LIMITS) {
+      // A default that is not reached contradicts nothing that the operator has written.
+      if (raw[key] === undefined || item[member] + least <= item.budget[budget]) continue
+      add([key], `${item[member]} is never reached with budget.${budget} = ${item.budget[budget]}`, `at most ${item.budget[budget] - least}`)
+    }
+  }
+}
+
+/** Checks the workspaces; a finding never contains a hash of a key. */
+function checkWorkspaces ({ workspaces }: Entries, findings: Finding[], file: string): void {
+  if (workspaces.length === 0) {
+    const expected = 'at least one [[workspace]]; all documents of a configuration are checked together'
+    findings.push({ file, line: 0, key: 'workspace', problem: 'missing: every request is refused, as no key is valid', expected })
+  }
+  const holders = new Map<string, string>()
+  for (const { item, add } of workspaces) {
+    if (item.programs.length + item.services.length === 0) add([], 'its keys permit no request', 'at least one program or service')
+    for (const [index, hash] of item.keyHashes.entries()) {
+      const holder = holders.get(hash)
+      // A key begins with the name of its workspace, so that it is never looked up in another one.
+      if (holder !== undefined) add(['key_hashes', index], `never matches: workspace ${holder} holds the same hash`, 'a hash used once')
+      else holders.set(hash, item.name)
+    }
+  }
+}
--- a/src/core/check/index.ts
+++ b/src/core/check/index.ts
@@ -1,2 +1,7 @@
+export * from './checkDocuments.js'
+export * from './checkGatewaySettings.js'
+export * from './checkToml.js'
+export * from './compareDocuments.js'
+export * from './compareGatewaySettings.js'
 export * from './ConfigDifference.js'
 export * from './JsonLocator.js'
--- a/src/core/connection/StopSchedule.ts
+++ b/src/core/connection/StopSchedule.ts
@@ -3,7 +3,7 @@
  *
  * Shorter than the time in which balancers send new connections, by what a signal or a request may be late.
  */
-const ACCEPT_ALL_MS = 2_500
+export const ACCEPT_ALL_MS = 2_500
 
 /** Milliseconds before the end of the grace period by which accepted requests have to end, so that their responses can be sent. */
 const STOP_MARGIN_MS = 1_000
--- a/src/core/limits/ProcessLimits.ts
+++ b/src/core/limits/ProcessLimits.ts
@@ -1,5 +1,5 @@
 /** Bytes of a megabyte, as the platform states the memory of a machine. */
-const MEGABYTE = 1_000_000
+export const MEGABYTE = 1_000_000
 
 /**
  * Share of the smaller of the heap limit and the machine's memory that requests and connections may hold together.
--- a/src/io/ctl/CheckCommand.ts
+++ b/src/io/ctl/CheckCommand.ts
@@ -1,14 +1,15 @@
-import { readFileSync } from 'node:fs'
+import { readFileSync, statSync } from 'node:fs'
 import { Command, Option } from 'clipanion'
-import { JsonLocator, type ConfigDifference } from '../../core/check/index.js'
-import { formatFinding, type Finding } from '../../core/config/index.js'
+import { checkToml, JsonLocator, type ConfigDifference } from '../../core/check/index.js'
+import { formatFinding, type DocumentTexts, type Finding } from '../../core/config/index.js'
 import { describeError } from '../process/index.js'
+import { listFiles } from './documentsOnDisk.js'
 
 /** Exit codes of `check`; they do not change between versions. */
 export const CheckExitCode = {
   Clean: 0,
   Findings: 1,
-  /** A file can't be read, is no JSON, or an argument is invalid. */
+  /** A file can't be read, is neither JSON nor TOML, or an argument is invalid. */
   Unreadable: 2
 } as const
 
@@ -21,16 +22,25 @@
 /** A file that can't be checked. */
 class UnreadableError extends Error {}
 
-/** Checks a configuration of the platform before it is written to the store. */
+/** What a check has found. */
+interface CheckResult {
+  readonly findings: readonly Finding[]
+  /** Undefined if the version in force was not compared. */
+  readonly differences: readonly ConfigDifference[] | undefined
+}
+
+/** Checks a configuration of the platform (JSON), documents or the settings of a gateway (TOML) before they are in force. */
 export abstract class CheckCommand extends Command {
   static override paths = [['check']]
   static override usage = Command.Usage({
-    description: 'Check a configuration of the platform; every finding is printed with file, line and key.',
-    details: 'Exit code 0: no findings, 1: findings, 2: a file can\'t be read. Differences from the version in force are no findings.',
-    examples: [['Check a new version', 'wisteriactl check new.json --against in-force.json']]
+    description: 'Check a configuration of the platform, documents, or the settings of a gateway; every finding is printed with file, line and key.',
+    details: 'A folder or a file `.toml` holds documents or the settings of a gateway, another file JSON of the platform. ' +
+      'Exit code 0: no findings, 1: findings, 2: a file can\'t be read. Differences from the version in force are no findings.',
+    examples: [['Check a new version', 'wisteriactl check new.json --against in-force.json'], ['Check documents', 'wisteriactl check examples/workshop']]
   })
 
   file = Option.String({ name: 'new' })
+  others = Option.Rest({ name: 'documents' })
   against = Option.String('--against', { description: 'The configuration in force.' })
   heapMb = Option.String('--heap-mb', String(DEFAULT_HEAP_MB), { description: 'Heap limit of a gateway in MB.' })
   isJson = Option.Boolean('--json', false, { description: 'Print JSON.' })
@@ -53,19 +63,50 @@
   private _check (): number {
     const heapMb = Number(this.heapMb)
     if (!(heapMb > 0)) throw new UnreadableError('--heap-mb: expected a number above 0')
-    const text = readText(this.file)
-    const inForce = this.against === undefined ? undefined : readText(this.against)
-    const findings = this.findProblems(text, heapMb * 1_048_576)
-    const differences = inForce === undefined ? [] : this.compare(JSON.parse(inForce), JSON.parse(text))
+    const heapBytes = heapMb * 1_048_576
+    const { findings, differences } = isToml(this.file) ? this._checkToml(heapBytes) : this._checkJson(heapBytes)
+    // Without a version in force JSON has always had an empty list.
+    const isCompared = differences !== undefined || this.against === undefined
     const lines = [
       ...findings.map(formatFinding),
-      ...differences.map(({ subject, change, effect }) => `${subject} ${change}: ${effect}`),
-      `${findings.length} finding(s)${inForce === undefined ? '' : `, ${differences.length} difference(s)`}`
+      ...(differences ?? []).map(({ subject, change, effect }) => `${subject} ${change}: ${effect}`),
+      `${findings.length} finding(s)${this.against === undefined ? '' : differences === undefined ? ', not compared' : `, ${differences.length} difference(s)`}`
     ]
-    const output = this.isJson ? JSON.stringify({ findings, differences }, null, 2) : lines.join('\n')
-    this.context.stdout.write(`${output}\n`)
+    const value = { findings, differences: differences ?? [], ...(isCompared ? {} : { isCompared }) }
+    this.context.stdout.write(`${this.isJson ? JSON.stringify(value, null, 2) : lines.join('\n')}\n`)
     return findings.length === 0 ? CheckExitCode.Clean : CheckExitCode.Findings
   }
+
+  private _checkJson (heapBytes: number): CheckResult {
+    if (this.others.length > 0) throw new UnreadableError(`${this.others.join(' ')}: only documents may be several files`)
+    const text = readText(this.file)
+    const inForce = this.against === undefined ? undefined : readText(this.against)
+    const findings = this.findProblems(text, heapBytes)
+    return { findings, differences: inForce === undefined ? undefined : this.compare(JSON.parse(inForce), JSON.parse(text)) }
+  }
+
+  private _checkToml (heapBytes: number): CheckResult {
+    const inForce = this.against === undefined ? undefined : readToml([this.against])
+    return checkToml({ texts: readToml([this.file, ...this.others]), inForce, heapBytes })
+  }
+}
+
+/** Checks whether a path leads to TOML: to a folder, or to a file with the extension. */
+function isToml (path: string): boolean {
+  return path.endsWith('.toml') || statSync(path, { throwIfNoEntry: false })?.isDirectory() === true
+}
+
+/** Reads files and the `.toml` files of folders. */
+function readToml (paths: readonly string[]): DocumentTexts {
+  return Object.fromEntries(paths.flatMap(path => {
+    try {
+      const files = listFiles(path)
+      if (files.length === 0) throw new UnreadableError('no .toml file')
+      return files.map(file => [file, readFileSync(file, 'utf8')] as const)
+    } catch (err) {
+      throw new UnreadableError(`${path}: ${describeError(err)}`)
+    }
+  }))
 }
 
 /** Reads a file that contains JSON. */
--- a/src/io/ctl/documentsOnDisk.ts
+++ b/src/io/ctl/documentsOnDisk.ts
@@ -21,7 +21,8 @@
   return findings.length > 0 ? Left(findings) : Right(texts)
 }
 
-function listFiles (path: string): string[] {
+/** Lists the `.toml` files of a folder by name; a path that is no folder is listed as it is. */
+export function listFiles (path: string): string[] {
   if (!statSync(path).isDirectory()) return [path]
   return readdirSync(path).filter(name => name.endsWith('.toml')).sort().map(name => join(path, name))
 }
--- a/tests/platform/checkTests.ts
+++ b/tests/platform/checkTests.ts
@@ -108,4 +108,21 @@
       run('{}', '--unknown')
     ]).toEqual([0, 0, 1, 2, 2, 2, 2])
   })
+
+  // Only JSON was read, and any TOML ended with 2.
+  it('should exit with the same codes for TOML', () => {
+    const run = (...args: string[]): string => {
+      const { status, stdout } = spawnSync(process.execPath, ['--import=tsx', 'platform/wisteriactl.ts', 'check', ...args], { encoding: 'utf8' })
+      return `${status} ${stdout.trimEnd().split('\n').at(-1)}`
+    }
+    const file = join(folder, 'new.toml')
+    writeFileSync(file, '[[workspace]]\n')
+    expect([
+      run('examples/workshop', '--against', 'examples/workshop'),
+      run('examples/workshop/programs.toml', 'examples/workshop/services.toml'),
+      run(file, '--against', 'examples/workshop'),
+      run('deploy/settings.toml'),
+      run(join(folder, 'missing.toml'))
+    ]).toEqual(['0 0 finding(s), 0 difference(s)', '0 0 finding(s)', '1 2 finding(s), not compared', '2 ', '2 '])
+  })
 })
