Report contradictions in TOML beside errors against the schema

Cause: one entry with an error kept the check from looking at all others, so that an operator needed one run for the errors and another for the contradictions. A placement whose failure domains were reordered was reported as changed.

Change: entries of documents, and tables of settings, are decoded one by one with the product's schemas; those without errors are checked. References and what nothing uses still wait until all entries are decoded, as an entry with an error may define or use anything. Placements are compared without their order.

--- a/src/core/check/checkGatewaySettings.ts
+++ b/src/core/check/checkGatewaySettings.ts
@@ -1,4 +1,4 @@
-import type { z } from 'zod'
+import { z } from 'zod'
 import { ACCEPT_ALL_MS, StopSchedule } from '../connection/index.js'
 import { formatPath, GATEWAY_SETTINGS, parseToml, TomlLocator, type Finding } from '../config/index.js'
 import { MEGABYTE } from '../limits/index.js'
@@ -21,41 +21,54 @@
   readonly content: RawGatewaySettings | undefined
 }
 
+/** Records a finding at a key. */
+type AddFinding = (path: readonly PropertyKey[], problem: string, expected: string) => void
+
+const RAW_SETTINGS = z.record(z.string(), z.unknown())
+
 const MAX_PORT = 65_535
 
 /** Host that listens on all addresses of the machine. */
 const ANY_HOST = '0.0.0.0'
 
-/** Finds errors and contradictions in the settings of a gateway. */
+/** Finds errors and contradictions in the settings of a gateway; a table with errors does not hide what is wrong in others. */
 export function checkGatewaySettings (text: string, { file, heapBytes }: GatewayCheckOptions): GatewaySettingsResult {
   const findings: Finding[] = parseToml(file, text, GATEWAY_SETTINGS).swap().orDefault([])
-  if (findings.length > 0) return { findings, content: undefined }
-  const settings = parseToml(file, text, GATEWAY_SETTINGS.in).unsafeCoerce()
+  const content = parseToml(file, text, GATEWAY_SETTINGS.in).toMaybe().extract()
   const locator = new TomlLocator(text)
-  const add = (path: readonly PropertyKey[], problem: string, expected: string): void => {
+  const add: AddFinding = (path, problem, expected) => {
     findings.push({ file, line: locator.getLine(path), key: formatPath(path), problem, expected })
   }
-  const { failure_domain: domain, regions, stop, limits } = settings
-  if (!Object.hasOwn(regions, domain)) add(['failure_domain'], `no region is stated for "${domain}"`, 'a key of [regions]')
-  checkAddresses(settings, add)
-  const servingMs = new StopSchedule({ startedAt: 0, graceMs: stop.grace_ms }).getServingEnd()
-  if (servingMs < ACCEPT_ALL_MS) {
+  const { failure_domain: domain, regions, listen, store, stop, limits } = decodeTables(parseToml(file, text, RAW_SETTINGS).orDefault({}))
+  if (domain !== undefined && regions !== undefined && !Object.hasOwn(regions, domain)) {
+    add(['failure_domain'], `no region is stated for "${domain}"`, 'a key of [regions]')
+  }
+  checkAddresses({ ...listen }, store?.address, add)
+  if (stop !== undefined) {
+    const servingMs = new StopSchedule({ startedAt: 0, graceMs: stop.grace_ms }).getServingEnd()
     const problem = `requests are accepted for ${ACCEPT_ALL_MS} ms after the signal to stop, but have to end within ${servingMs} ms`
-    add(['stop', 'grace_ms'], problem, `at least ${ACCEPT_ALL_MS + stop.grace_ms - servingMs}`)
+    if (servingMs < ACCEPT_ALL_MS) add(['stop', 'grace_ms'], problem, `at least ${ACCEPT_ALL_MS + stop.grace_ms - servingMs}`)
   }
-  if (limits.memory_mb !== undefined && limits.memory_mb * MEGABYTE < heapBytes) {
+  if (limits?.memory_mb !== undefined && limits.memory_mb * MEGABYTE < heapBytes) {
     const problem = `${limits.memory_mb * MEGABYTE} bytes is less than the heap limit of a gateway, ${Math.floor(heapBytes)} bytes`
     add(['limits', 'memory_mb'], problem, 'more memory, or gateways with a lower heap limit (--heap-mb)')
   }
-  return { findings, content: settings }
+  return { findings, content }
+}
+
+/** Decodes the tables and root keys that have no errors. */
+function decodeTables (raw: Readonly<Record<string, unknown>>): Partial<RawGatewaySettings> {
+  return Object.fromEntries(Object.entries(GATEWAY_SETTINGS.in.shape).flatMap(([key, schema]) => {
+    const { success, data } = schema.safeParse(raw[key])
+    return success ? [[key, data]] : []
+  }))
 }
 
 /** Checks that each address can be used, and that no two servers need the same one. */
-function checkAddresses (
-  { listen, store }: RawGatewaySettings, add: (path: readonly PropertyKey[], problem: string, expected: string) => void
-): void {
+function checkAddresses (listen: Readonly<Record<string, string>>, store: string | undefined, add: AddFinding): void {
   const addresses = [
-    ...Object.entries(listen).map(([name, address]) => ({ path: ['listen', name], address })), { path: ['store', 'address'], address: store.address }
+    ...Object.entries(listen).map(([name, address]) => ({ path: ['listen', name], address })),
+    ...(store === undefined ? [] : [{ path: ['store', 'address'], address: store }])
   ].map(({ path, address }) => {
     const [host, port] = address.split(':') as [string, string]
     return { path, host, port: Number(port), isListener: path[0] === 'listen' }
--- a/src/core/check/compareDocuments.ts
+++ b/src/core/check/compareDocuments.ts
@@ -44,7 +44,7 @@
   'program.budget': 'open sessions keep their budget; sessions that are opened from then on get the new one',
   'program.max_tokens_per_call': `${FORMER}; if the call states no number of tokens, ${CONFLICT}`,
   'program.max_children': 'open sub-agents remain; applies to those that are opened from then on',
-  'workspace.share': 'applies at once, also to calls that wait for a target',
+  'workspace.share': 'applies at once, also to further attempts of calls in progress',
   'workspace.programs': `${COMPLETED}; later calls of programs that are no longer listed, also of open sessions, get 404 (program-unknown)`,
   'workspace.services': `${COMPLETED}; later requests to services that are no longer listed get 404 (service-unknown)`,
   'workspace.key_hashes': `${COMPLETED}; later requests with a key whose hash was removed get 401 (key-wrong)`
@@ -52,7 +52,7 @@
 
 /** Compares documents with those in force and states what each difference means for calls in progress. */
 export function compareDocuments (inForce: Documents, next: Documents): ConfigDifference[] {
-  return diffDocuments(inForce, next).flatMap<ConfigDifference>(({ kind, item, keys }) => {
+  return diffDocuments(sortPlacements(inForce), sortPlacements(next)).flatMap<ConfigDifference>(({ kind, item, keys }) => {
     const space = item.indexOf(' ')
     const [section, name] = [item.slice(0, space), item.slice(space + 1)]
     const subject = `${section} "${name}"`
@@ -63,6 +63,14 @@
   })
 }
 
+/** Sorts the failure domains of placements, whose order means nothing. */
+function sortPlacements (documents: Documents): Documents {
+  const services = documents.services.map(service => {
+    return { ...service, placement: Object.fromEntries(Object.entries(service.placement).sort()) }
+  })
+  return { ...documents, services }
+}
+
 function compareOperations (
   subject: string, before: ReadonlyMap<string, OperationStructure>, after: ReadonlyMap<string, OperationStructure>
 ): ConfigDifference[] {
--- a/tests/core/check/checkTomlTests.ts
+++ b/tests/core/check/checkTomlTests.ts
@@ -47,9 +47,15 @@
   // Errors that are reported one by one cost an operator one run for each.
   it('should find the errors of all documents at once', () => {
     const services = replace(SERVICES, ['slots = 8', 'slots = "8"'], ['kind = "plain"', 'kind = "plane"'])
-    expect(getProblems({ 's.toml': services, 'p.toml': replace(PROGRAMS, ['share = 2', 'shares = 2']) })).toEqual([
-      's.toml:14: service[0].slots: wrong type', 's.toml:25: service[1].kind: wrong value', 'p.toml:22: workspace[0].shares: unknown key'
+    const programs = replace(PROGRAMS, ['share = 2', 'shares = 2'], ['max_children = 4', 'max_children = 101'])
+    expect(getProblems({ 's.toml': services, 'p.toml': programs })).toEqual([
+      's.toml:14: service[0].slots: wrong type',
+      's.toml:25: service[1].kind: wrong value',
+      'p.toml:9: program[0].max_children: 101 is never reached with budget.calls = 100',
+      'p.toml:22: workspace[0].shares: unknown key'
     ])
+    const settings = replace(SETTINGS, ['row_bytes = 65536', 'row_bytes = 1'], ['grace_ms = 8000', 'grace_ms = 2000'])
+    expect(getProblems({ 's.toml': settings }).map(problem => problem.split(': ')[1])).toEqual(['store.row_bytes', 'stop.grace_ms'])
   })
 
   // Documents with such entries were applied, and requests failed for them afterwards.
@@ -96,7 +102,9 @@
 
   it('should state what differences mean for calls in progress', () => {
     const next = {
-      's.toml': replace(SERVICES, ['repeatable = false', 'repeatable = true'], ['slots = 8', 'slots = 9'], ['name = "dispatch"', 'name = "send"']),
+      's.toml': replace(SERVICES,
+        ['repeatable = false', 'repeatable = true'], ['slots = 8', 'slots = 9'], ['luzern = 3\nzug = 2', 'zug = 2\nluzern = 3'], ['name = "dispatch"', 'name = "send"']
+      ),
       'p.toml': replace(PROGRAMS, ['max_tokens_per_call = 512', 'max_tokens_per_call = 513'], ['tokens = 20000', 'tokens = 20001'])
     }
     const { findings, differences } = check(next, WORKSHOP)
