Read no more of a connection whose body waits for its turn

Cause: a body (IncomingMessage) resumes its socket after each piece that is read of it, also while RequestFeed has paused the socket because bytes wait for their turn. The connection was read on, and all that its caller sent gathered in the feed.

Change: the socket of a feed resumes only once nothing waits there.

--- a/src/io/gateway/RequestFeed.ts
+++ b/src/io/gateway/RequestFeed.ts
@@ -42,6 +42,7 @@
   /** Takes the place of the parser, which has begun to listen on the socket. */
   attach (): void {
     const { socket, onRead } = this._options
+    this._deferResume()
     const listeners = socket.listeners('data') as Array<(chunk: Buffer) => void>
     this._parse = chunk => { for (const listener of listeners) listener.call(socket, chunk) }
     socket.on('data', (chunk: Buffer) => {
@@ -99,6 +100,21 @@
     this._pauseOrResume()
   }
 
+  /**
+   * Resumes the socket only once nothing waits.
+   *
+   * The body of a request resumes its socket after each piece that is read of it, so that all that the caller sends would gather here.
+   */
+  private _deferResume (): void {
+    const { socket } = this._options
+    const resume = socket.resume.bind(socket)
+    socket.resume = () => {
+      if (this._pieces.length === 0) return resume()
+      this._isPaused = true
+      return socket
+    }
+  }
+
   private _pauseOrResume (): void {
     const { socket } = this._options
     if (this._pieces.length > 0) {
