Refuse no request for one that would be late all the same

Cause: a request that would be late took the place of the one with the most work, also where it remained late. With programs that are due soon but may wait for longer, or in a less urgent class that is served by age, each step of 20 ms refused another one.

Change: one makes room only if the late one is then in time; else the late one is refused.

--- a/src/core/admission/AdmissionQueue.ts
+++ b/src/core/admission/AdmissionQueue.ts
@@ -101,8 +101,13 @@
       const place = places.get(req)
       const byAgeMs = place === undefined ? Infinity : Math.max(req.since + ADMISSION_AGING_MS - now, place * TAKEN_PER_AGED * requestMs)
       const predictedMs = Math.min(byAgeMs, keptMs + getMs(req))
-      const isInTime = now < req.until && (kept.length === 0 || now + predictedMs / CAPACITY_MARGIN <= req.until)
-      const largest = isInTime || now >= req.until ? undefined : this._findLarger(kept, req, now)
+      const isInTimeAfter = (ahead: number, waitMs: number): boolean =>
+        now < req.until && (ahead === 0 || now + waitMs / CAPACITY_MARGIN <= req.until)
+      const isInTime = isInTimeAfter(kept.length, predictedMs)
+      const larger = isInTime || now >= req.until ? undefined : this._findLarger(kept, req, now)
+      // A request that would be late all the same must not cost another one its place.
+      const isRoomEnough = larger !== undefined && isInTimeAfter(kept.length - 1, predictedMs - getMs(larger))
+      const largest = isRoomEnough ? larger : undefined
       if ((isInTime && kept.length < MAX_WAITING) || largest !== undefined) {
         kept.push(req)
         keptMs += getMs(req)
--- a/tests/core/admission/AdmissionCostTests.ts
+++ b/tests/core/admission/AdmissionCostTests.ts
@@ -74,6 +74,15 @@
     expect([6, 7, 8].map(now => queue.take(now, () => true)?.id)).toEqual([0, 1, 2])
   })
 
+  // Each step refused one of those that go first, for a request that could not be served in time behind the others either.
+  it('should refuse none to make room for a request that would be late all the same', () => {
+    const queue = new AdmissionQueue<WaitingRequest & { readonly id: string }>()
+    const base = { priority: 0, isInProgress: true, isWithinShare: true, isWorthwhile: true, since: 0 }
+    for (let at = 0; at < 20; at++) queue.add({ ...base, id: `due ${at}`, dueAt: 50, until: 3_000, workMs: 200 })
+    queue.add({ ...base, id: 'small', until: 300, workMs: 50 })
+    expect([20, 40, 60].flatMap(now => queue.takeRefused(now, 20).map(({ req }) => req.id))).toEqual(['small'])
+  })
+
   it('should never refuse a more urgent request or one in progress to make room', () => {
     const queue = new AdmissionQueue<WaitingRequest & { readonly id: string }>()
     const base = { priority: 1, isInProgress: true, isWithinShare: true, isWorthwhile: true, since: 0, until: 150, workMs: 100 }
