Hold no target back where all are equally new

Cause: each request was placed among the targets that it drew by their share, also where all had the same small share: all states that they are slow, or all of a service were replaced. It then left the gateway's own failure domain although it was idle there.

Change: the share of a target is one of the largest share of those that may be chosen.

--- a/src/core/target/CostPlacement.ts
+++ b/src/core/target/CostPlacement.ts
@@ -86,13 +86,18 @@
     }
   }
 
-  /** Gets the targets that may get this request; one that starts slowly is considered for its share of the requests only. */
+  /**
+   * Gets the targets that may get this request; one that starts slowly is considered for its share of the requests only.
+   *
+   * The share is one of the largest, so that nothing is held back where all targets are equally new.
+   */
   private _getReady (eligible: TargetState[], { warmTarget }: PlacementRequest, now: number): TargetState[] {
-    const ready = eligible.filter(state => {
-      const share = state.slowStart.getShare(now)
+    const shares = eligible.map(state => state.slowStart.getShare(now))
+    const largest = Math.max(...shares)
+    return eligible.filter((state, at) => {
+      const share = shares[at]! / largest
       return share === 1 || state.incarnation === warmTarget || this._options.random() < share
     })
-    return ready.length > 0 ? ready : eligible
   }
 
   private _getDistanceMs (failureDomain: string): number {
--- a/tests/core/target/JoiningTargetTests.ts
+++ b/tests/core/target/JoiningTargetTests.ts
@@ -38,10 +38,14 @@
   return { ...base, id: `t${at}`, failureDomain: DOMAINS[at % DOMAINS.length]! }
 }
 
+function createRandom (): () => number {
+  let seed = 7
+  return () => (seed = seed * 16_807 % 2_147_483_647) / 2_147_483_647
+}
+
 /** Replays requests of several gateways, each of which sees its own requests only. */
 function replay ({ gateways, targets, load, forMs, joinAt = Infinity, isKnown = true, getLinkMs = () => 0 }: JoiningLoad): Use {
-  let seed = 7
-  const random = (): number => (seed = seed * 16_807 % 2_147_483_647) / 2_147_483_647
+  const random = createRandom()
   const views = Array.from({ length: gateways }, (_, at) => {
     const registry = new TargetRegistry()
     registry.setAll(Array.from({ length: targets }, (_, at) => toTarget(at)), -10_000)
@@ -129,6 +133,16 @@
     expect(registry.getServing('s', 5_001).map(state => state.slowStart.getShare(5_001))).toEqual([1, 1, 1])
   })
 
+  // Each request was placed among a few of the targets, so that more than half left the gateway's own failure domain while it was idle.
+  it('should be placed as others are when all targets of their service are equally slow', () => {
+    const registry = new TargetRegistry()
+    registry.setAll(DOMAINS.map((_, at) => ({ ...toTarget(at), coldMs: 10_000 })), 0)
+    const policy = new CostPlacement({ failureDomain: 'a', regions: REGIONS, random: createRandom() })
+    const req = { promptTokens: 0, promptSegments: [], excluded: new Set<string>(), warmTarget: undefined, isRepeatable: true }
+    const place = (): string | undefined => policy.select(registry.getServing('s', 1_000), req, 1_000)?.state.target.failureDomain
+    expect([...new Set(Array.from({ length: 100 }, place))]).toEqual(['a'])
+  })
+
   // The delay of one slow target must not be assumed for all that join.
   it('should be assumed to respond as late as most others have lately', () => {
     const states = [0, 1, 2].map(at => new TargetState(toTarget(at)))
