Compare targets that join with those that go on serving

Cause: targets that a list replaces, and targets that are leaving, counted as others that had been listed before. A list that replaced all targets of a service held back its first half for the second one; after a release, all new targets were held back.

Change: what a list replaces or removes and what is leaving does not count; targets that are kept after an outage of the store do, since they still serve.

--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -60,32 +60,12 @@
    * @param now - Present time; without it, the target is not taken for one that has joined others.
    */
   set (target: Target, changedAfter = -Infinity, now = -Infinity): boolean {
-    this._missing.delete(target.id)
-    const existing = this._states.get(target.id)
-    const incarnation = getIncarnationKey(target)
-    const isReplaced = existing?.incarnation !== incarnation || existing.target.address !== target.address
-    const hasEnded = existing !== undefined && existing.incarnation !== incarnation && !this._isLeaving(existing)
-    if (isReplaced) this._forgetUnknown(existing?.target)
-    if (target.isLeaving) this._leaving.add(incarnation, { since: changedAfter, isStated: false })
-    else this._leaving.withdraw(incarnation)
-    if (isReplaced) {
-      const getMemoryTokens = (): number | undefined => this._options.getMemoryTokens?.(target.service)
-      const joining = this._getJoining(target, now)
-      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service), getMemoryTokens, joining))
-      this._recordCold(target, now)
-      if (hasEnded) this._options.onEnded?.(existing, TargetEndCause.Replaced)
-      this._options.onListed?.(incarnation)
-      return true
-    }
-    const isChanged = existing.target.isLeaving !== target.isLeaving
-    existing.target = target
-    this._recordCold(target, now)
-    return isChanged
+    return this._apply(target, changedAfter, now, () => true)
   }
 
   /** Applies the removal of a target's row; during an outage and the grace period after it, the target is kept. */
   remove (id: string, now: number): void {
-    if (this._isStoreUnavailable || now < this._reregisterUntil) {
+    if (this._keepsMissing(now)) {
       if (this._states.has(id)) this._missing.add(id)
       return
     }
@@ -98,7 +78,10 @@
   /** Applies the complete list of targets. */
   setAll (targets: readonly Target[], now: number, changedAfter = -Infinity): void {
     const listed = new Set(targets.map(target => target.id))
-    for (const target of targets) this.set(target, changedAfter, now)
+    const incarnations = new Set(targets.map(getIncarnationKey))
+    const isStaying = (state: TargetState): boolean =>
+      incarnations.has(state.incarnation) || (this._keepsMissing(now) && !listed.has(state.target.id))
+    for (const target of targets) this._apply(target, changedAfter, now, isStaying)
     for (const id of [...this._states.keys()]) if (!listed.has(id)) this.remove(id, now)
   }
 
@@ -148,6 +131,36 @@
     return this._states.size
   }
 
+  /** Applies the registration of a target, with a check whether another target goes on being listed. */
+  private _apply (target: Target, changedAfter: number, now: number, isStaying: (state: TargetState) => boolean): boolean {
+    this._missing.delete(target.id)
+    const existing = this._states.get(target.id)
+    const incarnation = getIncarnationKey(target)
+    const isReplaced = existing?.incarnation !== incarnation || existing.target.address !== target.address
+    const hasEnded = existing !== undefined && existing.incarnation !== incarnation && !this._isLeaving(existing)
+    if (isReplaced) this._forgetUnknown(existing?.target)
+    if (target.isLeaving) this._leaving.add(incarnation, { since: changedAfter, isStated: false })
+    else this._leaving.withdraw(incarnation)
+    if (isReplaced) {
+      const getMemoryTokens = (): number | undefined => this._options.getMemoryTokens?.(target.service)
+      const joining = this._getJoining(target, now, isStaying)
+      this._states.set(target.id, new TargetState(target, this._getBestPace(target.service), getMemoryTokens, joining))
+      this._recordCold(target, now)
+      if (hasEnded) this._options.onEnded?.(existing, TargetEndCause.Replaced)
+      this._options.onListed?.(incarnation)
+      return true
+    }
+    const isChanged = existing.target.isLeaving !== target.isLeaving
+    existing.target = target
+    this._recordCold(target, now)
+    return isChanged
+  }
+
+  /** Checks whether targets are kept that are no longer listed, since an outage may have removed their rows. */
+  private _keepsMissing (now: number): boolean {
+    return this._isStoreUnavailable || now < this._reregisterUntil
+  }
+
   private _getOfService (service: string, now: number): TargetState[] {
     if (!this._isStoreUnavailable && now >= this._reregisterUntil && this._missing.size > 0) this._removeMissing()
     return [...this._states.values()].filter(state => state.target.service === service)
@@ -158,12 +171,16 @@
   }
 
   /**
-   * Gets how a target comes to be listed: it joins others if at least half of its service has been listed for some time.
+   * Gets how a target comes to be listed: it joins others if at least half of those of its service that go on serving have been listed for
+   * some time.
    *
-   * When most of a service is new, as after the start of this gateway, nothing is held back.
+   * When most of a service is new, as after the start of this gateway, nothing is held back. In a list that replaces a whole service, the
+   * first half of the targets would otherwise be held back, and the second half would not.
    */
-  private _getJoining (target: Target, now: number): Joining {
-    const others = [...this._states.values()].filter(state => state.target.service === target.service && state.target.id !== target.id)
+  private _getJoining (target: Target, now: number, isStaying: (state: TargetState) => boolean): Joining {
+    const others = [...this._states.values()].filter(state =>
+      state.target.service === target.service && state.target.id !== target.id && isStaying(state) && !this._isLeaving(state)
+    )
     const established = others.filter(state => now - state.listedAt >= SLOW_START_MS)
     if (established.length === 0 || established.length < others.length / 2) return { listedAt: now }
     return { listedAt: now, joinedAt: now, delayMs: getMedianDelayMs(established, now) }
--- a/tests/core/target/JoiningTargetTests.ts
+++ b/tests/core/target/JoiningTargetTests.ts
@@ -133,6 +133,31 @@
     expect(registry.getServing('s', 5_001).map(state => state.slowStart.getShare(5_001))).toEqual([1, 1, 1])
   })
 
+  // The first half of the list was held back for the second half, which got all requests at once.
+  it('should not be held back when one list replaces all targets of their service, or when the others are leaving', () => {
+    const getShares = (registry: TargetRegistry): number[] => registry.getServing('s', 5_000).map(state => state.slowStart.getShare(5_000))
+    const ids = [0, 1, 2, 3]
+    const replaced = new TargetRegistry()
+    replaced.setAll(ids.map(toTarget), 0)
+    replaced.setAll(ids.map(at => ({ ...toTarget(at), bornAt: 2 })), 5_000)
+    expect(getShares(replaced)).toEqual([1, 1, 1, 1])
+    const released = new TargetRegistry()
+    released.setAll(ids.map(toTarget), 0)
+    for (const at of ids) released.set({ ...toTarget(at), isLeaving: true }, 4_000, 4_000)
+    for (const at of ids) released.set(toTarget(4 + at), 5_000, 5_000)
+    expect(getShares(released)).toEqual([1, 1, 1, 1])
+  })
+
+  // Rows of the others may have expired in the outage; they still serve, so that the new one must not get a burst of requests.
+  it('should get requests gradually when they join after an outage of the store, before the others are listed again', () => {
+    const registry = new TargetRegistry()
+    registry.setAll([0, 1, 2, 3].map(toTarget), 0)
+    registry.recordStoreUnavailable()
+    registry.recordStoreAvailable(5_000)
+    registry.setAll([toTarget(4)], 5_000)
+    expect(registry.getServing('s', 5_000).map(state => state.slowStart.getShare(5_000))).toEqual([1, 1, 1, 1, 0.1])
+  })
+
   // Each request was placed among a few of the targets, so that more than half left the gateway's own failure domain while it was idle.
   it('should be placed as others are when all targets of their service are equally slow', () => {
     const registry = new TargetRegistry()
