End the slow start of a target that no longer states that it is slow

Cause: a row without coldLeftMs, or with 0, was ignored, so that the time stated first went on, up to 60 s.

Change: such a row ends it, like any statement of a shorter time.

Result: a target that stated 60 s and, 2 s later, nothing had a share of 0.1; now 1. The test fails without the change.

--- a/src/core/target/SlowStart.ts
+++ b/src/core/target/SlowStart.ts
@@ -29,13 +29,14 @@
   }
 
   /**
-   * Records for how much longer the target states that it stays slow, in milliseconds.
+   * Records for how much longer the target states that it stays slow, in milliseconds; 0 if it states none.
    *
    * A row that is read again states what held when it was written, so that later statements only shorten the time.
    */
   recordCold (leftMs: number, now: number): void {
     const until = now + Math.min(MAX_COLD_MS, leftMs)
     if (this._coldSince === -Infinity) {
+      if (leftMs === 0) return
       this._coldSince = now
       this._coldUntil = until
     } else this._coldUntil = Math.min(this._coldUntil, until)
--- a/src/core/target/TargetRegistry.ts
+++ b/src/core/target/TargetRegistry.ts
@@ -167,7 +167,7 @@
   }
 
   private _recordCold ({ id, coldMs }: Target, now: number): void {
-    if (coldMs !== undefined && Number.isFinite(now)) this._states.get(id)!.slowStart.recordCold(coldMs, now)
+    if (Number.isFinite(now)) this._states.get(id)!.slowStart.recordCold(coldMs ?? 0, now)
   }
 
   /**
--- a/tests/core/target/JoiningTargetTests.ts
+++ b/tests/core/target/JoiningTargetTests.ts
@@ -158,6 +158,14 @@
     expect(registry.getServing('s', 5_000).map(state => state.slowStart.getShare(5_000))).toEqual([1, 1, 1, 1, 0.1])
   })
 
+  // The time that a target had stated first went on when its row no longer stated any.
+  it('should get their whole share once they no longer state that they are slow', () => {
+    const registry = new TargetRegistry()
+    registry.set({ ...toTarget(0), coldMs: 60_000 }, 0, 0)
+    registry.set(toTarget(0), 2_000, 2_000)
+    expect(registry.getServing('s', 2_000)[0]!.slowStart.getShare(2_000)).toEqual(1)
+  })
+
   // Each request was placed among a few of the targets, so that more than half left the gateway's own failure domain while it was idle.
   it('should be placed as others are when all targets of their service are equally slow', () => {
     const registry = new TargetRegistry()
