Count no time against a body that waits for its turn to be parsed

Cause: the limit of 30 s for a body counted the time in which bytes that had been read waited for their turn, so that a caller who had sent everything was refused because others send very many chunks. Only the time without progress left it out.

Change: the phase of a connection skips the time between two checks while bytes wait for their turn.

Result: a body that has arrived and waits 31 s for its turn was overdue; now its 30 s begin when it is parsed.

--- a/src/core/connection/ConnectionAge.ts
+++ b/src/core/connection/ConnectionAge.ts
@@ -56,6 +56,11 @@
     this._limits = limits
   }
 
+  /** Lets a time not count in the present phase, such as one in which the connection did not wait for its caller. */
+  skip (ms: number): void {
+    this._startedAt += ms
+  }
+
   /** Checks whether the phase has lasted longer than allowed by the limits under which it began and by those in force. */
   isOverdue (now: number, limits: PhaseLimits): boolean {
     if (this._phase === ConnectionPhase.Response) return false
--- a/src/io/gateway/CallerConnection.ts
+++ b/src/io/gateway/CallerConnection.ts
@@ -345,6 +345,8 @@
     // What was read and waits to be parsed is no progress yet.
     const moved = this._getParsedBytes() + this.socket.bytesWritten - this.socket.writableLength
     const isProgress = isProgressing(moved - this._movedBytes, this.getHeldBytes(), now - this._progressCheckedAt)
+    // The caller may have sent the whole body that waits to be parsed.
+    if (this._feed.isWaitingForTurn()) this._age.skip(now - this._progressCheckedAt)
     if (!this._isWaitingForCaller() || this._feed.isWaitingForTurn() || isProgress) this._progressAt = now
     this._movedBytes = moved
     this._progressCheckedAt = now
