Take the shortest of 100 responses, not of 5, for the least time of a route

Cause: a request with less time left than the fastest of five responses is refused at once where it would wait, as one that surely comes too late. One request in six is faster than five before it; after a restart all five may have waited at full targets.

Change: the least time counts from 100 responses on.

Result: with responses of 1,000 ms down to 902 ms the least time is 0 until the 100th, then 902 ms; before, 996 ms from the fifth on.

--- a/src/core/admission/RouteWork.ts
+++ b/src/core/admission/RouteWork.ts
@@ -4,6 +4,13 @@
 /** Responses from which the work of a route is known. */
 const MIN_RESPONSES = 5
 
+/**
+ * Responses from which the shortest one is taken for the least time of a route: a further one is shorter with a chance of 1 in 101.
+ *
+ * After 5 responses the chance is 1 in 6, and all 5 may belong to one burst or have long outputs.
+ */
+const MIN_LEAST_RESPONSES = 100
+
 /** Bounds of the output of a request beside the average of its route: the limit that it states says little of its length. */
 const MIN_OUTPUT = 0.25
 const MAX_OUTPUT = 4
@@ -55,6 +62,6 @@
   /** Gets the milliseconds that no request of a route has needed less than; 0 while too little is known. */
   getLeastMs (route: string): number {
     const known = this._routes.get(route)
-    return known === undefined || known.responses < MIN_RESPONSES ? 0 : known.leastMs
+    return known === undefined || known.responses < MIN_LEAST_RESPONSES ? 0 : known.leastMs
   }
 }
