--- a/src/core/target/SlowStart.ts
+++ b/src/core/target/SlowStart.ts
@@ -15,8 +15,8 @@
 /**
  * Share of the requests for which a target is considered that has lately joined, or that states how long it stays slow after its start.
  *
- * Answers targets that join while others are loaded: each gateway takes one for idle, and all of them send to it at once. In a replay of 23
- * gateways at 0.6 of the capacity, targets that had joined refused 133 requests, with this 5.
+ * Each gateway takes a target that joins while others are loaded for idle, so that all gateways send to it at once. In a replay of 23
+ * gateways at 0.6 of the capacity, targets that had joined refused 133 requests; with the share, and the delay assumed for them, none.
  */
 export class SlowStart {
   private readonly _joinedAt: number
--- a/src/core/target/TargetState.ts
+++ b/src/core/target/TargetState.ts
@@ -114,7 +114,7 @@
     return this._excessMs * 0.5 ** (Math.max(0, now - this._observedAt) / DELAY_HALF_LIFE_MS)
   }
 
-  /** Checks whether the target has responded so lately that its delay tells of the present. */
+  /** Checks whether the target has responded, or joined with an assumed delay, so lately that the delay tells of the present. */
   hasRecentDelay (now: number): boolean {
     return now - this._observedAt <= DELAY_HALF_LIFE_MS
   }
--- a/tests/core/target/JoiningTargetTests.ts
+++ b/tests/core/target/JoiningTargetTests.ts
@@ -126,7 +126,7 @@
     registry.setAll([toTarget(0), toTarget(1)], 0)
     for (const at of [2, 3, 4]) registry.set(toTarget(at), undefined, 5_000)
     const shares = registry.getServing('s', 5_000).map(state => state.slowStart.getShare(5_000))
-    // The third of them finds more new ones than old ones.
+    // The third of them still finds as many old ones as new ones; a fourth would not be held back.
     expect(shares).toEqual([1, 1, 0.1, 0.1, 0.1])
     registry.setAll([], 5_000)
     registry.setAll([5, 6, 7].map(toTarget), 5_001)
