Create the check of waiting requests once for each step

Cause: takeRefused, which runs for each arrival and each end of a request, created a function for each waiting request since.

Change: the function is created once.

AdmissionCostTests, ServiceAdmissionTests: passed.

--- a/src/core/admission/AdmissionQueue.ts
+++ b/src/core/admission/AdmissionQueue.ts
@@ -95,18 +95,18 @@
     let kept: T[] = []
     const requestMs = 1_000 / perSecond
     const getMs = (req: T): number => requestMs * this._shares.getSize(req.workMs)
+    const isInTimeBehind = (ahead: number, { until }: T, waitMs: number): boolean =>
+      now < until && (ahead === 0 || now + waitMs / CAPACITY_MARGIN <= until)
     const places = new Map(this._getLess().sort((a, b) => a.since - b.since).map((req, at) => [req, at + 1]))
     let keptMs = 0
     for (const req of this._waiting) {
       const place = places.get(req)
       const byAgeMs = place === undefined ? Infinity : Math.max(req.since + ADMISSION_AGING_MS - now, place * TAKEN_PER_AGED * requestMs)
       const predictedMs = Math.min(byAgeMs, keptMs + getMs(req))
-      const isInTimeAfter = (ahead: number, waitMs: number): boolean =>
-        now < req.until && (ahead === 0 || now + waitMs / CAPACITY_MARGIN <= req.until)
-      const isInTime = isInTimeAfter(kept.length, predictedMs)
+      const isInTime = isInTimeBehind(kept.length, req, predictedMs)
       const larger = isInTime || now >= req.until ? undefined : this._findLarger(kept, req, now)
       // A request that would be late all the same must not cost another one its place.
-      const isRoomEnough = larger !== undefined && isInTimeAfter(kept.length - 1, predictedMs - getMs(larger))
+      const isRoomEnough = larger !== undefined && isInTimeBehind(kept.length - 1, req, predictedMs - getMs(larger))
       const largest = isRoomEnough ? larger : undefined
       if ((isInTime && kept.length < MAX_WAITING) || largest !== undefined) {
         kept.push(req)
