--- a/src/core/admission/AdmissionQueue.ts
+++ b/src/core/admission/AdmissionQueue.ts
@@ -40,8 +40,8 @@
 export interface RefusedWait<T> {
   readonly req: T
   readonly waitMs: number
-  /** True if it would have been in time, and makes room for one with less work. */
-  readonly makesRoom: boolean
+  /** True if it would have been in time, and is refused in favour of one with less work. */
+  readonly isDisplaced: boolean
 }
 
 /**
@@ -53,7 +53,7 @@
  *
  * Where the capacity does not suffice for all of a kind, the one with the most work is refused in place of the one that would be late
  * (Moore and Hodgson), as that serves the most; large requests still get their part (see {@link WorkShares}). In a replay of lookups whose
- * callers wait shortly beside charges and reservations, at 1.2 times the capacity of a gateway, 45% of the lookups were served in order of
+ * callers wait briefly beside charges and reservations, at 1.2 times the capacity of a gateway, 45% of the lookups were served in order of
  * arrival.
  */
 export class AdmissionQueue<T extends WaitingRequest> {
@@ -81,7 +81,7 @@
   take (now: number, canSend: (req: T) => boolean): T | undefined {
     const aged = this._takenSinceAged >= TAKEN_PER_AGED - 1 ? this._findAged(now, canSend) : undefined
     const first = aged ?? this._waiting.find(canSend)
-    const req = aged ?? this._findShort(first, now, canSend) ?? first
+    const req = aged ?? this._findUnderserved(first, now, canSend) ?? first
     if (req === undefined) return undefined
     this._takenSinceAged = aged === undefined ? this._takenSinceAged + 1 : 0
     this.remove(req)
@@ -97,7 +97,7 @@
     const getMs = (req: T): number => requestMs * this._shares.getSize(req.workMs)
     const isInTimeBehind = (ahead: number, { until }: T, waitMs: number): boolean =>
       now < until && (ahead === 0 || now + waitMs / CAPACITY_MARGIN <= until)
-    const places = new Map(this._getLess().sort((a, b) => a.since - b.since).map((req, at) => [req, at + 1]))
+    const places = new Map(this._getLessUrgent().sort((a, b) => a.since - b.since).map((req, at) => [req, at + 1]))
     let keptMs = 0
     for (const req of this._waiting) {
       const place = places.get(req)
@@ -120,7 +120,7 @@
       }
       this._shares.recordRefused(refusedReq.workMs, now)
       const waitMs = Math.min(MAX_RETRY_WAIT_MS, Math.max(MIN_RETRY_WAIT_MS, predictedMs))
-      refused.push({ req: refusedReq, waitMs, makesRoom: refusedReq !== req })
+      refused.push({ req: refusedReq, waitMs, isDisplaced: refusedReq !== req })
     }
     this._waiting = kept
     return refused
@@ -136,19 +136,19 @@
   }
 
   /** Finds a large request as urgent as the next one if those are served too rarely; undefined otherwise. */
-  private _findShort (first: T | undefined, now: number, canSend: (req: T) => boolean): T | undefined {
-    if (first === undefined || this._shares.isLarge(first.workMs) || !this._shares.isLargeShort(now)) return undefined
+  private _findUnderserved (first: T | undefined, now: number, canSend: (req: T) => boolean): T | undefined {
+    if (first === undefined || this._shares.isLarge(first.workMs) || !this._shares.isLargeUnderserved(now)) return undefined
     return this._waiting.find(req => isAsUrgent(req, first) && this._shares.isLarge(req.workMs) && canSend(req))
   }
 
   private _findAged (now: number, canSend: (req: T) => boolean): T | undefined {
     let oldest: T | undefined
-    for (const req of this._getLess()) if (req.since < (oldest?.since ?? Infinity) && canSend(req)) oldest = req
+    for (const req of this._getLessUrgent()) if (req.since < (oldest?.since ?? Infinity) && canSend(req)) oldest = req
     return oldest !== undefined && now - oldest.since >= ADMISSION_AGING_MS ? oldest : undefined
   }
 
   /** Gets the requests of less urgent kinds than the first one. */
-  private _getLess (): T[] {
+  private _getLessUrgent (): T[] {
     const [first] = this._waiting
     return this._waiting.filter(req => first !== undefined && (req.priority > first.priority || getClass(req) > getClass(first)))
   }
--- a/src/core/admission/RouteWork.ts
+++ b/src/core/admission/RouteWork.ts
@@ -59,7 +59,7 @@
     return known.averageMs * output
   }
 
-  /** Gets the milliseconds that no request of a route has needed less than; 0 while too little is known. */
+  /** Gets the shortest time in milliseconds that a response of a route has taken; 0 while too little is known. */
   getLeastMs (route: string): number {
     const known = this._routes.get(route)
     return known === undefined || known.responses < MIN_LEAST_RESPONSES ? 0 : known.leastMs
--- a/src/core/admission/WorkShares.ts
+++ b/src/core/admission/WorkShares.ts
@@ -37,11 +37,11 @@
   /** Checks whether a request may be refused to make room for one with less work. */
   mayReplace (workMs: number | undefined, lessMs: number | undefined, now: number): boolean {
     if (workMs === undefined || lessMs === undefined || workMs < lessMs * MIN_RATIO) return false
-    return !this.isLargeShort(now)
+    return !this.isLargeUnderserved(now)
   }
 
   /** Checks whether large requests are served too rarely beside small ones. */
-  isLargeShort (now: number): boolean {
+  isLargeUnderserved (now: number): boolean {
     return getShare(this._large, now) < MIN_LARGE_SHARE * getShare(this._small, now)
   }
 
--- a/src/core/connection/ParseTurns.ts
+++ b/src/core/connection/ParseTurns.ts
@@ -1,12 +1,12 @@
 /**
- * Bytes of bodies in chunks that are parsed between two looks at other connections.
+ * Bytes of bodies in chunks that are parsed between two iterations of the event loop.
  *
  * In chunks of one byte these are some 5,000 calls of the parser, which take about 15 ms.
  */
 export const TURN_BYTES = 32_768
 
 /** A connection whose bytes wait to be parsed. */
-export interface TurnTaker {
+export interface TurnWaiter {
   /** Parses what may be parsed now; what is left waits again. */
   readonly feed: () => void
 }
@@ -14,13 +14,13 @@
 /**
  * Shares the parsing of bodies in chunks among connections.
  *
- * Answers bodies in chunks of one byte: the parser got all that was read of a connection at once, some 10,000 chunks, and went round all
- * such connections before any other request moved. With turns, each connection gets one piece at a time, and the event loop handles
+ * Answers bodies in chunks of one byte: the parser got all that was read of a connection at once, some 10,000 chunks, and parsed all such
+ * connections before any other request made progress. With turns, each connection gets one piece at a time, and the event loop handles
  * everything else between two turns.
  */
 export class ParseTurns {
   private readonly _defer: (run: () => void) => void
-  private readonly _waiting = new Set<TurnTaker>()
+  private readonly _waiting = new Set<TurnWaiter>()
   private _leftBytes = TURN_BYTES
   private _isScheduled = false
 
@@ -41,14 +41,14 @@
   }
 
   /** Lets a connection wait for its turn, behind those that wait already. */
-  wait (taker: TurnTaker): void {
-    this._waiting.add(taker)
+  wait (waiter: TurnWaiter): void {
+    this._waiting.add(waiter)
     this._schedule()
   }
 
   /** Removes a connection that is closed. */
-  remove (taker: TurnTaker): void {
-    this._waiting.delete(taker)
+  remove (waiter: TurnWaiter): void {
+    this._waiting.delete(waiter)
   }
 
   private _schedule (): void {
@@ -62,9 +62,9 @@
     this._leftBytes = TURN_BYTES
     // Each gets one piece, which it records; with more, it waits behind the others.
     while (this._leftBytes > 0 && this._waiting.size > 0) {
-      const [taker] = this._waiting
-      this._waiting.delete(taker!)
-      taker!.feed()
+      const [waiter] = this._waiting
+      this._waiting.delete(waiter!)
+      waiter!.feed()
     }
     if (this._waiting.size > 0) this._schedule()
   }
--- a/src/io/gateway/AdmissionGate.ts
+++ b/src/io/gateway/AdmissionGate.ts
@@ -55,8 +55,8 @@
   since: number | undefined
   waited: number
   refused: number
-  /** Refused requests that made room for others with less work. */
-  replaced: number
+  /** Requests that were refused in favour of others with less work. */
+  displaced: number
 }
 
 /** Lets requests wait for capacity of their service, in order of urgency, while its targets refuse requests. */
@@ -75,7 +75,7 @@
     const since = this._options.clock.now()
     const remainingMs = call.program?.remainingMs === undefined ? undefined : call.program.remainingMs - (since - exchange.startedAt)
     const workMs = this._work.getMs(route.name, call.maxOutputTokens)
-    // A program that is late already has nothing left to be in time for.
+    // A program that is already late has no deadline left to meet.
     const dueMs = remainingMs === undefined || workMs === undefined ? 0 : remainingMs - workMs
     return {
       exchange,
@@ -202,7 +202,7 @@
     let service = this._services.get(name)
     if (service === undefined) {
       const admission = new ServiceAdmission<Waiting>(this._options.clock)
-      service = { admission, retries: new RetryPermits(), timer: undefined, since: undefined, waited: 0, refused: 0, replaced: 0 }
+      service = { admission, retries: new RetryPermits(), timer: undefined, since: undefined, waited: 0, refused: 0, displaced: 0 }
       this._services.set(name, service)
     }
     return service
@@ -217,7 +217,7 @@
     }
     const { admitted, refused } = admission.step()
     service.refused += refused.length
-    service.replaced += refused.filter(({ makesRoom }) => makesRoom).length
+    service.displaced += refused.filter(({ isDisplaced }) => isDisplaced).length
     for (const { req, admission } of admitted) req.resolve({ type: 'admitted', admission })
     for (const { req, waitMs } of refused) req.resolve({ type: 'refused', waitMs })
     metrics.waiting.set({ service: name }, admission.getWaiting())
@@ -226,8 +226,8 @@
       return
     }
     clearInterval(service.timer)
-    const { waited, refused: refusals, replaced } = service
-    log.info('capacity-restored', { service: name, waited, refused: refusals, replaced, tookMs: Math.round(clock.now() - service.since) })
-    Object.assign(service, { timer: undefined, since: undefined, waited: 0, refused: 0, replaced: 0 })
+    const { waited, refused: refusals, displaced } = service
+    log.info('capacity-restored', { service: name, waited, refused: refusals, displaced, tookMs: Math.round(clock.now() - service.since) })
+    Object.assign(service, { timer: undefined, since: undefined, waited: 0, refused: 0, displaced: 0 })
   }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -27,6 +27,9 @@
 /** Seconds after which a refused caller may retry when no target ran the request because targets were missing or full. */
 const RETRY_AFTER_SECONDS = 0.3
 
+/** Lowest status by which a target states that it has not done what was asked. */
+const FIRST_ERROR_STATUS = 400
+
 /** Lowest status by which a target states that it has failed. */
 const FIRST_FAILURE_STATUS = 500
 
@@ -249,7 +252,8 @@
   recordAnswer (attempt: Attempt): void {
     const { suspect, call } = this._exchange
     const { status } = attempt.response.head
-    if (status < FIRST_FAILURE_STATUS) this._context.admission?.recordWork(this._exchange, this._context.clock.now() - attempt.sentAt)
+    // A target rejects an invalid request without its work.
+    if (status < FIRST_ERROR_STATUS) this._context.admission?.recordWork(this._exchange, this._context.clock.now() - attempt.sentAt)
     if (status >= FIRST_FAILURE_STATUS) this._recordAbandoned(attempt, `status ${status}`)
     else if (suspect !== undefined) void this._context.suspects.clear(suspect.digests, call.id)
   }
--- a/src/io/gateway/RequestFeed.ts
+++ b/src/io/gateway/RequestFeed.ts
@@ -28,7 +28,7 @@
   private _isPaused = false
   private _isFeeding = false
   private _isWaitingForTurn = false
-  private readonly _taker = { feed: () => { this._takeTurn() } }
+  private readonly _waiter = { feed: () => { this._takeTurn() } }
 
   constructor (options: RequestFeedOptions) {
     this._options = options
@@ -75,7 +75,7 @@
       if (expected === undefined) return
       if (expected === 'chunks' && !mayParseChunks()) {
         this._isWaitingForTurn = true
-        turns.wait(this._taker)
+        turns.wait(this._waiter)
         return
       }
       const piece = this._pieces.take(expected)
@@ -128,7 +128,7 @@
 
   /** Drops what waits; nothing more is parsed. */
   close (): void {
-    this._options.turns.remove(this._taker)
+    this._options.turns.remove(this._waiter)
     this._isWaitingForTurn = false
     this._pieces.clear()
     this._parse = () => {}
--- a/tests/core/admission/AdmissionCostTests.ts
+++ b/tests/core/admission/AdmissionCostTests.ts
@@ -9,7 +9,7 @@
   readonly maxWaitMs: number
 }
 
-/** Lookups whose callers wait shortly, charges and reservations at one plain service. */
+/** Lookups whose callers wait briefly, charges and reservations at one plain service. */
 const LOOKUP: Kind = { share: 0.5, workMs: 52, maxWaitMs: 600 }
 const CHARGE: Kind = { share: 0.25, workMs: 210, maxWaitMs: 2_500 }
 const RESERVATION: Kind = { share: 0.25, workMs: 141, maxWaitMs: 1_250 }
@@ -39,7 +39,7 @@
 
 describe('AdmissionQueue of requests with unlike work and time', () => {
   // In order of arrival, at 1.2 times the capacity, 37% to 49% of the lookups were served and all charges, whose callers wait longer.
-  it('should serve nearly all requests whose callers wait shortly while others can wait', () => {
+  it('should serve nearly all requests whose callers wait briefly while others can wait', () => {
     for (const gateways of [1, 7, 23]) {
       const results = replayBurst(TOOLS, 1.2, { gateways })
       expect(getShares(results, TOOLS)[0]!).toBeGreaterThan(0.85)
@@ -70,7 +70,7 @@
     const queue = new AdmissionQueue<WaitingRequest & { readonly id: number }>()
     const base = { priority: 0, isInProgress: true, isWithinShare: true, isWorthwhile: true, workMs: 100 }
     for (const id of [0, 1, 2, 3, 4]) queue.add({ ...base, id, since: id, until: id + 300 })
-    expect(queue.takeRefused(5, 10).map(({ req, makesRoom }) => [req.id, makesRoom])).toEqual([[3, false], [4, false]])
+    expect(queue.takeRefused(5, 10).map(({ req, isDisplaced }) => [req.id, isDisplaced])).toEqual([[3, false], [4, false]])
     expect([6, 7, 8].map(now => queue.take(now, () => true)?.id)).toEqual([0, 1, 2])
   })
 
--- a/tests/core/connection/ParseTurnsTests.ts
+++ b/tests/core/connection/ParseTurnsTests.ts
@@ -18,15 +18,15 @@
       this.turns.at(-1)!.push(name)
       this.parse.record(PIECE_BYTES)
     }
-    const taker = {
+    const waiter = {
       feed: () => {
         takePiece()
-        if (left > 0) this.parse.wait(taker)
+        if (left > 0) this.parse.wait(waiter)
       }
     }
     for (let at = 0; at < pieces && this.parse.isOpen(); at++) takePiece()
-    if (left > 0) this.parse.wait(taker)
-    return { remove: () => { this.parse.remove(taker) } }
+    if (left > 0) this.parse.wait(waiter)
+    return { remove: () => { this.parse.remove(waiter) } }
   }
 
   /** Runs the event loop until nothing waits, or for a number of turns. */
