Log who sends a request that may crash targets, and what was known of it

Change: connection-lost and attempt-abandoned state the digest of path and body, the caller's address and whether another request has the same input; dispatched states the crashes that are known, and the previous turn. No decision changes.

--- a/src/core/suspect/SuspectDigests.ts
+++ b/src/core/suspect/SuspectDigests.ts
@@ -26,6 +26,8 @@
    * only against a request that is alone, see {@link InputsInProgress}.
    */
   readonly input: string | undefined
+  /** Identifies the path and the body alone, whoever sends them; for logs. */
+  readonly content: string
 }
 
 /** Gets the digests that identify a request across retries. */
@@ -37,6 +39,7 @@
   }
   return {
     request: toDigest('request', program ?? address, previousTurn ?? null),
-    input: program === undefined ? undefined : toDigest('input', address)
+    input: program === undefined ? undefined : toDigest('input', address),
+    content: toDigest('content')
   }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -18,7 +18,7 @@
 import type { Placer } from './Placer.js'
 import type { TargetResponse } from './ResponseHandler.js'
 import { StreamHandover } from './StreamHandover.js'
-import type { SuspectStore } from './SuspectStore.js'
+import type { SuspectSender, SuspectStore } from './SuspectStore.js'
 import type { TargetFailures } from './TargetFailures.js'
 import type { TargetLimits } from './TargetLimits.js'
 import type { TargetPriorities } from './TargetPriorities.js'
@@ -427,6 +427,8 @@
       lastEventId,
       send: this._dispatches,
       program: call.program?.id,
+      previousTurn: call.previousTurn,
+      crashes: this._getCrashes(),
       workspace: this._exchange.workspace?.name,
       budget: call.program?.tokenBudget,
       maxOutputTokens: call.maxOutputTokens,
@@ -609,7 +611,20 @@
   private _recordSuspect (run: Run): void {
     const { suspects } = this._context
     const sent = this._getSentRun(run)
-    if (sent !== undefined) void suspects.record({ ...sent, others: run.state.getInFlight() }, this._exchange.call.id)
+    if (sent !== undefined) void suspects.record({ ...sent, others: run.state.getInFlight() }, this._getSender())
+  }
+
+  /** Gets who sent the request, for logs. */
+  private _getSender (): SuspectSender {
+    const { call, suspect } = this._exchange
+    return { req: call.id, content: suspect?.digests.content, address: suspect?.address, isShared: suspect?.inputUse?.isShared }
+  }
+
+  /** Gets the number of targets that the request is known to have crashed; undefined if there are none. */
+  private _getCrashes (): number | undefined {
+    const { suspect } = this._exchange
+    const crashes = suspect === undefined ? 0 : this._context.suspects.countCrashes(suspect.digests)
+    return crashes === 0 ? undefined : crashes
   }
 
   /** Gets the run as evidence; undefined if the request can't be recognized again. */
@@ -627,7 +642,7 @@
     const { state, sentAt } = run
     const now = clock.now()
     const waitedMs = Math.round(now - sentAt)
-    log.info('attempt-abandoned', { req: this._exchange.call.id, target: state.incarnation, cause, waitedMs, heardMsAgo: state.getHeardMsAgo(now) })
+    log.info('attempt-abandoned', { ...this._getSender(), target: state.incarnation, cause, waitedMs, heardMsAgo: state.getHeardMsAgo(now) })
     const sent = this._getSentRun(run)
     if (sent !== undefined) suspects.recordAbandoned(sent)
   }
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -51,6 +51,8 @@
 /** What identifies a request when its caller resends it. */
 export interface SuspectRequest {
   readonly digests: SuspectDigests
+  /** Address of the caller's connection. */
+  readonly address: string
   /** The request among those in progress with the same input; undefined for a request without a program. */
   readonly inputUse: InputUse | undefined
 }
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -334,8 +334,9 @@
     if (admission === undefined) return
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
+    const address = req.socket.remoteAddress ?? ''
     const digests = getSuspectDigests({
-      address: exchange.scope(req.socket.remoteAddress ?? ''),
+      address: exchange.scope(address),
       program: call.program === undefined ? undefined : exchange.scope(call.program.id),
       method: call.method,
       host: call.host,
@@ -345,7 +346,7 @@
     })
     const { input } = digests
     const inputUse = input === undefined ? undefined : this._inputs.begin(input)
-    exchange.suspect = { digests, inputUse }
+    exchange.suspect = { digests, address, inputUse }
     const end = (): void => { if (input !== undefined && inputUse !== undefined) this._inputs.end(input, inputUse) }
     exchange.callerDisconnected.addEventListener('abort', end, { once: true })
     try {
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -73,6 +73,17 @@
   readonly confirmTargets: () => Promise<unknown>
 }
 
+/** Who sent a request, for logs. */
+export interface SuspectSender {
+  readonly req: string
+  /** Digest of path and body. */
+  readonly content?: string | undefined
+  /** Address of the caller's connection. */
+  readonly address?: string | undefined
+  /** True if another request with the same input is in progress. */
+  readonly isShared?: boolean | undefined
+}
+
 /** A target that is gone, with how the store has shown it. */
 interface EndedTarget {
   readonly state: TargetState
@@ -111,6 +122,12 @@
     return Math.max(...getAll(digests).map(digest => this._list.getRefusedMs(digest, now)))
   }
 
+  /** Gets the number of targets that a request is known to have crashed. */
+  countCrashes (digests: SuspectDigests): number {
+    const now = this._options.clock.now()
+    return Math.max(...getAll(digests).map(digest => this._list.getIncarnations(digest, now).length))
+  }
+
   /** Checks whether a request has crashed so many targets, or may have, that only one of its copies may be run at a time. */
   needsTrial (digests: SuspectDigests): boolean {
     return this._getTried(digests).length > 0
@@ -189,12 +206,12 @@
   }
 
   /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
-  async record (lost: LostRequest, requestId: string): Promise<void> {
+  async record (lost: LostRequest, sender: SuspectSender): Promise<void> {
     const { clock, log } = this._options
     const { digests, incarnation, others } = lost
     const now = clock.now()
     this._evidence.add(lost, now)
-    log.info('connection-lost', { req: requestId, digests, lifetime: incarnation, others })
+    log.info('connection-lost', { ...sender, digests, lifetime: incarnation, others })
     // A request that was refused before counts at once, so that its caller's next try at another gateway does not run as well.
     const confirmed = digests.filter(digest => this._list.isConfirmed(digest, now))
     const isShared = Promise.all(confirmed.map(async digest => { await this._share({ digest, incarnation }) }))
