--- a/tests/processes/SuspectPromisesTests.ts
+++ b/tests/processes/SuspectPromisesTests.ts
@@ -1,6 +1,5 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import { expect } from 'earl'
-import { REFUSE_AFTER_INCARNATIONS } from '../../src/core/suspect/index.js'
 import { CRASH_FORMS, HELD_TIMEOUT_MS, HOLD_FORMS, type CrashForm } from './SuspectForms.js'
 import { getProgramHeaders, SuspectWorld, type Programs } from './SuspectWorld.js'
 
@@ -144,7 +143,7 @@
             await sleep(POISON_MS - BEFORE_MS - DOWN_MS)
           })())
         ])
-        expect(POISON.map(path => ({ path, late: countLateRuns(path) })).filter(({ late }) => late > MAX_LATE_RUNS)).toEqual([])
+        expectStopped()
       })
     }
   }
@@ -164,7 +163,7 @@
       await world.sendPlain(Promise.all([kills, ...POISON.flatMap((path, request) => Array.from({ length: callers }, async () => {
         await sendAgain(path, at => getProgram(at) + request, endsAt, { copies: copies / callers, leaveAfterMs, timeoutMs })
       }))]))
-      expect(POISON.map(path => ({ path, late: countLateRuns(path) })).filter(({ late }) => late > MAX_LATE_RUNS)).toEqual([])
+      expectStopped()
     }).timeout(90_000)
   }
 
@@ -210,6 +209,11 @@
     await world.start()
   }
 
+  function expectStopped (): void {
+    const runs = POISON.map(path => ({ path, late: world.countLateRuns(path, CONTACT_MS) }))
+    expect(runs.filter(({ late }) => late > MAX_LATE_RUNS)).toEqual([])
+  }
+
   function expectServed (since: number): void {
     expect(world.getLostTurns(since)).toEqual([])
     const { first, later } = world.getServedShares(since)
@@ -234,16 +238,10 @@
       const program = path.startsWith('/turns/') ? getProgramHeaders(getProgram(at)) : {}
       const headers = timeoutMs === undefined ? program : { ...program, 'x-timeout-ms': String(timeoutMs) }
       await Promise.all(Array.from({ length: copies }, async () => {
-        await world.send(path, 'x', headers, leaveAfterMs === undefined ? undefined : AbortSignal.timeout(leaveAfterMs))
+        const leaving = leaveAfterMs === undefined ? {} : { signal: AbortSignal.timeout(leaveAfterMs) }
+        await world.send(path, 'x', headers, leaving)
       }))
       await sleep(RETURN_MS)
     }
   }
-
-  /** Gets the runs of a path later than the contact time after its third crash. */
-  function countLateRuns (path: string): number {
-    const times = world.getTargets().flatMap(({ runs }) => runs).filter(run => run.url === path).map(run => run.at).sort((a, b) => a - b)
-    const third = times[REFUSE_AFTER_INCARNATIONS - 1] ?? Infinity
-    return times.filter(at => at > third + CONTACT_MS).length
-  }
 })
--- a/tests/processes/SuspectWorld.ts
+++ b/tests/processes/SuspectWorld.ts
@@ -1,7 +1,8 @@
 import { setTimeout as sleep } from 'node:timers/promises'
+import { REFUSE_AFTER_INCARNATIONS } from '../../src/core/suspect/index.js'
 import type { EngineStandin } from '../../tools/platform/EngineStandin.js'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
-import { callPlatform, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
+import { callPlatform, type PlatformCall, type PlatformCallResponse } from '../../tools/platform/PlatformCaller.js'
 import { PlatformFixture } from '../../tools/platform/PlatformFixture.js'
 import { waitFor } from './GatewayHarness.js'
 
@@ -145,11 +146,12 @@
 
   /** Sends a request to the gateways in turn. */
   async send (
-    path: string, body: string | undefined, headers: Record<string, string>, signal?: AbortSignal
+    path: string, body: string | undefined, headers: Record<string, string>,
+    { signal, localAddress }: Pick<PlatformCall, 'signal' | 'localAddress'> = {}
   ): Promise<{ id: string, res: PlatformCallResponse }> {
     const at = ++this._requests
     const id = `r${at}`
-    const res = await callPlatform(this.gateways[at % this.gateways.length]!.callerAddress, { id, path, body, headers, signal })
+    const res = await callPlatform(this.gateways[at % this.gateways.length]!.callerAddress, { id, path, body, headers, signal, localAddress })
     return { id, res }
   }
 
@@ -168,6 +170,14 @@
     await over
   }
 
+  /** Gets the runs of a path later than some milliseconds after the third target that it crashed. */
+  countLateRuns (path: string, afterMs: number): number {
+    const runs = this.getTargets().flatMap(target => target.runs.filter(run => run.url === path))
+    const times = runs.map(run => run.at).sort((a, b) => a - b)
+    const third = times[REFUSE_AFTER_INCARNATIONS - 1] ?? Infinity
+    return times.filter(at => at > third + afterMs).length
+  }
+
   /** Gets the number of requests that gateways refused because they crash targets. */
   countRefused (): number {
     return this.gateways.flatMap(gateway => gateway.getEvents('refused')).filter(({ reason }) => reason === 'crashes-targets').length
--- a/tools/platform/PlatformCaller.ts
+++ b/tools/platform/PlatformCaller.ts
@@ -12,6 +12,8 @@
   readonly onData?: (text: string) => void
   /** Closes the connection when aborted. */
   readonly signal?: AbortSignal
+  /** Loopback address from which the connection is made; the system's choice without it. */
+  readonly localAddress?: string | undefined
   /** Keeps connections open between requests; a new connection without it. */
   readonly agent?: Agent
 }
@@ -35,6 +37,7 @@
       method: call.method ?? (call.body === undefined ? 'GET' : 'POST'),
       path: call.path,
       agent: call.agent ?? false,
+      localAddress: call.localAddress,
       signal: call.signal,
       headers: { host: FIXTURE_HOST, 'x-request-id': call.id, 'x-timeout-ms': '3000', ...call.headers }
     }, res => {
