Count each target that a retried request crashes, whatever goes down beside it

Cause: whether crashes at the same time may be one outage was decided for the crash. A target without a retried request in between, here crashed by another gateway's copy, made all of them ambiguous, also for a request that was sent to the second after it was lost at the first. Change: it is decided for each request: crashes within half a second count once against a request, unless it was retried between them. Result: the new test fails before (1 of 37) and passes; the other 36 pass before and after.

--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -52,8 +52,8 @@
  * requests is no evidence. Or the store shows it later, after an end in silence, or when nobody waited for the request any more; it counts
  * unless the target has sent anything since.
  *
- * Targets that go down together, with no request that was retried at the second after the first, may have gone down with their failure
- * domain or because of several requests: they count once against each of their requests.
+ * Targets that go down together may have gone down with their failure domain, or because of several requests: they count once against each
+ * of their requests, except one that was sent to the second target after it had been lost at the first.
  */
 export class CrashEvidence {
   private _crashes: Crash[] = []
@@ -126,9 +126,11 @@
         for (const { request, at } of crash.lost) this._abandoned.add({ ...request, abandonedAt: at })
         continue
       }
-      const isAmbiguous = this._crashes.some(other => isUnrelated(crash, other))
-      for (const digest of crash.losses.keys()) {
-        if (isAmbiguous && this._crashes.some(other => other.counted.has(digest) && isTogether(crash, other))) continue
+      for (const [digest, loss] of crash.losses) {
+        const isCounted = this._crashes.some(other => {
+          return other.counted.has(digest) && isTogether(crash, other) && !isRetry(loss, other.losses.get(digest))
+        })
+        if (isCounted) continue
         crash.counted.add(digest)
         records.push({ digest, incarnation: crash.incarnation })
       }
@@ -209,9 +211,3 @@
 function isTogether (crash: Crash, other: Crash): boolean {
   return !other.isInferred && Math.abs(other.startedAt - crash.startedAt) <= CRASH_WINDOW_MS
 }
-
-/** Checks whether another target went down together with one, and no request was retried at one of them after the other. */
-function isUnrelated (crash: Crash, other: Crash): boolean {
-  if (other.incarnation === crash.incarnation || !isCrash(other)) return false
-  return isTogether(crash, other) && ![...crash.losses].some(([digest, loss]) => isRetry(loss, other.losses.get(digest)))
-}
--- a/tests/core/suspect/SuspectListTests.ts
+++ b/tests/core/suspect/SuspectListTests.ts
@@ -108,6 +108,12 @@
     expect(evaluate([[0, 'poison', 'a'], [5_000, 'poison', 'b'], [10_000, 'poison', 'c']])).toEqual(['poison a', 'poison b', 'poison c'])
   })
 
+  // BUDGET: of three targets that a request crashed one after the other, two counted, as others went down beside them.
+  it('should be recognized when it is retried at once, and another target goes down beside it', () => {
+    const losses: Losses = [[0, 'poison', 'a'], [100, 'poison', 'b', 0, 1], [150, 'x', 'c', 1], [151, 'y', 'c']]
+    expect(evaluate(losses).filter(record => record.startsWith('poison'))).toEqual(['poison a', 'poison b'])
+  })
+
   it('should be recognized when it is retried at once, and each target takes other requests with it', () => {
     const losses: Losses = [[0, 'poison', 'a', 2], [1, 'x', 'a', 1], [2, 'y', 'a'], [60, 'poison', 'b', 1, 1], [61, 'z', 'b']]
     expect(evaluate(losses).filter(record => record.startsWith('poison'))).toEqual(['poison a', 'poison b'])
--- a/tests/processes/SuspectWorld.ts
+++ b/tests/processes/SuspectWorld.ts
@@ -151,7 +151,8 @@
   ): Promise<{ id: string, res: PlatformCallResponse }> {
     const at = ++this._requests
     const id = `r${at}`
-    const res = await callPlatform(this.gateways[at % this.gateways.length]!.callerAddress, { id, path, body, headers, signal, localAddress })
+    const { callerAddress } = this.gateways[at % this.gateways.length]!
+    const res = await callPlatform(callerAddress, { id, path, body, headers, signal, localAddress })
     return { id, res }
   }
 
