Recognize requests that crash targets by path and body, whoever sends them

Cause: the digests of a request named its program or the address of its connection, so that each sender brought three crashes of its own. What several callers had in progress at once did not count against what they had in common. Change: crashes count against path and body in a workspace, from any sender, and against a program's turn as before. When all targets go down together for the first time, what several requests share does not count either. Evidence: the logs of `teile` show one content from three addresses at 15 targets, each digest by itself within the bound. Tests: `should not be suspected because of the same input of another caller` required that the address tells requests apart, which is the fault; the workspace takes its place there, and what it protected, requests that others send as well, is checked as processes (SuspectSendersTests, the last two) and by answers. The other changes of tests follow names.

--- a/src/core/suspect/AbandonedRuns.ts
+++ b/src/core/suspect/AbandonedRuns.ts
@@ -11,6 +11,8 @@
 export interface SentRun {
   /** Digests under which a crash counts against the request. */
   readonly digests: readonly string[]
+  /** The one of them that other requests in progress have as well; undefined if none does. */
+  readonly shared?: string | undefined
   /** Incarnation of the target. */
   readonly incarnation: string
   /** Time at which it was sent to the target, by the steady clock. */
--- a/src/core/suspect/CrashEvidence.ts
+++ b/src/core/suspect/CrashEvidence.ts
@@ -12,10 +12,15 @@
 /** Maximum number of incarnations whose inferred ends are kept, which a sign of life takes back. */
 const MAX_INFERRED = 1_000
 
+/** Maximum number of requests for which crashes that did not count are kept. */
+const MAX_UNCOUNTED = 1_000
+
 /** A request whose connection to a target was lost while the target ran it. */
 export interface LostRequest extends SentRun {
   /** Other requests that are in progress at the target. */
   readonly others: number
+  /** Number of targets that could have run the request. */
+  readonly targets: number
 }
 
 /** A crash that counts against a request. */
@@ -28,6 +33,8 @@
 interface Loss {
   readonly sentAt: number
   readonly lostAt: number
+  /** True if several requests that were lost there had the digest. */
+  readonly isShared: boolean
 }
 
 interface Crash {
@@ -35,6 +42,8 @@
   readonly startedAt: number
   /** Requests in progress at the target when the first one was lost. */
   readonly inProgress: number
+  /** Number of targets that could have run them, the one that crashed included. */
+  readonly targets: number
   readonly lost: Array<{ readonly request: LostRequest, readonly at: number }>
   /** Requests that were lost, by each of their digests. */
   readonly losses: Map<string, Loss>
@@ -53,20 +62,25 @@
  * unless the target has sent anything since.
  *
  * Targets that go down together may have gone down with their failure domain, or because of several requests: they count once against each
- * of their requests, except one that was sent to the second target after it had been lost at the first.
+ * of their requests, except one that was sent to the second target after it had been lost at the first. When all targets go down
+ * together for the first time, what several requests have in common does not count.
  */
 export class CrashEvidence {
   private _crashes: Crash[] = []
   private readonly _abandoned = new AbandonedRuns()
   private readonly _inferred = new Map<string, CrashRecord[]>()
+  /** Incarnations whose crashes did not count because others went down with them, by the requests that were lost there. */
+  private readonly _uncounted = new Map<string, Set<string>>()
+  /** Times of the outages of all targets that were not counted against what several requests had in common. */
+  private readonly _outages = new Map<string, number>()
 
   /** Adds a lost request. */
   add (request: LostRequest, now: number): void {
-    const { incarnation, others } = request
+    const { incarnation, others, targets } = request
     const recent = this._crashes.filter(known => !known.isInferred && now - known.startedAt <= CRASH_WINDOW_MS)
     let crash = recent.find(known => known.incarnation === incarnation)
     if (crash === undefined) {
-      crash = createCrash(incarnation, now, { inProgress: others + 1 })
+      crash = createCrash(incarnation, now, { inProgress: others + 1, targets })
       this._crashes.push(crash)
     }
     crash.lost.push({ request, at: now })
@@ -97,6 +111,13 @@
   clear (digest: string): void {
     for (const crash of this._crashes) crash.losses.delete(digest)
     this._abandoned.removeOf(digest)
+    this._uncounted.delete(digest)
+    this._outages.delete(digest)
+  }
+
+  /** Gets the incarnations that went down with others while they ran a request, and whose crashes did not count. */
+  getUncounted (digest: string): string[] {
+    return [...this._uncounted.get(digest) ?? []]
   }
 
   /**
@@ -130,7 +151,11 @@
         const isCounted = this._crashes.some(other => {
           return other.counted.has(digest) && isTogether(crash, other) && !isRetry(loss, other.losses.get(digest))
         })
-        if (isCounted) continue
+        if (this._isExcused(crash, digest, loss)) continue
+        if (isCounted) {
+          if (!this._isOutage(crash)) addUncounted(this._uncounted, digest, crash.incarnation)
+          continue
+        }
         crash.counted.add(digest)
         records.push({ digest, incarnation: crash.incarnation })
       }
@@ -141,7 +166,7 @@
 
   /** Gets the evidence of the end of an incarnation that the store has shown. */
   infer (incarnation: string, getHeardAt: GetHeardAt, now: number): CrashRecord[] {
-    const crash = createCrash(incarnation, now, { inProgress: 0, isInferred: true })
+    const crash = createCrash(incarnation, now, { inProgress: 0, targets: Infinity, isInferred: true })
     const seen = this._crashes.find(known => known.incarnation === incarnation && known.isEvaluated && !known.isInferred && isCrash(known))
     for (const run of this._abandoned.getAt(incarnation)) {
       if (mayHaveEnded(run, getHeardAt) && (seen === undefined || isDuring(run, seen))) addLosses(crash, run)
@@ -176,24 +201,59 @@
     for (const run of this._abandoned.getAt(crash.incarnation)) if (isDuring(run, crash)) addLosses(crash, run)
   }
 
+  /** Checks whether all targets went down together with one. */
+  private _isOutage (crash: Crash): boolean {
+    const together = this._crashes.filter(other => isTogether(crash, other) && isCrash(other))
+    return crash.targets > 1 && new Set(together.map(({ incarnation }) => incarnation)).size >= crash.targets
+  }
+
+  /**
+   * Checks whether a crash does not count against what several requests had in common, as all targets went down together.
+   *
+   * Once only: callers that send a request that crashes targets may be as many as there are targets.
+   */
+  private _isExcused (crash: Crash, digest: string, { isShared }: Loss): boolean {
+    if (!isShared || !this._isOutage(crash)) return false
+    const first = this._outages.get(digest)
+    if (first === undefined) setBounded(this._outages, digest, crash.startedAt)
+    return Math.abs(crash.startedAt - (first ?? crash.startedAt)) <= CRASH_WINDOW_MS
+  }
+
   private _removeOld (now: number): void {
     while (this._crashes.length > 0 && now - this._crashes[0]!.startedAt > KEEP_MS) this._crashes.shift()
   }
 }
 
 function createCrash (
-  incarnation: string, startedAt: number, { inProgress, isInferred = false }: { inProgress: number, isInferred?: boolean }
+  incarnation: string, startedAt: number,
+  { inProgress, targets, isInferred = false }: Pick<Crash, 'inProgress' | 'targets'> & Partial<Pick<Crash, 'isInferred'>>
 ): Crash {
-  return { incarnation, startedAt, inProgress, isInferred, lost: [], losses: new Map(), counted: new Set(), isEvaluated: isInferred }
+  const isEvaluated = isInferred
+  return { incarnation, startedAt, inProgress, targets, isInferred, isEvaluated, lost: [], losses: new Map(), counted: new Set() }
 }
 
-function addLosses ({ losses }: Crash, { digests, sentAt, abandonedAt }: AbandonedRun): void {
+function addLosses ({ losses }: Crash, { digests, shared, sentAt, abandonedAt }: AbandonedRun): void {
   for (const digest of digests) {
     const earlier = losses.get(digest)
-    losses.set(digest, { sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt), lostAt: earlier?.lostAt ?? abandonedAt })
+    losses.set(digest, {
+      sentAt: Math.min(sentAt, earlier?.sentAt ?? sentAt),
+      lostAt: earlier?.lostAt ?? abandonedAt,
+      isShared: digest === shared || earlier?.isShared === true
+    })
   }
 }
 
+function addUncounted (uncounted: Map<string, Set<string>>, digest: string, incarnation: string): void {
+  setBounded(uncounted, digest, new Set([...uncounted.get(digest) ?? [], incarnation]))
+}
+
+/** Sets an entry and evicts the oldest ones beyond the bound. */
+function setBounded<T> (entries: Map<string, T>, key: string, value: T): void {
+  entries.delete(key)
+  entries.set(key, value)
+  if (entries.size > MAX_UNCOUNTED) entries.delete(entries.keys().next().value!)
+}
+
 function isCrash (crash: Crash): boolean {
   return crash.lost.length >= crash.inProgress * MIN_LOST_SHARE
 }
--- a/src/core/suspect/SuspectDigests.ts
+++ b/src/core/suspect/SuspectDigests.ts
@@ -2,8 +2,8 @@
 
 /** What identifies a request across retries. */
 export interface SuspectIdentity {
-  /** Address of the caller's connection. */
-  readonly address: string
+  /** Workspace of the caller's key; undefined where the request needs none. */
+  readonly workspace: string | undefined
   /** Id of the program, if one is named. */
   readonly program: string | undefined
   readonly method: string
@@ -17,29 +17,26 @@
 
 /** Digests under which the crashes of a request are counted. */
 export interface SuspectDigests {
-  /** Identifies the request of one program, or of one address where no program is named. */
-  readonly request: string
+  /** Identifies the request of one program after one turn; undefined without a program. */
+  readonly request: string | undefined
   /**
-   * Identifies the same path and body from one address, in any program and after any turn; undefined without a program.
+   * Identifies the same path and body, from any address, in any program and after any turn of a workspace.
    *
-   * A caller may send a request again in a new program. Unrelated programs may also have an input in common, so that a crash counts here
-   * only against a request that is alone, see {@link InputsInProgress}.
+   * A request may be sent again from another address or in a new program. Requests that are merely popular have one content as well; they
+   * are told apart by their answers, see {@link AnsweredRequests}.
    */
-  readonly input: string | undefined
-  /** Identifies the path and the body alone, whoever sends them; for logs. */
   readonly content: string
 }
 
 /** Gets the digests that identify a request across retries. */
 export function getSuspectDigests (identity: SuspectIdentity): SuspectDigests {
-  const { address, program, method, host, target, previousTurn, body } = identity
-  const content = body === undefined ? null : createHash('sha1').update(body).digest('hex')
-  const toDigest = (...caller: ReadonlyArray<string | null>): string => {
-    return createHash('sha1').update(JSON.stringify([...caller, method, host, target, content])).digest('hex')
+  const { workspace, program, method, host, target, previousTurn, body } = identity
+  const bodyDigest = body === undefined ? null : createHash('sha1').update(body).digest('hex')
+  const toDigest = (...sender: ReadonlyArray<string | null>): string => {
+    return createHash('sha1').update(JSON.stringify([...sender, workspace ?? null, method, host, target, bodyDigest])).digest('hex')
   }
   return {
-    request: toDigest('request', program ?? address, previousTurn ?? null),
-    input: program === undefined ? undefined : toDigest('input', address),
+    request: program === undefined ? undefined : toDigest('request', program, previousTurn ?? null),
     content: toDigest('content')
   }
 }
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -611,13 +611,15 @@
   private _recordSuspect (run: Run): void {
     const { suspects } = this._context
     const sent = this._getSentRun(run)
-    if (sent !== undefined) void suspects.record({ ...sent, others: run.state.getInFlight() }, this._getSender())
+    const { call, route } = this._exchange
+    const targets = this._context.placer.getListed(call, route, undefined).length
+    if (sent !== undefined) void suspects.record({ ...sent, others: run.state.getInFlight(), targets }, this._getSender())
   }
 
   /** Gets who sent the request, for logs. */
   private _getSender (): SuspectSender {
     const { call, suspect } = this._exchange
-    return { req: call.id, content: suspect?.digests.content, address: suspect?.address, isShared: suspect?.inputUse?.isShared }
+    return { req: call.id, content: suspect?.digests.content, address: suspect?.address, isShared: suspect?.contentUse.isShared }
   }
 
   /** Gets the number of targets that the request is known to have crashed; undefined if there are none. */
@@ -631,9 +633,9 @@
   private _getSentRun ({ state, sentAt, wasSilent }: Run): SentRun | undefined {
     const { suspect } = this._exchange
     if (suspect === undefined) return undefined
-    const { digests: { request, input }, inputUse } = suspect
-    const digests = input === undefined || inputUse?.isShared === true ? [request] : [request, input]
-    return { digests, incarnation: state.incarnation, sentAt, wasSilent }
+    const { digests: { request, content }, contentUse } = suspect
+    const shared = contentUse.isShared ? content : undefined
+    return { digests: request === undefined ? [content] : [request, content], shared, incarnation: state.incarnation, sentAt, wasSilent }
   }
 
   /** Records that this gateway has stopped waiting for a target that may still run the request. */
--- a/src/io/gateway/Exchange.ts
+++ b/src/io/gateway/Exchange.ts
@@ -5,7 +5,7 @@
 import { Outcome, PROBLEM_CONTENT_TYPE, REFUSALS, toProblem, type Refusal } from '../../core/reason/index.js'
 import type { ConfigHolder, Route } from '../../core/route/index.js'
 import { scopeId, type Workspace } from '../../core/workspace/index.js'
-import type { InputUse, SuspectDigests } from '../../core/suspect/index.js'
+import type { ContentUse, SuspectDigests } from '../../core/suspect/index.js'
 import type { BufferGarbage, DecisionLog } from '../process/index.js'
 import { BatchWriter } from './BatchWriter.js'
 import type { GatewayMetrics } from './GatewayMetrics.js'
@@ -52,9 +52,9 @@
 export interface SuspectRequest {
   readonly digests: SuspectDigests
   /** Address of the caller's connection. */
-  readonly address: string
-  /** The request among those in progress with the same input; undefined for a request without a program. */
-  readonly inputUse: InputUse | undefined
+  readonly address: string | undefined
+  /** The request among those in progress with the same content. */
+  readonly contentUse: ContentUse
 }
 
 /** One request of a caller with its response. */
--- a/src/io/gateway/GatewayServer.ts
+++ b/src/io/gateway/GatewayServer.ts
@@ -4,7 +4,7 @@
 import { REQUEST_COST_BYTES, type ProcessLimits } from '../../core/limits/index.js'
 import type { Refusal, RefusalReason } from '../../core/reason/index.js'
 import { RouteKind, type CallerLimits } from '../../core/route/index.js'
-import { getSuspectDigests, InputsInProgress } from '../../core/suspect/index.js'
+import { ContentsInProgress, getSuspectDigests } from '../../core/suspect/index.js'
 import { getKeyDigest } from '../../core/workspace/index.js'
 import { listen } from '../http/index.js'
 import { CallerConnections, type FullCause } from './CallerConnections.js'
@@ -88,7 +88,7 @@
   private _refusedConnections = 0
   private _fullLoggedAt = -Infinity
   private _fullSinceLogged = 0
-  private readonly _inputs = new InputsInProgress()
+  private readonly _contents = new ContentsInProgress()
   /** Set once the gateway is stopping. */
   private _stop: StopSchedule | undefined
 
@@ -334,20 +334,18 @@
     if (admission === undefined) return
     const bytes = body.unsafeCoerce()
     const content = bytes.length === 0 && !hasBody(req) ? undefined : bytes
-    const address = req.socket.remoteAddress ?? ''
     const digests = getSuspectDigests({
-      address: exchange.scope(address),
-      program: call.program === undefined ? undefined : exchange.scope(call.program.id),
+      workspace: exchange.workspace?.name,
+      program: call.program?.id,
       method: call.method,
       host: call.host,
       target: call.requestTarget,
       previousTurn: call.previousTurn,
       body: content
     })
-    const { input } = digests
-    const inputUse = input === undefined ? undefined : this._inputs.begin(input)
-    exchange.suspect = { digests, address, inputUse }
-    const end = (): void => { if (input !== undefined && inputUse !== undefined) this._inputs.end(input, inputUse) }
+    const contentUse = this._contents.begin(digests.content)
+    exchange.suspect = { digests, address: req.socket.remoteAddress, contentUse }
+    const end = (): void => { this._contents.end(digests.content, contentUse) }
     exchange.callerDisconnected.addEventListener('abort', end, { once: true })
     try {
       if (route.kind === RouteKind.Streaming) await this._options.streams.forward(exchange, content)
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,8 +2,8 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, decodeTrialKey, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, mayHaveEnded, SuspectList,
-  SUSPECT_RETENTION_MS, toSuspectRow, type AbandonedRun, type CrashRecord, type GetHeardAt, type LostRequest, type SentRun,
+  AnsweredRequests, CRASH_WINDOW_MS, CrashEvidence, decodeTrialKey, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, mayHaveEnded,
+  SuspectList, SUSPECT_RETENTION_MS, toSuspectRow, type AbandonedRun, type CrashRecord, type GetHeardAt, type LostRequest, type SentRun,
   type SuspectDigests, type Trial, type TrialRun
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
@@ -99,6 +99,7 @@
 export class SuspectStore {
   private readonly _options: SuspectStoreOptions
   private readonly _evidence = new CrashEvidence()
+  private readonly _answered = new AnsweredRequests()
   private readonly _list = new SuspectList()
   private readonly _expiring: ExpiringRows
   private readonly _storeTime = new StoreTime()
@@ -186,7 +187,7 @@
 
   /** Records that this gateway does not wait any more for a target that may still run a request. */
   recordAbandoned (run: SentRun): void {
-    this._evidence.addAbandoned({ ...run, abandonedAt: this._options.clock.now() })
+    this._evidence.addAbandoned({ ...run, digests: this._getUnanswered(run), abandonedAt: this._options.clock.now() })
     const ended = this._ended.get(run.incarnation)
     if (ended !== undefined) void this._infer(ended)
   }
@@ -208,9 +209,10 @@
   /** Records that the connection to a target was lost while it ran a request; what it is evidence of is known after the window. */
   async record (lost: LostRequest, sender: SuspectSender): Promise<void> {
     const { clock, log } = this._options
-    const { digests, incarnation, others } = lost
+    const { incarnation, others } = lost
+    const digests = this._getUnanswered(lost)
     const now = clock.now()
-    this._evidence.add(lost, now)
+    this._evidence.add({ ...lost, digests }, now)
     log.info('connection-lost', { ...sender, digests, lifetime: incarnation, others })
     // A request that was refused before counts at once, so that its caller's next try at another gateway does not run as well.
     const confirmed = digests.filter(digest => this._list.isConfirmed(digest, now))
@@ -225,6 +227,7 @@
   async clear (digests: SuspectDigests, requestId: string): Promise<void> {
     const { log } = this._options
     for (const digest of getAll(digests)) {
+      this._answered.record(digest, this._options.clock.now())
       this._evidence.clear(digest)
       const incarnations = this._list.clear(digest)
       const trial = this._trials.take(digest)
@@ -249,14 +252,22 @@
   /** Gets the digests under which a request may be run only by one gateway at a time. */
   private _getTried (digests: SuspectDigests): string[] {
     const now = this._options.clock.now()
-    const { request } = digests
-    const confirmed = getAll(digests).filter(digest => this._list.isConfirmed(digest, now))
-    if (confirmed.includes(request)) return confirmed
-    const isTriedElsewhere = (this._trials.getOther(request)?.runs.length ?? 0) > 0 && this._trials.isBegun([request])
-    const unjudged = this._getUnjudged(request).map(({ incarnation }) => incarnation)
-    const suspected = new Set([...this._list.getIncarnations(request, now), ...unjudged])
-    // Unrelated programs may have an input in common, which only counts once it is confirmed.
-    return isTriedElsewhere || suspected.size >= TRIAL_AFTER_INCARNATIONS ? [request, ...confirmed] : confirmed
+    return getAll(digests).filter(digest => this._list.isConfirmed(digest, now) || this._isSuspected(digest, now))
+  }
+
+  /** Checks whether a request that is not refused may have crashed several targets; not one that targets answer. */
+  private _isSuspected (digest: string, now: number): boolean {
+    if (this._answered.has(digest, now)) return false
+    if ((this._trials.getOther(digest)?.runs.length ?? 0) > 0 && this._trials.isBegun([digest])) return true
+    const unjudged = this._getUnjudged(digest).map(({ incarnation }) => incarnation)
+    const uncounted = this._evidence.getUncounted(digest)
+    return new Set([...this._list.getIncarnations(digest, now), ...unjudged, ...uncounted]).size >= TRIAL_AFTER_INCARNATIONS
+  }
+
+  /** Gets the digests of a run under which no target has answered lately. */
+  private _getUnanswered ({ digests }: SentRun): readonly string[] {
+    const now = this._options.clock.now()
+    return digests.filter(digest => !this._answered.has(digest, now))
   }
 
   /** Gets the runs of a request whose targets have sent nothing since, and may have ended. */
@@ -440,6 +451,6 @@
   }
 }
 
-function getAll ({ request, input }: SuspectDigests): string[] {
-  return input === undefined ? [request] : [request, input]
+function getAll ({ request, content }: SuspectDigests): string[] {
+  return request === undefined ? [content] : [request, content]
 }
--- a/tests/core/suspect/CrashEvidenceTests.ts
+++ b/tests/core/suspect/CrashEvidenceTests.ts
@@ -69,7 +69,7 @@
   const lose = (digests: readonly string[], others: number): Sight => ({
     at: endedAt,
     see: (evidence, now) => {
-      evidence.add({ digests, incarnation, sentAt, others }, now)
+      evidence.add({ digests, incarnation, sentAt, others, targets: 9 }, now)
       return []
     }
   })
@@ -156,7 +156,7 @@
 
   it('should not count a target to which it was sent after its end had been seen', () => {
     const evidence = new CrashEvidence()
-    evidence.add({ digests: ['plain'], incarnation: 'a', sentAt: 0, others: 0 }, 100)
+    evidence.add({ digests: ['plain'], incarnation: 'a', sentAt: 0, others: 0, targets: 9 }, 100)
     evidence.evaluate(100 + CRASH_WINDOW_MS)
     evidence.addAbandoned({ digests: ['x'], incarnation: 'a', sentAt: 101, abandonedAt: 1_000 })
     expect(evidence.infer('a', () => -Infinity, 4_000)).toEqual([])
@@ -165,7 +165,7 @@
   it('should not count a target that ended longer after the gateway had stopped waiting than it works on', () => {
     const evidence = new CrashEvidence()
     evidence.addAbandoned({ digests: ['x'], incarnation: 'a', sentAt: 0, abandonedAt: 100 })
-    evidence.add({ digests: ['plain'], incarnation: 'a', sentAt: 0, others: 0 }, 101 + ABANDONED_GRACE_MS)
+    evidence.add({ digests: ['plain'], incarnation: 'a', sentAt: 0, others: 0, targets: 9 }, 101 + ABANDONED_GRACE_MS)
     expect(evidence.evaluate(101 + ABANDONED_GRACE_MS + CRASH_WINDOW_MS)).toEqual([{ digest: 'plain', incarnation: 'a' }])
   })
 
--- a/tests/core/suspect/SuspectListTests.ts
+++ b/tests/core/suspect/SuspectListTests.ts
@@ -1,7 +1,7 @@
 import { expect } from 'earl'
 import {
-  CRASH_WINDOW_MS, CrashEvidence, getSuspectDigests, getSuspectKey, InputsInProgress, REFUSAL_MS, SUSPECT_RETENTION_MS, SuspectList,
-  type LostRequest, type SuspectIdentity
+  ANSWERED_MS, AnsweredRequests, ContentsInProgress, CRASH_WINDOW_MS, CrashEvidence, getSuspectDigests, getSuspectKey, REFUSAL_MS,
+  SUSPECT_RETENTION_MS, SuspectList, type LostRequest, type SuspectIdentity
 } from '../../../src/core/suspect/index.js'
 
 /** Requests that are lost at times in milliseconds: the digest, the incarnation, the others in progress there, and the time of sending. */
@@ -9,9 +9,12 @@
 
 /** A turn of a program. */
 const TURN: SuspectIdentity = {
-  address: 'a', program: 'p1', method: 'POST', host: 'h', target: '/t', previousTurn: 't1', body: Buffer.from('continue')
+  workspace: undefined, program: 'p1', method: 'POST', host: 'h', target: '/t', previousTurn: 't1', body: Buffer.from('continue')
 }
 
+/** Targets that could have run a request. */
+const TARGETS = 9
+
 /** `contactMs` of the sites, in milliseconds. */
 const CONTACT_MS = 4_000
 
@@ -27,7 +30,7 @@
   }
   for (const [at, digest, incarnation, others = 0, sentAt = at - SENT_BEFORE_MS] of losses) {
     collect(at)
-    const lost: LostRequest = { digests: [digest], incarnation, others, sentAt }
+    const lost: LostRequest = { digests: [digest], incarnation, others, targets: TARGETS, sentAt }
     evidence.add(lost, at)
   }
   collect(Infinity)
@@ -77,7 +80,7 @@
 
   it('should be cleared by a complete answer, before and after the crash is evaluated', () => {
     const evidence = new CrashEvidence()
-    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, sentAt: 0 }, 0)
+    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, targets: TARGETS, sentAt: 0 }, 0)
     evidence.clear('x')
     expect(evidence.evaluate(CRASH_WINDOW_MS)).toEqual([])
     const list = new SuspectList()
@@ -122,25 +125,45 @@
   it('should be recognized without a body', () => {
     const lookup = { ...TURN, program: undefined, method: 'GET', target: '/lookup/x', previousTurn: undefined, body: undefined }
     expect(getSuspectDigests(lookup)).toEqual(getSuspectDigests({ ...lookup }))
-    expect(getSuspectDigests(lookup).input).toEqual(undefined)
+    expect(getSuspectDigests(lookup).request).toEqual(undefined)
   })
 
-  // BUDGET: a caller that sent such a turn again in a new program each time was never recognized.
-  it('should be recognized in another program and after another turn of the same caller', () => {
-    const again = { ...TURN, program: 'p2', previousTurn: 't2' }
-    expect(getSuspectDigests(again).input).toEqual(getSuspectDigests(TURN).input)
-    expect(evaluate([[0, 'input', 'a'], [5_000, 'input', 'b'], [10_000, 'input', 'c']])).toEqual(['input a', 'input b', 'input c'])
+  // BUDGET: a request that came from another address, or in a new program, was another one each time.
+  it('should be recognized in another program and after another turn', () => {
+    for (const again of [{ program: 'p2', previousTurn: 't2' }, { program: undefined, previousTurn: undefined }]) {
+      expect(getSuspectDigests({ ...TURN, ...again }).content).toEqual(getSuspectDigests(TURN).content)
+    }
+    expect(evaluate([[0, 'content', 'a'], [5_000, 'content', 'b'], [10_000, 'content', 'c']])).toEqual(['content a', 'content b', 'content c'])
+  })
+
+  // BUDGET: what several callers had in progress at the same time was not counted against the content.
+  it('should be recognized when several callers send it, also as many as there are targets, from the second time on', () => {
+    const evidence = new CrashEvidence()
+    const counted = [0, 2_000, 4_000].map(now => {
+      for (const incarnation of ['a', 'b', 'c']) {
+        evidence.add({ digests: ['content'], shared: 'content', incarnation: `${incarnation}${now}`, others: 0, targets: 3, sentAt: now - 1 }, now)
+      }
+      return evidence.evaluate(now + CRASH_WINDOW_MS).map(({ incarnation }) => incarnation)
+    })
+    expect(counted).toEqual([[], ['a2000'], ['a4000']])
+    for (const incarnation of ['d', 'e']) {
+      evidence.add({ digests: ['content'], shared: 'content', incarnation, others: 0, targets: TARGETS, sentAt: 5_999 }, 6_000)
+    }
+    expect(evidence.evaluate(6_000 + CRASH_WINDOW_MS)).toEqual([{ digest: 'content', incarnation: 'd' }])
+    expect(evidence.getUncounted('content')).toEqual(['e'])
+    evidence.clear('content')
+    expect(evidence.getUncounted('content')).toEqual([])
   })
 
-  it('should be recognized as the only request with its input when its caller sends it again', () => {
-    const inputs = new InputsInProgress()
+  it('should be recognized as the only request with its content when its caller sends it again', () => {
+    const contents = new ContentsInProgress()
     const uses = Array.from({ length: 3 }, () => {
-      const use = inputs.begin('input')
-      inputs.end('input', use)
+      const use = contents.begin('content')
+      contents.end('content', use)
       return use
     })
     expect(uses.map(({ isShared }) => isShared)).toEqual([false, false, false])
-    expect(inputs.getSize()).toEqual(0)
+    expect(contents.getSize()).toEqual(0)
   })
 
   it('should be refused for longer with each crash after a refusal has ended', () => {
@@ -195,23 +218,32 @@
       .toEqual(others.length + 1)
   })
 
-  it('should not be suspected because of the same input of another caller, or another input', () => {
+  it('should not be suspected because of the same content in another workspace, or another content', () => {
     const others: Array<Partial<SuspectIdentity>> = [
-      { address: 'b' }, { method: 'PUT' }, { host: 'g' }, { target: '/u' }, { body: Buffer.from('x') }, { body: undefined }
+      { workspace: 'w' }, { method: 'PUT' }, { host: 'g' }, { target: '/u' }, { body: Buffer.from('x') }, { body: undefined }
     ]
-    expect(new Set([TURN, ...others.map(other => ({ ...TURN, ...other }))].map(identity => getSuspectDigests(identity).input)).size)
+    expect(new Set([TURN, ...others.map(other => ({ ...TURN, ...other }))].map(identity => getSuspectDigests(identity).content)).size)
       .toEqual(others.length + 1)
   })
 
-  it('should share its input with all requests that are in progress at some time during it', () => {
-    const inputs = new InputsInProgress()
-    const [first, second] = [inputs.begin('input'), inputs.begin('input')]
-    const other = inputs.begin('another input')
-    inputs.end('input', first)
-    const third = inputs.begin('input')
-    inputs.end('input', second)
-    inputs.end('input', third)
-    const last = inputs.begin('input')
+  // LOST: what is merely popular is in progress at most targets that go down.
+  it('should count as answered for less than the time in which one that crashes targets is to be stopped', () => {
+    const answered = new AnsweredRequests()
+    answered.record('x', 0)
+    answered.record('y', 1_000)
+    expect(['x', 'y', 'z'].map(digest => answered.has(digest, ANSWERED_MS))).toEqual([false, true, false])
+    expect(ANSWERED_MS).toBeLessThan(CONTACT_MS)
+  })
+
+  it('should share its content with all requests that are in progress at some time during it', () => {
+    const contents = new ContentsInProgress()
+    const [first, second] = [contents.begin('content'), contents.begin('content')]
+    const other = contents.begin('other')
+    contents.end('content', first)
+    const third = contents.begin('content')
+    contents.end('content', second)
+    contents.end('content', third)
+    const last = contents.begin('content')
     expect([first, second, other, third, last].map(({ isShared }) => isShared)).toEqual([true, true, false, true, false])
   })
 
@@ -230,14 +262,14 @@
 
   it('should not be suspected when its connection is lost and the target responds to a later request', () => {
     const evidence = new CrashEvidence()
-    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, sentAt: 0 }, 10)
+    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, targets: TARGETS, sentAt: 0 }, 10)
     evidence.disprove('b', 20)
     evidence.disprove('a', 9)
     expect(evidence.evaluate(CRASH_WINDOW_MS + 10)).toEqual([{ digest: 'x', incarnation: 'a' }])
-    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, sentAt: 1_000 }, 1_010)
+    evidence.add({ digests: ['x'], incarnation: 'a', others: 0, targets: TARGETS, sentAt: 1_000 }, 1_010)
     evidence.disprove('a', 1_011)
     expect(evidence.evaluate(2_000)).toEqual([])
-    evidence.add({ digests: ['x'], incarnation: 'b', others: 0, sentAt: 3_000 }, 3_010)
+    evidence.add({ digests: ['x'], incarnation: 'b', others: 0, targets: TARGETS, sentAt: 3_000 }, 3_010)
     evidence.disprove('b', 3_010 + CRASH_WINDOW_MS)
     expect(evidence.evaluate(4_000)).toEqual([{ digest: 'x', incarnation: 'b' }])
   })
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -20,7 +20,7 @@
 /** Milliseconds in which a gateway looks for the ends of targets once at least. */
 const JUDGE_POLL_MS = 700
 
-const DIGESTS: SuspectDigests = { request: 'request', input: 'input', content: 'content' }
+const DIGESTS = { request: 'request', content: 'content' } satisfies SuspectDigests
 
 /** A gateway's suspects with a clock of its own. */
 interface SuspectGateway {
@@ -248,7 +248,7 @@
     state.recordHeard(first.clock.now(), connection)
     advance(ABANDONED_GRACE_MS + 1)
     state.recordHeard(first.clock.now(), connection)
-    await first.suspects.clear({ request: 'other', input: undefined, content: 'other' }, 'r3')
+    await first.suspects.clear({ request: 'other', content: 'others' }, 'r3')
     expect(first.suspects.needsTrial(DIGESTS)).toEqual(false)
   })
 
@@ -355,8 +355,8 @@
 
   /** Loses a request at a target; the crash counts after the window. */
   async function crash ({ clock, suspects }: SuspectGateway, incarnation: string): Promise<void> {
-    const digests = [DIGESTS.request, DIGESTS.input!]
-    const counted = suspects.record({ digests, incarnation, others: 0, sentAt: clock.now() }, { req: 'r1' })
+    const digests = [DIGESTS.request, DIGESTS.content]
+    const counted = suspects.record({ digests, incarnation, others: 0, targets: 8, sentAt: clock.now() }, { req: 'r1' })
     advance(CRASH_WINDOW_MS)
     await counted
   }
