Recognize requests that crash targets by the beginning of a long body

Cause: each length was another content. Turns of programs repeat their history, so that what crashes targets comes again with something else behind it.

--- a/src/core/suspect/SuspectDigests.ts
+++ b/src/core/suspect/SuspectDigests.ts
@@ -1,5 +1,8 @@
 import { createHash } from 'node:crypto'
 
+/** Number of bytes by which bodies that begin alike are recognized. */
+const OPENING_BYTES = 256
+
 /** What identifies a request across retries. */
 export interface SuspectIdentity {
   /** Workspace of the caller's key; undefined where the request needs none. */
@@ -26,17 +29,35 @@
    * are told apart by their answers, see {@link AnsweredRequests}.
    */
   readonly content: string
+  /**
+   * Identifies the same path and the same beginning of longer bodies, in any program of a workspace; undefined for a short body.
+   *
+   * The prompt of each turn repeats the earlier ones, so that what crashes targets comes again with something else behind it. Requests with
+   * a common beginning are told apart by the answers to any of them.
+   */
+  readonly opening: string | undefined
 }
 
 /** Gets the digests that identify a request across retries. */
 export function getSuspectDigests (identity: SuspectIdentity): SuspectDigests {
   const { workspace, program, method, host, target, previousTurn, body } = identity
-  const bodyDigest = body === undefined ? null : createHash('sha1').update(body).digest('hex')
-  const toDigest = (...sender: ReadonlyArray<string | null>): string => {
-    return createHash('sha1').update(JSON.stringify([...sender, workspace ?? null, method, host, target, bodyDigest])).digest('hex')
+  const toDigest = (kind: string, bytes: Buffer | undefined, ...sender: ReadonlyArray<string | null>): string => {
+    const bodyDigest = bytes === undefined ? null : sha1(bytes)
+    return sha1(JSON.stringify([kind, ...sender, workspace ?? null, method, host, target, bodyDigest]))
   }
+  const hasOpening = body !== undefined && body.length > OPENING_BYTES
   return {
-    request: program === undefined ? undefined : toDigest('request', program, previousTurn ?? null),
-    content: toDigest('content')
+    request: program === undefined ? undefined : toDigest('request', body, program, previousTurn ?? null),
+    content: toDigest('content', body),
+    opening: hasOpening ? toDigest('opening', body.subarray(0, OPENING_BYTES)) : undefined
   }
 }
+
+/** Gets the digests of a request from the narrowest to the widest. */
+export function getAllDigests ({ request, content, opening }: SuspectDigests): string[] {
+  return [request, content, opening].filter(digest => digest !== undefined)
+}
+
+function sha1 (data: string | Buffer): string {
+  return createHash('sha1').update(data).digest('hex')
+}
--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -6,7 +6,7 @@
 import { getMaxPermitWaitMs, getRetrySeconds, type RetryBudget } from '../../core/limits/index.js'
 import type { BegunStream } from '../../core/origin/index.js'
 import { getCallerWaitMs, isRepeatable, RouteKind } from '../../core/route/index.js'
-import type { SentRun, Trial } from '../../core/suspect/index.js'
+import { getAllDigests, type SentRun, type Trial } from '../../core/suspect/index.js'
 import type { Placement, TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
 import type { AdmissionEntry, AdmissionGate } from './AdmissionGate.js'
@@ -633,9 +633,9 @@
   private _getSentRun ({ state, sentAt, wasSilent }: Run): SentRun | undefined {
     const { suspect } = this._exchange
     if (suspect === undefined) return undefined
-    const { digests: { request, content }, contentUse } = suspect
-    const shared = contentUse.isShared ? content : undefined
-    return { digests: request === undefined ? [content] : [request, content], shared, incarnation: state.incarnation, sentAt, wasSilent }
+    const { digests, contentUse } = suspect
+    const shared = contentUse.isShared ? digests.content : undefined
+    return { digests: getAllDigests(digests), shared, incarnation: state.incarnation, sentAt, wasSilent }
   }
 
   /** Records that this gateway has stopped waiting for a target that may still run the request. */
--- a/src/io/gateway/SuspectStore.ts
+++ b/src/io/gateway/SuspectStore.ts
@@ -2,9 +2,9 @@
 import type { Clock } from '../../core/clock/index.js'
 import { ROWS_PER_TRANSACTION, StoreError, StoreTime, type RowChange, type RowKey, type StoredRow } from '../../core/platform/index.js'
 import {
-  AnsweredRequests, CRASH_WINDOW_MS, CrashEvidence, decodeTrialKey, getSuspectKey, getSuspectTime, ABANDONED_GRACE_MS, mayHaveEnded,
-  SuspectList, SUSPECT_RETENTION_MS, toSuspectRow, type AbandonedRun, type CrashRecord, type GetHeardAt, type LostRequest, type SentRun,
-  type SuspectDigests, type Trial, type TrialRun
+  ABANDONED_GRACE_MS, AnsweredRequests, CRASH_WINDOW_MS, CrashEvidence, decodeTrialKey, getAllDigests, getSuspectKey, getSuspectTime,
+  mayHaveEnded, OPENING_ANSWERED_MS, SUSPECT_RETENTION_MS, SuspectList, toSuspectRow, type AbandonedRun, type CrashRecord,
+  type GetHeardAt, type LostRequest, type SentRun, type SuspectDigests, type Trial, type TrialRun
 } from '../../core/suspect/index.js'
 import { TargetEndCause, type TargetState } from '../../core/target/index.js'
 import type { DecisionLog } from '../process/index.js'
@@ -100,6 +100,7 @@
   private readonly _options: SuspectStoreOptions
   private readonly _evidence = new CrashEvidence()
   private readonly _answered = new AnsweredRequests()
+  private readonly _answeredOpenings = new AnsweredRequests({ retentionMs: OPENING_ANSWERED_MS })
   private readonly _list = new SuspectList()
   private readonly _expiring: ExpiringRows
   private readonly _storeTime = new StoreTime()
@@ -120,13 +121,13 @@
   /** Gets the milliseconds for which a request must not be run; 0 if it may be. */
   getRefusedMs (digests: SuspectDigests): number {
     const now = this._options.clock.now()
-    return Math.max(...getAll(digests).map(digest => this._list.getRefusedMs(digest, now)))
+    return Math.max(...this._getCounted(digests).map(digest => this._list.getRefusedMs(digest, now)))
   }
 
   /** Gets the number of targets that a request is known to have crashed. */
   countCrashes (digests: SuspectDigests): number {
     const now = this._options.clock.now()
-    return Math.max(...getAll(digests).map(digest => this._list.getIncarnations(digest, now).length))
+    return Math.max(...this._getCounted(digests).map(digest => this._list.getIncarnations(digest, now).length))
   }
 
   /** Checks whether a request has crashed so many targets, or may have, that only one of its copies may be run at a time. */
@@ -226,8 +227,10 @@
   /** Forgets the crashes of a request that a target has answered, at all gateways: the request did not cause them. */
   async clear (digests: SuspectDigests, requestId: string): Promise<void> {
     const { log } = this._options
-    for (const digest of getAll(digests)) {
-      this._answered.record(digest, this._options.clock.now())
+    const now = this._options.clock.now()
+    if (digests.opening !== undefined) this._answeredOpenings.record(digests.opening, now)
+    for (const digest of getAllDigests(digests)) {
+      this._answered.record(digest, now)
       this._evidence.clear(digest)
       const incarnations = this._list.clear(digest)
       const trial = this._trials.take(digest)
@@ -252,12 +255,12 @@
   /** Gets the digests under which a request may be run only by one gateway at a time. */
   private _getTried (digests: SuspectDigests): string[] {
     const now = this._options.clock.now()
-    return getAll(digests).filter(digest => this._list.isConfirmed(digest, now) || this._isSuspected(digest, now))
+    return this._getCounted(digests).filter(digest => this._list.isConfirmed(digest, now) || this._isSuspected(digest, now))
   }
 
   /** Checks whether a request that is not refused may have crashed several targets; not one that targets answer. */
   private _isSuspected (digest: string, now: number): boolean {
-    if (this._answered.has(digest, now)) return false
+    if (this._isAnswered(digest, now)) return false
     if ((this._trials.getOther(digest)?.runs.length ?? 0) > 0 && this._trials.isBegun([digest])) return true
     const unjudged = this._getUnjudged(digest).map(({ incarnation }) => incarnation)
     const uncounted = this._evidence.getUncounted(digest)
@@ -267,7 +270,17 @@
   /** Gets the digests of a run under which no target has answered lately. */
   private _getUnanswered ({ digests }: SentRun): readonly string[] {
     const now = this._options.clock.now()
-    return digests.filter(digest => !this._answered.has(digest, now))
+    return digests.filter(digest => !this._isAnswered(digest, now))
+  }
+
+  /** Gets the digests under which crashes count: not the beginning of a body if a target has answered one that begins so. */
+  private _getCounted (digests: SuspectDigests): string[] {
+    const now = this._options.clock.now()
+    return getAllDigests(digests).filter(digest => !this._answeredOpenings.has(digest, now))
+  }
+
+  private _isAnswered (digest: string, now: number): boolean {
+    return this._answered.has(digest, now) || this._answeredOpenings.has(digest, now)
   }
 
   /** Gets the runs of a request whose targets have sent nothing since, and may have ended. */
@@ -450,7 +463,3 @@
     }
   }
 }
-
-function getAll ({ request, content }: SuspectDigests): string[] {
-  return request === undefined ? [content] : [request, content]
-}
--- a/tests/core/suspect/SuspectListTests.ts
+++ b/tests/core/suspect/SuspectListTests.ts
@@ -136,6 +136,17 @@
     expect(evaluate([[0, 'content', 'a'], [5_000, 'content', 'b'], [10_000, 'content', 'c']])).toEqual(['content a', 'content b', 'content c'])
   })
 
+  // BUDGET: each turn of a program that repeats its history was another request, as its body was longer.
+  it('should be recognized when something else follows the same beginning of a long body', () => {
+    const toDigests = (length: number, start: string): ReturnType<typeof getSuspectDigests> => {
+      return getSuspectDigests({ ...TURN, body: Buffer.from(start.padEnd(length, 'history ')) })
+    }
+    const [first, longer, other, short] = [toDigests(1_000, 'a'), toDigests(2_000, 'a'), toDigests(1_000, 'b'), toDigests(20, 'a')]
+    expect([longer, other].map(({ content }) => content === first.content)).toEqual([false, false])
+    expect([longer, other].map(({ opening }) => opening === first.opening)).toEqual([true, false])
+    expect(short.opening).toEqual(undefined)
+  })
+
   // BUDGET: what several callers had in progress at the same time was not counted against the content.
   it('should be recognized when several callers send it, also as many as there are targets, from the second time on', () => {
     const evidence = new CrashEvidence()
--- a/tests/io/gateway/SuspectStoreTests.ts
+++ b/tests/io/gateway/SuspectStoreTests.ts
@@ -20,7 +20,7 @@
 /** Milliseconds in which a gateway looks for the ends of targets once at least. */
 const JUDGE_POLL_MS = 700
 
-const DIGESTS = { request: 'request', content: 'content' } satisfies SuspectDigests
+const DIGESTS = { request: 'request', content: 'content', opening: undefined } satisfies SuspectDigests
 
 /** A gateway's suspects with a clock of its own. */
 interface SuspectGateway {
@@ -152,6 +152,39 @@
     expect([(await second.suspects.admit(DIGESTS, 'r4')).type, rows.getTableSize(SUSPECT_TABLE)]).toEqual(['admitted', 0])
   })
 
+  // LOST: what is merely popular is at most targets that go down, and so is what begins as a request that crashes targets.
+  it('should not count crashes against what targets have answered lately, and not at all against the beginning of answered bodies', async () => {
+    const deadly = { request: undefined, content: 'deadly', opening: 'opening' }
+    const popular = { request: undefined, content: 'popular', opening: 'opening' }
+    const lose = async (digests: SuspectDigests, incarnation: string): Promise<void> => {
+      const all = [digests.content, digests.opening!]
+      const counted = first.suspects.record({ digests: all, incarnation, others: 0, targets: 8, sentAt: first.clock.now() }, { req: 'r1' })
+      advance(CRASH_WINDOW_MS)
+      await counted
+    }
+    for (const incarnation of ['a', 'b', 'c']) {
+      await first.suspects.clear(popular, 'r1')
+      await lose(popular, incarnation)
+    }
+    expect([first.suspects.countCrashes(popular), first.suspects.needsTrial(popular)]).toEqual([0, false])
+    for (const incarnation of ['d', 'e', 'f']) await lose(deadly, incarnation)
+    expect([deadly, popular].map(digests => first.suspects.getRefusedMs(digests) > 0)).toEqual([true, false])
+  })
+
+  // BUDGET: bodies that begin alike were refused each by itself.
+  it('should count crashes against the beginning of bodies while none of them was answered', async () => {
+    for (const incarnation of ['a', 'b', 'c']) {
+      const counted = first.suspects.record(
+        { digests: [incarnation, 'opening'], incarnation, others: 0, targets: 8, sentAt: first.clock.now() }, { req: 'r1' })
+      advance(CRASH_WINDOW_MS)
+      await counted
+    }
+    const next = { request: undefined, content: 'next', opening: 'opening' }
+    expect(first.suspects.getRefusedMs(next)).toBeGreaterThan(0)
+    await first.suspects.clear({ ...next, content: 'other' }, 'r2')
+    expect(first.suspects.getRefusedMs(next)).toEqual(0)
+  })
+
   it('should let the next request try when a trial has reached no target', async () => {
     for (const incarnation of ['a', 'b', 'c']) await crash(first, incarnation)
     advance(REFUSAL_MS[0])
@@ -248,7 +281,7 @@
     state.recordHeard(first.clock.now(), connection)
     advance(ABANDONED_GRACE_MS + 1)
     state.recordHeard(first.clock.now(), connection)
-    await first.suspects.clear({ request: 'other', content: 'others' }, 'r3')
+    await first.suspects.clear({ request: 'other', content: 'others', opening: undefined }, 'r3')
     expect(first.suspects.needsTrial(DIGESTS)).toEqual(false)
   })
 
