Check again for crashes of a request right before it is sent

What callers saw: requests that waited for a target, a retry or admission were sent although their third crash had become known meanwhile, up to seconds later. Cause: Attempts.next checked once, before all waits. Change: it checks again when the target is chosen, and goes back to the first check, which refuses the request or begins its trial.

--- a/src/io/gateway/Attempts.ts
+++ b/src/io/gateway/Attempts.ts
@@ -158,6 +158,8 @@
   private _trial: Trial | undefined
   /** Attempts that may have run before the trial began. */
   private _runsBeforeTrial = 0
+  /** True if the request needed a trial when it was checked, and none could begin. */
+  private _isUntried = false
 
   constructor (context: AttemptContext, exchange: Exchange, options: AttemptsOptions = {}) {
     this._context = context
@@ -199,6 +201,10 @@
         this._exchange.refuse(refusal)
         return undefined
       }
+      if (this._isSuspectNow()) {
+        this._returnAdmission()
+        continue
+      }
       if (this._trial !== undefined) await this._context.suspects.recordTrialRun(this._trial, placed.placement.state.incarnation)
       const attempt = await this._sendUntilDue(placed.placement, { body, lastEventId, stream })
       if (attempt !== undefined) return attempt
@@ -665,9 +671,18 @@
     if (admission.type === 'refused') return admission.refusedMs
     this._trial = admission.trial
     this._runsBeforeTrial = this._runs
+    this._isUntried = admission.trial === undefined && suspects.needsTrial(suspect.digests)
     return 0
   }
 
+  /** Checks whether crashes of the request have become known while it waited to be sent, so that it has to be checked again. */
+  private _isSuspectNow (): boolean {
+    const { suspects } = this._context
+    const { suspect } = this._exchange
+    if (suspect === undefined || this._trial !== undefined) return false
+    return suspects.getRefusedMs(suspect.digests) > 0 || (!this._isUntried && suspects.needsTrial(suspect.digests))
+  }
+
   /** Checks whether only one target at a time may run the request. */
   private _needsTrial (): boolean {
     const { suspect } = this._exchange
--- a/tests/processes/CrashTests.ts
+++ b/tests/processes/CrashTests.ts
@@ -1,4 +1,6 @@
 import { expect } from 'earl'
+import { getSuspectDigests, toSuspectRow } from '../../src/core/suspect/index.js'
+import { FIXTURE_HOST } from '../../tools/platform/PlatformFixture.js'
 import { GatewayHarness, waitFor } from './GatewayHarness.js'
 
 /** Number of times that targets crash. */
@@ -7,6 +9,9 @@
 /** Requests at the same time when all targets crash. */
 const REQUESTS = 8
 
+/** Milliseconds for which a request waits at least, so that a change of the store is known before. */
+const MIN_WAIT_MS = 150
+
 describe('a gateway whose targets crash', () => {
   let harness: GatewayHarness
 
@@ -41,6 +46,32 @@
     expect((await harness.call({ id: 'other', path: '/booking/y', method: 'GET' })).status).toEqual(200)
   })
 
+  // BUDGET: a request was checked before it waited for a target, and was sent although its third crash had become known meanwhile.
+  it('should refuse requests that wait for a target when their third crash becomes known', async () => {
+    const { desks, store } = harness.fixture
+    for (const desk of desks) desk.requestsPerSecond = 2
+    const [path, body] = ['/lookup/x', 'x']
+    const getAwaited = (): string[] => {
+      return harness.gateway.getEvents('permit-awaited').filter(({ waitMs }) => Number(waitMs) > MIN_WAIT_MS).map(({ req }) => String(req))
+    }
+    const sent: Array<Promise<unknown>> = []
+    for (let at = 0; getAwaited().length === 0; at++) {
+      sent.push(harness.call({ id: `w${at}`, path, body }))
+      await new Promise(resolve => { setTimeout(resolve, 20) })
+    }
+    const { content } = getSuspectDigests({
+      workspace: undefined, program: undefined, method: 'POST', host: FIXTURE_HOST, target: path, previousTurn: undefined, body: Buffer.from(body)
+    })
+    store.rows.apply({ puts: ['a', 'b', 'c'].map(incarnation => toSuspectRow(content, incarnation, undefined)) })
+    await Promise.all(sent)
+    const awaited = getAwaited()
+    expect(awaited.flatMap(id => harness.getRuns(id))).toEqual([])
+    const isRefused = (id: string): boolean => {
+      return harness.gateway.getEvents('refused').some(({ req, reason }) => req === id && reason === 'crashes-targets')
+    }
+    await waitFor(() => awaited.every(isRefused))
+  })
+
   // LOST: all turns with a common input were refused for good after the crash of a failure domain.
   it('should go on serving the input of requests that were in progress when all of them crashed together', async () => {
     const { engines } = harness.fixture
