Take an answer without a valid status for none

Cause: no check of the status of a final response. Change: a status outside 200 to 599 breaks the connection off, as other bytes that are no response do: the caller gets 502, and a repeatable request goes on at a second target.

--- a/src/io/gateway/ResponseHandler.ts
+++ b/src/io/gateway/ResponseHandler.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from 'undici'
-import type { ResponseHead } from '../../core/forward/index.js'
+import { isFinalStatus, type ResponseHead } from '../../core/forward/index.js'
 import type { ConnectionReader, TargetConnection } from './TargetConnection.js'
 
 /** Bytes of a response that are buffered for a slow caller before reading from the target is paused. */
@@ -8,8 +8,9 @@
 /** Interim responses (status 1xx) that are accepted before the response. */
 const MAX_INTERIM_RESPONSES = 16
 
-/** Status of the interim responses, whose headers count as those of one. */
+/** Lowest statuses of interim and of final responses; the headers of all interim responses count as those of one. */
 const INTERIM_STATUS = 100
+const FINAL_STATUS = 200
 
 /** A response whose head has arrived. */
 export interface TargetResponse {
@@ -94,7 +95,12 @@
 
   onResponseStart (controller: Dispatcher.DispatchController, status: number): void {
     const headers = getRawHeaders(controller)
-    if (status < 200) {
+    const isInterim = status >= INTERIM_STATUS && status < FINAL_STATUS
+    if (!isInterim && !isFinalStatus(status)) {
+      this._abort(new Error(`The response has status ${status}.`))
+      return
+    }
+    if (isInterim) {
       this._interimHeaders.push(...headers)
       this._interimResponses++
       if (this._interimResponses > MAX_INTERIM_RESPONSES) this._abort(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`))
