Take an answer to a sidecar without a valid status for none

Change: it ends the run like a lost connection, so that its outcome is unknown. Result: 2 of 5 cases of PlainClientTests fail before, all pass after, as do the others of tests/io/sidecar.

--- a/src/io/sidecar/TargetClient.ts
+++ b/src/io/sidecar/TargetClient.ts
@@ -1,5 +1,6 @@
 import { Agent, errors, request, type Dispatcher } from 'undici'
 import type { Dispatch } from '../../core/call/index.js'
+import { isFinalStatus } from '../../core/forward/index.js'
 import type { RunTermination } from '../../core/sidecar/index.js'
 
 /** Callbacks of a target client during a run. */
@@ -48,8 +49,13 @@
   /** Builds the termination of a run that was aborted or whose connection failed. */
   protected abstract toFailureTermination (err: unknown, signal: AbortSignal): RunTermination
 
+  /** Sends a request; rejects if the response has no valid status, which shows nothing of what the target has done. */
   protected async request (method: 'GET' | 'POST' | 'DELETE', path: string, init: RequestInit = {}): Promise<Dispatcher.ResponseData> {
-    return await request(`${this.options.url}${path}`, { method, dispatcher: this._agent, ...init })
+    const res = await request(`${this.options.url}${path}`, { method, dispatcher: this._agent, ...init })
+    if (isFinalStatus(res.statusCode)) return res
+    // Its abort is an error of the stream, which nobody reads.
+    res.body.on('error', () => {}).destroy()
+    throw new Error(`The target responded with status ${res.statusCode}.`)
   }
 }
 
