--- a/tools/soak/SoakPlan.ts
+++ b/tools/soak/SoakPlan.ts
@@ -21,6 +21,7 @@
   Crashes: 'crashes',
   CrashingRequest: 'crashing-request',
   CrashForms: 'crash-forms',
+  CrashSenders: 'crash-senders',
   HeldRequests: 'held-requests',
   LargeBreaks: 'large-breaks',
   ResumedTurns: 'resumed-turns',
--- a/tools/soak/SoakRegressions.ts
+++ b/tools/soak/SoakRegressions.ts
@@ -18,6 +18,7 @@
   { seed: 3833, seconds: 5, only: ['crashing-request'], cause: 'a target that was back under its id took back the crash of its former incarnation' },
   { seed: 3839, seconds: 5, only: ['crashing-request'], cause: 'a target that was back under its id took back the crash of its former incarnation' },
   { seed: 5302, seconds: 6, only: ['crash-forms'], cause: 'the next incarnation of a target was taken for the one that had ended' },
+  { seed: 7002, seconds: 5, only: ['crash-senders'], cause: 'a request that crashes targets was known by its sender' },
   { seed: 3, seconds: 1, only: ['crashes'], cause: 'turns with a common input were refused for good after a crash' },
   { seed: 1, seconds: 5, only: ['large-breaks'], cause: 'a large response that was broken off was not ended' },
   { seed: 1, seconds: 5, only: ['resumed-turns'], cause: 'a resumed turn was saved without its first events' },
--- a/tools/soak/disturbances/CrashingRequest.ts
+++ b/tools/soak/disturbances/CrashingRequest.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from 'node:http'
 import { setTimeout as sleep } from 'node:timers/promises'
+import type { PlatformCall } from '../../platform/PlatformCaller.js'
 import type { EngineResponder, EngineRun, EngineStandin } from '../../platform/EngineStandin.js'
 import { Disturbance } from '../Disturbance.js'
 import { CONTACT_MS } from '../TroubleLog.js'
@@ -23,6 +24,9 @@
   readonly end: (desk: EngineStandin, run: EngineRun, res: ServerResponse) => Promise<void>
 }
 
+/** What one try of the request sends, and from where. */
+export type CrashingTry = Pick<PlatformCall, 'body' | 'headers' | 'localAddress'>
+
 /** Sends a request, with or without a body, that crashes each target that runs it, again and again. */
 export class CrashingRequest extends Disturbance {
   private readonly _crashedAt: number[] = []
@@ -45,12 +49,18 @@
     return { copies: 1, leaveAfterMs: undefined, end: async desk => { desk.crash() } }
   }
 
+  /** Gets what the next try sends. */
+  protected _createTry (body: string | undefined): CrashingTry {
+    return { body }
+  }
+
   private async _try (path: string, body: string | undefined, { leaveAfterMs }: CrashingForm): Promise<void> {
     const slot = this._world.pickSlot(this._random)
     const id = this._world.createId('crash')
     const sentAt = performance.now()
     const signal = leaveAfterMs === undefined ? {} : { signal: AbortSignal.timeout(leaveAfterMs) }
-    await this._world.send({ id, path, body, slot, headers: { 'x-timeout-ms': '1500' }, ...signal })
+    const sent = this._createTry(body)
+    await this._world.send({ id, path, slot, ...sent, headers: { ...sent.headers, 'x-timeout-ms': '1500' }, ...signal })
     const knownAt = this._crashedAt[KNOWN_AFTER - 1]
     const isLate = knownAt !== undefined && sentAt > knownAt + CONTACT_MS
     if (!isLate || slot === undefined || !this._world.trouble.isCalm(slot.index, sentAt)) return
--- a/tools/soak/disturbances/index.ts
+++ b/tools/soak/disturbances/index.ts
@@ -3,6 +3,7 @@
 import { ConfigChanges } from './ConfigChanges.js'
 import { Crashes } from './Crashes.js'
 import { CrashForms } from './CrashForms.js'
+import { CrashSenders } from './CrashSenders.js'
 import { CrashingRequest } from './CrashingRequest.js'
 import { Endless } from './Endless.js'
 import { FailingTarget } from './FailingTarget.js'
@@ -31,6 +32,7 @@
   crashes: options => new Crashes(options),
   'crashing-request': options => new CrashingRequest(options),
   'crash-forms': options => new CrashForms(options),
+  'crash-senders': options => new CrashSenders(options),
   'held-requests': options => new HeldRequests(options),
   'large-breaks': options => new LargeBreaks(options),
   'resumed-turns': options => new ResumedTurns(options),
