Hash a body once for the digests of a request

Cause: two digests are over the whole body, which was hashed for each. Change: its digest is shared. Result: the tests of core/suspect pass; no digest changes.

--- a/src/core/suspect/SuspectDigests.ts
+++ b/src/core/suspect/SuspectDigests.ts
@@ -41,15 +41,15 @@
 /** Gets the digests that identify a request across retries. */
 export function getSuspectDigests (identity: SuspectIdentity): SuspectDigests {
   const { workspace, program, method, host, target, previousTurn, body } = identity
-  const toDigest = (kind: string, bytes: Buffer | undefined, ...sender: ReadonlyArray<string | null>): string => {
-    const bodyDigest = bytes === undefined ? null : sha1(bytes)
-    return sha1(JSON.stringify([kind, ...sender, workspace ?? null, method, host, target, bodyDigest]))
+  const bodyDigest = body === undefined ? null : sha1(body)
+  const toDigest = (kind: string, bytesDigest: string | null, ...sender: ReadonlyArray<string | null>): string => {
+    return sha1(JSON.stringify([kind, ...sender, workspace ?? null, method, host, target, bytesDigest]))
   }
   const hasOpening = body !== undefined && body.length > OPENING_BYTES
   return {
-    request: program === undefined ? undefined : toDigest('request', body, program, previousTurn ?? null),
-    content: toDigest('content', body),
-    opening: hasOpening ? toDigest('opening', body.subarray(0, OPENING_BYTES)) : undefined
+    request: program === undefined ? undefined : toDigest('request', bodyDigest, program, previousTurn ?? null),
+    content: toDigest('content', bodyDigest),
+    opening: hasOpening ? toDigest('opening', sha1(body.subarray(0, OPENING_BYTES))) : undefined
   }
 }
 
