--- a/review/harness-2/world.mjs
+++ b/review/harness-2/world.mjs
@@ -148,9 +148,9 @@
     this.respond = () => false
   }
 
-  async start (store = this.store) {
+  async start (store = this.store, born = Date.now()) {
     this.store = store
-    this.born = Date.now()
+    this.born = born
     this.sockets = new Set()
     this.server = createServer((req, res) => { this.serve(req, res).catch(() => { res.destroy() }) })
     this.server.keepAliveTimeout = 5_000
