Start with any value of the platform that a gateway can do without

Cause: the template appended three digits to a text, {{bounds.graceS}}000, so that 8.5 became 8.5000 and 8.0 became 8.0000, which the schema refuses; a figure without a value made the file no TOML. Any such value ended every start. The schema's whole numbers and its lack of defaults are the same class. Settings are parsed with a list of keys that may be replaced: a value that is missing, no TOML, of another type or out of range is left out, and its default is used and reported (settings-defaulted); at a reload the value in force is kept. A start is refused only without the id or an address. The comment of a line names the platform's field, and findings quote it.

--- a/src/core/config/Finding.ts
+++ b/src/core/config/Finding.ts
@@ -9,11 +9,14 @@
   readonly problem: string
   /** Description of a valid value. */
   readonly expected: string
+  /** Source of a rendered value, as the comment of its line names it. */
+  readonly source?: string
 }
 
-/** Formats a finding as one line: `file:line: key: problem; expected …`. */
+/** Formats a finding as one line: `file:line: key: problem; expected … (from …)`. */
 export function formatFinding (finding: Finding): string {
   const location = finding.line === 0 ? finding.file : `${finding.file}:${finding.line}`
   const key = finding.key === '' ? '' : ` ${finding.key}:`
-  return `${location}:${key} ${finding.problem}; expected ${finding.expected}`
+  const source = finding.source === undefined ? '' : ` (from ${finding.source})`
+  return `${location}:${key} ${finding.problem}; expected ${finding.expected}${source}`
 }
--- a/src/core/config/TomlLocator.ts
+++ b/src/core/config/TomlLocator.ts
@@ -6,6 +6,8 @@
 export class TomlLocator {
   private readonly _lines = new Map<string, number>()
   private readonly _counts = new Map<string, number>()
+  /** Table of each line, from the first one. */
+  private readonly _tables: string[] = []
 
   constructor (text: string) {
     let prefix = ''
@@ -15,6 +17,7 @@
       if (array !== null) prefix = this._startElement(array[1]!.trim(), index + 1)
       else if (table !== null) prefix = this._startTable(table[1]!.trim(), index + 1)
       else this._addKey(prefix, content, index + 1)
+      this._tables.push(prefix)
     })
   }
 
@@ -27,6 +30,11 @@
     return 0
   }
 
+  /** Gets the dotted name of the table that a line belongs to; empty for the root. */
+  getTable (line: number): string {
+    return this._tables[line - 1] ?? ''
+  }
+
   private _startElement (name: string, line: number): string {
     const path = this._resolve(name.split('.').slice(0, -1), name.split('.').at(-1)!)
     const index = this._counts.get(path) ?? 0
--- a/src/core/config/parseToml.ts
+++ b/src/core/config/parseToml.ts
@@ -24,7 +24,8 @@
   }
 }
 
-function toFindings (file: string, locator: TomlLocator, issue: z.core.$ZodIssue): Finding[] {
+/** Gets the findings of an issue of a schema. */
+export function toFindings (file: string, locator: TomlLocator, issue: z.core.$ZodIssue): Finding[] {
   if (issue.code === 'unrecognized_keys') {
     return issue.keys.map(key => toFinding(file, locator, [...issue.path, key], 'unknown key', 'a key named in docs/CONFIGURATION.md'))
   }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from 'node:http'
+import { isDeepStrictEqual } from 'node:util'
 import { getHeapStatistics } from 'node:v8'
 import { periodic } from 'most'
 import type { Either } from 'purify-ts'
@@ -433,17 +434,18 @@
     return {
       peers,
       readiness: await this._status.listenForReadiness(listen.readiness),
-      metrics: await this._status.listenForMetrics(listen.metrics),
+      metrics: listen.metrics === undefined ? undefined : await this._status.listenForMetrics(listen.metrics),
       callers: await this._server.listen(listen.callers)
     }
   }
 
-  /** Applies changed settings; a change of the listening addresses, the gateway's location or the placement policy needs a restart. */
+  /** Applies changed settings; all except the grace period and the address of the store need a restart. */
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log } = this._options
     this._graceMs = settings.graceMs
-    const needsRestart = ['id', 'failureDomain', 'regions', 'listen', 'placement', 'drainMs', 'limits', 'overload', 'quotaTolerance'] as const
-    const ignored = needsRestart.filter(key => JSON.stringify(settings[key]) !== JSON.stringify(startSettings[key]))
+    const inForce = { ...startSettings, graceMs: settings.graceMs, store: { ...startSettings.store, address: settings.store.address } }
+    const keys = Object.keys(settings) as Array<keyof GatewaySettings>
+    const ignored = keys.filter(key => !isDeepStrictEqual(inForce[key], settings[key]))
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
 
--- a/src/io/process/SettingsFollower.ts
+++ b/src/io/process/SettingsFollower.ts
@@ -1,38 +1,72 @@
 import { readFile } from 'node:fs/promises'
 import { isDeepStrictEqual } from 'node:util'
 import { periodic } from 'most'
-import type { z } from 'zod'
-import { formatFinding, parseToml } from '../../core/config/index.js'
+import { formatFinding, parseSettings, type ParsedSettings, type SettingsFormat } from '../../core/config/index.js'
 import { describeError } from './settings.js'
 import type { DecisionLog } from './DecisionLog.js'
 
 /** Milliseconds between two checks of the file; it may change without a signal. */
 const CHECK_INTERVAL_MS = 2_000
 
+/** Checks in a row that find the file empty until it counts as rejected; before, it may still be written. */
+const EMPTY_CHECKS = 2
+
+/** What a check of the file has found. */
+export const SettingsCheckResult = {
+  /** The same text as before. */
+  Unchanged: 'unchanged',
+  /** Settings that are in force from now on, or were before. */
+  Accepted: 'accepted',
+  /** A process would not start with the file. */
+  Rejected: 'rejected',
+  Unreadable: 'unreadable'
+} as const
+export type SettingsCheckResult = typeof SettingsCheckResult[keyof typeof SettingsCheckResult]
+
+/** State of the settings file after a check. */
+export interface SettingsState {
+  readonly result: SettingsCheckResult
+  /** True if a process would start with the file. */
+  readonly isUsable: boolean
+  /** Keys of the file whose values can't be used, although a process starts. */
+  readonly replacedKeys: number
+}
+
 /** Options of {@link SettingsFollower}. */
 export interface SettingsFollowerOptions<T> {
   readonly file: string
   /** Settings that the process started with. */
-  readonly initial: T
-  readonly schema: z.ZodType<T>
+  readonly initial: ParsedSettings<T>
+  readonly format: SettingsFormat<T>
   readonly log: Pick<DecisionLog, 'warn'>
   /** Called with settings that differ from the previous ones. */
   readonly onChange: (settings: T) => void
+  /** Called after each check. */
+  readonly onCheck?: (state: SettingsState) => void
   /** Reads the file; tests pass their own function. */
   readonly read?: (file: string) => Promise<string>
 }
 
-/** Reloads a settings file when it changes, by polling and on a signal. Settings with findings are reported and not applied. */
+/**
+ * Reloads a settings file when it changes, by polling and on a signal.
+ *
+ * Settings with which a process would not start are reported and not applied. Where a single value can't be used, the one in force is kept.
+ */
 export class SettingsFollower<T> {
   private readonly _options: SettingsFollowerOptions<T>
   /** Text of the latest read. */
   private _text: string | undefined
-  private _settings: T
-  private _isReading = false
+  private _current: ParsedSettings<T>
+  /** State of the text of the latest read. */
+  private _isUsable = true
+  private _replacedKeys: number
+  private _emptyChecks = 0
+  private _check: Promise<void> | undefined
 
   constructor (options: SettingsFollowerOptions<T>) {
     this._options = options
-    this._settings = options.initial
+    this._current = options.initial
+    this._replacedKeys = options.initial.replaced.length
   }
 
   /** Starts to poll. */
@@ -40,16 +74,28 @@
     void periodic(CHECK_INTERVAL_MS).observe(() => { void this.check() })
   }
 
-  /** Checks the file once, unless a check is in progress. */
+  /** Checks the file once; a check in progress is awaited instead. */
   async check (): Promise<void> {
-    if (this._isReading) return
-    this._isReading = true
+    this._check ??= this._checkOnce().finally(() => { this._check = undefined })
+    await this._check
+  }
+
+  private async _checkOnce (): Promise<void> {
     const text = await this._read()
-    this._isReading = false
-    // An empty file is still being written; the next check reads it completely.
-    if (text === undefined || text === '' || text === this._text) return
+    if (text === undefined) this._report(SettingsCheckResult.Unreadable, false)
+    else this._report(this._checkText(text), this._isUsable)
+  }
+
+  private _checkText (text: string): SettingsCheckResult {
+    this._emptyChecks = text === '' ? this._emptyChecks + 1 : 0
+    const isBeingWritten = text === '' && this._emptyChecks < EMPTY_CHECKS
+    if (isBeingWritten || text === this._text) return SettingsCheckResult.Unchanged
     this._text = text
-    this._apply(text)
+    return this._apply(text)
+  }
+
+  private _report (result: SettingsCheckResult, isUsable: boolean): void {
+    this._options.onCheck?.({ result, isUsable, replacedKeys: this._replacedKeys })
   }
 
   private async _read (): Promise<string | undefined> {
@@ -62,14 +108,26 @@
     }
   }
 
-  private _apply (text: string): void {
-    const { file, schema, log, onChange } = this._options
-    parseToml(file, text, schema).caseOf({
-      Left: findings => { log.warn('settings-rejected', { file, findings: findings.map(formatFinding) }) },
-      Right: settings => {
-        if (isDeepStrictEqual(settings, this._settings)) return
-        this._settings = settings
-        onChange(settings)
+  private _apply (text: string): SettingsCheckResult {
+    const { file, format, log, onChange } = this._options
+    return parseSettings(file, text, format, this._current.raw).caseOf({
+      Left: findings => {
+        this._isUsable = false
+        log.warn('settings-rejected', { file, findings: findings.map(formatFinding) })
+        return SettingsCheckResult.Rejected
+      },
+      Right: parsed => {
+        const { settings, replaced } = parsed
+        this._isUsable = true
+        this._replacedKeys = replaced.length
+        // What the process started with was reported at its start.
+        if (replaced.length > 0 && !isDeepStrictEqual(replaced, this._current.replaced)) {
+          log.warn('settings-kept', { file, findings: replaced.map(formatFinding) })
+        }
+        const isChanged = !isDeepStrictEqual(settings, this._current.settings)
+        this._current = parsed
+        if (isChanged) onChange(settings)
+        return SettingsCheckResult.Accepted
       }
     })
   }
--- a/src/io/process/settings.ts
+++ b/src/io/process/settings.ts
@@ -2,15 +2,26 @@
 import { dirname, resolve } from 'node:path'
 import { Left, Right, type Either } from 'purify-ts'
 import type { z } from 'zod'
-import { formatFinding, parseToml, type Finding } from '../../core/config/index.js'
+import {
+  formatFinding, parseSettings, parseToml, type Finding, type ParsedSettings, type SettingsFormat
+} from '../../core/config/index.js'
 
 /** Exit code of a process whose input has findings. */
 export const EXIT_FINDINGS = 2
 
 /** Reads and checks a settings file. */
 export function readSettings<T> (file: string, schema: z.ZodType<T>): Either<Finding[], T> {
+  return readText(file).chain(text => parseToml(file, text, schema))
+}
+
+/** Reads and checks a settings file that is rendered from values which this process does not control. */
+export function readRenderedSettings<T> (file: string, format: SettingsFormat<T>): Either<Finding[], ParsedSettings<T>> {
+  return readText(file).chain(text => parseSettings(file, text, format))
+}
+
+function readText (file: string): Either<Finding[], string> {
   try {
-    return parseToml(file, readFileSync(file, 'utf8'), schema)
+    return Right(readFileSync(file, 'utf8'))
   } catch (err) {
     return Left([{ file, line: 0, key: '', problem: describeError(err), expected: 'a readable settings file' }])
   }
--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -31,6 +31,8 @@
   readonly maxFds?: number
   /** Lines that are added to the settings. */
   readonly extraSettings?: readonly string[]
+  /** Text of the settings file, in place of the one that follows from the other options. */
+  readonly settings?: string
 }
 
 /** Runs a gateway in a child process. */
@@ -182,6 +184,7 @@
 
 /** Creates a settings file; the operating system chooses the ports, so that no other process can take them before the gateway listens. */
 function createSettings (options: GatewayProcessOptions): string {
+  if (options.settings !== undefined) return options.settings
   const listen = ['callers', 'readiness', 'metrics', 'peers'].map(server => `${server} = "127.0.0.1:0"`)
   return [
     `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', ...listen,
