Show what the next start would do with the settings file

What operators saw: a running gateway keeps its former settings, so that a change which ends every start was seen at the next start of all gateways. One log line for each text of the file told it, no metric, and wisteriactl check read rendered settings only.

--- a/src/io/ctl/CheckCommand.ts
+++ b/src/io/ctl/CheckCommand.ts
@@ -35,13 +35,18 @@
   static override usage = Command.Usage({
     description: 'Check a configuration of the platform, documents, or the settings of a gateway; every finding is printed with file, line and key.',
     details: 'A folder or a file `.toml` holds documents or the settings of a gateway, another file JSON of the platform. ' +
-      'Exit code 0: no findings, 1: findings, 2: a file can\'t be read. Differences from the version in force are no findings.',
-    examples: [['Check a new version', 'wisteriactl check new.json --against in-force.json'], ['Check documents', 'wisteriactl check examples/workshop']]
+      'With --fields, a template of settings is rendered first. Exit code 0: no findings, 1: findings, 2: a file can\'t be read. Differences from the version in force are no findings.',
+    examples: [
+      ['Check a new version', 'wisteriactl check new.json --against in-force.json'],
+      ['Check documents', 'wisteriactl check examples/workshop'],
+      ['Check what gateways would start with', 'wisteriactl check deploy/settings.toml --fields local.json']
+    ]
   })
 
   file = Option.String({ name: 'new' })
   others = Option.Rest({ name: 'documents' })
   against = Option.String('--against', { description: 'The configuration in force.' })
+  fields = Option.String('--fields', { description: 'Fields of the platform (JSON) with which a template of settings is rendered.' })
   heapMb = Option.String('--heap-mb', String(DEFAULT_HEAP_MB), { description: 'Heap limit of a gateway in MB.' })
   isJson = Option.Boolean('--json', false, { description: 'Print JSON.' })
 
@@ -51,6 +56,9 @@
   /** Compares a configuration with the one in force; both are values of JSON. */
   protected abstract compare (inForce: unknown, next: unknown): ConfigDifference[]
 
+  /** Renders a template of settings with fields of the platform, the text of a JSON file. */
+  protected abstract render (template: string, fields: string): string
+
   async execute (): Promise<number> {
     try {
       return this._check()
@@ -64,6 +72,7 @@
     const heapMb = Number(this.heapMb)
     if (!(heapMb > 0)) throw new UnreadableError('--heap-mb: expected a number above 0')
     const heapBytes = heapMb * 1_048_576
+    if (this.fields !== undefined && (!isToml(this.file) || this.others.length > 0)) throw new UnreadableError('--fields: expected one template of settings')
     const { findings, differences } = isToml(this.file) ? this._checkToml(heapBytes) : this._checkJson(heapBytes)
     // Without a version in force JSON has always had an empty list.
     const isCompared = differences !== undefined || this.against === undefined
@@ -87,7 +96,14 @@
 
   private _checkToml (heapBytes: number): CheckResult {
     const inForce = this.against === undefined ? undefined : readToml([this.against])
-    return checkToml({ texts: readToml([this.file, ...this.others]), inForce, heapBytes })
+    const texts = readToml([this.file, ...this.others])
+    return checkToml({ texts: this.fields === undefined ? texts : this._renderAll(texts, this.fields), inForce, heapBytes })
+  }
+
+  private _renderAll (templates: DocumentTexts, fieldsFile: string): DocumentTexts {
+    const fields = readText(fieldsFile)
+    // Lines of findings are those of the rendered text.
+    return Object.fromEntries(Object.entries(templates).map(([file, template]) => [`${file} (rendered)`, this.render(template, fields)]))
   }
 }
 
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -441,11 +441,12 @@
 
   /** Applies changed settings; all except the grace period and the address of the store need a restart. */
   setSettings (settings: GatewaySettings): void {
-    const { settings: startSettings, log } = this._options
+    const { settings: startSettings, log, metrics } = this._options
     this._graceMs = settings.graceMs
     const inForce = { ...startSettings, graceMs: settings.graceMs, store: { ...startSettings.store, address: settings.store.address } }
     const keys = Object.keys(settings) as Array<keyof GatewaySettings>
     const ignored = keys.filter(key => !isDeepStrictEqual(inForce[key], settings[key]))
+    metrics.settingsPending.set(ignored.length)
     log.info('settings-taken', { graceMs: settings.graceMs, store: settings.store.address, ignored })
   }
 
--- a/tests/platform/checkTests.ts
+++ b/tests/platform/checkTests.ts
@@ -110,6 +110,35 @@
   })
 
   // Only JSON was read, and any TOML ended with 2.
+  // What gateways would start with was seen at the next start of all of them only.
+  it('should check settings as the platform renders them', () => {
+    const run = (fields: object): string => {
+      const file = join(folder, 'local.json')
+      writeFileSync(file, JSON.stringify(fields))
+      const args = ['--import=tsx', 'platform/wisteriactl.ts', 'check', 'deploy/settings.toml', '--fields', file]
+      const { status, stdout } = spawnSync(process.execPath, args, { encoding: 'utf8' })
+      return `${status} ${stdout.trimEnd()}`
+    }
+    const fields = {
+      nodeName: 'g',
+      ip: '10.0.0.1',
+      zone: 'a',
+      zones: { a: 'r' },
+      listenAddrs: { front: '10.0.0.1:1', readyAddr: '10.0.0.1:2' },
+      portRange: [3, 4],
+      limits: { memoryMb: 210, maxFds: 8_200 },
+      bounds: { drainTimeoutMs: 2_500, graceS: 8.5 },
+      provider: { address: '10.0.0.9:1', rowBytes: 65_536, writesPerS: 800 }
+    }
+    const file = 'deploy/settings.toml (rendered)'
+    const withoutGrace = { ...fields, bounds: { graceS: true, drainTimeoutMs: 1 } }
+    expect([fields, withoutGrace, { ...fields, nodeName: undefined }].map(run)).toEqual([
+      '0 0 finding(s)',
+      `1 ${file}:22: stop.grace_s: wrong type, gateways use the default; expected number (from bounds.graceS)\n1 finding(s)`,
+      `1 ${file}:3: id: no value; expected a value (from nodeName)\n1 finding(s)`
+    ])
+  })
+
   it('should exit with the same codes for TOML', () => {
     const run = (...args: string[]): string => {
       const { status, stdout } = spawnSync(process.execPath, ['--import=tsx', 'platform/wisteriactl.ts', 'check', ...args], { encoding: 'utf8' })
--- a/tests/processes/SettingsChangeTests.ts
+++ b/tests/processes/SettingsChangeTests.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs'
+import { isDeepStrictEqual } from 'node:util'
 import { expect } from 'earl'
 import { parseFields, renderTemplate } from '../../platform/template/index.js'
 import { GatewayProcess } from '../../tools/platform/GatewayProcess.js'
@@ -6,6 +7,10 @@
 
 const TEMPLATE = readFileSync('deploy/settings.toml', 'utf8')
 
+/** Polls of the metrics until they have to show what a changed file states, and milliseconds between two of them. */
+const METRIC_POLLS = 100
+const POLL_INTERVAL_MS = 50
+
 /** Changes of the platform's fields for the gateway of a test, by section. */
 interface FieldChanges {
   readonly bounds?: Readonly<Record<string, unknown>>
@@ -38,6 +43,12 @@
     })))
   }
 
+  /** Gets a metric without labels. */
+  async function getMetric (name: string): Promise<number> {
+    const text = await (await fetch(harness.gateway.metricsUrl)).text()
+    return Number(new RegExp(`^${name} (.+)$`, 'm').exec(text)?.[1])
+  }
+
   // review/9: with graceS 8.5 every gateway ended at its next start, and none served any more.
   it('should not keep a gateway from starting again after the grace period has become a fraction', async () => {
     await harness.startGateway({ settings: render() })
@@ -58,10 +69,35 @@
     expect((await harness.call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
     const [{ findings }] = harness.gateway.getEvents('settings-defaulted') as [{ findings: string[] }]
     expect(findings.map(finding => /\(from (.*)\)/.exec(finding)?.[1])).toEqual(['provider.rowBytes', 'bounds.graceS', 'bounds.drainTimeoutMs', 'limits.memoryMb'])
+    expect(await getMetric('wisteria_settings_replaced')).toEqual(4)
   })
 
   it('should refuse a start without the address of the store, and name the field of the platform', async () => {
     await expect(GatewayProcess.launch({ id: 'gateway-1', storeAddress: '', settings: render({ provider: { address: null } }) }))
       .toBeRejectedWith('store.address: no value; expected a value (from provider.address)')
   })
+
+  // Guards against settings that are seen at the next start of all gateways only.
+  it('should show by metrics that the next start would be refused, use defaults, or other settings, and keep serving', async () => {
+    await harness.startGateway({ settings: render() })
+    const expectMetrics = async (text: string, expected: number[]): Promise<void> => {
+      harness.gateway.writeSettings(text)
+      harness.gateway.signal('SIGHUP')
+      const names = ['unusable', 'replaced', 'pending'].map(name => `wisteria_settings_${name}`)
+      let metrics: number[] = []
+      for (let polls = 0; polls < METRIC_POLLS && !isDeepStrictEqual(metrics, expected); polls++) {
+        await new Promise(resolve => { setTimeout(resolve, POLL_INTERVAL_MS) })
+        metrics = await Promise.all(names.map(getMetric))
+      }
+      expect(metrics).toEqual(expected)
+    }
+    await expectMetrics(render(), [0, 0, 0])
+    await expectMetrics(render({ provider: { address: null } }), [1, 0, 0])
+    await expectMetrics(render({ bounds: { graceS: null } }), [0, 1, 0])
+    await expectMetrics(render({ bounds: { graceS: 7 }, limits: { memoryMb: 180 }, provider: { writesPerS: 900 } }), [0, 0, 2])
+    const taken = harness.gateway.getEvents('settings-taken')
+    expect(taken.map(({ graceMs, ignored }) => [graceMs, ignored])).toEqual([[7_000, ['store', 'limits']]])
+    expect((await harness.call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
+    expect(await harness.gateway.getReadiness()).toEqual(200)
+  })
 })
