--- a/src/core/connection/StopSchedule.ts
+++ b/src/core/connection/StopSchedule.ts
@@ -5,6 +5,9 @@
  */
 export const ACCEPT_ALL_MS = 2_500
 
+/** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
+const NOTICE_MS = 3_000
+
 /** Milliseconds before the end of the grace period by which accepted requests have to end, so that their responses can be sent. */
 const STOP_MARGIN_MS = 1_000
 
@@ -27,6 +30,11 @@
     this._options = options
   }
 
+  /** Gets the time until which new connections are accepted. */
+  getNoticeEnd (): number {
+    return Math.min(this._options.startedAt + NOTICE_MS, this.getServingEnd())
+  }
+
   /** Gets the time from which nothing is accepted, even if requests are in progress. */
   getServingEnd (): number {
     return this._options.startedAt + this._options.graceMs - STOP_MARGIN_MS
@@ -45,6 +53,7 @@
   /** Checks whether a request is accepted: it has to end, by its deadline at the latest, before the process exits. */
   accepts (now: number, deadline: number): boolean {
     if (this._isClosed) return false
+    if (now >= this.getServingEnd()) return false
     return now - this._options.startedAt < ACCEPT_ALL_MS || deadline <= this.getServingEnd()
   }
 }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -91,9 +91,6 @@
 /** Milliseconds between two updates of the metrics of held bytes and open connections. */
 const HELD_REPORT_MS = 1_000
 
-/** Milliseconds after the signal for which new connections are accepted: the time for two readiness checks and their network delay. */
-const STOP_NOTICE_MS = 3_000
-
 /** Milliseconds without a request after which kept connections count as unused: longer than callers mostly pause between requests. */
 const STOP_QUIET_MS = 500
 
@@ -464,7 +461,7 @@
     const schedule = new StopSchedule({ startedAt, graceMs: this._graceMs })
     this._server.setStopping(schedule)
     log.info('stopping', { inProgress: this._server.getInProgress() })
-    await waitUntil(() => clock.now() - startedAt >= STOP_NOTICE_MS)
+    await waitUntil(() => clock.now() >= schedule.getNoticeEnd())
     this._server.stopListening()
     let usedAt = clock.now()
     await waitUntil(() => {
--- a/tests/processes/SettingsChangeTests.ts
+++ b/tests/processes/SettingsChangeTests.ts
@@ -100,4 +100,17 @@
     expect((await harness.call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
     expect(await harness.gateway.getReadiness()).toEqual(200)
   })
+
+  // The file may change without a signal; a gateway that plans with the former time is killed with requests in progress.
+  it('should stop within a grace period that became shorter right before the signal to stop', async () => {
+    await harness.startGateway({ settings: render({ bounds: { graceS: 60 } }) })
+    for (const engine of harness.fixture.engines) engine.gate = new Promise(() => {})
+    harness.sendTurn('t1', {}, 'x').catch(() => {})
+    await waitFor(() => harness.getRuns('t1').length === 1)
+    harness.gateway.writeSettings(render({ bounds: { graceS: 1.5 } }))
+    const startedAt = performance.now()
+    harness.gateway.signal('SIGTERM')
+    expect(await harness.gateway.waitForExit()).toEqual(0)
+    expect(performance.now() - startedAt < 1_500).toEqual(true)
+  })
 })
