--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -24,7 +24,7 @@
   BudgetPeers, FailurePeers, LeavingPeers, LedgerHandover, LimitPeers, OriginPeers, PeerDirectory, PeerPool, PeerServer, PermitPeers,
   QuotaDebtStore, QuotaPeers, RelayedStore, TablePeers, TurnPeers
 } from '../peer/index.js'
-import { BufferGarbage, getMaxDescriptors, SystemClock, type DecisionLog } from '../process/index.js'
+import { BufferGarbage, describeError, getMaxDescriptors, SystemClock, type DecisionLog } from '../process/index.js'
 import { AdmissionGate } from './AdmissionGate.js'
 import { BudgetStore, RETURN_CHECK_MS } from './BudgetStore.js'
 import { CacheLearner } from './CacheLearner.js'
@@ -431,11 +431,22 @@
     return {
       peers,
       readiness: await this._status.listenForReadiness(listen.readiness),
-      metrics: listen.metrics === undefined ? undefined : await this._status.listenForMetrics(listen.metrics),
+      metrics: await this._listenForMetrics(listen.metrics),
       callers: await this._server.listen(listen.callers)
     }
   }
 
+  /** Starts the server for metrics; callers are served without it. */
+  private async _listenForMetrics (address: string | undefined): Promise<string | undefined> {
+    if (address === undefined) return undefined
+    try {
+      return await this._status.listenForMetrics(address)
+    } catch (err) {
+      this._options.log.warn('metrics-not-served', { address, cause: describeError(err) })
+      return undefined
+    }
+  }
+
   /** Applies changed settings; all except the grace period and the address of the store need a restart. */
   setSettings (settings: GatewaySettings): void {
     const { settings: startSettings, log, metrics } = this._options
--- a/tests/processes/SettingsChangeTests.ts
+++ b/tests/processes/SettingsChangeTests.ts
@@ -1,4 +1,5 @@
 import { readFileSync } from 'node:fs'
+import { createServer } from 'node:net'
 import { isDeepStrictEqual } from 'node:util'
 import { expect } from 'earl'
 import { parseFields, renderTemplate } from '../../platform/template/index.js'
@@ -113,4 +114,22 @@
     expect(await harness.gateway.waitForExit()).toEqual(0)
     expect(performance.now() - startedAt < 1_500).toEqual(true)
   })
+
+  it('should end with an error when an address can not be used, instead of running without a server', async () => {
+    const blocker = createServer()
+    await new Promise<void>(resolve => { blocker.listen(0, '127.0.0.1', resolve) })
+    const { port } = blocker.address() as { port: number }
+    try {
+      const settings = render().replace('callers = "127.0.0.1:0"', `callers = "127.0.0.1:${port}"`)
+      await expect(GatewayProcess.launch({ id: 'gateway-1', storeAddress: '', settings })).toBeRejectedWith('start-failed')
+    } finally {
+      blocker.close()
+    }
+  })
+
+  it('should serve without metrics when their address can not be used', async () => {
+    await harness.startGateway({ settings: render().replace('metrics = "127.0.0.1:0"', 'metrics = "127.0.0.1:70000"') })
+    expect(harness.gateway.getEvents('metrics-not-served').length).toEqual(1)
+    expect((await harness.call({ id: 'r1', path: '/lookup/x' })).status).toEqual(200)
+  })
 })
