Use a configuration although figures with a default can't be used

What callers would see: a member without a value (null), or one figure of another type, made a gateway reject the whole version: it kept the former one, and one that started was never ready and refused everything. One schema for the whole row, where any error rejects all of it. Change: decodeReplacing, taken out of the settings, replaces members that have a default and says which (config-defaulted, wisteria_config_replaced).

--- a/src/core/config/GatewaySettings.ts
+++ b/src/core/config/GatewaySettings.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import type { SettingsFormat } from './parseSettings.js'
+import type { ReplaceableFormat } from './decodeReplacing.js'
 
 /** A port may be rendered as a whole number that is written with a point. */
 const address = z.string().regex(/^[^:]+:[0-9]+(\.0+)?$/, 'host:port').transform(text => text.replace(/\.0+$/, ''))
@@ -102,7 +102,7 @@
 export type GatewaySettings = z.output<typeof GATEWAY_SETTINGS>
 
 /** Keys that a gateway can start without; it needs its id and the addresses at which it is reached and reaches the store. */
-export const GATEWAY_SETTINGS_FORMAT: SettingsFormat<GatewaySettings> = {
+export const GATEWAY_SETTINGS_FORMAT: ReplaceableFormat<GatewaySettings> = {
   schema: GATEWAY_SETTINGS,
   replacements: {
     failure_domain: UNKNOWN_DOMAIN,
--- a/src/core/config/index.ts
+++ b/src/core/config/index.ts
@@ -1,5 +1,6 @@
 export * from './Configuration.js'
 export * from './ConfigChange.js'
+export * from './decodeReplacing.js'
 export * from './diffDocuments.js'
 export * from './Documents.js'
 export * from './Finding.js'
--- a/src/core/config/parseSettings.ts
+++ b/src/core/config/parseSettings.ts
@@ -1,35 +1,21 @@
 import { Left, Right, type Either } from 'purify-ts'
 import { parse, TomlError } from 'smol-toml'
-import type { z } from 'zod'
+import { decodeReplacing, replaceAt, type RawTable, type ReplaceableFormat } from './decodeReplacing.js'
 import type { Finding } from './Finding.js'
 import { toFindings } from './parseToml.js'
 import { TomlLocator } from './TomlLocator.js'
 
-/** Tables of a settings file, as they are written. */
-export type RawSettings = Record<string, unknown>
-
-/** Form of a settings file that is rendered from values which this process does not control. */
-export interface SettingsFormat<T> {
-  readonly schema: z.ZodType<T>
-  /**
-   * Values for keys whose own value can't be used, by dotted key; `*` stands for any one name, and undefined removes the key.
-   *
-   * A process does not start if a value for another key can't be used.
-   */
-  readonly replacements: Readonly<Record<string, unknown>>
-}
-
 /** Settings that a process can use, and what could not be used of their file. */
 export interface ParsedSettings<T> {
   readonly settings: T
   /** Findings at keys with another value than the file states. */
   readonly replaced: readonly Finding[]
   /** The tables with the values in use. */
-  readonly raw: RawSettings
+  readonly raw: RawTable
 }
 
-/** Largest number of lines that are left out of a file, and of rounds in which values are replaced. */
-const MAX_ROUNDS = 100
+/** Largest number of lines that are left out of a file. */
+const MAX_OMITTED = 100
 
 /** Key and value of a line; a value may be missing. */
 const KEY_AND_VALUE = /^\s*([^=[#]+?)\s*=\s*(.*?)\s*$/
@@ -51,25 +37,24 @@
  * @param former - Tables of the settings in force.
  */
 export function parseSettings<T> (
-  file: string, text: string, format: SettingsFormat<T>, former: RawSettings = {}
+  file: string, text: string, format: ReplaceableFormat<T>, former: RawTable = {}
 ): Either<Finding[], ParsedSettings<T>> {
   return new SettingsParser(file, text, format, former).parse()
 }
 
 /** Reads the tables of a settings file without the lines that are no TOML; Left if it has other errors. */
-export function readSettingsTables (file: string, text: string): Either<Finding[], RawSettings> {
+export function readSettingsTables (file: string, text: string): Either<Finding[], RawTable> {
   return new TableReader(file, text).read()
 }
 
 class SettingsParser<T> {
   private readonly _file: string
-  private readonly _format: SettingsFormat<T>
-  private readonly _former: RawSettings
+  private readonly _format: ReplaceableFormat<T>
+  private readonly _former: RawTable
   private readonly _reader: TableReader
   private readonly _locator: TomlLocator
-  private readonly _replaced: Finding[] = []
 
-  constructor (file: string, text: string, format: SettingsFormat<T>, former: RawSettings) {
+  constructor (file: string, text: string, format: ReplaceableFormat<T>, former: RawTable) {
     this._file = file
     this._format = format
     this._former = former
@@ -81,24 +66,14 @@
     return this._reader.read().chain(raw => this._validate(raw))
   }
 
-  private _validate (raw: RawSettings): Either<Finding[], ParsedSettings<T>> {
-    const { schema } = this._format
+  private _validate (raw: RawTable): Either<Finding[], ParsedSettings<T>> {
     const { omitted } = this._reader
-    const omittedPaths = omitted.map(({ key }) => this._findReplaceable(key.split('.')))
-    for (const path of omittedPaths) if (path !== undefined) this._replace(raw, path)
-    for (let round = 0; ; round++) {
-      const result = schema.safeParse(raw)
-      const issues = result.success ? [] : result.error.issues
-      const findings = this._withoutOmitted(issues.flatMap(issue => toFindings(this._file, this._locator, issue)))
-        .map(finding => this._reader.addSource(finding))
-      const keys = issues.map(issue => issue.code === 'unrecognized_keys' ? undefined : this._findReplaceable(issue.path))
-      if (round === MAX_ROUNDS || [...keys, ...omittedPaths].includes(undefined)) {
-        return Left(sortFindings([...omitted, ...this._replaced, ...findings]))
-      }
-      this._replaced.push(...findings)
-      if (result.success) return Right({ settings: result.data, replaced: sortFindings([...omitted, ...this._replaced]), raw })
-      for (const key of keys) this._replace(raw, key!)
-    }
+    const isReplaceable = omitted.map(({ key }) => replaceAt(raw, key.split('.'), this._format, this._former))
+    const { value, errors, replaced } = decodeReplacing(raw, this._format, this._former)
+    const findings = this._withoutOmitted([...errors, ...replaced].flatMap(issue => toFindings(this._file, this._locator, issue)))
+    const sorted = [...omitted, ...findings.map(finding => this._reader.addSource(finding))].sort((a, b) => a.line - b.line)
+    if (value === undefined || isReplaceable.includes(false)) return Left(sorted)
+    return Right({ settings: value.data, replaced: sorted, raw })
   }
 
   /** Leaves out findings at keys whose line was left out, as that is what is wrong with them. */
@@ -106,29 +81,6 @@
     const isCovered = ({ key }: Finding): boolean => this._reader.omitted.some(other => other.key === key || other.key.startsWith(`${key}.`))
     return findings.filter(finding => !isCovered(finding))
   }
-
-  /** Gets the longest beginning of a path whose value may be replaced. */
-  private _findReplaceable (path: readonly PropertyKey[]): string[] | undefined {
-    const names = path.map(String)
-    for (let length = names.length; length > 0; length--) {
-      const beginning = names.slice(0, length)
-      if (this._findPattern(beginning) !== undefined) return beginning
-    }
-    return undefined
-  }
-
-  private _findPattern (path: readonly string[]): string | undefined {
-    const { replacements } = this._format
-    return [path.join('.'), [...path.slice(0, -1), '*'].join('.')].find(pattern => Object.hasOwn(replacements, pattern))
-  }
-
-  private _replace (raw: RawSettings, path: readonly string[]): void {
-    const value = getAt(this._former, path) ?? this._format.replacements[this._findPattern(path)!]
-    const table = getAt(raw, path.slice(0, -1)) as RawSettings | undefined
-    if (table === undefined) return
-    if (value === undefined) Reflect.deleteProperty(table, path.at(-1)!)
-    else table[path.at(-1)!] = structuredClone(value)
-  }
 }
 
 /** Reads TOML line by line as far as that is needed to leave out values that are none. */
@@ -145,7 +97,7 @@
     this._locator = new TomlLocator(text)
   }
 
-  read (): Either<Finding[], RawSettings> {
+  read (): Either<Finding[], RawTable> {
     const lines = [...this._lines]
     for (;;) {
       try {
@@ -154,7 +106,7 @@
         if (!(err instanceof TomlError)) throw err
         const problem = err.message.split('\n')[0]!
         const omitted = this._findOmittable(err.line, problem)
-        if (omitted === undefined || this.omitted.length === MAX_ROUNDS) {
+        if (omitted === undefined || this.omitted.length === MAX_OMITTED) {
           return Left([...this.omitted, { file: this._file, line: err.line, key: '', problem, expected: 'valid TOML' }])
         }
         this.omitted.push(this.addSource(omitted))
@@ -186,13 +138,3 @@
     return { file: this._file, line, key, problem: isMissing ? 'no value' : problem, expected: 'a value' }
   }
 }
-
-function getAt (raw: RawSettings, path: readonly string[]): unknown {
-  return path.reduce<unknown>((value, name) => {
-    return typeof value === 'object' && value !== null && Object.hasOwn(value, name) ? (value as RawSettings)[name] : undefined
-  }, raw)
-}
-
-function sortFindings (findings: readonly Finding[]): Finding[] {
-  return findings.toSorted((a, b) => a.line - b.line)
-}
--- a/src/core/route/RouteConfig.ts
+++ b/src/core/route/RouteConfig.ts
@@ -32,4 +32,6 @@
   readonly limits: CallerLimits
   /** Workspaces, one of whose keys every request needs on routes that are not public; undefined where requests need no key. */
   readonly workspaces?: readonly KeyedWorkspace[] | undefined
+  /** Members that can't be used, with defaults in their place, and why; nothing without them. */
+  readonly replaced?: readonly string[]
 }
--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -88,6 +88,9 @@
 /** Bytes that calls of peers may hold, as a share of what requests and connections of callers may hold; apart from these. */
 const PEERS_SHARE = 0.3
 
+/** Members of a configuration that a log line names at most. */
+const MAX_LOGGED_MEMBERS = 10
+
 /** Milliseconds between two updates of the metrics of held bytes and open connections. */
 const HELD_REPORT_MS = 1_000
 
@@ -517,8 +520,11 @@
       Right: config => {
         if (!this._configs.applyIfNewer(config, this._options.clock.now())) return
         this._server.setLimits(config.limits)
-        metrics.configVersion.set(config.version)
-        log.info('config-adopted', { version: config.version, row: row.version, routes: config.routes.length, workspaces: config.workspaces?.length })
+        const { version, routes, workspaces, replaced = [] } = config
+        metrics.configVersion.set(version)
+        metrics.configReplaced.set(replaced.length)
+        log.info('config-adopted', { version, row: row.version, routes: routes.length, workspaces: workspaces?.length })
+        if (replaced.length > 0) log.warn('config-defaulted', { version, count: replaced.length, members: replaced.slice(0, MAX_LOGGED_MEMBERS) })
       }
     })
   }
--- a/src/io/gateway/GatewayMetrics.ts
+++ b/src/io/gateway/GatewayMetrics.ts
@@ -38,6 +38,7 @@
   readonly settingsReplaced = this._gauge('wisteria_settings_replaced', 'Keys of the settings file whose values can not be used; defaults, or the values in force, are used instead.')
   readonly settingsPending = this._gauge('wisteria_settings_pending', 'Settings that have changed and are used from the next start.')
   readonly configVersion = this._gauge('wisteria_config_version', 'Version of the configuration in force.')
+  readonly configReplaced = this._gauge('wisteria_config_replaced', 'Members of the configuration in force that can not be used, with defaults in their place.')
   readonly targets = this._gauge('wisteria_targets', 'Targets known.')
   readonly heldBytes = this._gauge('wisteria_held_bytes', 'Bytes that requests and connections of callers hold.')
   readonly openConnections = this._gauge('wisteria_connections', 'Open connections of callers.')
--- a/src/io/process/SettingsFollower.ts
+++ b/src/io/process/SettingsFollower.ts
@@ -1,7 +1,7 @@
 import { readFile } from 'node:fs/promises'
 import { isDeepStrictEqual } from 'node:util'
 import { periodic } from 'most'
-import { formatFinding, parseSettings, type ParsedSettings, type SettingsFormat } from '../../core/config/index.js'
+import { formatFinding, parseSettings, type ParsedSettings, type ReplaceableFormat } from '../../core/config/index.js'
 import { describeError } from './settings.js'
 import type { DecisionLog } from './DecisionLog.js'
 
@@ -37,7 +37,7 @@
   readonly file: string
   /** Settings that the process started with. */
   readonly initial: ParsedSettings<T>
-  readonly format: SettingsFormat<T>
+  readonly format: ReplaceableFormat<T>
   readonly log: Pick<DecisionLog, 'warn'>
   /** Called with settings that differ from the previous ones. */
   readonly onChange: (settings: T) => void
--- a/src/io/process/settings.ts
+++ b/src/io/process/settings.ts
@@ -3,7 +3,7 @@
 import { Left, Right, type Either } from 'purify-ts'
 import type { z } from 'zod'
 import {
-  formatFinding, parseSettings, parseToml, type Finding, type ParsedSettings, type SettingsFormat
+  formatFinding, parseSettings, parseToml, type Finding, type ParsedSettings, type ReplaceableFormat
 } from '../../core/config/index.js'
 
 /** Exit code of a process whose input has findings. */
@@ -15,7 +15,7 @@
 }
 
 /** Reads and checks a settings file that is rendered from values which this process does not control. */
-export function readRenderedSettings<T> (file: string, format: SettingsFormat<T>): Either<Finding[], ParsedSettings<T>> {
+export function readRenderedSettings<T> (file: string, format: ReplaceableFormat<T>): Either<Finding[], ParsedSettings<T>> {
   return readText(file).chain(text => parseSettings(file, text, format))
 }
 
--- a/tests/core/config/parseSettingsTests.ts
+++ b/tests/core/config/parseSettingsTests.ts
@@ -1,9 +1,9 @@
 import { expect } from 'earl'
 import fc from 'fast-check'
 import { z } from 'zod'
-import { formatFinding, parseSettings, type RawSettings, type SettingsFormat } from '../../../src/core/config/index.js'
+import { formatFinding, parseSettings, type RawTable, type ReplaceableFormat } from '../../../src/core/config/index.js'
 
-const FORMAT: SettingsFormat<unknown> = {
+const FORMAT: ReplaceableFormat<unknown> = {
   schema: z.strictObject({
     id: z.string(),
     mode: z.enum(['fast', 'safe']).default('safe'),
@@ -15,7 +15,7 @@
 
 const CLEAN = 'id = "a"\n[stop]\ngrace_s = 8\n'
 
-function parse (text: string, former?: RawSettings): unknown {
+function parse (text: string, former?: RawTable): unknown {
   return parseSettings('s.toml', text, FORMAT, former).caseOf<unknown>({
     Left: findings => findings.map(formatFinding),
     Right: ({ settings, replaced }) => ({ settings, replaced: replaced.map(formatFinding) })
