--- a/tests/processes/PlatformFiguresTests.ts
+++ b/tests/processes/PlatformFiguresTests.ts
@@ -1,6 +1,9 @@
 import { expect } from 'earl'
 import { GatewayHarness, waitFor } from './GatewayHarness.js'
 
+/** Times in milliseconds that no timer can wait for. */
+const LONG_MS = 1e12
+
 /** Milliseconds after which unused tokens of a grant have been returned. */
 const RETURN_MS = 1_200
 
@@ -42,6 +45,18 @@
     return statuses
   }
 
+  // A timer with a longer time fires at once: streams looked for another target as soon as they began.
+  it('should serve with times that are longer than a timer can be', async () => {
+    const statuses = await getStatuses(({ routes, limits }) => {
+      const times = { timeoutMs: LONG_MS, targetLatencyMs: LONG_MS, targetGapMs: LONG_MS, retentionS: LONG_MS }
+      for (const route of routes) Object.assign(route, times)
+      Object.assign(limits, { headerTimeoutMs: LONG_MS, idleTimeoutMs: LONG_MS })
+    }, { 'x-timeout-ms': String(LONG_MS) })
+    expect(statuses).toEqual([200, 200, 200, 200])
+    expect((await harness.sendTurn('s1', {}, 'x', '/turns/resumable/a')).isComplete).toEqual(true)
+    expect(harness.gateway.lines.filter(line => line.includes('TimeoutOverflowWarning'))).toEqual([])
+  })
+
   it('should serve with fractions in place of whole numbers', async () => {
     const statuses = await getStatuses(({ routes, services, limits }) => {
       const figures = { timeoutMs: 2_000.5, targetLatencyMs: 300.5, maxAttempts: 1.5, priority: 0.5, retentionS: 60.5 }
