--- a/tests/platform/platformFiguresTests.ts
+++ b/tests/platform/platformFiguresTests.ts
@@ -1,5 +1,8 @@
 import { expect } from 'earl'
 import { decodeConfig } from '../../platform/decodeConfig.js'
+import { PlatformProtocol } from '../../platform/PlatformProtocol.js'
+import { Header } from '../../platform/headers.js'
+import type { CallRequest } from '../../src/core/forward/index.js'
 
 /** JSON of values that the operator or a caller may state; undefined leaves the member out. */
 const VALUES = [undefined, 'null', 'true', '"5"', '0', '-1', '2.5', '8.0', '1e300', '[]']
@@ -73,3 +76,34 @@
     expect(Object.fromEntries(table)).toMatchSnapshot(this)
   })
 })
+
+describe('figures of headers', () => {
+  const protocol = new PlatformProtocol()
+  const texts = ['', '5', '2.5', '8.0', '0', '-1', '5,-6', '1e3', '1e400', 'NaN', '0x10', 'true', '5,6', ' 7 ', 'a:b', 'a:-1']
+
+  const decode = (name: string, text: string): CallRequest => protocol.decodeRequest({
+    method: 'GET', url: '/a/', rawHeaders: ['Host', 'h', 'X-Request-Id', 'r', 'X-Program-Id', 'p', name, text]
+  }).unsafeCoerce()
+
+  /** Figures of a request, by the header that states them. */
+  const figures: Readonly<Record<string, (req: CallRequest) => unknown>> = {
+    [Header.TimeoutMs]: req => req.timeoutMs,
+    [Header.TokenUsage]: req => [req.promptTokens, req.maxOutputTokens],
+    [Header.PromptPrefix]: req => req.promptSegments.map(({ id, tokens }) => `${id}:${tokens}`),
+    [Header.ProgramDeadlineMs]: req => req.program?.remainingMs,
+    [Header.TokenBudget]: req => req.program?.tokenBudget
+  }
+
+  it('should do with each value of a request what is written down', function () {
+    const table = Object.entries(figures).map(([name, get]) => {
+      return [name, Object.fromEntries(texts.map(text => [`"${text}"`, JSON.stringify(get(decode(name, text))) ?? 'none']))]
+    })
+    expect(Object.fromEntries(table)).toMatchSnapshot(this)
+  })
+
+  it('should do with each value of a response what is written down', function () {
+    const limit = (text: string): string => String(protocol.decodeResponse(200, [Header.ServerLimit, text]).requestsPerSecond ?? 'none')
+    const leaving = (text: string): boolean => protocol.decodeResponse(200, [Header.ServerLeaving, text]).isLeaving
+    expect(Object.fromEntries(texts.map(text => [`"${text}"`, `limit ${limit(text)}, leaving ${leaving(text)}`]))).toMatchSnapshot(this)
+  })
+})
