--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -56,8 +56,14 @@
   /** Starts a gateway and waits until it is ready. */
   static async start (options: GatewayProcessOptions): Promise<GatewayProcess> {
     const gateway = await GatewayProcess.launch(options)
-    await gateway.waitUntilReady()
-    return gateway
+    try {
+      await gateway.waitUntilReady()
+      return gateway
+    } catch (err) {
+      // Nobody else can end it, and a test run does not end before it.
+      await gateway.kill()
+      throw err
+    }
   }
 
   /** Starts a gateway and waits until it listens, but not until it is ready. */
