Keep a planned stop when further signals arrive

Cause: each SIGTERM called Gateway.stop and ended the process after it. stop() returned at once while a shutdown was in progress, so that the second handler went on to process.exit with the first one in its grace period.

A signal that arrives later changes neither the grace period nor its end; SIGKILL is how to end a gateway sooner.

--- a/src/io/gateway/Gateway.ts
+++ b/src/io/gateway/Gateway.ts
@@ -146,7 +146,8 @@
   private readonly _suspectWatch: TableWatch
   private readonly _memory: ByteBudget
   private readonly _limits: ProcessLimits
-  private _isStopping = false
+  /** The shutdown, once it has begun. */
+  private _stopping: Promise<void> | undefined
   private _graceMs: number
 
   constructor (options: GatewayOptions) {
@@ -463,14 +464,21 @@
 
   /** Checks whether requests can be served. */
   isReady (): boolean {
-    return !this._isStopping && this._configs.get() !== undefined && this._targetWatch.isRead()
+    return this._stopping === undefined && this._configs.get() !== undefined && this._targetWatch.isRead()
   }
 
-  /** Shuts down: fails the readiness check, completes requests in progress, and resolves when none remain or the grace period is over. */
+  /**
+   * Shuts down: fails the readiness check, completes requests in progress, and resolves when none remain or the grace period is over.
+   *
+   * Further calls wait for the first one, whose grace period holds.
+   */
   async stop (): Promise<void> {
+    this._stopping ??= this._stop()
+    await this._stopping
+  }
+
+  private async _stop (): Promise<void> {
     const { clock, log } = this._options
-    if (this._isStopping) return
-    this._isStopping = true
     const startedAt = clock.now()
     const schedule = new StopSchedule({ startedAt, graceMs: this._graceMs })
     this._server.setStopping(schedule)
