Change settings and repeat signals in the soak

Reloads now write another grace period, in each form that the settings accept or without a usable value, and a further planned end of a gateway that stops sends SIGTERM again.

--- a/tools/platform/GatewayProcess.ts
+++ b/tools/platform/GatewayProcess.ts
@@ -25,6 +25,8 @@
   readonly id: string
   readonly storeAddress: string
   readonly graceMs?: number
+  /** Line of the settings that states the grace period, in place of one with `graceMs`. */
+  readonly graceLine?: string
   /** Limit of the heap of the process, in MB; the default of Node.js without it. */
   readonly heapMb?: number
   /** Largest number of open descriptors of the process; that of this process without it. */
@@ -194,7 +196,7 @@
   const listen = ['callers', 'readiness', 'metrics', 'peers'].map(server => `${server} = "127.0.0.1:0"`)
   return [
     `id = "${options.id}"`, 'failure_domain = "here"', '[regions]', 'here = "home"', '[listen]', ...listen,
-    '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', `grace_ms = ${options.graceMs ?? 8_000}`,
+    '[store]', `address = "${options.storeAddress}"`, 'row_bytes = 65536', '[stop]', options.graceLine ?? `grace_ms = ${options.graceMs ?? 8_000}`,
     '[targets]', `drain_ms = ${DRAIN_MS}`, ...(options.extraSettings ?? [])
   ].join('\n')
 }
--- a/tools/soak/Soak.ts
+++ b/tools/soak/Soak.ts
@@ -77,7 +77,7 @@
     const { fixture: { store: { rows } }, slots, targets, trouble } = this._world
     if (fault.type === 'kill') await this._world.replace(slots[fault.gateway]!, fault.signal)
     else if (fault.type === 'kill-all') await Promise.all(slots.map(async slot => { await this._world.replace(slot, 'SIGKILL') }))
-    else if (fault.type === 'reload') slots[fault.gateway]!.process?.signal('SIGHUP')
+    else if (fault.type === 'reload') this._world.changeSettings(slots[fault.gateway]!, Math.floor(fault.at))
     else if (fault.type === 'target') targets[fault.target]!.nextBehaviours.push(fault.behaviour)
     else if (fault.type === 'pause') await this._world.pause(slots[fault.gateway]!, fault.forMs)
     else if (fault.type === 'store') {
--- a/tools/soak/SoakWorld.ts
+++ b/tools/soak/SoakWorld.ts
@@ -22,6 +22,10 @@
 /** Grace period of gateways that are told to stop, in milliseconds; the one of the deployments in tests of the platform. */
 const GRACE_MS = 8_000
 
+/** Lines with which settings may state the grace period, and lines without a usable one, where a gateway keeps that in force. */
+const GRACE_LINES = ['grace_ms = 8000', 'grace_s = 8', 'grace_s = 8.0', 'grace_s = 7.75'] as const
+const UNUSABLE_GRACE_LINES = ['grace_s = ', 'grace_s = true', 'grace_s = {"a": 1}'] as const
+
 /** Time limit of the fixture's routes, in milliseconds; shorter than the grace period, so that a stop can wait for each request. */
 export const ROUTE_TIMEOUT_MS = 6_000
 
@@ -87,6 +91,8 @@
   process: GatewayProcess | undefined
   /** Time at which the process was told to stop. */
   stoppedAt: number | undefined
+  /** Line of the settings with the grace period, with which the next process starts. */
+  graceLine: string
   /** True while the process may end. */
   isEnding: boolean
   /** Targets whose notice that they leave the process has passed on, with the time. */
@@ -145,7 +151,16 @@
     for (let index = 0; index < gateways; index++) {
       const proxy = new FaultProxy(fixture.storeAddress)
       const storeAddress = await proxy.start()
-      this.slots.push({ index, proxy, storeAddress, process: undefined, stoppedAt: undefined, isEnding: false, noticesAt: new Map() })
+      this.slots.push({
+        index,
+        proxy,
+        storeAddress,
+        process: undefined,
+        stoppedAt: undefined,
+        graceLine: GRACE_LINES[0],
+        isEnding: false,
+        noticesAt: new Map()
+      })
     }
     await Promise.all(this.slots.map(async slot => { await this._launch(slot) }))
     await Promise.all(this.slots.map(async slot => { await slot.process!.waitUntilReady() }))
@@ -249,7 +264,12 @@
   /** Ends a gateway by a signal and starts the next process of the same id. */
   async replace (slot: GatewaySlot, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const gateway = slot.process
-    if (gateway === undefined || slot.isEnding) return
+    if (gateway === undefined) return
+    if (slot.isEnding) {
+      // A platform may repeat its signal within one grace period.
+      if (signal === 'SIGTERM' && slot.stoppedAt !== undefined) gateway.signal('SIGTERM')
+      return
+    }
     slot.isEnding = true
     if (signal === 'SIGTERM') slot.stoppedAt = performance.now()
     const end = signal === 'SIGKILL' ? this.trouble.begin(slot.index) : () => {}
@@ -267,6 +287,16 @@
     end()
   }
 
+  /** Changes the grace period in the settings of a gateway, and tells the process; the next one starts with it. */
+  changeSettings (slot: GatewaySlot, choice: number): void {
+    const lines = [...GRACE_LINES, ...UNUSABLE_GRACE_LINES]
+    const graceLine = lines[choice % lines.length]!
+    if (GRACE_LINES.some(line => line === graceLine)) slot.graceLine = graceLine
+    const { process } = slot
+    process?.writeSettings(process.getSettings({ graceLine }))
+    process?.signal('SIGHUP')
+  }
+
   /** Stops the process of a gateway for a while, without its notice. */
   async pause (slot: GatewaySlot, forMs: number): Promise<void> {
     const gateway = slot.process
@@ -398,7 +428,9 @@
   }
 
   private async _launch (slot: GatewaySlot): Promise<void> {
-    const gateway = await GatewayProcess.launch({ id: `gateway-${slot.index}`, storeAddress: slot.storeAddress, graceMs: GRACE_MS, heapMb: HEAP_MB, extraSettings: QUOTA_SETTINGS })
+    const { storeAddress, graceLine } = slot
+    const id = `gateway-${slot.index}`
+    const gateway = await GatewayProcess.launch({ id, storeAddress, graceLine, heapMb: HEAP_MB, extraSettings: QUOTA_SETTINGS })
     slot.process = gateway
     slot.stoppedAt = undefined
     slot.isEnding = false
