Keep one copy of turns that wait to be saved

Cause: the byte budget counts the prompt of a turn once. While a turn waited to be saved, it was also held as the joined transcript, and for each of up to three partitions that were tried at once as a copy in rows, as JSON and as the bytes of that; every round of 100 ms made new copies, also while calls failed at once.

TurnTests call toTurnRows with a list of pieces now and check the same; one case more.

--- a/src/core/platform/RowStore.ts
+++ b/src/core/platform/RowStore.ts
@@ -27,6 +27,12 @@
   readonly value: Uint8Array
 }
 
+/** A row to write whose value is large, so that it is not copied before it is sent. */
+export interface LargeRowPut extends RowKey {
+  /** Pieces of the value, in their order. */
+  readonly value: readonly Uint8Array[]
+}
+
 /** Version that a row must have for a transaction to commit; 0 requires that the row is absent. */
 export interface RowCondition extends RowKey {
   readonly version: number
@@ -35,7 +41,7 @@
 /** Atomic change of rows of one partition. */
 export interface RowTransaction {
   readonly conditions?: readonly RowCondition[]
-  readonly puts?: readonly RowPut[]
+  readonly puts?: ReadonlyArray<RowPut | LargeRowPut>
   readonly removes?: readonly RowKey[]
 }
 
@@ -77,6 +83,16 @@
   /** The changes after the requested version are no longer stored; the table has to be read again. */
   | { readonly type: 'gap' }
 
+/** Gets the pieces of a value. */
+export function getPieces ({ value }: RowPut | LargeRowPut): readonly Uint8Array[] {
+  return value instanceof Uint8Array ? [value] : value
+}
+
+/** Gets the number of bytes of a value. */
+export function getValueBytes (put: RowPut | LargeRowPut): number {
+  return getPieces(put).reduce((sum, { length }) => sum + length, 0)
+}
+
 /** Limits of one call, in milliseconds. */
 export interface CallOptions {
   readonly timeoutMs: number
--- a/src/core/turn/Transcript.ts
+++ b/src/core/turn/Transcript.ts
@@ -25,8 +25,13 @@
     return true
   }
 
+  /** Gets the transcript including this turn in pieces, without a copy; they are valid until an event is added. */
+  getPieces (): Buffer[] {
+    return [this._prompt, this._output.getView()]
+  }
+
   /** Gets the transcript including this turn; the prompt of the next turn starts with it. */
   toBuffer (): Buffer {
-    return Buffer.concat([this._prompt, this._output.getView()])
+    return Buffer.concat(this.getPieces())
   }
 }
--- a/src/core/turn/TurnRows.ts
+++ b/src/core/turn/TurnRows.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { BYTES_PER_TRANSACTION, ROWS_PER_TRANSACTION, type RowPut, type RowRange, type StoredRow } from '../platform/index.js'
+import { BYTES_PER_TRANSACTION, getValueBytes, ROWS_PER_TRANSACTION, type LargeRowPut, type RowRange, type StoredRow } from '../platform/index.js'
 
 /** Table of finished turns. */
 export const TURN_TABLE = 'turns'
@@ -33,32 +33,51 @@
   return { table: TURN_TABLE, part, from: `${id}/`, to: `${id}0` }
 }
 
-/** Splits a transcript into chunks that fit a row; the first byte of each row is 1 if another chunk follows and 0 if not. */
-export function toTurnRows (id: string, part: string, transcript: Buffer, options: TurnRowsOptions): RowPut[] {
+/**
+ * Splits a transcript into chunks that fit a row; the first byte of each row is 1 if another chunk follows and 0 if not.
+ *
+ * @param transcript - Pieces of the transcript in their order, which the rows refer to.
+ */
+export function toTurnRows (id: string, part: string, transcript: readonly Buffer[], options: TurnRowsOptions): LargeRowPut[] {
   const size = options.rowBytes - 1
-  const rows: RowPut[] = []
-  for (let at = 0; at === 0 || at < transcript.length; at += size) {
-    const isLast = at + size >= transcript.length
+  const length = transcript.reduce((sum, piece) => sum + piece.length, 0)
+  const rows: LargeRowPut[] = []
+  for (let at = 0; at === 0 || at < length; at += size) {
+    const isLast = at + size >= length
     const key = getChunkKey(id, rows.length)
-    rows.push({ table: TURN_TABLE, part, key, value: Buffer.concat([Buffer.of(isLast ? 0 : 1), transcript.subarray(at, at + size)]) })
+    rows.push({ table: TURN_TABLE, part, key, value: [Buffer.of(isLast ? 0 : 1), ...slice(transcript, at, at + size)] })
   }
   return rows
 }
 
+/** Gets the bytes of some pieces from one position to another, without a copy. */
+function slice (pieces: readonly Buffer[], from: number, to: number): Buffer[] {
+  const slices: Buffer[] = []
+  let at = 0
+  for (const piece of pieces) {
+    const start = Math.max(0, from - at)
+    const end = Math.min(piece.length, to - at)
+    if (start < end) slices.push(piece.subarray(start, end))
+    at += piece.length
+  }
+  return slices
+}
+
 /** Gets the key of a chunk of a turn. */
 function getChunkKey (id: string, chunk: number): string {
   return `${id}/${String(chunk).padStart(CHUNK_DIGITS, '0')}`
 }
 
 /** Groups the rows of a turn into transactions of the store; the last chunk is in the last one, without which the turn does not exist. */
-export function toTurnTransactions (rows: readonly RowPut[]): RowPut[][] {
-  const transactions: RowPut[][] = []
+export function toTurnTransactions (rows: readonly LargeRowPut[]): LargeRowPut[][] {
+  const transactions: LargeRowPut[][] = []
   let bytes = Infinity
   for (const row of rows) {
-    bytes += row.value.length
+    const size = getValueBytes(row)
+    bytes += size
     if (bytes > BYTES_PER_TRANSACTION || transactions.at(-1)!.length === ROWS_PER_TRANSACTION) {
       transactions.push([])
-      bytes = row.value.length
+      bytes = size
     }
     transactions.at(-1)!.push(row)
   }
--- a/src/io/gateway/StreamForwarder.ts
+++ b/src/io/gateway/StreamForwarder.ts
@@ -412,7 +412,7 @@
     const { route, call } = exchange
     if (progress.transcript !== undefined) {
       const deadline = Math.min(exchange.deadline, progress.lastEventAt + getCallerWaitMs(route) - SAVE_MARGIN_MS)
-      if (!await this._options.turns.save(exchange.scope(call.id), progress.transcript.toBuffer(), route.retentionMs, deadline)) {
+      if (!await this._options.turns.save(exchange.scope(call.id), progress.transcript.getPieces(), route.retentionMs, deadline)) {
         exchange.abort('the turn could not be saved in time')
         return
       }
--- a/src/io/gateway/TurnStore.ts
+++ b/src/io/gateway/TurnStore.ts
@@ -69,8 +69,12 @@
     return this._cache.get(id)
   }
 
-  /** Saves the transcript with a finished turn; returns whether it is durable. */
-  async save (id: string, transcript: Buffer, retentionMs: number, deadline: number): Promise<boolean> {
+  /**
+   * Saves the transcript with a finished turn; returns whether it is durable.
+   *
+   * @param transcript - Pieces of the transcript, of which no copy is made before it is saved: many may wait for the store.
+   */
+  async save (id: string, transcript: readonly Buffer[], retentionMs: number, deadline: number): Promise<boolean> {
     const { access, rowBytes } = this._options
     const triedPartitions = new Set<string>()
     try {
@@ -87,10 +91,11 @@
       })
     } catch (err) {
       if (!(err instanceof StoreError)) throw err
-      this._options.log.warn('turn-not-saved', { turn: id, bytes: transcript.length, cause: err.message })
+      const bytes = transcript.reduce((sum, { length }) => sum + length, 0)
+      this._options.log.warn('turn-not-saved', { turn: id, bytes, cause: err.message })
       return false
     }
-    this._addToCache(id, transcript)
+    this._addToCache(id, Buffer.concat(transcript))
     return true
   }
 
--- a/src/io/peer/rowCodec.ts
+++ b/src/io/peer/rowCodec.ts
@@ -1,4 +1,4 @@
-import type { RowChange, RowCommit, RowCondition, RowFeed, RowKey, RowSnapshot, RowTransaction, StoredRow } from '../../core/platform/index.js'
+import { getPieces, type RowChange, type RowCommit, type RowCondition, type RowFeed, type RowKey, type RowSnapshot, type RowTransaction, type StoredRow } from '../../core/platform/index.js'
 
 /** A row with its value in base64. */
 export type EncodedRow = Omit<StoredRow, 'value'> & { readonly value: string }
@@ -31,7 +31,7 @@
 export function encodeTransaction (transaction: RowTransaction): EncodedTransaction {
   return {
     conditions: [...transaction.conditions ?? []],
-    puts: (transaction.puts ?? []).map(put => ({ ...put, value: Buffer.from(put.value).toString('base64') })),
+    puts: (transaction.puts ?? []).map(put => ({ ...put, value: Buffer.concat(getPieces(put)).toString('base64') })),
     removes: [...transaction.removes ?? []]
   }
 }
--- a/tests/core/turn/TurnTests.ts
+++ b/tests/core/turn/TurnTests.ts
@@ -1,5 +1,7 @@
 import { expect } from 'earl'
-import { BYTES_PER_TRANSACTION, ROWS_PER_TRANSACTION } from '../../../src/core/platform/index.js'
+import {
+  BYTES_PER_TRANSACTION, getPieces, getValueBytes, ROWS_PER_TRANSACTION, type LargeRowPut, type StoredRow
+} from '../../../src/core/platform/index.js'
 import {
   ByteBuffer, EventSplitter, fromTurnRows, getTurnPartitions, getTurnRange, MAX_EVENT_BYTES, MAX_STREAM_BYTES, MAX_TURN_BYTES,
   PARTITIONS_PER_TURN, StreamLimit, StreamRate, STREAM_BURST_BYTES, STREAM_BYTES_PER_SECOND, toTurnRows, toTurnTransactions, Transcript,
@@ -126,8 +128,13 @@
   })
 })
 
+/** Gets the rows that the store holds after a write. */
+function toStored (puts: readonly LargeRowPut[]): StoredRow[] {
+  return puts.map(put => ({ ...put, value: Buffer.concat(getPieces(put)), version: 1 }))
+}
+
 describe('turn rows', () => {
-  const store = (transcript: Buffer, rowBytes: number) => toTurnRows('t1', '7', transcript, { rowBytes }).map(put => ({ ...put, version: 1 }))
+  const store = (transcript: Buffer, rowBytes: number): StoredRow[] => toStored(toTurnRows('t1', '7', [transcript], { rowBytes }))
 
   it('should restore a transcript of any length', () => {
     for (const length of [0, 1, 98, 99, 100, 250]) {
@@ -138,6 +145,15 @@
     }
   })
 
+  it('should restore a transcript from pieces of any length', () => {
+    for (const lengths of [[0, 0], [0, 5], [5, 0], [98, 1], [99, 1], [100, 99], [250, 30, 0, 1]]) {
+      const pieces = lengths.map((length, at) => Buffer.alloc(length, String(at)))
+      const rows = toStored(toTurnRows('t1', '7', pieces, { rowBytes: 100 }))
+      expect(rows.length).toEqual(Math.max(1, Math.ceil(Buffer.concat(pieces).length / 99)))
+      expect(fromTurnRows(rows)).toEqual(Buffer.concat(pieces))
+    }
+  })
+
   it('should be in the range of keys of the turn, which contains no other turn', () => {
     const { from, to, part } = getTurnRange('t1', '7')
     const rows = store(Buffer.alloc(500), 100)
@@ -151,10 +167,10 @@
 
   it('should be written in transactions that the store accepts, with the last chunk in the last one', () => {
     for (const [length, rowBytes] of [[0, 49_152], [760_000, 49_152], [5_000_000, 49_152], [50_000, 100]] as const) {
-      const puts = toTurnRows('t1', '7', Buffer.alloc(length), { rowBytes })
+      const puts = toTurnRows('t1', '7', [Buffer.alloc(length)], { rowBytes })
       const transactions = toTurnTransactions(puts)
       expect(transactions.flat()).toEqual(puts)
-      const bytes = transactions.map(rows => rows.reduce((sum, { value }) => sum + value.length, 0))
+      const bytes = transactions.map(rows => rows.reduce((sum, put) => sum + getValueBytes(put), 0))
       expect(Math.max(...bytes) <= BYTES_PER_TRANSACTION).toEqual(true)
       expect(transactions.every(rows => rows.length <= ROWS_PER_TRANSACTION)).toEqual(true)
     }
--- a/tests/io/gateway/TurnStoreTests.ts
+++ b/tests/io/gateway/TurnStoreTests.ts
@@ -80,7 +80,7 @@
 
   it('should be saved in several transactions and loaded whole', async () => {
     const rows = new MemoryRowStore()
-    expect(await createStore(rows, undefined, 49_152).save('t1', transcript, RETENTION_MS, clock.now() + 1_000)).toEqual(true)
+    expect(await createStore(rows, undefined, 49_152).save('t1', [transcript], RETENTION_MS, clock.now() + 1_000)).toEqual(true)
     expect([rows.calls.commit, await load(createStore(rows, undefined, 49_152))]).toEqual([3, transcript])
   })
 
@@ -92,7 +92,7 @@
       if (rows.calls.commit === 2) rows.failure = 'refused'
       return result
     }
-    expect(await createStore(rows, undefined, 49_152).save('t1', transcript, RETENTION_MS, clock.now() + 100)).toEqual(false)
+    expect(await createStore(rows, undefined, 49_152).save('t1', [transcript], RETENTION_MS, clock.now() + 100)).toEqual(false)
     rows.failure = undefined
     expect(await load(createStore(rows, undefined, 49_152))).toEqual('turn-unknown')
   })
@@ -101,7 +101,7 @@
     const rows = new MemoryRowStore()
     rows.failure = 'rejected'
     const access = createAccess(rows)
-    for (let at = 0; at < 10; at++) await createStore(rows, undefined, 1_000, access).save(`t${at}`, TRANSCRIPT, RETENTION_MS, clock.now() + 1_000)
+    for (let at = 0; at < 10; at++) await createStore(rows, undefined, 1_000, access).save(`t${at}`, [TRANSCRIPT], RETENTION_MS, clock.now() + 1_000)
     expect(access.health.isUnavailable()).toEqual(false)
   })
 })
@@ -120,7 +120,7 @@
 }
 
 async function save (store: TurnStore): Promise<boolean> {
-  return await store.save('t1', TRANSCRIPT, RETENTION_MS, clock.now() + 1_000)
+  return await store.save('t1', [TRANSCRIPT], RETENTION_MS, clock.now() + 1_000)
 }
 
 async function load (store: TurnStore): Promise<Buffer | string> {
--- a/tests/processes/ProcessUsage.ts
+++ b/tests/processes/ProcessUsage.ts
@@ -15,10 +15,10 @@
   return (Number(fields[11]) + Number(fields[12])) / TICKS_PER_S
 }
 
-/** Runs an action and gets the largest resident memory of a process meanwhile. */
-export async function measurePeakBytes (pid: number, action: () => Promise<void>): Promise<number> {
+/** Runs an action and gets the largest memory of a process meanwhile, resident unless measured otherwise. */
+export async function measurePeakBytes (pid: number, action: () => Promise<void>, getBytes = getResidentBytes): Promise<number> {
   let peakBytes = 0
-  const timer = setInterval(() => { peakBytes = Math.max(peakBytes, getResidentBytes(pid)) }, POLL_INTERVAL_MS)
+  const timer = setInterval(() => { peakBytes = Math.max(peakBytes, getBytes(pid)) }, POLL_INTERVAL_MS)
   try {
     await action()
   } finally {
@@ -38,9 +38,21 @@
 
 /** Gets the resident memory of a process in bytes; infinite when it has ended. */
 export function getResidentBytes (pid: number): number {
+  return getStatusBytes(pid, ['VmRSS'])
+}
+
+/** Gets the resident memory of a process without the pages of files, in bytes; infinite when it has ended. */
+export function getOwnBytes (pid: number): number {
+  return getStatusBytes(pid, ['RssAnon', 'RssShmem'])
+}
+
+function getStatusBytes (pid: number, names: readonly string[]): number {
   try {
-    const line = readFileSync(`/proc/${pid}/status`, 'utf8').split('\n').find(text => text.startsWith('VmRSS:'))
-    return line === undefined ? Infinity : Number(line.replace(/\D/g, '')) * 1_024
+    const lines = readFileSync(`/proc/${pid}/status`, 'utf8').split('\n')
+    return names.reduce((sum, name) => {
+      const line = lines.find(text => text.startsWith(`${name}:`))
+      return sum + (line === undefined ? Infinity : Number(line.replace(/\D/g, '')) * 1_024)
+    }, 0)
   } catch {
     return Infinity
   }
--- a/tools/platform/MemoryRowStore.ts
+++ b/tools/platform/MemoryRowStore.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 import {
-  getPartitionOf, RowStore, StoreError, StoreFailure,
+  getPartitionOf, getPieces, RowStore, StoreError, StoreFailure,
   type CallOptions, type RowChange, type RowCommit, type RowFeed, type RowKey, type RowRange, type RowSnapshot, type RowTransaction,
   type StoredRow, type StorePartition
 } from '../../src/core/platform/index.js'
@@ -71,7 +71,7 @@
       return { type: 'conflict', rows: conditions.flatMap(condition => this.getRow(condition) ?? []) }
     }
     this._version++
-    for (const put of transaction.puts ?? []) this._set(put, put.value)
+    for (const put of transaction.puts ?? []) this._set(put, Buffer.concat(getPieces(put)))
     for (const key of transaction.removes ?? []) this._set(key, undefined)
     for (const wake of this._watchers.splice(0)) wake()
     return { type: 'committed', version: this._version }
--- a/tools/platform/PlatformFixture.ts
+++ b/tools/platform/PlatformFixture.ts
@@ -18,6 +18,8 @@
   /** Routes that are added; fields that they lack are those of the other routes. */
   readonly routes?: ReadonlyArray<Readonly<Record<string, unknown>>>
   readonly limits?: Readonly<Record<string, number>>
+  /** Streams that each model engine serves at the same time. */
+  readonly slots?: number
   /** Workspaces; requests need no key without them. */
   readonly tenants?: ReadonlyArray<Readonly<Record<string, unknown>>>
 }
@@ -74,7 +76,7 @@
         ...(changes.routes ?? []).map(extra => ({ ...(extra.kind === 'streaming' ? stream : base), ...extra }))
       ],
       services: [
-        { name: 'model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 4 } },
+        { name: 'model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: changes.slots ?? 8, tokensPerEvent: 4 } },
         { name: 'small-model', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false, engine: { slots: 8, tokensPerEvent: 1 } },
         { name: 'desk', healthPath: '/health', maxConns: 100, protocol: 'h1', tls: false }
       ],
