Grant permits after those of the previous lender

Cause: a permit may be granted up to half of the remaining time of a request ahead, 3 s there. Permits of the killed lender stayed valid, its replacement granted half of the limit from now on, and its next process the whole limit, since neither knew of the earlier ones.

Change: a borrower states with each request until when it holds permits of the target, from any lender, and a ledger whose schedule ends earlier by more than the time-out of a call goes on from there. The tolerance keeps the rate where a request takes longer to the lender than the one before.

--- a/src/core/limits/CellRate.ts
+++ b/src/core/limits/CellRate.ts
@@ -11,6 +11,16 @@
     this._nextAt = nextAt
   }
 
+  /** Gets the time at which the next event is due if all are evenly spaced. */
+  getNextAt (): number {
+    return this._nextAt
+  }
+
+  /** Makes the next event due at a later time. */
+  postpone (nextAt: number): void {
+    this._nextAt = Math.max(this._nextAt, nextAt)
+  }
+
   /** Gets the milliseconds until the next event may take place; the burst is the time by which it may be early. */
   getWaitMs (now: number, burstMs: number): number {
     return Math.max(0, this._nextAt - burstMs - now)
--- a/src/core/limits/PermitLedger.ts
+++ b/src/core/limits/PermitLedger.ts
@@ -20,6 +20,13 @@
 /** Longest wait in milliseconds that a refusal states. */
 const MAX_WAIT_MS = 10_000
 
+/**
+ * Milliseconds by which a borrower may state its permits later than they are: the longest time that its request takes to the lender.
+ *
+ * Without it, each request that is slower than others would postpone all later permits.
+ */
+const HELD_TOLERANCE_MS = 200
+
 /** Request for a permit to send one request to a target. */
 export interface PermitRequest {
   /** Key of the target's incarnation. */
@@ -28,6 +35,8 @@
   readonly perSecond: number
   /** Longest time in milliseconds for which the request may wait for its turn. */
   readonly maxWaitMs: number
+  /** Milliseconds until the time of the latest permit that the borrower holds for the target, from any lender; 0 if it holds none. */
+  readonly heldMs?: number
 }
 
 /** Answer to a request for a permit: the wait before the request may be sent, or the wait that a permit would need now. */
@@ -45,6 +54,8 @@
  *
  * Answers the load of a service that gets more requests than its targets accept: requests that can wait get a time in order of arrival, and
  * the others learn at once that there is no permit and when there may be one.
+ *
+ * A ledger that takes the place of another one learns from the borrowers until when that one has granted permits, and grants later ones.
  */
 export class PermitLedger {
   private readonly _clock: Clock
@@ -55,11 +66,13 @@
   }
 
   /** Grants the next permit for a target if the request can wait for it. */
-  request ({ target, perSecond, maxWaitMs }: PermitRequest): PermitResult {
+  request ({ target, perSecond, maxWaitMs, heldMs = 0 }: PermitRequest): PermitResult {
     const now = this._clock.now()
     const intervalMs = 1_000 / Math.max(MIN_PERMITS_PER_SECOND, perSecond)
     const burstMs = (BURST - 1) * intervalMs
     const schedule = this._getSchedule(target, now, burstMs)
+    const heldNextAt = now + heldMs + intervalMs + burstMs
+    if (heldMs > 0 && heldNextAt - schedule.rate.getNextAt() > HELD_TOLERANCE_MS) schedule.rate.postpone(heldNextAt)
     const waitMs = schedule.rate.getWaitMs(now, burstMs)
     if (waitMs > maxWaitMs) return { type: 'refused', waitMs: Math.min(MAX_WAIT_MS, waitMs) }
     schedule.rate.add(now, intervalMs)
--- a/src/io/peer/PeerRouter.ts
+++ b/src/io/peer/PeerRouter.ts
@@ -38,7 +38,11 @@
 const LIMITED_TARGET = z.object({ key: z.string(), failureDomain: z.string() })
 
 const PERMIT = z.object({
-  target: LIMITED_TARGET, perSecond: z.number().nonnegative(), statedAgoMs: z.number().nonnegative(), maxWaitMs: z.number().nonnegative()
+  target: LIMITED_TARGET,
+  perSecond: z.number().nonnegative(),
+  statedAgoMs: z.number().nonnegative(),
+  maxWaitMs: z.number().nonnegative(),
+  heldMs: z.number().nonnegative().optional()
 })
 
 /** Longest name of a workspace, in characters. */
--- a/src/io/peer/PermitPeers.ts
+++ b/src/io/peer/PermitPeers.ts
@@ -9,6 +9,9 @@
 /** Milliseconds after which a gateway asks again when the one that it asked lends no permits for the target. */
 const OTHER_LENDER_WAIT_MS = 1_000
 
+/** Number of targets above which those without a permit that is still held are removed. */
+const TARGETS_BEFORE_SWEEP = 1_000
+
 /** Request for a permit as sent to a lender. */
 export interface PermitLoanRequest {
   readonly target: LimitedTarget
@@ -17,6 +20,8 @@
   /** Milliseconds since that statement. */
   readonly statedAgoMs: number
   readonly maxWaitMs: number
+  /** Milliseconds until the time of the latest permit that the borrower holds; undefined from gateways of earlier versions. */
+  readonly heldMs?: number | undefined
 }
 
 /** Answer of a lender. */
@@ -32,7 +37,7 @@
 
 /** Options of {@link PermitPeers}. */
 export interface PermitPeersOptions {
-  readonly pool: PeerPool
+  readonly pool: Pick<PeerPool, 'call'>
   readonly clock: Clock
   readonly localId: string
   readonly ranking: LenderRanking
@@ -46,6 +51,8 @@
 /** Borrows permits for requests to targets that limit their request rate, and lends those that this gateway is responsible for. */
 export class PermitPeers {
   private readonly _options: PermitPeersOptions
+  /** Times of the latest permits that this gateway holds, by the key of the target. */
+  private readonly _heldUntil = new Map<string, number>()
 
   constructor (options: PermitPeersOptions) {
     this._options = options
@@ -53,15 +60,20 @@
 
   /** Requests a permit from the first lender of the target that responds. */
   async request (target: LimitedTarget, limit: RequestLimit, maxWaitMs: number): Promise<PermitAnswer> {
-    const { ranking, localId, pool, clock } = this._options
+    const { ranking, localId, clock } = this._options
     const perSecond = limit.getPerSecond()
     if (perSecond === undefined) return { type: 'granted', waitMs: 0 }
-    const req = { target, perSecond, statedAgoMs: Math.max(0, clock.now() - limit.getStatedAt()), maxWaitMs }
     for (const lender of ranking.getLenders(target)) {
-      if (lender === localId) return this.lend(req)
-      const loan = await pool.call(lender, { subject: target.key, timeoutMs: PERMIT_TIMEOUT_MS }, async (procedures, options) => {
-        return await procedures.lendPermit.mutate(req, options)
-      })
+      const askedAt = clock.now()
+      const req = {
+        target,
+        perSecond,
+        statedAgoMs: Math.max(0, askedAt - limit.getStatedAt()),
+        maxWaitMs,
+        heldMs: Math.max(0, (this._heldUntil.get(target.key) ?? 0) - askedAt)
+      }
+      const loan = lender === localId ? this.lend(req) : await this._borrow(lender, req)
+      if (loan?.type === 'granted') this._recordHeld(target.key, askedAt + loan.waitMs)
       if (loan !== undefined) return loan
     }
     return { type: 'unavailable' }
@@ -70,7 +82,7 @@
   /** Lends a permit, if this gateway is a lender of the target. */
   lend (req: PermitLoanRequest): PermitLoan {
     const { ranking, ledger, clock, getLimit, applyStatement } = this._options
-    const { target, maxWaitMs } = req
+    const { target, maxWaitMs, heldMs } = req
     const share = ranking.getLocalShare(target)
     if (share === 0) return { type: 'refused', waitMs: OTHER_LENDER_WAIT_MS }
     const now = clock.now()
@@ -80,6 +92,21 @@
     const limit = getLimit(target.key)
     const perSecond = limit === undefined ? req.perSecond : limit.getPerSecond()
     if (perSecond === undefined) return { type: 'unlimited', endedAgoMs: Math.max(0, now - limit!.getEndedAt()) }
-    return ledger.request({ target: target.key, perSecond: perSecond * share, maxWaitMs })
+    return ledger.request({ target: target.key, perSecond: perSecond * share, maxWaitMs, heldMs })
+  }
+
+  private async _borrow (lender: string, req: PermitLoanRequest): Promise<PermitLoan | undefined> {
+    const { pool } = this._options
+    return await pool.call(lender, { subject: req.target.key, timeoutMs: PERMIT_TIMEOUT_MS }, async (procedures, options) => {
+      return await procedures.lendPermit.mutate(req, options)
+    })
+  }
+
+  private _recordHeld (target: string, until: number): void {
+    if (this._heldUntil.size > TARGETS_BEFORE_SWEEP) {
+      const now = this._options.clock.now()
+      for (const [key, time] of this._heldUntil) if (time < now) this._heldUntil.delete(key)
+    }
+    this._heldUntil.set(target, Math.max(until, this._heldUntil.get(target) ?? 0))
   }
 }
--- a/tests/core/limits/PermitLedgerTests.ts
+++ b/tests/core/limits/PermitLedgerTests.ts
@@ -26,6 +26,22 @@
     expect(request(1_000)).toEqual({ type: 'refused', waitMs: 1_500 })
   })
 
+  it('should grant permits after those that a borrower holds from another ledger', () => {
+    const request = (heldMs: number): unknown => ledger.request({ target: 'a', perSecond: 2, maxWaitMs: 10_000, heldMs })
+    expect(request(3_000)).toEqual({ type: 'granted', waitMs: 3_500 })
+    expect(request(0)).toEqual({ type: 'granted', waitMs: 4_000 })
+    expect(request(3_500)).toEqual({ type: 'granted', waitMs: 4_500 })
+  })
+
+  it('should keep its rate while borrowers state their permits later than they are, by the time of a call', () => {
+    let heldMs = 0
+    for (let at = 0; at < 100; at++) {
+      const result = ledger.request({ target: 'a', perSecond: 2, maxWaitMs: 60_000, heldMs })
+      expect(result).toEqual({ type: 'granted', waitMs: at * 500 })
+      heldMs = result.waitMs + 190
+    }
+  })
+
   it('should keep the targets apart', () => {
     ledger.request({ target: 'a', perSecond: 1, maxWaitMs: 0 })
     expect(ledger.request({ target: 'b', perSecond: 1, maxWaitMs: 0 }).type).toEqual('granted')
